Admit requests at the cell's holder: queues, shares, refusals, suspects

Cause: nodes that route on lagging reports exceed a target's places and can't keep class order or find a crashing request among each other. Ruled out: a queue at each entry (see docs/design/0004-admission.md).

--- a/src/main/java/org/poplarwharf/internal/admission/Admission.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Admission.java
@@ -24,4 +24,26 @@
 
     /** A node is lost: its waiting requests are dropped and its places freed. */
     void nodeLost(String nodeId);
+
+    /**
+     * A target has died: its places are freed and the fingerprints that were in flight there become suspects.
+     *
+     * @param deathId the same for each report of one death
+     */
+    DeathReport targetDied(String target, String deathId);
+
+    /** A target that was in doubt answered and had not died: what was in flight there is no suspect. */
+    void targetAlive(String target);
+
+    /** A fingerprint is no suspect any more, by an operator's word or because its time has passed. */
+    void lifted(String fingerprint);
+
+    /** This node is no longer the holder: whatever waits is refused as not run, so that it is asked for at the new one. */
+    void close();
+
+    /** Returns how many requests wait and how many hold a place. */
+    Counts counts();
+
+    /** Present numbers of a cell's admission. */
+    record Counts(int waiting, int granted) {}
 }
--- a/src/main/java/org/poplarwharf/internal/admission/Replicas.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Replicas.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import org.poplarwharf.FailureCode;
 import org.poplarwharf.plugins.ArtifactId;
 
 /**
@@ -21,6 +22,11 @@
      */
     OptionalLong readyInMillis(ArtifactId artifact);
 
+    /** Returns why {@link #readyInMillis} is empty, as the code of the refusal. */
+    default FailureCode whyNotReady(ArtifactId artifact) {
+        return FailureCode.NO_CAPACITY;
+    }
+
     /**
      * Tells the present demand for an artifact, so that a load is started, ordered among others, or dropped.
      *
@@ -30,7 +36,7 @@
      */
     void demand(ArtifactId artifact, int waiting, int highestPriority, long earliestDeadlineMillis);
 
-    /** Tells that a request for the artifact arrived; {@code endedAt} follows through {@link #released}. */
+    /** A place was granted; {@link #released} follows. */
     void acquired(ArtifactId artifact, String target);
 
     /** A place was given back. */
@@ -39,6 +45,9 @@
     /** Tells how a target behaved, so that it can be suspected. */
     void observed(String target, Finished.Outcome outcome);
 
+    /** Tells that a suspected fingerprint was answered by a target on which it ran apart from every other suspect. */
+    default void cleared(String fingerprint) {}
+
     /** Calls the listener whenever {@link #serving} or {@link #readyInMillis} may have changed. */
     void onChange(Runnable listener);
 
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/admission/Suspicion.java
@@ -0,0 +1,134 @@
+package org.poplarwharf.internal.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.poplarwharf.internal.state.CellStateView;
+
+/**
+ * Finds the fingerprint that crashes targets, without condemning those that were in flight beside it.
+ *
+ * <p>A fingerprint that was in flight at a death is a suspect. Suspects run one at a time on a target, so that a further
+ * death names its cause. A fingerprint that has never been answered runs on one target at a time, so that copies sent
+ * together can't take several targets down at once.
+ *
+ * <p>Invariant: what this node saw is counted at once; the folded state adds what other holders saw. Bounded. Belongs to
+ * the control thread.
+ */
+final class Suspicion {
+    private static final int DEATHS_TO_CONDEMN = 2;
+    private static final int MAX_SUSPECTS = 10_000;
+    private static final int MAX_PROVEN = 50_000;
+
+    private final CellStateView state;
+    private final Map<String, Set<String>> deathsByFingerprint = bounded(MAX_SUSPECTS);
+    private final Set<String> condemnedHere = new HashSet<>();
+    private final Map<String, Boolean> proven = bounded(MAX_PROVEN);
+    private final Map<String, List<Places.Taken>> inDoubtByTarget = new HashMap<>();
+
+    Suspicion(CellStateView state) {
+        this.state = state;
+    }
+
+    boolean condemned(String fingerprint) {
+        return condemnedHere.contains(fingerprint) || state.condemned(fingerprint);
+    }
+
+    boolean suspected(String fingerprint) {
+        if (deathsByFingerprint.containsKey(fingerprint) || inDoubt(fingerprint)) {
+            return true;
+        }
+        return state.suspects().stream().anyMatch(s -> s.fingerprint().equals(fingerprint));
+    }
+
+    boolean proven(String fingerprint) {
+        return proven.containsKey(fingerprint);
+    }
+
+    /** Tells whether a target's connection was lost and it is not yet known whether it died. */
+    boolean inDoubtTarget(String target) {
+        return inDoubtByTarget.containsKey(target);
+    }
+
+    private boolean inDoubt(String fingerprint) {
+        for (List<Places.Taken> lost : inDoubtByTarget.values()) {
+            if (lost.stream().anyMatch(taken -> taken.fingerprint().equals(fingerprint))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether the answer cleared a suspect. */
+    boolean answered(Places.Taken taken) {
+        proven.put(taken.fingerprint(), true);
+        return taken.quarantined() && deathsByFingerprint.remove(taken.fingerprint()) != null;
+    }
+
+    void connectionLost(Places.Taken taken) {
+        inDoubtByTarget
+                .computeIfAbsent(taken.target(), target -> new ArrayList<>())
+                .add(taken);
+    }
+
+    void targetAlive(String target) {
+        inDoubtByTarget.remove(target);
+    }
+
+    DeathReport targetDied(String target, String deathId, List<Places.Taken> inFlight) {
+        List<Places.Taken> present = new ArrayList<>(inFlight);
+        List<Places.Taken> lost = inDoubtByTarget.remove(target);
+        if (lost != null) {
+            present.addAll(lost);
+        }
+        Set<String> quarantined = new HashSet<>();
+        Set<String> all = new HashSet<>();
+        for (Places.Taken taken : present) {
+            all.add(taken.fingerprint());
+            if (taken.quarantined()) {
+                quarantined.add(taken.fingerprint());
+            }
+        }
+        boolean sole = quarantined.size() == 1;
+        for (String fingerprint : all) {
+            count(fingerprint, deathId, sole && quarantined.contains(fingerprint));
+        }
+        return report(all, sole ? quarantined : Set.of());
+    }
+
+    private void count(String fingerprint, String deathId, boolean sole) {
+        proven.remove(fingerprint);
+        Set<String> deaths = deathsByFingerprint.computeIfAbsent(fingerprint, absent -> new HashSet<>());
+        deaths.add(deathId);
+        if (sole && deaths.size() >= DEATHS_TO_CONDEMN) {
+            condemnedHere.add(fingerprint);
+        }
+    }
+
+    private static DeathReport report(Set<String> all, Set<String> sole) {
+        List<String> others =
+                all.stream().filter(f -> !sole.contains(f)).sorted().toList();
+        return new DeathReport(sole.stream().sorted().toList(), others);
+    }
+
+    /** An operator lifted the condemnation, or a later answer cleared the fingerprint. */
+    void lifted(String fingerprint) {
+        condemnedHere.remove(fingerprint);
+        deathsByFingerprint.remove(fingerprint);
+    }
+
+    private static <V> Map<String, V> bounded(int maxEntries) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+                return size() > maxEntries;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/admission/WaitPredictor.java
@@ -0,0 +1,44 @@
+package org.poplarwharf.internal.admission;
+
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Predicts how long a request waits for a place: the load still to go, then the requests ahead of it over the rate at which
+ * the replicas free places.
+ *
+ * <p>Belongs to the control thread.
+ */
+final class WaitPredictor {
+    private final Replicas replicas;
+    private final ServiceTimes serviceTimes;
+    private final ClassLimits limits;
+
+    WaitPredictor(Replicas replicas, ServiceTimes serviceTimes, ClassLimits limits) {
+        this.replicas = replicas;
+        this.serviceTimes = serviceTimes;
+        this.limits = limits;
+    }
+
+    /** Returns the wait in milliseconds; empty when no replica is loaded and none can be. */
+    OptionalLong waitMillis(AdmitRequest request, int priority, int ahead, boolean hasFreePlace) {
+        List<Replicas.Replica> serving = replicas.serving(request.artifact());
+        if (serving.isEmpty()) {
+            return replicas.readyInMillis(request.artifact());
+        }
+        if (hasFreePlace) {
+            return OptionalLong.of(0);
+        }
+        int places = 0;
+        for (Replicas.Replica replica : serving) {
+            places += limits.places(priority, replica.maxConcurrent());
+        }
+        double serviceMillis = serviceTimes.expectedMillis(request.artifact(), request.requestClass());
+        return OptionalLong.of(Math.round((ahead + 1) * serviceMillis / Math.max(1, places)));
+    }
+
+    /** Returns the least time that the answer takes once it has a place. */
+    long serviceMillis(AdmitRequest request) {
+        return Math.round(serviceTimes.expectedMillis(request.artifact(), request.requestClass()));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -2,6 +2,7 @@
 
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.plugins.ArtifactId;
 
 /**
  * Makes every failure of the project, so that each message has the same three parts: what happened, why that is
@@ -51,6 +52,65 @@
                 null);
     }
 
+    public static PoplarWharfException requestCondemned(String fingerprint) {
+        return failure(
+                FailureCode.REQUEST_CONDEMNED,
+                "This request is refused (fingerprint " + fingerprint + ").",
+                "Two targets died while they ran it.",
+                "Change the request, or ask an operator to lift the condemnation.",
+                null);
+    }
+
+    public static PoplarWharfException queueFull(String requestClass, long retryAfterMillis) {
+        return retryable(
+                FailureCode.QUEUE_FULL,
+                "The queue of class " + requestClass + " is full.",
+                "More requests arrive than the replicas can serve.",
+                "Try again after the given time.",
+                retryAfterMillis,
+                null);
+    }
+
+    public static PoplarWharfException deadlineUnreachable(ArtifactId artifact, long waitMillis) {
+        return retryable(
+                FailureCode.DEADLINE_UNREACHABLE,
+                artifact + " can't answer before the deadline; the wait is about " + waitMillis + " ms.",
+                "Its replicas are busy or still loading.",
+                "Try again after the given time, or with a later deadline.",
+                waitMillis,
+                null);
+    }
+
+    public static PoplarWharfException deadlineExceeded(ArtifactId artifact, long retryAfterMillis) {
+        return retryable(
+                FailureCode.DEADLINE_EXCEEDED,
+                "The deadline passed while the request waited for " + artifact + "; it was not run.",
+                "Its replicas stayed busy or did not finish loading in time.",
+                "Try again after the given time, or with a later deadline.",
+                retryAfterMillis,
+                null);
+    }
+
+    public static PoplarWharfException noReplica(ArtifactId artifact, FailureCode code, long retryAfterMillis) {
+        return retryable(
+                code,
+                "No replica of " + artifact + " is loaded and none can be loaded now.",
+                "The log is down, or no target that may run it has memory to free.",
+                "Try again after the given time.",
+                retryAfterMillis,
+                null);
+    }
+
+    public static PoplarWharfException holderChanged(String cell) {
+        return retryable(
+                FailureCode.NO_HOLDER,
+                "This node no longer holds the lease of cell " + cell + "; the request was not run.",
+                "The lease was handed over or taken over.",
+                "Ask the new holder.",
+                0,
+                null);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/admission/FakeReplicas.java
@@ -0,0 +1,64 @@
+package org.poplarwharf.internal.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.poplarwharf.FailureCode;
+import org.poplarwharf.plugins.ArtifactId;
+
+/** Replicas whose state a test sets by hand. */
+final class FakeReplicas implements Replicas {
+    private final Map<ArtifactId, List<Replica>> serving = new HashMap<>();
+    private final List<Runnable> listeners = new ArrayList<>();
+    final List<String> cleared = new ArrayList<>();
+    OptionalLong readyInMillis = OptionalLong.empty();
+    FailureCode whyNotReady = FailureCode.NO_CAPACITY;
+    int lastDemand;
+
+    void serve(ArtifactId artifact, String target, int maxConcurrent) {
+        serving.computeIfAbsent(artifact, absent -> new ArrayList<>())
+                .add(new Replica(target, "127.0.0.1:1", "z1", maxConcurrent, 0, 0));
+        listeners.forEach(Runnable::run);
+    }
+
+    @Override
+    public List<Replica> serving(ArtifactId artifact) {
+        return serving.getOrDefault(artifact, List.of());
+    }
+
+    @Override
+    public OptionalLong readyInMillis(ArtifactId artifact) {
+        return readyInMillis;
+    }
+
+    @Override
+    public FailureCode whyNotReady(ArtifactId artifact) {
+        return whyNotReady;
+    }
+
+    @Override
+    public void demand(ArtifactId artifact, int waiting, int highestPriority, long earliestDeadlineMillis) {
+        lastDemand = waiting;
+    }
+
+    @Override
+    public void acquired(ArtifactId artifact, String target) {}
+
+    @Override
+    public void released(ArtifactId artifact, String target) {}
+
+    @Override
+    public void observed(String target, Finished.Outcome outcome) {}
+
+    @Override
+    public void cleared(String fingerprint) {
+        cleared.add(fingerprint);
+    }
+
+    @Override
+    public void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+}
