Add the fold of a cell's stream

Cause: the contracts name a pure fold of CellRecord, and every exactness rule of docs/design/0001 rests on it.

Ruled out: one class for all (four concerns with rules of their own: lease, slots, suspects, calls); hash maps in the state (their order is not a function of the records, so equal states could have unequal bytes).

Change: CellState with LeaseState, SlotTable, SuspectList and CallTable; internal.log.Fold is the new interface between a stream and its state (apply, checkpoint, restore). A checkpoint carries what the stream remembers of writers, since a reader that begins there would otherwise take a late repeat for a new record. Stricter than the contract's text: an order never joins a slot whose VM is another one, since the old VM's TargetGone would retire the slot under the new order; an adapter is not loaded beside a model that is being unloaded.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/state/CellSnapshot.java
@@ -0,0 +1,23 @@
+package org.poplarwharf.internal.state;
+
+import java.util.List;
+import java.util.Optional;
+import org.poplarwharf.internal.state.CellStateView.CallClaim;
+import org.poplarwharf.internal.state.CellStateView.Lease;
+import org.poplarwharf.internal.state.CellStateView.Slot;
+
+/**
+ * The whole state of a cell in a form that can be encoded.
+ *
+ * <p>Invariant: every list is in the order of its keys, so that equal states have equal bytes. Immutable and
+ * thread-safe.
+ *
+ * @param writers what the stream remembers of writers
+ */
+record CellSnapshot(
+        Optional<Lease> lease,
+        List<Slot> slots,
+        List<String> excludedTargets,
+        List<SuspectList.Entry> suspects,
+        List<CallClaim> calls,
+        byte[] writers) {}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/state/SlotTable.java
@@ -0,0 +1,234 @@
+package org.poplarwharf.internal.state;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.poplarwharf.internal.state.CellRecord.LoadIntended;
+import org.poplarwharf.internal.state.CellRecord.StoodDown;
+import org.poplarwharf.internal.state.CellRecord.UnloadIntended;
+import org.poplarwharf.internal.state.CellStateView.OpenOrder;
+import org.poplarwharf.internal.state.CellStateView.Phase;
+import org.poplarwharf.internal.state.CellStateView.Slot;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.EngineDialect.OrderKind;
+
+/**
+ * The slots of a cell and the orders that may still arrive for them.
+ *
+ * <p>Invariants: a slot is opened only where its bytes and its replica stay within the limits of its intent; it goes
+ * only when no order for it is open or its VM is gone; an adapter's slot never outlives its model's slot on the same
+ * target. Belongs to the control thread.
+ */
+final class SlotTable {
+    private final TreeMap<SlotKey, Slot> slots = new TreeMap<>();
+    private final Map<String, Long> reservedBytes = new HashMap<>();
+    private final Map<ArtifactId, Integer> replicas = new HashMap<>();
+
+    private record SlotKey(String target, ArtifactId artifact) implements Comparable<SlotKey> {
+        @Override
+        public int compareTo(SlotKey other) {
+            int byTarget = target.compareTo(other.target);
+            return byTarget != 0 ? byTarget : artifact.compareTo(other.artifact);
+        }
+    }
+
+    List<Slot> all() {
+        return List.copyOf(slots.values());
+    }
+
+    Optional<Slot> find(String target, ArtifactId artifact) {
+        return Optional.ofNullable(slots.get(new SlotKey(target, artifact)));
+    }
+
+    long reservedBytes(String target) {
+        return reservedBytes.getOrDefault(target, 0L);
+    }
+
+    int replicas(ArtifactId artifact) {
+        return replicas.getOrDefault(artifact, 0);
+    }
+
+    void restore(List<Slot> restored) {
+        slots.clear();
+        reservedBytes.clear();
+        replicas.clear();
+        restored.forEach(this::open);
+    }
+
+    Verdict intendLoad(long offset, LoadIntended intent) {
+        OpenOrder order = new OpenOrder(offset, intent.epoch(), intent.author(), OrderKind.LOAD);
+        Optional<Slot> existing = find(intent.target(), intent.artifact());
+        return existing.isPresent() ? addLoadOrder(existing.get(), intent, order) : openSlot(intent, order);
+    }
+
+    private Verdict addLoadOrder(Slot slot, LoadIntended intent, OpenOrder order) {
+        if (!slot.targetVmId().equals(intent.targetVmId())) {
+            return Verdict.refused("the slot belongs to VM " + slot.targetVmId());
+        }
+        if (!slot.version().equals(intent.version())) {
+            return Verdict.refused("the slot holds version " + slot.version());
+        }
+        if (slot.phase() == Phase.UNLOADING) {
+            return Verdict.refused("the slot is being unloaded");
+        }
+        replace(withOrder(slot, order, slot.phase()));
+        return Verdict.ACCEPTED;
+    }
+
+    private Verdict openSlot(LoadIntended intent, OpenOrder order) {
+        if (intent.sizeBytes() < 0) {
+            return Verdict.refused("the size is negative");
+        }
+        if (!baseReady(intent)) {
+            return Verdict.refused("the adapter's model has no slot on " + intent.target());
+        }
+        long freeBytes = intent.memoryLimitBytes() - reservedBytes(intent.target());
+        if (intent.sizeBytes() > freeBytes) {
+            return Verdict.refused("target " + intent.target() + " has only " + freeBytes + " bytes free");
+        }
+        if (replicas(intent.artifact()) >= intent.replicaLimit()) {
+            return Verdict.refused("all " + intent.replicaLimit() + " replicas are taken");
+        }
+        open(new Slot(
+                intent.target(),
+                intent.targetVmId(),
+                intent.artifact(),
+                intent.version(),
+                intent.sizeBytes(),
+                intent.fencing(),
+                Phase.INTENDED,
+                List.of(order)));
+        return Verdict.ACCEPTED;
+    }
+
+    private boolean baseReady(LoadIntended intent) {
+        if (intent.artifact().kind() != ArtifactId.Kind.ADAPTER) {
+            return true;
+        }
+        return find(intent.target(), intent.artifact().base())
+                .filter(base -> base.phase() != Phase.UNLOADING)
+                .filter(base -> base.targetVmId().equals(intent.targetVmId()))
+                .isPresent();
+    }
+
+    Verdict intendUnload(long offset, UnloadIntended intent) {
+        Optional<Slot> slot = find(intent.target(), intent.artifact());
+        if (slot.isEmpty()) {
+            return noSlot(intent.target(), intent.artifact());
+        }
+        OpenOrder order = new OpenOrder(offset, intent.epoch(), intent.author(), OrderKind.UNLOAD);
+        replace(withOrder(slot.get(), order, Phase.UNLOADING));
+        return Verdict.ACCEPTED;
+    }
+
+    Verdict confirmLoad(String target, ArtifactId artifact) {
+        Optional<Slot> slot = find(target, artifact);
+        if (slot.isEmpty()) {
+            return noSlot(target, artifact);
+        }
+        if (slot.get().phase() == Phase.UNLOADING) {
+            return Verdict.refused("the slot is being unloaded");
+        }
+        replace(with(slot.get(), Phase.LOADED, slot.get().openOrders()));
+        return Verdict.ACCEPTED;
+    }
+
+    Verdict settle(long intentOffset) {
+        return settleWhere(order -> order.intentOffset() == intentOffset)
+                ? Verdict.ACCEPTED
+                : Verdict.refused("no order of intent " + intentOffset + " is open");
+    }
+
+    Verdict standDown(StoodDown record) {
+        Set<Long> settled = new HashSet<>(record.answered());
+        settled.addAll(record.neverSent());
+        settleWhere(order -> order.author().equals(record.author())
+                && order.epoch() <= record.throughEpoch()
+                && settled.contains(order.intentOffset()));
+        return Verdict.ACCEPTED;
+    }
+
+    private boolean settleWhere(Predicate<OpenOrder> settled) {
+        boolean any = false;
+        for (Slot slot : all()) {
+            List<OpenOrder> left =
+                    slot.openOrders().stream().filter(settled.negate()).toList();
+            if (left.size() < slot.openOrders().size()) {
+                replace(with(slot, slot.phase(), left));
+                any = true;
+            }
+        }
+        return any;
+    }
+
+    Verdict retire(String target, ArtifactId artifact) {
+        Optional<Slot> slot = find(target, artifact);
+        if (slot.isEmpty()) {
+            return noSlot(target, artifact);
+        }
+        if (!slot.get().openOrders().isEmpty()) {
+            return Verdict.refused("an order for the slot is open");
+        }
+        if (hasAdapters(target, artifact)) {
+            return Verdict.refused("adapters of the model have slots on " + target);
+        }
+        close(slot.get());
+        return Verdict.ACCEPTED;
+    }
+
+    Verdict retireVm(String vmId) {
+        all().stream().filter(slot -> slot.targetVmId().equals(vmId)).forEach(this::close);
+        return Verdict.ACCEPTED;
+    }
+
+    private boolean hasAdapters(String target, ArtifactId model) {
+        return slots.values().stream()
+                .filter(slot -> slot.target().equals(target))
+                .anyMatch(slot ->
+                        !slot.artifact().equals(model) && slot.artifact().base().equals(model));
+    }
+
+    private static Verdict noSlot(String target, ArtifactId artifact) {
+        return Verdict.refused(artifact + " has no slot on " + target);
+    }
+
+    private void open(Slot slot) {
+        replace(slot);
+        reservedBytes.merge(slot.target(), slot.sizeBytes(), Long::sum);
+        replicas.merge(slot.artifact(), 1, Integer::sum);
+    }
+
+    private void replace(Slot slot) {
+        slots.put(new SlotKey(slot.target(), slot.artifact()), slot);
+    }
+
+    private void close(Slot slot) {
+        slots.remove(new SlotKey(slot.target(), slot.artifact()));
+        reservedBytes.merge(slot.target(), -slot.sizeBytes(), Long::sum);
+        replicas.merge(slot.artifact(), -1, Integer::sum);
+    }
+
+    private static Slot withOrder(Slot slot, OpenOrder order, Phase phase) {
+        List<OpenOrder> orders = new ArrayList<>(slot.openOrders());
+        orders.add(order);
+        return with(slot, phase, List.copyOf(orders));
+    }
+
+    private static Slot with(Slot slot, Phase phase, List<OpenOrder> orders) {
+        return new Slot(
+                slot.target(),
+                slot.targetVmId(),
+                slot.artifact(),
+                slot.version(),
+                slot.sizeBytes(),
+                slot.fencing(),
+                phase,
+                orders);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/state/CellStateTest.java
@@ -0,0 +1,173 @@
+package org.poplarwharf.internal.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.state.CellRecord.Author;
+import org.poplarwharf.internal.state.CellRecord.CallOutcome;
+import org.poplarwharf.internal.state.CellRecord.Evidence;
+import org.poplarwharf.internal.state.CellStateView.Phase;
+import org.poplarwharf.plugins.ArtifactId;
+
+class CellStateTest {
+    private static final Author HOLDER = new Author("n1", 1);
+    private static final Author CHALLENGER = new Author("n2", 1);
+    private static final ArtifactId MODEL = ArtifactId.model("llama");
+    private static final ArtifactId ADAPTER = ArtifactId.adapter("llama", "audit");
+
+    private final CellState state = new CellState();
+    private long offset = 100;
+    private long epoch;
+
+    @BeforeEach
+    void claim_the_lease() {
+        assertThat(apply(claim(HOLDER, -1, -1))).isTrue();
+        epoch = state.epoch();
+    }
+
+    @Test
+    void a_claim_wins_only_when_the_lease_it_saw_was_not_renewed() {
+        assertThat(apply(new CellRecord.LeaseRenewed(epoch))).isTrue();
+        long renewal = offset;
+
+        assertThat(apply(claim(CHALLENGER, epoch, epoch))).isFalse();
+        assertThat(apply(claim(CHALLENGER, epoch, renewal))).isTrue();
+        assertThat(state.epoch()).isEqualTo(offset);
+        assertThat(apply(new CellRecord.LeaseRenewed(epoch))).isFalse();
+        assertThat(apply(load(MODEL, "gpu", 10))).isFalse();
+    }
+
+    @Test
+    void a_released_lease_is_claimed_without_knowing_its_renewal() {
+        apply(new CellRecord.LeaseReleased(epoch));
+
+        assertThat(apply(claim(CHALLENGER, epoch, -7))).isTrue();
+    }
+
+    @Test
+    void a_load_is_refused_where_memory_or_replicas_would_go_over() {
+        assertThat(apply(load(MODEL, "gpu", 60))).isTrue();
+        assertThat(apply(load(ArtifactId.model("other"), "gpu", 41))).isFalse();
+        assertThat(apply(load(MODEL, "gpu-2", 10))).isTrue();
+        assertThat(apply(load(MODEL, "gpu-3", 10))).isFalse();
+        assertThat(state.reservedBytes("gpu")).isEqualTo(60);
+        assertThat(state.replicas(MODEL)).isEqualTo(2);
+    }
+
+    @Test
+    void a_slot_is_kept_until_every_order_is_settled() {
+        apply(load(MODEL, "gpu", 60));
+        long first = offset;
+        apply(load(MODEL, "gpu", 60));
+        long second = offset;
+        apply(new CellRecord.LoadConfirmed(epoch, "gpu", MODEL));
+        apply(new CellRecord.UnloadIntended(epoch, HOLDER, "gpu", MODEL));
+        long third = offset;
+
+        assertThat(state.slot("gpu", MODEL).orElseThrow().phase()).isEqualTo(Phase.UNLOADING);
+        assertThat(apply(load(MODEL, "gpu", 60))).isFalse();
+        for (long intent : List.of(first, second, third)) {
+            assertThat(apply(new CellRecord.SlotRetired(epoch, "gpu", MODEL))).isFalse();
+            assertThat(apply(new CellRecord.OrderSettled(epoch, intent, Evidence.ANSWERED)))
+                    .isTrue();
+        }
+        assertThat(apply(new CellRecord.SlotRetired(epoch, "gpu", MODEL))).isTrue();
+        assertThat(state.reservedBytes("gpu")).isZero();
+    }
+
+    @Test
+    void an_order_never_joins_a_slot_of_another_vm_or_version() {
+        apply(load(MODEL, "gpu", 60));
+
+        assertThat(apply(new CellRecord.LoadIntended(epoch, HOLDER, "gpu", "vm-later", MODEL, "v1", 60, false, 100, 2)))
+                .isFalse();
+        assertThat(apply(new CellRecord.LoadIntended(epoch, HOLDER, "gpu", "vm-gpu", MODEL, "v2", 60, false, 100, 2)))
+                .isFalse();
+    }
+
+    @Test
+    void an_adapter_needs_its_model_and_goes_before_it() {
+        assertThat(apply(load(ADAPTER, "gpu", 1))).isFalse();
+        apply(load(MODEL, "gpu", 60));
+        long modelIntent = offset;
+        assertThat(apply(load(ADAPTER, "gpu", 1))).isTrue();
+        long adapterIntent = offset;
+        apply(new CellRecord.OrderSettled(epoch, modelIntent, Evidence.ANSWERED));
+
+        assertThat(apply(new CellRecord.SlotRetired(epoch, "gpu", MODEL))).isFalse();
+        apply(new CellRecord.OrderSettled(epoch, adapterIntent, Evidence.ANSWERED));
+        assertThat(apply(new CellRecord.SlotRetired(epoch, "gpu", ADAPTER))).isTrue();
+        assertThat(apply(new CellRecord.SlotRetired(epoch, "gpu", MODEL))).isTrue();
+    }
+
+    @Test
+    void standing_down_settles_only_what_the_same_incarnation_lists() {
+        apply(load(MODEL, "gpu", 10));
+        long answered = offset;
+        apply(load(MODEL, "gpu", 10));
+        long neverSent = offset;
+        apply(load(MODEL, "gpu", 10));
+
+        apply(new CellRecord.StoodDown(new Author("n1", 2), epoch, List.of(answered), List.of(neverSent)));
+        assertThat(state.slot("gpu", MODEL).orElseThrow().openOrders()).hasSize(3);
+        apply(new CellRecord.StoodDown(HOLDER, epoch, List.of(answered), List.of(neverSent)));
+        assertThat(state.slot("gpu", MODEL).orElseThrow().openOrders()).hasSize(1);
+    }
+
+    @Test
+    void a_gone_vm_frees_only_its_own_slots() {
+        apply(load(MODEL, "gpu", 10));
+        apply(load(MODEL, "gpu-2", 10));
+        apply(new CellRecord.TargetGone(epoch, "gpu", "vm-gpu"));
+
+        assertThat(state.slots()).extracting(CellStateView.Slot::target).containsExactly("gpu-2");
+        assertThat(state.replicas(MODEL)).isEqualTo(1);
+    }
+
+    @Test
+    void a_fingerprint_is_condemned_at_a_second_death_where_it_was_the_sole_suspect() {
+        apply(new CellRecord.TargetDied(epoch, "gpu", "d1", List.of("a", "b"), false));
+        apply(new CellRecord.TargetDied(epoch, "gpu", "d1", List.of("a"), true));
+        assertThat(state.condemned("a")).isFalse();
+        apply(new CellRecord.TargetDied(epoch, "gpu", "d2", List.of("a"), true));
+        assertThat(state.condemned("a")).isTrue();
+        assertThat(state.condemned("b")).isFalse();
+        apply(new CellRecord.CondemnationLifted("a"));
+        assertThat(state.condemned("a")).isFalse();
+    }
+
+    @Test
+    void the_first_claim_of_a_call_wins_and_sets_its_outcome_once() {
+        assertThat(apply(new CellRecord.CallClaimed("k", "a1", HOLDER, "f"))).isTrue();
+        assertThat(apply(new CellRecord.CallClaimed("k", "a2", HOLDER, "f"))).isFalse();
+        assertThat(apply(new CellRecord.CallReleased("k", "a2"))).isFalse();
+        assertThat(apply(ended("a2"))).isFalse();
+        assertThat(apply(ended("a1"))).isTrue();
+        assertThat(apply(ended("a1"))).isFalse();
+        assertThat(apply(new CellRecord.CallReleased("k", "a1"))).isFalse();
+        assertThat(state.call("k").orElseThrow().outcome()).isEqualTo(Optional.of(CallOutcome.ANSWERED));
+        assertThat(apply(new CellRecord.CallsForgotten(epoch, offset))).isTrue();
+        assertThat(state.callCount()).isZero();
+    }
+
+    private boolean apply(CellRecord record) {
+        offset += 1;
+        return state.apply(offset, record).accepted();
+    }
+
+    private CellRecord load(ArtifactId artifact, String target, long sizeBytes) {
+        return new CellRecord.LoadIntended(
+                epoch, HOLDER, target, "vm-" + target, artifact, "v1", sizeBytes, false, 100, 2);
+    }
+
+    private static CellRecord claim(Author author, long epoch, long renewal) {
+        return new CellRecord.LeaseClaimed(author, "127.0.0.1:1", epoch, renewal, 1_000);
+    }
+
+    private static CellRecord ended(String attempt) {
+        return new CellRecord.CallEnded("k", attempt, CallOutcome.ANSWERED, 200, "text/plain", new byte[] {1}, true);
+    }
+}
