Add the kernel, the node's settings, the command frame, logs and metrics

Cause: the roles need a node to run in; operators need one binary with one way of reading options. Ruled out: a shutdown hook that only drains, since the JVM then exits with 143; the hook halts with 0 after the drain. Roles that announce the ports they bound: every role would need to wait for the others, so the kernel picks free ports before any role starts. Change: Node, NodeKernel, ServiceLoaderRegistry, NodeLog (JSON lines by tinylog), NodeMetrics, OptionSet/OptionValues, NodeCommand. NodeSettings gains withAddresses. Conclusion: roles can register a Role.Factory, commands one service line.

--- a/src/main/java/org/poplarwharf/internal/cli/Main.java
+++ b/src/main/java/org/poplarwharf/internal/cli/Main.java
@@ -1,10 +1,63 @@
 package org.poplarwharf.internal.cli;
 
-/** Entry point of the binary. */
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.TreeMap;
+
+/**
+ * Entry point of the binary. Sub-commands register themselves as {@link Command} services.
+ *
+ * <p>Stateless and thread-safe.
+ */
 public final class Main {
+    private static final List<String> HELP_WORDS = List.of("--help", "-h", "help");
+
     private Main() {}
 
     public static void main(String[] args) {
-        System.exit(0);
+        System.exit(run(Arrays.asList(args), System.out, System.err));
+    }
+
+    /** Runs the sub-command that the first argument names and returns the exit code. */
+    static int run(List<String> arguments, PrintStream out, PrintStream err) {
+        if (arguments.isEmpty()) {
+            printUsage(err);
+            return Command.EXIT_USAGE;
+        }
+        String word = arguments.get(0);
+        if (HELP_WORDS.contains(word)) {
+            printUsage(out);
+            return Command.EXIT_OK;
+        }
+        Optional<Command> command = find(word);
+        if (command.isEmpty()) {
+            err.println("poplarwharf: there is no command '" + word + "'; see poplarwharf --help.");
+            return Command.EXIT_USAGE;
+        }
+        return command.get().run(arguments.subList(1, arguments.size()), out, err);
+    }
+
+    private static Optional<Command> find(String word) {
+        for (Command command : ServiceLoader.load(Command.class)) {
+            if (command.name().equals(word)) {
+                return Optional.of(command);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static void printUsage(PrintStream stream) {
+        TreeMap<String, String> summaries = new TreeMap<>();
+        for (Command command : ServiceLoader.load(Command.class)) {
+            summaries.put(command.name(), command.summary());
+        }
+        stream.println("Usage: poplarwharf COMMAND [OPTIONS]");
+        stream.println();
+        summaries.forEach((name, summary) -> stream.printf("  %-12s %s%n", name, summary));
+        stream.println();
+        stream.println("poplarwharf COMMAND --help lists the options of a command.");
     }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeCommand.java
@@ -0,0 +1,71 @@
+package org.poplarwharf.internal.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.poplarwharf.Node;
+import org.poplarwharf.internal.kernel.NodeLog;
+import org.poplarwharf.internal.kernel.NodeSettings;
+
+/**
+ * {@code poplarwharf node}: runs a node until the process is asked to end.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class NodeCommand implements Command {
+    private static final List<String> LEVELS = List.of("trace", "debug", "info", "warn", "error", "off");
+    private static final OptionSpec LOG_LEVEL =
+            OptionSpec.of("log-level", "LEVEL", "info", "the least level that is logged: " + String.join(", ", LEVELS));
+    private static final OptionSet OPTIONS = new OptionSet("node", "", specs());
+
+    @Override
+    public String name() {
+        return "node";
+    }
+
+    @Override
+    public String summary() {
+        return "runs a node: takes requests, follows the log, holds cells";
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) {
+        return OPTIONS.run(arguments, out, err, values -> runNode(values, out));
+    }
+
+    private static List<OptionSpec> specs() {
+        List<OptionSpec> specs = new ArrayList<>(NodeSettingsReader.SPECS);
+        specs.add(LOG_LEVEL);
+        return specs;
+    }
+
+    private static int runNode(OptionValues values, PrintStream out) {
+        String level = values.text(LOG_LEVEL.flag());
+        values.require(LEVELS.contains(level), LOG_LEVEL.flag(), "must be one of " + String.join(", ", LEVELS));
+        NodeSettings settings = NodeSettingsReader.read(values);
+        NodeLog.setLevel(level);
+        Node node = Node.start(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> endProcess(node), "shutdown"));
+        NodeSettings bound = node.settings();
+        out.println(listeningLine(
+                new Listening("listening", bound.listenAddress(), bound.peerAddress(), bound.adminAddress())));
+        out.flush();
+        node.awaitStop();
+        return EXIT_OK;
+    }
+
+    /** Runs when the process is asked to end; the exit code tells that all was finished in order. */
+    private static void endProcess(Node node) {
+        node.drain();
+        node.stop();
+        Runtime.getRuntime().halt(EXIT_OK);
+    }
+
+    private static String listeningLine(Listening listening) {
+        return new ObjectMapper().valueToTree(listening).toString();
+    }
+
+    /** What is printed once the node takes connections. */
+    private record Listening(String event, String listen, String peer, String admin) {}
+}
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.failure;
 
+import java.util.List;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.PoplarWharfException;
 
@@ -51,6 +52,61 @@
                 null);
     }
 
+    /** Makes one failure of all faults in a command's arguments or settings, one line each. */
+    public static PoplarWharfException settingsInvalid(List<String> faults) {
+        return new PoplarWharfException(FailureCode.SETTINGS_INVALID, String.join("\n", faults), NO_RETRY, null);
+    }
+
+    public static PoplarWharfException pluginClash(String extensionPoint, String name) {
+        return failure(
+                FailureCode.SETTINGS_INVALID,
+                "Two plug-ins register '" + name + "' as " + extensionPoint + ".",
+                "The class path holds two plug-ins that chose the same name.",
+                "Remove one of them.",
+                null);
+    }
+
+    public static PoplarWharfException roleNotStarted(String role, Throwable cause) {
+        return failure(
+                codeOf(cause),
+                "Role '" + role + "' did not start: " + cause.getMessage(),
+                "A port may be taken, or a setting may name something that is not there.",
+                "Mend what the cause names and start the node again.",
+                cause);
+    }
+
+    public static PoplarWharfException addressUnusable(String address, Throwable cause) {
+        return failure(
+                FailureCode.SETTINGS_INVALID,
+                "Address " + address + " can't be listened on.",
+                "The host is not one of this VM's, or no port is free.",
+                "Give an address of this VM.",
+                cause);
+    }
+
+    public static PoplarWharfException interrupted(String what, Throwable cause) {
+        return failure(
+                FailureCode.SHUTTING_DOWN,
+                "Waiting for " + what + " was interrupted.",
+                "The process is being ended.",
+                "Start it again.",
+                cause);
+    }
+
+    public static PoplarWharfException internal(String what, Throwable cause) {
+        return failure(
+                FailureCode.INTERNAL,
+                what + " met an unexpected " + cause.getClass().getSimpleName() + ".",
+                "This is a defect of poplarwharf.",
+                "Report it with the log line of the same time.",
+                cause);
+    }
+
+    /** Returns a failure's code; {@code internal} for any other exception. */
+    public static FailureCode codeOf(Throwable cause) {
+        return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/kernel/LogEvent.java
@@ -0,0 +1,53 @@
+package org.poplarwharf.internal.kernel;
+
+import java.util.Locale;
+
+/**
+ * The names of logged events. Invariant: a name, once published, keeps its meaning. Immutable and thread-safe.
+ */
+public enum LogEvent {
+    NODE_STARTED(Level.INFO),
+    NODE_FAILED(Level.ERROR),
+    NODE_DRAINING(Level.INFO),
+    NODE_DRAINED(Level.INFO),
+    NODE_STOPPED(Level.INFO),
+    ROLE_STARTED(Level.INFO),
+    ROLE_DRAIN_FAILED(Level.WARN),
+    ROLE_STOP_FAILED(Level.WARN),
+    UNEXPECTED_EXCEPTION(Level.ERROR),
+    ADMIN_REFUSED(Level.WARN),
+    ADMIN_CHANGE(Level.INFO),
+    REQUEST_REFUSED(Level.DEBUG),
+    REQUEST_FAILED(Level.WARN),
+    LEASE_TAKEN(Level.INFO),
+    LEASE_LOST(Level.WARN),
+    LEASE_RELEASED(Level.INFO),
+    LOAD_ORDERED(Level.INFO),
+    UNLOAD_ORDERED(Level.INFO),
+    LOAD_CONFIRMED(Level.INFO),
+    TARGET_DIED(Level.WARN),
+    CONFIG_IN_FORCE(Level.INFO);
+
+    /** How much an event matters. */
+    enum Level {
+        DEBUG,
+        INFO,
+        WARN,
+        ERROR
+    }
+
+    private final Level level;
+
+    LogEvent(Level level) {
+        this.level = level;
+    }
+
+    Level level() {
+        return level;
+    }
+
+    /** Returns the name as it stands in the log, for example {@code node-started}. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeLog.java
@@ -0,0 +1,72 @@
+package org.poplarwharf.internal.kernel;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.poplarwharf.FailureCode;
+import org.tinylog.Logger;
+import org.tinylog.ThreadContext;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * The log of a node: JSON lines of typed events.
+ *
+ * <p>Invariant: a line holds names and codes, never a caller's payload. Thread-safe.
+ */
+public final class NodeLog {
+    private static final String LEVEL = "level";
+
+    private final String nodeId;
+    private final String zone;
+
+    public NodeLog(String nodeId, String zone) {
+        this.nodeId = nodeId;
+        this.zone = zone;
+    }
+
+    /** Sets the least level that is logged. Works only before the first line of this process. */
+    public static void setLevel(String level) {
+        Configuration.set(LEVEL, level);
+    }
+
+    /** Logs an event of the node as a whole. */
+    public void event(LogEvent event) {
+        write(event, Map.of(), null);
+    }
+
+    /** Logs an event about a named thing: a role, a cell, a target or an artifact. */
+    public void event(LogEvent event, String subject) {
+        write(event, Map.of("subject", subject), null);
+    }
+
+    /** Logs how a request failed. */
+    public void request(LogEvent event, String requestId, FailureCode code) {
+        write(event, Map.of("requestId", requestId, "code", code.text()), null);
+    }
+
+    /** Logs a failure that is not a request's. */
+    public void failure(LogEvent event, FailureCode code, String subject, Throwable cause) {
+        write(event, Map.of("code", code.text(), "subject", subject), cause);
+    }
+
+    private void write(LogEvent event, Map<String, String> fields, Throwable cause) {
+        Map<String, String> all = new LinkedHashMap<>(fields);
+        all.put("node", nodeId);
+        all.put("zone", zone);
+        all.forEach(ThreadContext::put);
+        try {
+            log(event, cause);
+        } finally {
+            all.keySet().forEach(ThreadContext::remove);
+        }
+    }
+
+    private static void log(LogEvent event, Throwable cause) {
+        String text = event.text();
+        switch (event.level()) {
+            case DEBUG -> Logger.debug(cause, text);
+            case INFO -> Logger.info(cause, text);
+            case WARN -> Logger.warn(cause, text);
+            case ERROR -> Logger.error(cause, text);
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
@@ -51,4 +51,36 @@
         long drainMillis,
         double storeLoadsPerSecond,
         int storeFullSpeedPlaces,
-        int maxBodyBytes) {}
+        int maxBodyBytes) {
+
+    /** Returns the same settings with these addresses. */
+    public NodeSettings withAddresses(String listen, String peer, String admin) {
+        return new NodeSettings(
+                nodeId,
+                vmId,
+                zone,
+                listen,
+                peer,
+                admin,
+                adminToken,
+                peers,
+                logAddress,
+                vmListAddress,
+                logProtocol,
+                vmListProtocol,
+                engineDialect,
+                replicaSelector,
+                idlePolicy,
+                trafficThreads,
+                leaseMillis,
+                driftMillis,
+                renewMillis,
+                engineReportMillis,
+                keepAliveMillis,
+                progressTimeoutMillis,
+                drainMillis,
+                storeLoadsPerSecond,
+                storeFullSpeedPlaces,
+                maxBodyBytes);
+    }
+}
--- /dev/null
+++ b/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
@@ -0,0 +1,1 @@
+org.poplarwharf.internal.cli.NodeCommand
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/kernel/NodeKernelTest.java
@@ -0,0 +1,153 @@
+package org.poplarwharf.internal.kernel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.kernel.NodeLifeCycle.Phase;
+
+class NodeKernelTest {
+    private final ServiceLoaderRegistry plugins = new ServiceLoaderRegistry();
+    private final List<String> steps = new CopyOnWriteArrayList<>();
+    private final AtomicReference<NodeContext> context = new AtomicReference<>();
+    private NodeKernel kernel;
+
+    @AfterEach
+    void stop() {
+        kernel.stop();
+    }
+
+    @Test
+    void roles_start_in_order_and_drain_and_stop_in_reverse() {
+        start("entry", "peers", "extra", "cells");
+        kernel.drain();
+        kernel.stop();
+        assertThat(steps)
+                .containsExactly(
+                        "start peers",
+                        "start cells",
+                        "start extra",
+                        "start entry",
+                        "drain entry in DRAINING",
+                        "drain extra in DRAINING",
+                        "drain cells in DRAINING",
+                        "drain peers in DRAINING",
+                        "stop entry",
+                        "stop extra",
+                        "stop cells",
+                        "stop peers");
+    }
+
+    @Test
+    void role_that_fails_to_start_fails_the_node_and_the_others_are_stopped() {
+        register("peers", Promise.complete());
+        plugins.register(Role.Factory.class, "entry", node -> {
+            throw Reporter.addressUnusable("here", null);
+        });
+        kernel = new NodeKernel(TestSettings.create(Optional.empty()), plugins);
+        assertThatThrownBy(kernel::start)
+                .isInstanceOf(PoplarWharfException.class)
+                .hasMessageContaining("Role 'entry' did not start")
+                .hasMessageContaining("Address here");
+        assertThat(steps).containsExactly("start peers", "stop peers");
+    }
+
+    @Test
+    void drain_that_never_ends_is_cut_off_and_the_next_role_drains() {
+        register("cells", Promise.complete());
+        register("entry", new SettablePromise<>());
+        kernel = new NodeKernel(TestSettings.create(Optional.empty()), plugins);
+        kernel.start();
+        kernel.drain();
+        assertThat(steps).endsWith("drain entry in DRAINING", "drain cells in DRAINING");
+    }
+
+    @Test
+    void unexpected_exception_in_a_callback_is_counted_and_the_loop_goes_on() throws InterruptedException {
+        start("peers");
+        CountDownLatch after = new CountDownLatch(1);
+        context.get().control().execute(() -> {
+            throw new IllegalStateException("a defect");
+        });
+        context.get().control().execute(after::countDown);
+        assertThat(after.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(context.get().metrics().counter("unexpected_exceptions").getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void free_ports_are_chosen_and_differ() {
+        start();
+        NodeSettings settings = kernel.settings();
+        assertThat(List.of(settings.listenAddress(), settings.peerAddress(), settings.adminAddress()))
+                .doesNotHaveDuplicates()
+                .noneMatch(address -> address.endsWith(":0"));
+        assertThat(kernel.phase()).isEqualTo(Phase.RUNNING);
+    }
+
+    @Test
+    void second_plugin_of_a_name_is_refused() {
+        start("peers");
+        assertThatThrownBy(() -> register("peers", Promise.complete())).hasMessageContaining("peers");
+    }
+
+    private void start(String... roles) {
+        for (String role : roles) {
+            register(role, Promise.complete());
+        }
+        kernel = new NodeKernel(TestSettings.create(Optional.empty()), plugins);
+        kernel.start();
+    }
+
+    private void register(String name, Promise<Void> drained) {
+        plugins.register(Role.Factory.class, name, node -> {
+            context.set(node);
+            return new RecordingRole(name, drained);
+        });
+    }
+
+    /** Writes down each step of its life. */
+    private final class RecordingRole implements Role {
+        private final String name;
+        private final Promise<Void> drained;
+
+        private RecordingRole(String name, Promise<Void> drained) {
+            this.name = name;
+            this.drained = drained;
+        }
+
+        @Override
+        public String name() {
+            return name;
+        }
+
+        @Override
+        public Promise<Void> start() {
+            steps.add("start " + name);
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Void> drain() {
+            steps.add("drain " + name + " in " + kernel.phase());
+            return drained;
+        }
+
+        @Override
+        public Promise<Void> stop() {
+            steps.add("stop " + name);
+            return Promise.complete();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/kernel/TestSettings.java
@@ -0,0 +1,41 @@
+package org.poplarwharf.internal.kernel;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Settings for tests: every port is chosen by the system. */
+public final class TestSettings {
+    private static final String ANY = "127.0.0.1:0";
+
+    private TestSettings() {}
+
+    public static NodeSettings create(Optional<String> adminToken) {
+        return new NodeSettings(
+                "n1",
+                "vm1",
+                "a",
+                ANY,
+                ANY,
+                ANY,
+                adminToken,
+                List.of(),
+                ANY,
+                ANY,
+                "http",
+                "http",
+                "openai",
+                "least-in-flight",
+                "fixed",
+                1,
+                3_000,
+                300,
+                1_000,
+                500,
+                300_000,
+                5_000,
+                200,
+                1.5,
+                4,
+                4_194_304);
+    }
+}
