--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -51,6 +51,20 @@
                 null);
     }
 
+    public static PoplarWharfException logWriterSuperseded(String stream, String writerId) {
+        return failure(
+                FailureCode.LOG_UNAVAILABLE,
+                "Stream " + stream + " holds records of a later start of node " + writerId + ".",
+                "Two processes run under one node id.",
+                "End one of them, or give each its own node id.",
+                null);
+    }
+
+    /** Returns a failure's code; {@code internal} for any other exception. */
+    public static FailureCode codeOf(Throwable cause) {
+        return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/log/FoldingStreamPropertyTest.java
@@ -0,0 +1,63 @@
+package org.poplarwharf.internal.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.poplarwharf.internal.log.CellStreams.Node;
+import org.poplarwharf.internal.log.RecordStream.Applied;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.internal.state.CellRecord.Author;
+
+class FoldingStreamPropertyTest {
+    private static final int RECORDS = 60;
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    @Property(tries = 25, seed = "20261203")
+    void every_reader_has_the_same_bytes_whatever_the_faults(@ForAll long seed) {
+        Random random = new Random(seed);
+        try (TestLoop loop = new TestLoop()) {
+            FakeEventLog log = new FakeEventLog(loop.eventloop(), seed);
+            log.lostAnswers = 0.3;
+            log.lateAppends = 0.2;
+            log.pageRecords = 1 + random.nextInt(5);
+            Node first = CellStreams.node(loop, log, "n1", 1, CellStreams.SETTINGS);
+            Node second = CellStreams.node(loop, log, "n2", 1, CellStreams.SETTINGS);
+            List<Promise<Applied>> commits = new ArrayList<>();
+            for (int i = 0; i < RECORDS; i++) {
+                Node writer = random.nextBoolean() ? first : second;
+                CellRecord record = record(random, i);
+                loop.run(() -> commits.add(writer.stream().commit(record, TIMEOUT_MILLIS)));
+                boolean down = random.nextInt(8) == 0;
+                loop.run(() -> log.outage = down);
+            }
+            loop.run(() -> log.outage = false);
+            loop.call(() -> Promises.all(commits));
+            long covered = loop.get(() -> first.stream().appliedOffset());
+            loop.call(() -> first.stream().commitCheckpoint(TIMEOUT_MILLIS));
+            loop.run(() -> log.dropBefore(CellStreams.STREAM, Batch.logOffset(covered) + 1));
+            Node late = CellStreams.node(loop, log, "n3", 1, CellStreams.SETTINGS);
+            Applied last = loop.call(() -> second.stream().commit(record(random, RECORDS), TIMEOUT_MILLIS));
+
+            loop.until(
+                    () -> List.of(first, late).stream().allMatch(n -> n.stream().appliedOffset() >= last.offset()));
+            loop.run(() -> {
+                assertThat(second.bytes()).isEqualTo(first.bytes());
+                assertThat(late.bytes()).isEqualTo(first.bytes());
+            });
+        }
+    }
+
+    private static CellRecord record(Random random, int index) {
+        String key = "k" + random.nextInt(4);
+        Author author = new Author("n", 1);
+        return random.nextBoolean()
+                ? new CellRecord.CallClaimed(key, "a" + index, author, "f")
+                : new CellRecord.CallReleased(key, "a" + random.nextInt(RECORDS));
+    }
+}
