--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -167,6 +167,15 @@
         return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
     }
 
+    public static PoplarWharfException logWriterSuperseded(String stream, String writerId) {
+        return failure(
+                FailureCode.LOG_UNAVAILABLE,
+                "Stream " + stream + " holds records of a later start of node " + writerId + ".",
+                "Two processes run under one node id.",
+                "End one of them, or give each its own node id.",
+                null);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
