Add stand-ins for the log and the VM list and the adapters that reach them over HTTP

The platform's log and list are outside systems; the nodes need ports to them and tests need something behind the ports. Each call goes out once on a connection of its own: pooled connections were ruled out because one that went silent would cost the next call its time limit. An append is reported as surely not appended only when no connection came up or the log answered 503. Outcomes are passed as failed promises and not thrown inside the event loop, which reports throws as fatal errors.

--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -167,6 +167,25 @@
         return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
     }
 
+    public static PoplarWharfException vmListUnavailable(String address, Throwable cause) {
+        return failure(
+                FailureCode.NOT_READY,
+                "The VM list at " + address + " gave no answer.",
+                "The list is down or can't be reached from this node.",
+                "Go on with the last known list and ask again.",
+                cause);
+    }
+
+    /** An engine gave no usable answer; {@code neverSent} when no connection to it came up. */
+    public static PoplarWharfException engineNoAnswer(String address, boolean neverSent, Throwable cause) {
+        return failure(
+                neverSent ? FailureCode.TARGET_UNREACHABLE : FailureCode.TARGET_FAILED,
+                "The engine at " + address + (neverSent ? " can't be reached." : " gave no usable answer."),
+                "Its process has died, hangs, or the network lost the connection.",
+                "Ask for its report to learn its state.",
+                cause);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/Journal.java
@@ -0,0 +1,62 @@
+package org.poplarwharf.internal.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+/**
+ * What a stand-in did, in order; kept in memory and, when a file is given, also as JSON lines that survive a crash.
+ *
+ * <p>Invariant: an entry is in the file before {@link #add} returns. Belongs to one reactor thread.
+ *
+ * @param <E> the type of the events
+ */
+public final class Journal<E> {
+    private final List<Entry<E>> entries = new ArrayList<>();
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final Optional<Path> file;
+
+    public Journal(Optional<Path> file) {
+        this.file = file;
+    }
+
+    /** Records an event. */
+    public void add(E event) {
+        Entry<E> entry = new Entry<>(clock.nowMillis(), event);
+        entries.add(entry);
+        file.ifPresent(path -> appendLine(path, entry));
+    }
+
+    /** Returns all entries so far. */
+    public List<Entry<E>> entries() {
+        return List.copyOf(entries);
+    }
+
+    /** Returns the events so far without their times. */
+    public List<E> events() {
+        return entries.stream().map(Entry::event).toList();
+    }
+
+    private static void appendLine(Path path, Entry<?> entry) {
+        String line = new String(StandinJson.write(entry), StandardCharsets.UTF_8) + "\n";
+        try {
+            Files.writeString(path, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * One event with the monotonic time at which it happened. Immutable and thread-safe.
+     *
+     * @param <E> the type of the event
+     */
+    public record Entry<E>(long atMillis, E event) {}
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinAddresses.java
@@ -0,0 +1,36 @@
+package org.poplarwharf.internal.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/**
+ * Where a stand-in listens and keeps its journal. Immutable and thread-safe.
+ *
+ * @param journal file for the journal, empty to keep it in memory only
+ */
+public record StandinAddresses(InetSocketAddress listen, InetSocketAddress admin, Optional<Path> journal) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Returns loopback addresses whose ports the system chooses. */
+    public static StandinAddresses loopback() {
+        return new StandinAddresses(parse("127.0.0.1:0"), parse("127.0.0.1:0"), Optional.empty());
+    }
+
+    /** Returns the address that a text of the form {@code host:port} names. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw StandinHost.invalidAddress(text);
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port < 0 || port > MAX_PORT) {
+                throw StandinHost.invalidAddress(text);
+            }
+            return new InetSocketAddress(text.substring(0, colon), port);
+        } catch (NumberFormatException e) {
+            throw StandinHost.invalidAddress(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
@@ -0,0 +1,142 @@
+package org.poplarwharf.internal.standin;
+
+import static io.activej.http.HttpMethod.GET;
+import static io.activej.http.HttpMethod.PUT;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.Reporter;
+
+/**
+ * The HTTP servers of a stand-in: one for its clients and one for its administration.
+ *
+ * <p>Invariant: after {@link #crash} every connection is closed and new ones are refused. Belongs to one reactor thread.
+ */
+final class StandinHost {
+    private final SocketTracker sockets = new SocketTracker();
+    private final HttpServer server;
+    private final HttpServer admin;
+    private final String address;
+    private final String adminAddress;
+
+    private StandinHost(
+            NioReactor reactor, StandinAddresses addresses, AsyncServlet servlet, AsyncServlet adminServlet) {
+        server = listen(reactor, addresses.listen(), servlet);
+        admin = listen(reactor, addresses.admin(), adminServlet);
+        address = addressOf(server);
+        adminAddress = addressOf(admin);
+    }
+
+    static StandinHost start(
+            NioReactor reactor, StandinAddresses addresses, AsyncServlet servlet, AsyncServlet adminServlet) {
+        return new StandinHost(reactor, addresses, servlet, adminServlet);
+    }
+
+    /** Returns the administration paths that every stand-in has. */
+    static RoutingServlet.Builder adminServlet(NioReactor reactor, Journal<?> journal, Faults<?> faults) {
+        return RoutingServlet.builder(reactor)
+                .with(GET, "/journal", request -> Promise.of(StandinJson.response(200, journal.entries())))
+                .with(GET, "/faults", request -> Promise.of(StandinJson.response(200, faults.get())))
+                .with(PUT, "/faults", put(body -> {
+                    faults.setJson(body);
+                    return StandinJson.response(200, faults.get());
+                }));
+    }
+
+    /** Returns a servlet that takes a body and answers 400 where it is malformed. */
+    static AsyncServlet put(BodyHandler handler) {
+        return request -> body(request).map(bytes -> {
+            try {
+                return handler.handle(bytes);
+            } catch (PoplarWharfException e) {
+                return StandinJson.response(
+                        400, new Problem(e.code().text(), e.getCause() == null ? e.getMessage() : "" + e.getCause()));
+            }
+        });
+    }
+
+    static Promise<byte[]> body(HttpRequest request) {
+        return request.loadBody().map(ByteBuf::getArray);
+    }
+
+    /** Returns an answer whose connection is closed before it is whole. */
+    static HttpResponse cutAnswer() {
+        return HttpResponse.ok200()
+                .withBodyStream(ChannelSuppliers.ofException(new IOException("connection cut by a fault")))
+                .build();
+    }
+
+    static Promise<HttpResponse> noAnswer() {
+        return Promise.ofCallback(callback -> {});
+    }
+
+    String address() {
+        return address;
+    }
+
+    String adminAddress() {
+        return adminAddress;
+    }
+
+    /** Closes all and keeps the administration server only when asked to. */
+    void crash() {
+        server.close();
+        sockets.closeAll();
+    }
+
+    void stop() {
+        crash();
+        admin.close();
+        sockets.closeAll();
+    }
+
+    private HttpServer listen(NioReactor reactor, InetSocketAddress listenAddress, AsyncServlet servlet) {
+        HttpServer created = HttpServer.builder(reactor, servlet)
+                .withListenAddress(listenAddress)
+                .withSocketInspector(sockets)
+                .build();
+        try {
+            created.listen();
+        } catch (IOException e) {
+            throw new UncheckedIOException("can't listen on " + listenAddress, e);
+        }
+        return created;
+    }
+
+    private static String addressOf(HttpServer listening) {
+        InetSocketAddress bound = listening.getBoundAddresses().getFirst();
+        return bound.getAddress().getHostAddress() + ":" + bound.getPort();
+    }
+
+    /** Makes an answer from the bytes of a request. */
+    interface BodyHandler {
+        HttpResponse handle(byte[] body);
+    }
+
+    /** The body of a refusal. Immutable and thread-safe. */
+    record Problem(String code, String reason) {
+        static Problem of(PoplarWharfException failure) {
+            return new Problem(failure.code().text(), failure.getMessage());
+        }
+    }
+
+    static PoplarWharfException invalidAddress(String text) {
+        return Reporter.failure(
+                org.poplarwharf.FailureCode.SETTINGS_INVALID,
+                "\"" + text + "\" is no address.",
+                "An address is written host:port.",
+                "Give one such as 127.0.0.1:9000; port 0 lets the system choose.",
+                null);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinJson.java
@@ -0,0 +1,48 @@
+package org.poplarwharf.internal.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.activej.http.HttpHeaderValue;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import io.activej.http.MediaTypes;
+import java.io.IOException;
+import org.poplarwharf.internal.failure.Reporter;
+
+/**
+ * Typed records as JSON, in HTTP answers and journals. Unknown fields are refused. Stateless and thread-safe.
+ */
+final class StandinJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper()
+            .registerModule(new Jdk8Module())
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+    private StandinJson() {}
+
+    static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw Reporter.malformedMessage(value.getClass().getSimpleName(), e);
+        }
+    }
+
+    static <T> T read(byte[] bytes, Class<T> type) {
+        try {
+            return MAPPER.readValue(bytes, type);
+        } catch (IOException e) {
+            throw Reporter.malformedMessage(type.getSimpleName(), e);
+        }
+    }
+
+    static HttpResponse response(int status, Object value) {
+        return HttpResponse.ofCode(status)
+                .withHeader(
+                        HttpHeaders.CONTENT_TYPE,
+                        HttpHeaderValue.ofContentType(io.activej.http.ContentType.of(MediaTypes.JSON)))
+                .withBody(write(value))
+                .build();
+    }
+}
