--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/Hashes.java
@@ -0,0 +1,19 @@
+package org.poplarwharf.internal.standin;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Hashes by which journals and answers name a body. Stateless and thread-safe. */
+public final class Hashes {
+    private Hashes() {}
+
+    /** Returns the SHA-256 of some bytes in hexadecimal. */
+    public static String sha256(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
@@ -123,9 +123,9 @@
     }
 
     private Promise<HttpResponse> read(HttpRequest request) {
-        long from = longParameter(request, "from", 0);
-        int max = (int) longParameter(request, "max", Integer.MAX_VALUE);
-        long wait = longParameter(request, "wait", 0);
+        long from = StandinHost.longParameter(request, "from", 0);
+        int max = (int) StandinHost.longParameter(request, "max", Integer.MAX_VALUE);
+        long wait = StandinHost.longParameter(request, "wait", 0);
         LogStream stream = stream(request.getPathParameter("stream"));
         if (faults.get().readOutage()) {
             return Promise.of(unavailable());
@@ -172,16 +172,4 @@
     private static HttpResponse unavailable() {
         return StandinJson.response(503, new StandinHost.Problem("log-outage", "a fault is set"));
     }
-
-    private static long longParameter(HttpRequest request, String name, long absent) {
-        String text = request.getQueryParameter(name);
-        if (text == null) {
-            return absent;
-        }
-        try {
-            return Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            return absent;
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/ServiceCall.java
@@ -0,0 +1,12 @@
+package org.poplarwharf.internal.standin;
+
+import java.util.Optional;
+
+/**
+ * A call that the plain service stand-in ran. Immutable and thread-safe.
+ *
+ * @param callNumber counts the calls that took effect, from 1
+ * @param bodyHash SHA-256 of the body in hexadecimal
+ */
+public record ServiceCall(
+        long callNumber, String method, String path, String bodyHash, Optional<String> idempotencyKey) {}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
@@ -0,0 +1,105 @@
+package org.poplarwharf.internal.standin;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.reactor.nio.NioReactor;
+import java.util.Optional;
+
+/**
+ * Stands in for a plain service: every path takes a call, and every call takes effect once it arrives.
+ *
+ * <p>Belongs to one reactor thread.
+ */
+public final class ServiceStandin implements Standin {
+    private static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
+
+    private final NioReactor reactor;
+    private final Journal<ServiceCall> journal;
+    private final Faults<ServiceFaults> faults;
+    private final Optional<Runnable> exit;
+    private final StandinHost host;
+    private long calls;
+
+    private ServiceStandin(
+            NioReactor reactor, StandinAddresses addresses, long serviceMillis, Optional<Runnable> exit) {
+        this.reactor = reactor;
+        this.exit = exit;
+        this.journal = new Journal<>(addresses.journal());
+        this.faults = new Faults<>(ServiceFaults.class, ServiceFaults.none(serviceMillis));
+        host = StandinHost.start(
+                reactor,
+                addresses,
+                this::serve,
+                StandinHost.adminServlet(reactor, journal, faults).build());
+    }
+
+    /** Starts a service whose death closes its connections; call it in the reactor's thread. */
+    public static ServiceStandin start(NioReactor reactor, StandinAddresses addresses, long serviceMillis) {
+        return new ServiceStandin(reactor, addresses, serviceMillis, Optional.empty());
+    }
+
+    static ServiceStandin startProcess(
+            NioReactor reactor, StandinAddresses addresses, long serviceMillis, Runnable exit) {
+        return new ServiceStandin(reactor, addresses, serviceMillis, Optional.of(exit));
+    }
+
+    public Journal<ServiceCall> journal() {
+        return journal;
+    }
+
+    public Faults<ServiceFaults> faults() {
+        return faults;
+    }
+
+    @Override
+    public String address() {
+        return host.address();
+    }
+
+    @Override
+    public String adminAddress() {
+        return host.adminAddress();
+    }
+
+    @Override
+    public void stop() {
+        host.stop();
+    }
+
+    private Promise<HttpResponse> serve(HttpRequest request) {
+        return StandinHost.body(request).then(body -> {
+            ServiceCall call = new ServiceCall(
+                    ++calls,
+                    request.getMethod().name(),
+                    request.getPath(),
+                    Hashes.sha256(body),
+                    Optional.ofNullable(request.getHeader(IDEMPOTENCY_KEY)));
+            journal.add(call);
+            return answer(call);
+        });
+    }
+
+    private Promise<HttpResponse> answer(ServiceCall call) {
+        ServiceFaults now = faults.get();
+        if (now.dieAfterNextCall()) {
+            exit.ifPresent(Runnable::run);
+            host.crash();
+            return StandinHost.noAnswer();
+        }
+        if (now.cutNextAnswers() > 0) {
+            faults.update(ServiceFaults::afterCut);
+            return Promise.of(StandinHost.cutAnswer());
+        }
+        if (now.silentNextAnswers() > 0) {
+            faults.update(ServiceFaults::afterSilence);
+            return StandinHost.noAnswer();
+        }
+        Promise<Void> served =
+                now.serviceMillis() == 0 ? Promise.complete() : Promises.delay(reactor, now.serviceMillis());
+        return served.map(ignored -> StandinJson.response(now.status(), call));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
@@ -48,14 +48,14 @@
         return RoutingServlet.builder(reactor)
                 .with(GET, "/journal", request -> Promise.of(StandinJson.response(200, journal.entries())))
                 .with(GET, "/faults", request -> Promise.of(StandinJson.response(200, faults.get())))
-                .with(PUT, "/faults", put(body -> {
+                .with(PUT, "/faults", bodyServlet(body -> {
                     faults.setJson(body);
                     return StandinJson.response(200, faults.get());
                 }));
     }
 
     /** Returns a servlet that takes a body and answers 400 where it is malformed. */
-    static AsyncServlet put(BodyHandler handler) {
+    static AsyncServlet bodyServlet(BodyHandler handler) {
         return request -> body(request).map(bytes -> {
             try {
                 return handler.handle(bytes);
@@ -81,6 +81,18 @@
         return Promise.ofCallback(callback -> {});
     }
 
+    static long longParameter(HttpRequest request, String name, long absent) {
+        String text = request.getQueryParameter(name);
+        if (text == null) {
+            return absent;
+        }
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
     String address() {
         return address;
     }
--- a/src/main/java/org/poplarwharf/internal/standin/StandinJson.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinJson.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.activej.http.HttpHeaderValue;
@@ -37,6 +38,14 @@
         }
     }
 
+    static JsonNode tree(byte[] bytes) {
+        try {
+            return MAPPER.readTree(bytes);
+        } catch (IOException e) {
+            throw Reporter.malformedMessage("a caller", e);
+        }
+    }
+
     static HttpResponse response(int status, Object value) {
         return HttpResponse.ofCode(status)
                 .withHeader(
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/StoreStandin.java
@@ -0,0 +1,102 @@
+package org.poplarwharf.internal.standin;
+
+import static io.activej.http.HttpMethod.GET;
+
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.reactor.nio.NioReactor;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+/**
+ * Stands in for the weight store.
+ *
+ * <p>{@code GET /fetch?bytes=N} answers when N bytes would have been transferred. Belongs to one reactor thread.
+ */
+public final class StoreStandin implements Standin {
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private final NioReactor reactor;
+    private final StoreSettings settings;
+    private final Journal<StoreEvent> journal;
+    private final Faults<StoreFaults> faults = new Faults<>(StoreFaults.class, StoreFaults.none());
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final SharedBandwidth bandwidth;
+    private final StandinHost host;
+    private double nextStartMillis;
+    private long nextFetchId;
+
+    private StoreStandin(NioReactor reactor, StandinAddresses addresses, StoreSettings settings) {
+        this.reactor = reactor;
+        this.settings = settings;
+        this.journal = new Journal<>(addresses.journal());
+        this.bandwidth = new SharedBandwidth(reactor, settings.fullSpeedPlaces(), settings.bytesPerSecond());
+        faults.onChange(now -> bandwidth.slowDown(Math.max(1, now.slowDownFactor())));
+        RoutingServlet servlet =
+                RoutingServlet.builder(reactor).with(GET, "/fetch", this::fetch).build();
+        host = StandinHost.start(
+                reactor,
+                addresses,
+                servlet,
+                StandinHost.adminServlet(reactor, journal, faults).build());
+    }
+
+    /** Starts a store; call it in the reactor's thread. */
+    public static StoreStandin start(NioReactor reactor, StandinAddresses addresses, StoreSettings settings) {
+        return new StoreStandin(reactor, addresses, settings);
+    }
+
+    public Journal<StoreEvent> journal() {
+        return journal;
+    }
+
+    public Faults<StoreFaults> faults() {
+        return faults;
+    }
+
+    @Override
+    public String address() {
+        return host.address();
+    }
+
+    @Override
+    public String adminAddress() {
+        return host.adminAddress();
+    }
+
+    @Override
+    public void stop() {
+        host.stop();
+    }
+
+    private Promise<HttpResponse> fetch(HttpRequest request) {
+        if (faults.get().outage()) {
+            return Promise.of(StandinJson.response(503, new StandinHost.Problem("store-outage", "a fault is set")));
+        }
+        long bytes = StandinHost.longParameter(request, "bytes", 0);
+        long turnMillis = turnMillis();
+        Promise<Void> turn = turnMillis == 0 ? Promise.complete() : Promises.delay(reactor, turnMillis);
+        return turn.then(ignored -> transfer(bytes));
+    }
+
+    private Promise<HttpResponse> transfer(long bytes) {
+        long fetchId = nextFetchId++;
+        long startMillis = clock.nowMillis();
+        Promise<Void> done = bandwidth.transfer(bytes);
+        journal.add(new StoreEvent.Started(fetchId, bytes, bandwidth.active()));
+        return done.map(ignored -> {
+            StoreEvent.Finished finished = new StoreEvent.Finished(fetchId, clock.nowMillis() - startMillis);
+            journal.add(finished);
+            return StandinJson.response(200, finished);
+        });
+    }
+
+    private long turnMillis() {
+        double now = clock.nowMillis();
+        double turn = Math.max(now, nextStartMillis);
+        nextStartMillis = turn + MILLIS_PER_SECOND / settings.loadsPerSecond();
+        return (long) (turn - now);
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
@@ -29,7 +29,7 @@
         this.journal = new Journal<>(addresses.journal());
         this.faults = new Faults<>(VmListFaults.class, new VmListFaults(false, lagMillis));
         RoutingServlet admin = StandinHost.adminServlet(reactor, journal, faults)
-                .with(PUT, "/vms", StandinHost.put(this::putVms))
+                .with(PUT, "/vms", StandinHost.bodyServlet(this::putVms))
                 .build();
         RoutingServlet servlet =
                 RoutingServlet.builder(reactor).with(GET, "/vms", this::list).build();
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/WeightSource.java
@@ -0,0 +1,47 @@
+package org.poplarwharf.internal.standin;
+
+import io.activej.dns.DnsClient;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.net.InetAddress;
+import java.util.Optional;
+import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.failure.Reporter;
+
+/**
+ * Fetches weights from a store stand-in. Belongs to one reactor thread.
+ */
+final class WeightSource {
+    private static final int STATUS_OK = 200;
+    private static final double EXPECTED_BYTES_PER_SECOND = 2e9;
+
+    private final Optional<String> storeAddress;
+    private final HttpClient client;
+
+    WeightSource(NioReactor reactor, Optional<String> storeAddress) {
+        this.storeAddress = storeAddress;
+        DnsClient dns = DnsClient.create(reactor, InetAddress.getLoopbackAddress());
+        client = HttpClient.builder(reactor, dns).withNoKeepAlive().build();
+    }
+
+    double expectedBytesPerSecond() {
+        return EXPECTED_BYTES_PER_SECOND;
+    }
+
+    Promise<Void> fetch(long sizeBytes) {
+        String url = "http://" + storeAddress.orElseThrow() + "/fetch?bytes=" + sizeBytes;
+        return client.request(HttpRequest.get(url).build()).then(response -> {
+            if (response.getCode() == STATUS_OK) {
+                return Promise.complete();
+            }
+            return Promise.ofException(Reporter.failure(
+                    FailureCode.TARGET_FAILED,
+                    "The weight store answered " + response.getCode() + ".",
+                    "An outage is set.",
+                    "Order the load again.",
+                    null));
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/standin/StoreStandinTest.java
@@ -0,0 +1,67 @@
+package org.poplarwharf.internal.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.support.ReactorThread;
+import org.poplarwharf.support.TestHttp;
+
+class StoreStandinTest {
+    private static final long BYTES = 10_000;
+
+    private long longestFetchMillis(StoreSettings settings, StoreFaults faults, int fetches) {
+        try (ReactorThread thread = new ReactorThread()) {
+            TestHttp http = new TestHttp(thread);
+            StoreStandin store =
+                    thread.call(() -> StoreStandin.start(thread.reactor(), StandinAddresses.loopback(), settings));
+            thread.run(() -> store.faults().set(faults));
+            String url = "http://" + store.address() + "/fetch?bytes=" + BYTES;
+            thread.await(() -> {
+                List<Promise<TestHttp.Answer>> all = IntStream.range(0, fetches)
+                        .mapToObj(i -> http.start(HttpRequest.get(url).build()))
+                        .toList();
+                return Promises.all(all);
+            });
+            List<StoreEvent> events = thread.call(() -> store.journal().events());
+            thread.run(store::stop);
+            return events.stream()
+                    .mapToLong(event -> event instanceof StoreEvent.Finished finished ? finished.tookMillis() : 0)
+                    .max()
+                    .orElseThrow();
+        }
+    }
+
+    @Test
+    void more_fetches_than_places_share_the_speed() {
+        StoreSettings settings = new StoreSettings(1_000_000, 2, 200_000);
+
+        long alone = Long.MAX_VALUE;
+        for (int tries = 0; tries < 10 && alone >= 95; tries++) {
+            alone = longestFetchMillis(settings, StoreFaults.none(), 2);
+        }
+        assertThat(alone).isBetween(45L, 95L);
+        assertThat(longestFetchMillis(settings, StoreFaults.none(), 6)).isGreaterThanOrEqualTo(140);
+    }
+
+    @Test
+    void a_slow_down_stretches_each_fetch() {
+        StoreSettings settings = new StoreSettings(1_000_000, 2, 200_000);
+
+        assertThat(longestFetchMillis(settings, new StoreFaults(false, 4), 1)).isGreaterThanOrEqualTo(190);
+    }
+
+    @Test
+    void fetches_start_at_the_rate() {
+        StoreSettings settings = new StoreSettings(20, 10, 1e12);
+        long start = System.nanoTime();
+
+        longestFetchMillis(settings, StoreFaults.none(), 4);
+
+        assertThat((System.nanoTime() - start) / 1_000_000).isGreaterThanOrEqualTo(145);
+    }
+}
