--- a/src/main/java/org/poplarwharf/internal/admission/Admission.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Admission.java
@@ -1,6 +1,8 @@
 package org.poplarwharf.internal.admission;
 
 import io.activej.promise.Promise;
+import java.util.List;
+import org.poplarwharf.plugins.ArtifactId;
 
 /**
  * Admits requests to the replicas of one cell, at the node that holds the cell's lease.
@@ -46,4 +48,12 @@
 
     /** Present numbers of a cell's admission. */
     record Counts(int waiting, int granted) {}
+
+    /** Returns the requests that wait and run now, for operators. */
+    default List<Queue> queues() {
+        return List.of();
+    }
+
+    /** Requests of one artifact and class. */
+    record Queue(ArtifactId artifact, String requestClass, int waiting, int running) {}
 }
--- a/src/main/java/org/poplarwharf/internal/admission/CellAdmission.java
+++ b/src/main/java/org/poplarwharf/internal/admission/CellAdmission.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
@@ -279,6 +280,11 @@
         return new Counts(waiting.size(), granter.inFlight());
     }
 
+    @Override
+    public List<Queue> queues() {
+        return QueueReport.of(waiting.all(), granter.taken());
+    }
+
     boolean closed() {
         return closed;
     }
--- a/src/main/java/org/poplarwharf/internal/admission/Granter.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Granter.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.admission;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.poplarwharf.plugins.ArtifactId;
@@ -201,4 +202,8 @@
     int inFlight() {
         return places.size();
     }
+
+    Collection<Places.Taken> taken() {
+        return places.all();
+    }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/admission/QueueReport.java
@@ -0,0 +1,53 @@
+package org.poplarwharf.internal.admission;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.poplarwharf.plugins.ArtifactId;
+
+/**
+ * Counts waiting and running requests by artifact and class, for operators. Not thread-safe; made anew for each report.
+ */
+final class QueueReport {
+    private final Map<Key, Count> counts =
+            new TreeMap<>(Comparator.comparing(Key::artifact).thenComparing(Key::requestClass));
+
+    private QueueReport() {}
+
+    static List<Admission.Queue> of(Collection<WaitingRequest> waiting, Collection<Places.Taken> taken) {
+        QueueReport report = new QueueReport();
+        for (WaitingRequest request : waiting) {
+            report.add(request.request().artifact(), request.request().requestClass(), new Count(1, 0));
+        }
+        for (Places.Taken place : taken) {
+            report.add(place.artifact(), place.requestClass(), new Count(0, 1));
+        }
+        return report.queues();
+    }
+
+    private void add(ArtifactId artifact, String requestClass, Count count) {
+        counts.merge(new Key(artifact, requestClass), count, Count::plus);
+    }
+
+    private List<Admission.Queue> queues() {
+        return counts.entrySet().stream()
+                .map(entry -> new Admission.Queue(
+                        entry.getKey().artifact(),
+                        entry.getKey().requestClass(),
+                        entry.getValue().waiting(),
+                        entry.getValue().running()))
+                .toList();
+    }
+
+    /** What requests are counted by. */
+    private record Key(ArtifactId artifact, String requestClass) {}
+
+    /** Requests of one key. */
+    private record Count(int waiting, int running) {
+        Count plus(Count other) {
+            return new Count(waiting + other.waiting, running + other.running);
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/cell/CellView.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellView.java
@@ -6,6 +6,7 @@
 import org.poplarwharf.internal.admission.Replicas;
 import org.poplarwharf.internal.log.RecordStream;
 import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.internal.state.CellStateView;
 import org.poplarwharf.plugins.ArtifactId;
 
 /**
@@ -29,6 +30,11 @@
     /** Returns the stream of a cell. */
     Optional<RecordStream<CellRecord>> stream(String cell);
 
+    /** Returns the folded state of a cell; empty for a cell that this node does not follow. */
+    default Optional<CellStateView> state(String cell) {
+        return Optional.empty();
+    }
+
     /** Returns the replicas of an artifact by the last placement read, for use when no holder can be reached. */
     List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact);
 
--- a/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
@@ -31,7 +31,7 @@
             OptionSpec.of("log-protocol", "NAME", "http", "the plug-in that talks to the log"),
             OptionSpec.of("vm-list-protocol", "NAME", "http", "the plug-in that talks to the VM list"),
             OptionSpec.of("engine-dialect", "NAME", "openai", "the plug-in that talks to engines"),
-            OptionSpec.of("replica-selector", "NAME", "least-in-flight", "the plug-in that picks a replica"),
+            OptionSpec.of("replica-selector", "NAME", "least-loaded", "the plug-in that picks a replica"),
             OptionSpec.of("idle-policy", "NAME", "fixed", "the plug-in that decides how long idle models stay"),
             OptionSpec.of("traffic-threads", "COUNT", "2", "threads that carry callers' traffic"),
             OptionSpec.of("lease", "DURATION", "3s", "how long a cell's lease lasts"),
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -162,6 +162,89 @@
                 cause);
     }
 
+    public static PoplarWharfException adminTokenWrong() {
+        return failure(
+                FailureCode.UNAUTHORIZED,
+                "The administration API refuses a request without the right token.",
+                "The header Authorization is missing or holds another token than the node's settings.",
+                "Send Authorization: Bearer TOKEN with the value of --admin-token.",
+                null);
+    }
+
+    public static PoplarWharfException notReady() {
+        return retryable(
+                FailureCode.NOT_READY,
+                "This node is not ready for requests.",
+                "It has not yet read the configuration in force.",
+                "Ask another node, or again in a second.",
+                1_000,
+                null);
+    }
+
+    public static PoplarWharfException shuttingDown() {
+        return retryable(
+                FailureCode.SHUTTING_DOWN,
+                "This node takes no new requests.",
+                "It is being drained.",
+                "Ask another node.",
+                1_000,
+                null);
+    }
+
+    public static PoplarWharfException unknownPath(String path) {
+        return failure(
+                FailureCode.UNKNOWN_PATH,
+                "There is nothing at " + path + ".",
+                "The path is misspelt, or the thing that it names is not known on this node.",
+                "See the list of paths in docs/OPERATORS.md.",
+                null);
+    }
+
+    public static PoplarWharfException methodNotAllowed(String method, String path) {
+        return failure(
+                FailureCode.METHOD_NOT_ALLOWED,
+                path + " does not take " + method + ".",
+                "The path takes another method.",
+                "See the list of paths in docs/OPERATORS.md.",
+                null);
+    }
+
+    public static PoplarWharfException invalidAdminBody(Throwable cause) {
+        return failure(
+                FailureCode.INVALID_REQUEST,
+                "The body is not the JSON object that this path takes.",
+                "A field is missing, unknown, or of another type.",
+                "Send {\"cell\": NAME, \"intentOffset\": NUMBER}.",
+                cause);
+    }
+
+    public static PoplarWharfException recordRefused(String what, String reason) {
+        return failure(
+                FailureCode.CONFIG_CONFLICT,
+                "The cell's stream did not accept " + what + ": " + reason + ".",
+                "The state has changed, or the thing was settled already.",
+                "Look at GET /status and decide again.",
+                null);
+    }
+
+    public static PoplarWharfException adminUnreachable(String address, Throwable cause) {
+        return failure(
+                FailureCode.TARGET_UNREACHABLE,
+                "The administration API at " + address + " gave no answer.",
+                "The node is down, or the address is another one.",
+                "Check the address in the node's listening line.",
+                cause);
+    }
+
+    public static PoplarWharfException adminRefused(String address, int status, String body) {
+        return failure(
+                status == FailureCode.UNAUTHORIZED.httpStatus() ? FailureCode.UNAUTHORIZED : FailureCode.TARGET_REFUSED,
+                "The administration API at " + address + " answered with status " + status + ".",
+                "It said: " + body,
+                "Mend what it says and try again.",
+                null);
+    }
+
     /** Returns a failure's code; {@code internal} for any other exception. */
     public static FailureCode codeOf(Throwable cause) {
         return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
--- a/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
+++ b/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
@@ -1,1 +1,2 @@
 org.poplarwharf.internal.cli.NodeCommand
+org.poplarwharf.internal.cli.StatusCommand
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/admin/FakeRoles.java
@@ -0,0 +1,204 @@
+package org.poplarwharf.internal.admin;
+
+import io.activej.promise.Promise;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.poplarwharf.internal.admission.Admission;
+import org.poplarwharf.internal.admission.Replicas;
+import org.poplarwharf.internal.cell.CellView;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.config.FleetConfig;
+import org.poplarwharf.internal.config.FleetConfig.CellSpec;
+import org.poplarwharf.internal.config.FleetConfig.TargetKind;
+import org.poplarwharf.internal.config.FleetConfig.TargetSpec;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.internal.log.RecordStream;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.internal.state.CellRecord.Author;
+import org.poplarwharf.internal.state.CellStateView;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.EngineDialect.OrderKind;
+
+/** One role that offers a fixed configuration and one cell whose stream writes its records down. */
+final class FakeRoles implements Role, ConfigView, CellView, RecordStream<CellRecord>, CellStateView {
+    static final ArtifactId ARTIFACT = ArtifactId.model("register");
+    static final long EPOCH = 7;
+    static final long INTENT = 42;
+
+    final List<CellRecord> committed = new CopyOnWriteArrayList<>();
+    volatile boolean configReady = true;
+    volatile boolean accepts = true;
+
+    private final Author author = new Author("n2", 1);
+
+    Role join(NodeContext context) {
+        context.offer(ConfigView.class, this);
+        context.offer(CellView.class, this);
+        return this;
+    }
+
+    @Override
+    public String name() {
+        return "cells";
+    }
+
+    @Override
+    public Promise<Void> start() {
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> drain() {
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        return Promise.complete();
+    }
+
+    @Override
+    public FleetConfig current() {
+        TargetSpec target = new TargetSpec("t1", TargetKind.ENGINE, "127.0.0.1:1", "a", 100, 4, true, 1);
+        return new FleetConfig(
+                12,
+                List.of(new CellSpec("c1", List.of("a"))),
+                List.of(target),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+
+    @Override
+    public boolean ready() {
+        return configReady;
+    }
+
+    @Override
+    public void onChange(Consumer<FleetConfig> listener) {
+        listener.accept(current());
+    }
+
+    @Override
+    public List<String> cellsFor(ArtifactId artifact, String zone) {
+        return List.of("c1");
+    }
+
+    @Override
+    public Optional<String> claimCell(String callKey) {
+        return Optional.of("c1");
+    }
+
+    @Override
+    public Optional<Holder> holder(String cell) {
+        return Optional.of(new Holder(author, "127.0.0.1:9", EPOCH, false));
+    }
+
+    @Override
+    public Optional<Admission> admissionHere(String cell) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<RecordStream<CellRecord>> stream(String cell) {
+        return cell.equals("c1") ? Optional.of(this) : Optional.empty();
+    }
+
+    @Override
+    public Optional<CellStateView> state(String cell) {
+        return cell.equals("c1") ? Optional.of(this) : Optional.empty();
+    }
+
+    @Override
+    public List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact) {
+        return List.of();
+    }
+
+    @Override
+    public Promise<Applied> commit(CellRecord record, long timeoutMillis) {
+        committed.add(record);
+        return Promise.of(new Applied(committed.size(), accepts, accepts ? "" : "no such order"));
+    }
+
+    @Override
+    public long appliedOffset() {
+        return 1;
+    }
+
+    @Override
+    public long millisSinceAnswer() {
+        return 5;
+    }
+
+    @Override
+    public boolean caughtUp() {
+        return true;
+    }
+
+    @Override
+    public void onApplied(Listener<CellRecord> listener) {
+        // No record arrives by itself.
+    }
+
+    @Override
+    public Optional<Lease> lease() {
+        return Optional.empty();
+    }
+
+    @Override
+    public long epoch() {
+        return EPOCH;
+    }
+
+    @Override
+    public Collection<Slot> slots() {
+        OpenOrder order = new OpenOrder(INTENT, EPOCH, author, OrderKind.LOAD);
+        return List.of(new Slot("t1", "vm", ARTIFACT, "v1", 50, true, Phase.INTENDED, List.of(order)));
+    }
+
+    @Override
+    public Optional<Slot> slot(String target, ArtifactId artifact) {
+        return slots().stream().findFirst();
+    }
+
+    @Override
+    public long reservedBytes(String target) {
+        return 50;
+    }
+
+    @Override
+    public int replicas(ArtifactId artifact) {
+        return 1;
+    }
+
+    @Override
+    public boolean excluded(String target) {
+        return false;
+    }
+
+    @Override
+    public boolean condemned(String fingerprint) {
+        return true;
+    }
+
+    @Override
+    public Collection<Suspect> suspects() {
+        return new ArrayList<>(List.of(new Suspect("f1", 2, 1, true, 40)));
+    }
+
+    @Override
+    public Optional<CallClaim> call(String callKey) {
+        return Optional.empty();
+    }
+
+    @Override
+    public int callCount() {
+        return 3;
+    }
+}
