--- a/src/main/java/org/poplarwharf/internal/admin/MetricsPage.java
+++ b/src/main/java/org/poplarwharf/internal/admin/MetricsPage.java
@@ -7,13 +7,8 @@
 import com.codahale.metrics.Sampling;
 import com.codahale.metrics.Snapshot;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
-import io.prometheus.metrics.instrumentation.dropwizard5.labels.CustomLabelMapper;
-import io.prometheus.metrics.instrumentation.dropwizard5.labels.MapperConfig;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -21,30 +16,10 @@
 
 /** Shows a node's metrics as Prometheus text and as JSON. Thread-safe. */
 final class MetricsPage {
-    private static final String FIRST = "${0}";
-    private static final List<MapperConfig> LABELS = List.of(
-            label("wait_millis.tenant.*", "tenant_wait_millis", "tenant"),
-            label("wait_millis.class.*", "class_wait_millis", "class"),
-            label("first_token_millis.tenant.*", "tenant_first_token_millis", "tenant"),
-            label("first_token_millis.class.*", "class_first_token_millis", "class"),
-            label("between_tokens_millis.tenant.*", "tenant_between_tokens_millis", "tenant"),
-            label("between_tokens_millis.class.*", "class_between_tokens_millis", "class"),
-            label("whole_request_millis.tenant.*", "tenant_whole_request_millis", "tenant"),
-            label("whole_request_millis.class.*", "class_whole_request_millis", "class"),
-            label("refusals.*", "refusals", "code"),
-            label("loads.*", "loads", "outcome"),
-            label("lease_state.*", "lease_state", "cell"),
-            label("idle_accelerator_seconds.*", "idle_accelerator_seconds", "target"));
-
     private final MetricRegistry metrics;
-    private final PrometheusRegistry exports = new PrometheusRegistry();
 
     MetricsPage(MetricRegistry metrics) {
         this.metrics = metrics;
-        DropwizardExports.builder()
-                .dropwizardRegistry(metrics)
-                .customLabelMapper(new CustomLabelMapper(LABELS))
-                .register(exports);
     }
 
     /** One metric in the JSON form; times are in the unit of the metric's name. */
@@ -54,7 +29,7 @@
     byte[] prometheusText() {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
-            new PrometheusTextFormatWriter(false).write(text, exports.scrape());
+            new PrometheusTextFormatWriter(false).write(text, PrometheusFamilies.read(metrics));
         } catch (IOException e) {
             throw Reporter.internal("The metrics page", e);
         }
@@ -88,8 +63,4 @@
         }
         return new Value("counter", count, count, 0, 0, 0, 0);
     }
-
-    private static MapperConfig label(String match, String name, String label) {
-        return new MapperConfig(match, "poplarwharf_" + name, Map.of(label, FIRST));
-    }
 }
