--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/idle/FixedIdlePolicy.java
@@ -0,0 +1,38 @@
+package org.poplarwharf.internal.idle;
+
+import java.util.OptionalLong;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.IdlePolicy;
+
+/**
+ * Keeps each idle artifact for one fixed time and evicts the least recently used first.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class FixedIdlePolicy implements IdlePolicy {
+    private final long keepAliveMillis;
+
+    public FixedIdlePolicy(long keepAliveMillis) {
+        this.keepAliveMillis = keepAliveMillis;
+    }
+
+    @Override
+    public void onRequest(ArtifactId artifact, long nowMillis) {
+        // A fixed keep-alive learns nothing from requests.
+    }
+
+    @Override
+    public OptionalLong keepAliveMillis(ArtifactId artifact, long nowMillis) {
+        return OptionalLong.of(keepAliveMillis);
+    }
+
+    @Override
+    public double keepWorth(ArtifactId artifact, long lastUseMillis, long loadMillis, long sizeBytes, long nowMillis) {
+        return lastUseMillis;
+    }
+
+    @Override
+    public OptionalLong loadAheadAtMillis(ArtifactId artifact, long nowMillis) {
+        return OptionalLong.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/idle/IdlePlugin.java
@@ -0,0 +1,13 @@
+package org.poplarwharf.internal.idle;
+
+import org.poplarwharf.plugins.IdlePolicy;
+import org.poplarwharf.plugins.Plugin;
+import org.poplarwharf.plugins.PluginRegistry;
+
+/** Registers the idle policies that come with poplarwharf. Stateless and thread-safe. */
+public final class IdlePlugin implements Plugin {
+    @Override
+    public void registerWith(PluginRegistry registry) {
+        registry.register(IdlePolicy.Factory.class, "fixed", FixedIdlePolicy::new);
+    }
+}
