--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRole.java
@@ -0,0 +1,228 @@
+package org.poplarwharf.internal.cell;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.poplarwharf.internal.admission.Admission;
+import org.poplarwharf.internal.admission.Replicas;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.config.FleetConfig;
+import org.poplarwharf.internal.config.FleetConfig.CellSpec;
+import org.poplarwharf.internal.config.FleetConfig.TargetSpec;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeSettings;
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.internal.log.RecordStream;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.internal.state.CellRecord.Author;
+import org.poplarwharf.internal.state.CellStateView.Lease;
+import org.poplarwharf.internal.state.CellStateView.Phase;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.ArtifactId.Kind;
+import org.poplarwharf.plugins.EngineDialect;
+import org.poplarwharf.plugins.IdlePolicy;
+import org.poplarwharf.plugins.VmList;
+
+/**
+ * Follows every cell of the configuration and holds the leases that this node wins.
+ *
+ * <p>Invariant: one runtime a cell, kept while the process lives, since it alone knows which orders this process sent.
+ * Belongs to the control thread.
+ */
+final class CellRole implements Role, CellView {
+    private static final long TICK_MILLIS = 50;
+
+    private final NodeContext context;
+    private final Author self;
+    private final Map<String, CellRuntime> cells = new TreeMap<>();
+    private final Map<String, Admission> admissions = new HashMap<>();
+    private CellRuntime.Parts parts;
+    private boolean stopped;
+
+    CellRole(NodeContext context) {
+        this.context = context;
+        this.self = new Author(context.settings().nodeId(), context.incarnation());
+        context.offer(CellView.class, this);
+    }
+
+    @Override
+    public String name() {
+        return "cell";
+    }
+
+    @Override
+    public Promise<Void> start() {
+        NodeSettings settings = context.settings();
+        EngineDialect engine =
+                plugin(EngineDialect.Factory.class, settings.engineDialect()).create(context.control());
+        VmList vms = plugin(VmList.Factory.class, settings.vmListProtocol())
+                .create(context.control(), settings.vmListAddress());
+        StoreBudget store = new StoreBudget(
+                settings.storeLoadsPerSecond(),
+                settings.storeFullSpeedPlaces(),
+                context.clock().nowMillis());
+        parts = new CellRuntime.Parts(
+                self,
+                settings,
+                context.clock(),
+                engine,
+                new VmWatcher(vms),
+                store,
+                this::config,
+                () -> context.find(TargetDeathListener.class));
+        service(ConfigView.class).onChange(this::follow);
+        tick();
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> drain() {
+        return Promises.all(cells.values().stream().map(CellRuntime::drain).toList());
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        stopped = true;
+        return Promise.complete();
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        parts.vms().tick(context.clock().nowMillis());
+        for (CellRuntime cell : cells.values()) {
+            cell.tick();
+            admit(cell);
+        }
+        context.control().delayBackground(TICK_MILLIS, this::tick);
+    }
+
+    private void admit(CellRuntime cell) {
+        if (!cell.grants()) {
+            admissions.remove(cell.name());
+            return;
+        }
+        if (admissions.containsKey(cell.name())) {
+            return;
+        }
+        context.find(AdmissionFactory.class)
+                .ifPresent(factory ->
+                        admissions.put(cell.name(), factory.create(cell.name(), cell.replicas(), cell.state())));
+    }
+
+    private void follow(FleetConfig config) {
+        CellStreams streams = service(CellStreams.class);
+        for (CellSpec cell : config.cells()) {
+            if (cells.containsKey(cell.name())) {
+                continue;
+            }
+            IdlePolicy policy = plugin(
+                            IdlePolicy.Factory.class, context.settings().idlePolicy())
+                    .create(context.settings().keepAliveMillis());
+            cells.put(cell.name(), new CellRuntime(cell.name(), parts, streams.open(cell.name()), policy));
+        }
+        cells.values().forEach(cell -> cell.replicas().changed());
+    }
+
+    private FleetConfig config() {
+        return service(ConfigView.class).current();
+    }
+
+    private <T> T plugin(Class<T> extensionPoint, String pluginName) {
+        return context.plugins()
+                .find(extensionPoint, pluginName)
+                .orElseThrow(() -> Reporter.missingPart(extensionPoint.getName() + " " + pluginName));
+    }
+
+    private <T> T service(Class<T> type) {
+        return context.find(type).orElseThrow(() -> Reporter.missingPart(type.getName()));
+    }
+
+    @Override
+    public List<String> cellsFor(ArtifactId artifact, String zone) {
+        List<Ranked> ranked = new ArrayList<>();
+        for (CellRuntime cell : cells.values()) {
+            List<TargetSpec> able = cell.targets().stream()
+                    .filter(target -> able(artifact, target))
+                    .toList();
+            if (able.isEmpty()) {
+                continue;
+            }
+            boolean near = able.stream().anyMatch(target -> target.zone().equals(zone));
+            boolean warm = cell.state().slots().stream()
+                    .anyMatch(slot -> slot.artifact().equals(artifact) && slot.phase() == Phase.LOADED);
+            ranked.add(new Ranked(cell.name(), warm, near));
+        }
+        ranked.sort(Comparator.comparing((Ranked cell) -> !cell.warm()).thenComparing(cell -> !cell.near()));
+        return ranked.stream().map(Ranked::name).toList();
+    }
+
+    private record Ranked(String name, boolean warm, boolean near) {}
+
+    private boolean able(ArtifactId artifact, TargetSpec target) {
+        if (artifact.kind() == Kind.SERVICE) {
+            return config().service(artifact.name())
+                    .filter(service -> service.targets().contains(target.name()))
+                    .isPresent();
+        }
+        return config().model(artifact.name())
+                .filter(model -> ReplicaShare.permits(model, target))
+                .isPresent();
+    }
+
+    @Override
+    public Optional<String> claimCell(String callKey) {
+        return config().cells().stream()
+                .map(CellSpec::name)
+                .max(Comparator.comparingLong((String cell) -> weight(cell, callKey))
+                        .thenComparing(cell -> cell));
+    }
+
+    private static long weight(String cell, String callKey) {
+        return Hashing.komihash5_0().hashCharsToLong(cell + '\n' + callKey);
+    }
+
+    @Override
+    public Optional<Holder> holder(String cell) {
+        return Optional.ofNullable(cells.get(cell))
+                .flatMap(found -> found.state().lease())
+                .filter(lease -> !lease.released())
+                .map(this::holder);
+    }
+
+    private Holder holder(Lease lease) {
+        boolean here = lease.holder().equals(self);
+        return new Holder(lease.holder(), lease.peerAddress(), lease.epoch(), here);
+    }
+
+    @Override
+    public Optional<Admission> admissionHere(String cell) {
+        return Optional.ofNullable(admissions.get(cell));
+    }
+
+    @Override
+    public Optional<RecordStream<CellRecord>> stream(String cell) {
+        return Optional.ofNullable(cells.get(cell)).map(CellRuntime::stream);
+    }
+
+    @Override
+    public List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact) {
+        List<Replicas.Replica> replicas = new ArrayList<>();
+        cells.values().forEach(cell -> replicas.addAll(CellReplicas.lastKnown(cell, artifact)));
+        return replicas;
+    }
+
+    @Override
+    public boolean condemned(String fingerprint) {
+        return cells.values().stream().anyMatch(cell -> cell.state().condemned(fingerprint));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/cell/Loader.java
+++ b/src/main/java/org/poplarwharf/internal/cell/Loader.java
@@ -189,8 +189,10 @@
 
     private void settle(Slot slot, TargetWatch watch) {
         long acceptedNumber = acceptedNumbers.getOrDefault(slot.target(), -1L);
+        boolean current = watch.requestedAfter(steps.lastTouched(SlotKey.of(slot)));
         for (OpenOrder order : slot.openOrders()) {
-            Optional<CellRecord.Evidence> evidence = rules.evidence(slot, order, acceptedNumber, firstOrders, watch);
+            Optional<CellRecord.Evidence> evidence =
+                    rules.evidence(slot, order, acceptedNumber, firstOrders, watch, current);
             if (evidence.isEmpty() || !settling.add(order.intentOffset())) {
                 continue;
             }
--- a/src/main/java/org/poplarwharf/internal/cell/SettlementRules.java
+++ b/src/main/java/org/poplarwharf/internal/cell/SettlementRules.java
@@ -41,9 +41,15 @@
      *
      * @param acceptedNumber the highest number that the slot's fencing engine accepted from this process, -1 for none
      * @param firstOrders offsets of intents that this process saw create their slot and that no other order followed
+     * @param current whether the report was asked for after the slot's last change
      */
     Optional<Evidence> evidence(
-            Slot slot, OpenOrder order, long acceptedNumber, Set<Long> firstOrders, TargetWatch watch) {
+            Slot slot,
+            OpenOrder order,
+            long acceptedNumber,
+            Set<Long> firstOrders,
+            TargetWatch watch,
+            boolean current) {
         if (slot.fencing() && acceptedNumber > order.intentOffset()) {
             return Optional.of(Evidence.HIGHER_NUMBER_ACCEPTED);
         }
@@ -55,7 +61,7 @@
         } else if (authors.gone(order.author())) {
             return Optional.of(Evidence.AUTHOR_GONE);
         }
-        return arrived(slot, order, firstOrders, watch) ? Optional.of(Evidence.ANSWERED) : Optional.empty();
+        return current && arrived(slot, order, firstOrders, watch) ? Optional.of(Evidence.ANSWERED) : Optional.empty();
     }
 
     private Optional<Evidence> ownEvidence(Slot slot, OpenOrder order, TargetWatch watch) {
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -51,6 +51,15 @@
                 null);
     }
 
+    public static PoplarWharfException missingPart(String part) {
+        return failure(
+                FailureCode.SETTINGS_INVALID,
+                "The node needs " + part + ", which nothing has registered.",
+                "A setting names an unknown plug-in, or the plug-in that brings it is not on the class path.",
+                "Check the settings against the names that the node lists, and the jar against the release.",
+                null);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
