Link nodes over TCP with bounded MessagePack frames

Cause: nodes need ordered messages to each other, and must notice links that have gone silent. Ruled out: answering a second link by chance of arrival; two nodes that dial at once then may each close the other's. The lower address's link stays instead, except when the present link is old, because its dialler has then lost it. Change: TcpPeers, PeerRole and their plug-in; PeerAddresses takes addresses from the settings, the VM list and hellos, and forgets learned ones that keep failing. Conclusion: order, own address, reconnect, silence, oversized and arbitrary frames are covered by TcpPeersTest.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
@@ -0,0 +1,229 @@
+package org.poplarwharf.internal.peer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufPool;
+import io.activej.common.exception.MalformedDataException;
+import io.activej.common.exception.TruncatedDataException;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+/**
+ * One TCP connection to another node: frames of a 4-byte length and a MessagePack message.
+ *
+ * <p>Invariant: the events see hello first, then messages in order, then {@code closed} exactly once; nothing follows
+ * it. Belongs to the control thread.
+ */
+final class PeerLink {
+    private static final MessagePackCodec<PeerMessage> CODEC = new MessagePackCodec<>(PeerMessage.class);
+
+    private final ITcpSocket socket;
+    private final Optional<String> dialledAddress;
+    private final PeerOptions options;
+    private final MonotonicClock clock;
+    private final Events events;
+    private final BinaryChannelSupplier input;
+    private final Deque<ByteBuf> queue = new ArrayDeque<>();
+    private final long openedMillis;
+    private int queuedBytes;
+    private boolean writing;
+    private boolean closed;
+    private long heardMillis;
+    private long pingedMillis;
+    private Optional<PeerMessage.Hello> hello = Optional.empty();
+
+    PeerLink(
+            ITcpSocket socket,
+            Optional<String> dialledAddress,
+            PeerOptions options,
+            MonotonicClock clock,
+            Events events) {
+        this.socket = socket;
+        this.dialledAddress = dialledAddress;
+        this.options = options;
+        this.clock = clock;
+        this.events = events;
+        this.openedMillis = clock.nowMillis();
+        this.heardMillis = openedMillis;
+        this.input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket));
+    }
+
+    /** Sends the hello and reads until the link closes. */
+    void open(PeerMessage.Hello ownHello) {
+        send(ownHello);
+        readNext();
+    }
+
+    boolean dialled() {
+        return dialledAddress.isPresent();
+    }
+
+    Optional<String> dialledAddress() {
+        return dialledAddress;
+    }
+
+    /** Tells, at most once in each ping interval, that a ping should be sent. */
+    boolean pingDue() {
+        long nowMillis = clock.nowMillis();
+        if (nowMillis - pingedMillis < options.pingMillis()) {
+            return false;
+        }
+        pingedMillis = nowMillis;
+        return true;
+    }
+
+    boolean isClosed() {
+        return closed;
+    }
+
+    Optional<PeerMessage.Hello> hello() {
+        return hello;
+    }
+
+    long ageMillis() {
+        return clock.nowMillis() - openedMillis;
+    }
+
+    long silentMillis() {
+        return clock.nowMillis() - heardMillis;
+    }
+
+    boolean send(PeerMessage message) {
+        if (closed) {
+            return false;
+        }
+        byte[] bytes = CODEC.encode(message);
+        if (bytes.length > options.maxFrameBytes()) {
+            return false;
+        }
+        if (queuedBytes + bytes.length > options.maxQueuedBytes()) {
+            close();
+            return false;
+        }
+        queuedBytes += bytes.length + Integer.BYTES;
+        queue.add(frame(bytes));
+        writeNext();
+        return !closed;
+    }
+
+    void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        input.close();
+        socket.close();
+        queue.forEach(ByteBuf::recycle);
+        queue.clear();
+        events.closed(this);
+    }
+
+    private static ByteBuf frame(byte[] bytes) {
+        ByteBuf buf = ByteBufPool.allocate(bytes.length + Integer.BYTES);
+        buf.writeInt(bytes.length);
+        buf.put(bytes);
+        return buf;
+    }
+
+    private void writeNext() {
+        if (writing || closed || queue.isEmpty()) {
+            return;
+        }
+        writing = true;
+        ByteBuf buf = queue.poll();
+        int sizeBytes = buf.readRemaining();
+        socket.write(buf).whenComplete(($, e) -> written(sizeBytes, e));
+    }
+
+    private void written(int sizeBytes, Exception e) {
+        writing = false;
+        queuedBytes -= sizeBytes;
+        if (e != null) {
+            close();
+            return;
+        }
+        writeNext();
+    }
+
+    private void readNext() {
+        input.decode(ByteBufsDecoders.ofIntSizePrefixedBytes(options.maxFrameBytes()))
+                .async()
+                .whenComplete(this::frameRead);
+    }
+
+    private void frameRead(ByteBuf frame, Exception e) {
+        if (closed) {
+            if (frame != null) {
+                frame.recycle();
+            }
+            return;
+        }
+        if (e != null) {
+            failed(e);
+            return;
+        }
+        heardMillis = clock.nowMillis();
+        if (take(frame.asArray())) {
+            readNext();
+        }
+    }
+
+    private void failed(Exception e) {
+        if (e instanceof MalformedDataException && !(e instanceof TruncatedDataException)) {
+            events.malformed(this, Reporter.malformedMessage(socket.toString(), e));
+        }
+        close();
+    }
+
+    private boolean take(byte[] bytes) {
+        PeerMessage message;
+        try {
+            message = CODEC.decode(bytes, "a node");
+        } catch (PoplarWharfException e) {
+            events.malformed(this, e);
+            close();
+            return false;
+        }
+        return takeMessage(message);
+    }
+
+    private boolean takeMessage(PeerMessage message) {
+        boolean first = hello.isEmpty();
+        if (first != message instanceof PeerMessage.Hello) {
+            events.malformed(this, Reporter.malformedMessage("a node that did not say hello once", null));
+            close();
+            return false;
+        }
+        switch (message) {
+            case PeerMessage.Hello received -> {
+                hello = Optional.of(received);
+                events.greeted(this, received);
+            }
+            case PeerMessage.Ping ping -> send(new PeerMessage.Pong(ping.sequence()));
+            case PeerMessage.Pong $ -> {
+                /* reading it has already counted as a sign of life */
+            }
+            default -> events.received(this, message);
+        }
+        return !closed;
+    }
+
+    /** Hears what happens on a link. */
+    interface Events {
+        void greeted(PeerLink link, PeerMessage.Hello hello);
+
+        void received(PeerLink link, PeerMessage message);
+
+        void malformed(PeerLink link, PoplarWharfException failure);
+
+        void closed(PeerLink link);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
@@ -0,0 +1,86 @@
+package org.poplarwharf.internal.peer;
+
+import io.activej.promise.Promise;
+import java.util.Optional;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeSettings;
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.plugins.VmList;
+
+/**
+ * Keeps links to the other nodes, offers {@link Peers} and {@link PeerAddresses}, and adds the nodes that the
+ * platform's list of VMs names.
+ *
+ * <p>Targets on the list aren't known by their names here; they don't answer with a hello and are forgotten. Belongs to
+ * the control thread.
+ */
+public final class PeerRole implements Role {
+    private static final long LIST_MILLIS = 2_000;
+
+    private final NodeContext context;
+    private final TcpPeers peers;
+    private boolean stopped;
+
+    public PeerRole(NodeContext context) {
+        this.context = context;
+        NodeSettings settings = context.settings();
+        PeerIdentity identity =
+                new PeerIdentity(settings.nodeId(), context.incarnation(), settings.zone(), settings.peerAddress());
+        this.peers = new TcpPeers(
+                context.control(),
+                context.clock(),
+                PeerOptions.forBodies(settings.maxBodyBytes()),
+                identity,
+                context.metrics(),
+                settings.nodeId().hashCode() + context.incarnation());
+        context.offer(Peers.class, peers);
+        context.offer(PeerAddresses.class, peers);
+    }
+
+    @Override
+    public String name() {
+        return "peers";
+    }
+
+    @Override
+    public Promise<Void> start() {
+        peers.addSeeds(context.settings().peers());
+        return peers.start().whenResult(this::followList);
+    }
+
+    @Override
+    public Promise<Void> drain() {
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        stopped = true;
+        return peers.stop();
+    }
+
+    private void followList() {
+        NodeSettings settings = context.settings();
+        Optional<VmList.Factory> factory = context.plugins().find(VmList.Factory.class, settings.vmListProtocol());
+        factory.ifPresent(f -> readList(f.create(context.control(), settings.vmListAddress())));
+    }
+
+    private void readList(VmList list) {
+        if (stopped) {
+            return;
+        }
+        list.list().whenComplete((vms, e) -> {
+            if (e == null) {
+                vms.stream().filter(this::isOtherNode).forEach(vm -> peers.add(vm.address()));
+            }
+            context.control().delayBackground(LIST_MILLIS, () -> readList(list));
+        });
+    }
+
+    private boolean isOtherNode(VmList.Vm vm) {
+        boolean isTarget = context.find(org.poplarwharf.internal.config.ConfigView.class)
+                .map(view -> view.current().target(vm.name()).isPresent())
+                .orElse(true);
+        return !isTarget && !vm.name().equals(context.settings().nodeId());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/peer/TcpPeersTest.java
@@ -0,0 +1,289 @@
+package org.poplarwharf.internal.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+class TcpPeersTest {
+    private static final long DEADLINE_MILLIS = 10_000;
+    private static final PeerOptions OPTIONS = new PeerOptions(50, 300, 300, 20, 100, 20, 10_000, 100_000);
+
+    private final Eventloop eventloop =
+            Eventloop.builder().withThreadName("control").build();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final List<TcpPeers> started = new CopyOnWriteArrayList<>();
+    private Thread thread;
+
+    @AfterEach
+    @AfterTry
+    void stop() throws Exception {
+        if (thread == null) {
+            return;
+        }
+        for (TcpPeers peers : started) {
+            on(() -> peers.stop());
+        }
+        started.clear();
+        eventloop.submit(() -> eventloop.keepAlive(false)).get();
+        thread.join(DEADLINE_MILLIS);
+        thread = null;
+    }
+
+    @Test
+    void two_nodes_that_dial_each_other_keep_one_link_and_pass_messages_in_order() throws Exception {
+        TcpPeers a = node("a");
+        TcpPeers b = node("b");
+        Recorder heard = listen(b);
+        on(() -> {
+            a.add(b.announcedAddress());
+            b.add(a.announcedAddress());
+            return null;
+        });
+        await(() -> a.connected().size() == 1 && b.connected().size() == 1);
+        await(() -> a.send(b.announcedAddress(), new PeerMessage.ConfigKnown(0, 0)));
+
+        for (int i = 1; i <= 100; i++) {
+            int version = i;
+            on(() -> a.send(b.announcedAddress(), new PeerMessage.ConfigKnown(version, 0)));
+        }
+
+        await(() -> heard.versions.contains(100L));
+        assertThat(heard.versions).isSorted().doesNotHaveDuplicates();
+        assertThat(on(a::connected)).containsExactly(b.announcedAddress());
+    }
+
+    @Test
+    void a_node_does_not_link_to_itself() throws Exception {
+        TcpPeers a = node("a");
+        TcpPeers b = node("b");
+        String alias = a.announcedAddress().replace("127.0.0.1", "localhost");
+
+        on(() -> {
+            a.addSeeds(List.of(a.announcedAddress(), alias, b.announcedAddress()));
+            return null;
+        });
+
+        await(() -> a.connected().equals(List.of(b.announcedAddress())));
+    }
+
+    @Test
+    void a_lost_node_is_told_and_linked_again_when_it_is_back() throws Exception {
+        TcpPeers a = node("a");
+        TcpPeers b = node("b");
+        Recorder heard = listen(a);
+        String address = b.announcedAddress();
+        on(() -> {
+            a.add(address);
+            return null;
+        });
+        await(() -> heard.events.contains("up " + address));
+
+        on(b::stop);
+        await(() -> heard.events.contains("down " + address));
+        assertThat(on(() -> a.send(address, new PeerMessage.ConfigWanted()))).isFalse();
+        node("b", address, 2);
+
+        await(() -> heard.events.equals(List.of("up " + address, "down " + address, "up " + address)));
+    }
+
+    @Test
+    void a_silent_link_is_dropped_and_a_fresh_one_opened() throws Exception {
+        TcpPeers a = node("a");
+        TcpPeers b = node("b");
+        try (SilencingRelay relay = new SilencingRelay(b.announcedAddress())) {
+            Recorder heard = listen(a);
+            on(() -> {
+                a.add(relay.address());
+                return null;
+            });
+            await(() -> a.connected().size() == 1);
+
+            relay.silence();
+
+            await(() -> heard.events.stream().filter(e -> e.startsWith("up")).count() >= 2);
+            assertThat(heard.events.get(1)).startsWith("down");
+        }
+    }
+
+    @Test
+    void a_frame_beyond_the_bound_closes_the_link_and_is_counted() throws Exception {
+        TcpPeers a = node("a");
+
+        assertClosedAfter(a, new byte[] {0x7f, 0, 0, 0, 1});
+
+        await(() -> metrics.counter("peer.malformed-frames").getCount() == 1);
+    }
+
+    @Property(tries = 20)
+    void bytes_of_any_kind_never_stop_the_node(@ForAll byte[] bytes) throws Exception {
+        TcpPeers a = node("a");
+        byte[] frame = new byte[bytes.length + 4];
+        frame[2] = (byte) (bytes.length >> 8);
+        frame[3] = (byte) bytes.length;
+        System.arraycopy(bytes, 0, frame, 4, bytes.length);
+
+        assertClosedAfter(a, frame);
+        assertClosedAfter(a, bytes);
+
+        TcpPeers b = node("b");
+        on(() -> {
+            b.add(a.announcedAddress());
+            return null;
+        });
+        await(() -> b.connected().size() == 1);
+    }
+
+    private static void assertClosedAfter(TcpPeers peers, byte[] bytes) throws IOException {
+        InetSocketAddress address = PeerAddress.parse(peers.announcedAddress());
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout((int) DEADLINE_MILLIS);
+            socket.getOutputStream().write(bytes);
+            socket.shutdownOutput();
+            socket.getInputStream().transferTo(java.io.OutputStream.nullOutputStream());
+        } catch (SocketException e) {
+            assertThat(e).hasMessageMatching("Connection reset|Broken pipe.*");
+        }
+    }
+
+    private Recorder listen(TcpPeers peers) throws Exception {
+        Recorder recorder = new Recorder();
+        on(() -> {
+            peers.listen(recorder);
+            return null;
+        });
+        return recorder;
+    }
+
+    private TcpPeers node(String id) throws Exception {
+        return node(id, "127.0.0.1:0", 1);
+    }
+
+    private TcpPeers node(String id, String address, long incarnation) throws Exception {
+        if (thread == null) {
+            eventloop.keepAlive(true);
+            thread = new Thread(eventloop);
+            thread.start();
+        }
+        PeerIdentity identity = new PeerIdentity(id, incarnation, "z1", address);
+        TcpPeers peers = on(() -> {
+            TcpPeers made = new TcpPeers(eventloop, MonotonicClock.system(), OPTIONS, identity, metrics, 1);
+            made.start();
+            return made;
+        });
+        started.add(peers);
+        return peers;
+    }
+
+    private <T> T on(Callable<T> work) throws Exception {
+        java.util.concurrent.CompletableFuture<T> result = new java.util.concurrent.CompletableFuture<>();
+        eventloop.execute(() -> {
+            try {
+                result.complete(work.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.get(DEADLINE_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
+    private void await(Callable<Boolean> condition) throws Exception {
+        long endNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
+        while (!on(condition)) {
+            assertThat(System.nanoTime()).as("deadline").isLessThan(endNanos);
+            java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    private static final class Recorder implements Peers.Listener {
+        private final List<Long> versions = new CopyOnWriteArrayList<>();
+        private final List<String> events = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void received(String peerAddress, PeerMessage message) {
+            if (message instanceof PeerMessage.ConfigKnown known) {
+                versions.add(known.version());
+            }
+        }
+
+        @Override
+        public void linkUp(String peerAddress, PeerMessage.Hello hello) {
+            events.add("up " + peerAddress);
+        }
+
+        @Override
+        public void linkDown(String peerAddress) {
+            events.add("down " + peerAddress);
+        }
+    }
+
+    /** Relays connections; those that are open when it is silenced stay open and carry nothing more. */
+    private static final class SilencingRelay implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final InetSocketAddress upstream;
+        private volatile int generation;
+
+        SilencingRelay(String upstream) throws IOException {
+            this.upstream = PeerAddress.parse(upstream);
+            Thread.ofVirtual().start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        void silence() {
+            generation++;
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket down = server.accept();
+                    Socket up = new Socket(upstream.getAddress(), upstream.getPort());
+                    int born = generation;
+                    Thread.ofVirtual().start(() -> copy(down, up, born));
+                    Thread.ofVirtual().start(() -> copy(up, down, born));
+                }
+            } catch (IOException e) {
+                assertThat(server.isClosed()).isTrue();
+            }
+        }
+
+        private void copy(Socket from, Socket to, int born) {
+            byte[] buffer = new byte[1_000];
+            try {
+                int size = from.getInputStream().read(buffer);
+                while (size >= 0) {
+                    if (generation == born) {
+                        to.getOutputStream().write(buffer, 0, size);
+                    }
+                    size = from.getInputStream().read(buffer);
+                }
+                to.close();
+            } catch (IOException e) {
+                assertThat(e).isNotNull();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
