--- a/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
@@ -113,11 +113,7 @@
         for (CellStatus cell : report.cells()) {
             cell.queues()
                     .forEach(queue -> queues.add(
-                            cell.name(),
-                            queue.artifact(),
-                            queue.requestClass(),
-                            queue.waiting(),
-                            queue.running()));
+                            cell.name(), queue.artifact(), queue.requestClass(), queue.waiting(), queue.running()));
         }
         queues.print(out);
         out.println();
