--- a/src/main/java/org/poplarwharf/internal/log/RecordFolder.java
+++ b/src/main/java/org/poplarwharf/internal/log/RecordFolder.java
@@ -101,18 +101,26 @@
         byte[] known;
         try {
             known = fold.restore(checkpoint);
-            if (known.length > 0) {
-                writers.restore(known);
-            }
         } catch (PoplarWharfException malformed) {
             skip(malformed);
             return false;
         }
+        restoreWriters(known);
         appliedOffset = through.getAsLong();
         nextLogOffset = Batch.logOffset(appliedOffset + 1);
         return true;
     }
 
+    private void restoreWriters(byte[] known) {
+        try {
+            if (known.length > 0) {
+                writers.restore(known);
+            }
+        } catch (PoplarWharfException malformed) {
+            skip(malformed);
+        }
+    }
+
     /** Takes the first checkpoint of an entry that covers everything before an offset; returns whether there was one. */
     boolean restoreFrom(Entry entry, long firstOffset) {
         Batch batch = decodeBatch(entry);
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/config/ConfigRoleTest.java
@@ -0,0 +1,121 @@
+package org.poplarwharf.internal.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.config.ConfigRecord.ChangeProposed;
+import org.poplarwharf.internal.config.ConfigRecord.FileChange;
+import org.poplarwharf.internal.log.Batch;
+import org.poplarwharf.internal.log.FakeEventLog;
+import org.poplarwharf.internal.log.StreamSettings;
+import org.poplarwharf.internal.log.TestLoop;
+
+class ConfigRoleTest {
+    private static final StreamSettings SETTINGS = new StreamSettings(50, 20, 200, 2, 20, 1, 60_000, 1_000_000);
+
+    private final TestLoop loop = new TestLoop();
+    private final FakeEventLog log = new FakeEventLog(loop.eventloop(), 1);
+    private final FakePeerNetwork network = new FakePeerNetwork();
+    private long sequence;
+
+    @AfterEach
+    void close() {
+        loop.close();
+    }
+
+    @Test
+    void every_node_puts_an_accepted_change_in_force_and_none_a_refused_one() {
+        ConfigRole first = start("n1");
+        ConfigRole second = start("n2");
+
+        publish("c1", "a.yaml", -1, "cells: [{name: main, zones: [a]}]");
+        publish("c2", "a.yaml", -1, "cells: [{name: other, zones: [a]}]");
+        publish("c3", "b.yaml", -1, "classes: [{name: c, deadline: 1s}]");
+
+        loop.until(() -> first.current().version() == 2_000 && second.current().version() == 2_000);
+        assertThat(first.current().cells())
+                .extracting(FleetConfig.CellSpec::name)
+                .containsExactly("main");
+        assertThat(loop.get(second::ready)).isTrue();
+    }
+
+    @Test
+    void a_node_that_starts_during_an_outage_is_ready_once_a_peer_has_told_it() {
+        ConfigRole first = start("n1");
+        publish("c1", "a.yaml", -1, "cells: [{name: main, zones: [a]}]");
+        loop.until(() -> first.current().version() == 0);
+        loop.run(() -> log.outage = true);
+
+        loop.run(() -> network.cut = true);
+        ConfigRole late = start("n2");
+        assertThat(loop.get(late::ready)).isFalse();
+        loop.run(() -> network.join());
+
+        loop.until(late::ready);
+        assertThat(loop.get(late::current)).isEqualTo(loop.get(first::current));
+        loop.run(() -> log.outage = false);
+        publish("c2", "b.yaml", -1, "classes: [{name: c, deadline: 1s}]");
+        loop.until(() -> late.current().version() == 1_000);
+    }
+
+    @Test
+    void a_node_that_starts_after_retention_learns_from_a_peer_and_folds_on() {
+        ConfigRole first = start("n1");
+        publish("c1", "a.yaml", -1, "cells: [{name: main, zones: [a]}]");
+        publish("c2", "b.yaml", -1, "classes: [{name: c, deadline: 1s}]");
+        loop.until(() -> first.current().version() == 1_000);
+        loop.run(() -> log.trim(ConfigRecord.STREAM, 0));
+
+        ConfigRole late = start("n2");
+
+        loop.until(late::ready);
+        assertThat(loop.get(late::current)).isEqualTo(loop.get(first::current));
+        publish("c3", "b.yaml", 1_000, "classes: []");
+        loop.until(() -> late.current().version() == 2_000);
+    }
+
+    @Test
+    void a_stale_peer_never_takes_a_version_down() {
+        ConfigRole fresh = start("n1");
+        publish("c1", "a.yaml", -1, "cells: [{name: main, zones: [a]}]");
+        publish("c2", "b.yaml", -1, "classes: [{name: c, deadline: 1s}]");
+        loop.until(() -> fresh.current().version() == 1_000);
+        List<Long> versions = new ArrayList<>();
+        loop.run(() -> fresh.onChange(config -> versions.add(config.version())));
+
+        loop.run(() -> network.deliverTo("n1", staleState()));
+
+        assertThat(loop.get(() -> fresh.current().version())).isEqualTo(1_000);
+        assertThat(versions).containsExactly(1_000L);
+    }
+
+    private static org.poplarwharf.internal.peer.PeerMessage staleState() {
+        ConfigRecord stale = new ConfigRecord.ConfigCheckpoint(10_000_000, List.of(), -1, List.of());
+        return new org.poplarwharf.internal.peer.PeerMessage.ConfigState(
+                List.of(new MessagePackCodec<>(ConfigRecord.class).encode(stale)));
+    }
+
+    private ConfigRole start(String nodeId) {
+        return loop.get(() -> {
+            FakeContext context = new FakeContext(loop, log, nodeId);
+            network.add(nodeId, context);
+            ConfigRole role = new ConfigRole(context, SETTINGS);
+            role.start();
+            network.announce(nodeId);
+            return role;
+        });
+    }
+
+    private void publish(String id, String file, long replaces, String content) {
+        ConfigRecord change =
+                new ChangeProposed(id, "ann", List.of(new FileChange(file, replaces, Optional.of(content))));
+        byte[] record = new MessagePackCodec<>(ConfigRecord.class).encode(change);
+        Batch batch = new Batch("operator", 1, sequence++, List.of(record));
+        loop.run(() -> log.store(ConfigRecord.STREAM, new MessagePackCodec<>(Batch.class).encode(batch)));
+    }
+}
