--- a/src/main/java/org/poplarwharf/internal/log/FoldingStream.java
+++ b/src/main/java/org/poplarwharf/internal/log/FoldingStream.java
@@ -136,8 +136,9 @@
         generation++;
         long asked = generation;
         long fromOffset = recovering ? scanOffset : folder.nextLogOffset();
-        long limitMillis = settings.longPollMillis() + settings.callLimitMillis();
-        Promise<Page> read = log.read(parts.stream(), fromOffset, settings.pageRecords(), settings.longPollMillis());
+        long waitMillis = caughtUp || recovering ? settings.longPollMillis() : 0;
+        long limitMillis = waitMillis + settings.callLimitMillis();
+        Promise<Page> read = log.read(parts.stream(), fromOffset, settings.pageRecords(), waitMillis);
         Promises.timeout(reactor, limitMillis, read).subscribe((page, failure) -> {
             if (asked != generation || stopped) {
                 return;
