--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigFold.java
@@ -0,0 +1,169 @@
+package org.poplarwharf.internal.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.poplarwharf.internal.config.ConfigMerge.Merged;
+import org.poplarwharf.internal.config.ConfigRecord.ChangeProposed;
+import org.poplarwharf.internal.config.ConfigRecord.ConfigCheckpoint;
+import org.poplarwharf.internal.config.ConfigRecord.FileChange;
+import org.poplarwharf.internal.config.ConfigRecord.FileVersion;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.log.Fold;
+import org.poplarwharf.internal.log.RecordStream.Applied;
+
+/**
+ * The folded state of the configuration stream.
+ *
+ * <p>Invariants: whether a change is accepted depends on the log's order alone; the version is the offset of the last
+ * accepted change and never goes down; a change id is decided once. Belongs to the control thread.
+ */
+public final class ConfigFold implements Fold<ConfigRecord> {
+    static final long NO_VERSION = -1;
+
+    private static final int MAX_CHANGE_IDS = 1_000;
+
+    private final LinkedHashSet<String> changeIds = new LinkedHashSet<>();
+    private TreeMap<String, FileVersion> files = new TreeMap<>();
+    private FleetConfig config = FleetConfig.EMPTY;
+
+    /** Returns the merged configuration. */
+    public FleetConfig config() {
+        return config;
+    }
+
+    /** Returns the accepted files in the order of their names. */
+    public List<FileVersion> files() {
+        return List.copyOf(files.values());
+    }
+
+    /** Returns the version of a file; -1 when there is none. */
+    public long versionOf(String file) {
+        FileVersion known = files.get(file);
+        return known == null ? NO_VERSION : known.version();
+    }
+
+    @Override
+    public Applied apply(long offset, ConfigRecord record) {
+        return switch (record) {
+            case ChangeProposed change -> decide(offset, change);
+            case ConfigCheckpoint checkpoint -> new Applied(offset, true, "");
+        };
+    }
+
+    private Applied decide(long offset, ChangeProposed change) {
+        if (changeIds.contains(change.changeId())) {
+            return refused(offset, "change " + change.changeId() + " was decided before");
+        }
+        remember(change.changeId());
+        List<String> conflicts = conflicts(change);
+        if (!conflicts.isEmpty()) {
+            return refused(offset, String.join("; ", conflicts));
+        }
+        TreeMap<String, FileVersion> next = changed(offset, change);
+        Merged merged = merge(offset, next);
+        List<String> reasons = new ArrayList<>(merged.faultLines());
+        if (reasons.isEmpty()) {
+            reasons.addAll(FixedParts.violations(config, merged.config()));
+        }
+        if (!reasons.isEmpty()) {
+            return refused(offset, String.join("; ", reasons));
+        }
+        files = next;
+        config = merged.config();
+        return new Applied(offset, true, "");
+    }
+
+    private List<String> conflicts(ChangeProposed change) {
+        List<String> conflicts = new ArrayList<>();
+        if (change.files().isEmpty()) {
+            conflicts.add("the change names no file");
+        }
+        Set<String> names = new HashSet<>();
+        for (FileChange file : change.files()) {
+            if (!ConfigNames.validFile(file.name())) {
+                conflicts.add("'" + file.name() + "' is not the name of a configuration file");
+            } else if (!names.add(file.name())) {
+                conflicts.add(file.name() + " is named twice");
+            } else if (versionOf(file.name()) != file.replacesVersion()) {
+                conflicts.add(lostTo(file));
+            }
+        }
+        return conflicts;
+    }
+
+    private String lostTo(FileChange file) {
+        FileVersion winner = files.get(file.name());
+        if (winner == null) {
+            return file.name() + " of version " + file.replacesVersion() + " was removed by another change";
+        }
+        return file.name() + " is at version " + winner.version() + ", published by "
+                + (winner.operator().isEmpty() ? "an operator not known" : winner.operator()) + ", not at "
+                + (file.replacesVersion() == NO_VERSION ? "none" : file.replacesVersion());
+    }
+
+    private TreeMap<String, FileVersion> changed(long offset, ChangeProposed change) {
+        TreeMap<String, FileVersion> next = new TreeMap<>(files);
+        for (FileChange file : change.files()) {
+            Optional<String> content = file.content();
+            if (content.isPresent()) {
+                next.put(file.name(), new FileVersion(file.name(), offset, content.get(), change.operator()));
+            } else {
+                next.remove(file.name());
+            }
+        }
+        return next;
+    }
+
+    private static Merged merge(long version, TreeMap<String, FileVersion> files) {
+        TreeMap<String, String> contents = new TreeMap<>();
+        files.forEach((name, file) -> contents.put(name, file.content()));
+        return ConfigMerge.merge(version, contents);
+    }
+
+    private void remember(String changeId) {
+        changeIds.add(changeId);
+        if (changeIds.size() > MAX_CHANGE_IDS) {
+            changeIds.remove(changeIds.iterator().next());
+        }
+    }
+
+    private static Applied refused(long offset, String reason) {
+        return new Applied(offset, false, reason);
+    }
+
+    @Override
+    public ConfigRecord checkpoint(long throughOffset, byte[] writers) {
+        return new ConfigCheckpoint(throughOffset, files(), config.version(), List.copyOf(changeIds), writers);
+    }
+
+    @Override
+    public OptionalLong checkpointThrough(ConfigRecord record) {
+        return record instanceof ConfigCheckpoint checkpoint
+                ? OptionalLong.of(checkpoint.throughOffset())
+                : OptionalLong.empty();
+    }
+
+    @Override
+    public byte[] restore(ConfigRecord record) {
+        if (!(record instanceof ConfigCheckpoint checkpoint) || checkpoint.version() < config.version()) {
+            throw Reporter.malformedMessage("a checkpoint of the configuration", null);
+        }
+        TreeMap<String, FileVersion> restored = new TreeMap<>();
+        checkpoint.files().forEach(file -> restored.put(file.name(), file));
+        Merged merged = merge(checkpoint.version(), restored);
+        if (!merged.faults().isEmpty()) {
+            throw Reporter.malformedMessage("a checkpoint of the configuration", null);
+        }
+        files = restored;
+        config = merged.config();
+        changeIds.clear();
+        checkpoint.recentChangeIds().forEach(this::remember);
+        return checkpoint.writers();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPeers.java
@@ -0,0 +1,112 @@
+package org.poplarwharf.internal.config;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.peer.PeerMessage;
+import org.poplarwharf.internal.peer.PeerMessage.ConfigKnown;
+import org.poplarwharf.internal.peer.PeerMessage.ConfigState;
+import org.poplarwharf.internal.peer.PeerMessage.ConfigWanted;
+import org.poplarwharf.internal.peer.Peers;
+
+/**
+ * Tells peers which configuration this node knows, and learns a newer one from them.
+ *
+ * <p>Invariant: a state is offered to the fold only, which takes it only when it is ahead. Belongs to the control thread.
+ */
+final class ConfigPeers implements Peers.Listener {
+    private static final MessagePackCodec<ConfigRecord> CODEC = new MessagePackCodec<>(ConfigRecord.class);
+
+    private final Peers peers;
+    private final Supplier<ConfigKnown> own;
+    private final Supplier<ConfigRecord> checkpoint;
+    private final Consumer<ConfigRecord> learned;
+    private final Map<String, ConfigKnown> known = new HashMap<>();
+    private final Set<String> ahead = new HashSet<>();
+
+    ConfigPeers(
+            Peers peers, Supplier<ConfigKnown> own, Supplier<ConfigRecord> checkpoint, Consumer<ConfigRecord> learned) {
+        this.peers = peers;
+        this.own = own;
+        this.checkpoint = checkpoint;
+        this.learned = learned;
+        peers.listen(this);
+    }
+
+    /** Tells every connected peer what this node knows, and asks one that has stayed ahead for its state. */
+    void tick() {
+        announce();
+        Set<String> stillAhead = new HashSet<>();
+        known.forEach((address, theirs) -> {
+            if (theirs.version() > own.get().version()) {
+                stillAhead.add(address);
+            }
+        });
+        Optional<String> asked = stillAhead.stream().filter(ahead::contains).findFirst();
+        asked.ifPresent(address -> peers.send(address, new ConfigWanted()));
+        ahead.clear();
+        ahead.addAll(stillAhead);
+    }
+
+    void announce() {
+        peers.connected().forEach(address -> peers.send(address, own.get()));
+    }
+
+    /** Tells whether a reachable peer is known to have a newer configuration. */
+    boolean anyAhead() {
+        long version = own.get().version();
+        return known.values().stream().anyMatch(theirs -> theirs.version() > version);
+    }
+
+    /** Tells whether every connected peer, of at least one, has told its version, and one of them has a configuration. */
+    boolean allHeard() {
+        List<String> connected = peers.connected();
+        return known.keySet().containsAll(connected)
+                && known.values().stream().anyMatch(theirs -> theirs.version() >= 0);
+    }
+
+    @Override
+    public void linkUp(String peerAddress, PeerMessage.Hello hello) {
+        peers.send(peerAddress, own.get());
+    }
+
+    @Override
+    public void linkDown(String peerAddress) {
+        known.remove(peerAddress);
+    }
+
+    @Override
+    public void received(String peerAddress, PeerMessage message) {
+        switch (message) {
+            case ConfigKnown theirs -> known.put(peerAddress, theirs);
+            case ConfigWanted wanted -> answer(peerAddress);
+            case ConfigState state -> learn(state);
+            default -> {
+                // Other roles take the rest.
+            }
+        }
+    }
+
+    private void answer(String peerAddress) {
+        if (own.get().version() >= 0) {
+            peers.send(peerAddress, new ConfigState(List.of(CODEC.encode(checkpoint.get()))));
+        }
+    }
+
+    private void learn(ConfigState state) {
+        for (byte[] bytes : state.checkpoint()) {
+            try {
+                learned.accept(CODEC.decode(bytes, "a peer's configuration"));
+            } catch (PoplarWharfException malformed) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPlugin.java
@@ -0,0 +1,15 @@
+package org.poplarwharf.internal.config;
+
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.internal.log.StreamSettings;
+import org.poplarwharf.plugins.Plugin;
+import org.poplarwharf.plugins.PluginRegistry;
+
+/** Registers the role that follows the configuration. Stateless. */
+public final class ConfigPlugin implements Plugin {
+    @Override
+    public void registerWith(PluginRegistry registry) {
+        registry.register(
+                Role.Factory.class, ConfigRole.NAME, context -> new ConfigRole(context, StreamSettings.DEFAULT));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/config/ConfigRecord.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigRecord.java
@@ -29,10 +29,39 @@
     /** A file's new content, or its removal when empty; {@code replacesVersion} is -1 for a new file. */
     record FileChange(String name, long replacesVersion, Optional<String> content) {}
 
-    /** The state after all records through an offset, for readers that the older records have aged out for. */
-    record ConfigCheckpoint(long throughOffset, List<FileVersion> files, long version, List<String> recentChangeIds)
-            implements ConfigRecord {}
+    /**
+     * The state after all records through an offset, for readers that the older records have aged out for.
+     *
+     * @param writers what the stream remembers of writers; empty when it is not known
+     */
+    record ConfigCheckpoint(
+            long throughOffset, List<FileVersion> files, long version, List<String> recentChangeIds, byte[] writers)
+            implements ConfigRecord {
+        private static final byte[] NO_WRITERS = {};
+
+        public ConfigCheckpoint {
+            writers = writers == null ? NO_WRITERS : writers;
+        }
+
+        public ConfigCheckpoint(
+                long throughOffset, List<FileVersion> files, long version, List<String> recentChangeIds) {
+            this(throughOffset, files, version, recentChangeIds, NO_WRITERS);
+        }
+    }
+
+    /**
+     * An accepted file.
+     *
+     * @param version the offset of the change that set it
+     * @param operator who published that change; empty when it is not known
+     */
+    record FileVersion(String name, long version, String content, String operator) {
+        public FileVersion {
+            operator = operator == null ? "" : operator;
+        }
 
-    /** An accepted file; {@code version} is the offset of the change that set it. */
-    record FileVersion(String name, long version, String content) {}
+        public FileVersion(String name, long version, String content) {
+            this(name, version, content, "");
+        }
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -287,6 +287,20 @@
                 null);
     }
 
+    public static PoplarWharfException configInvalid(List<String> faults) {
+        return new PoplarWharfException(
+                FailureCode.CONFIG_INVALID, String.join(System.lineSeparator(), faults), NO_RETRY, null);
+    }
+
+    public static PoplarWharfException configUnreadable(String folder, Throwable cause) {
+        return failure(
+                FailureCode.CONFIG_INVALID,
+                "The folder " + folder + " can't be read.",
+                "It does not exist, or this user may not read it.",
+                "Name a folder with files that end in .yaml or .yml.",
+                cause);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
