--- a/src/main/java/org/poplarwharf/internal/cell/AuthorRegistry.java
+++ b/src/main/java/org/poplarwharf/internal/cell/AuthorRegistry.java
@@ -12,9 +12,9 @@
 /**
  * Knows which authors of orders can't send any more because their process is gone.
  *
- * <p>Invariant: an author is gone only when a later incarnation of its node wrote a record, or when a VM that was listed
- * under its name since its incarnation was met has left the list for good. An absence from the list alone proves
- * nothing, because the list lags. Belongs to the control thread.
+ * <p>Invariant: an author is gone only when a later incarnation of its node wrote a record, or when the VM that it named
+ * itself was listed and then left out of several lists in a row. An absence alone, or a VM listed under the author's
+ * name, proves nothing, because the list lags. Belongs to the control thread.
  */
 final class AuthorRegistry {
     /** Consecutive lists without a VM after which it is gone for good. */
@@ -23,12 +23,15 @@
     private final Map<String, Long> latestIncarnations = new HashMap<>();
     private final Map<Author, String> vmIds = new HashMap<>();
     private final Map<String, Integer> absences = new HashMap<>();
-    private final Set<String> goneVmIds = new HashSet<>();
 
     /** Takes note of the authors that a record names. */
     void met(CellRecord record) {
         switch (record) {
             case CellRecord.LeaseClaimed claimed -> met(claimed.holder());
+            case CellRecord.AuthorPlaced placed -> {
+                met(placed.author());
+                vmIds.put(placed.author(), placed.vmId());
+            }
             case CellRecord.StoodDown stood -> met(stood.author());
             case CellRecord.LoadIntended intended -> met(intended.author());
             case CellRecord.UnloadIntended intended -> met(intended.author());
@@ -39,28 +42,20 @@
         }
     }
 
-    void met(Author author) {
+    private void met(Author author) {
         latestIncarnations.merge(author.nodeId(), author.incarnation(), Math::max);
-        vmIds.putIfAbsent(author, "");
     }
 
     /** Takes a fresh list; one that failed to arrive must not be passed on. */
     void listed(List<Vm> vms) {
-        Map<String, String> byName = new HashMap<>();
         Set<String> present = new HashSet<>();
         for (Vm vm : vms) {
-            byName.put(vm.name(), vm.vmId());
             present.add(vm.vmId());
+            absences.put(vm.vmId(), 0);
         }
-        vmIds.replaceAll((author, vmId) -> vmId.isEmpty() ? byName.getOrDefault(author.nodeId(), "") : vmId);
-        for (String vmId : new HashSet<>(vmIds.values())) {
-            if (vmId.isEmpty()) {
-                continue;
-            }
-            int absent = present.contains(vmId) ? 0 : absences.getOrDefault(vmId, 0) + 1;
-            absences.put(vmId, absent);
-            if (absent >= ABSENT_LISTS) {
-                goneVmIds.add(vmId);
+        for (String vmId : Set.copyOf(absences.keySet())) {
+            if (!present.contains(vmId)) {
+                absences.merge(vmId, 1, Integer::sum);
             }
         }
     }
@@ -69,6 +64,6 @@
         if (latestIncarnations.getOrDefault(author.nodeId(), author.incarnation()) > author.incarnation()) {
             return true;
         }
-        return goneVmIds.contains(vmIds.getOrDefault(author, ""));
+        return absences.getOrDefault(vmIds.getOrDefault(author, ""), 0) >= ABSENT_LISTS;
     }
 }
--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -73,7 +73,8 @@
         this.state = opened.state();
         NodeSettings settings = parts.settings();
         this.lease = new LeaseKeeper(name, parts.self(), settings, parts.clock(), stream, state);
-        this.loader = new Loader(parts.self(), lease, stream, state, parts.engine(), settings.leaseMillis());
+        this.loader =
+                new Loader(parts.self(), lease, stream, state, parts.engine(), settings.vmId(), settings.leaseMillis());
         this.engines = new EngineWatcher(
                 parts.engine(),
                 loader.steps(),
--- a/src/main/java/org/poplarwharf/internal/cell/Loader.java
+++ b/src/main/java/org/poplarwharf/internal/cell/Loader.java
@@ -57,6 +57,7 @@
     private final Set<Long> settling = new HashSet<>();
     private Set<SlotKey> knownSlots = new HashSet<>();
     private final Map<Long, SlotKey> orderSlots = new HashMap<>();
+    private final AuthorAnnouncement announcement;
     private boolean standingDown;
 
     Loader(
@@ -65,6 +66,7 @@
             RecordStream<CellRecord> stream,
             CellStateView state,
             EngineDialect engine,
+            String vmId,
             long commitMillis) {
         this.self = self;
         this.lease = lease;
@@ -73,6 +75,7 @@
         this.engine = engine;
         this.commitMillis = commitMillis;
         this.rules = new SettlementRules(self, orders, authors);
+        this.announcement = new AuthorAnnouncement(self, vmId, stream, state, commitMillis);
         stream.onApplied(this::applied);
     }
 
@@ -176,6 +179,7 @@
 
     /** Settles, confirms and retires what the evidence allows; called at short intervals. */
     void tick(Map<String, TargetWatch> watches) {
+        announcement.tick();
         if (!lease.holds()) {
             standDown();
             return;
--- a/src/main/java/org/poplarwharf/internal/state/CellRecord.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellRecord.java
@@ -16,6 +16,7 @@
     @JsonSubTypes.Type(value = CellRecord.LeaseClaimed.class, name = "claim"),
     @JsonSubTypes.Type(value = CellRecord.LeaseRenewed.class, name = "renew"),
     @JsonSubTypes.Type(value = CellRecord.LeaseReleased.class, name = "release"),
+    @JsonSubTypes.Type(value = CellRecord.AuthorPlaced.class, name = "placed"),
     @JsonSubTypes.Type(value = CellRecord.StoodDown.class, name = "stood-down"),
     @JsonSubTypes.Type(value = CellRecord.LoadIntended.class, name = "load"),
     @JsonSubTypes.Type(value = CellRecord.UnloadIntended.class, name = "unload"),
@@ -58,6 +59,9 @@
     /** Gives the lease of an epoch up, so that another claim needs no wait. */
     record LeaseReleased(long epoch) implements CellRecord {}
 
+    /** Tells which VM an author runs on, by its own word; the fold takes nothing from it. */
+    record AuthorPlaced(Author author, String vmId) implements CellRecord {}
+
     /**
      * The author has sent its last order: every order for intents of the epochs up to {@code throughEpoch} was answered
      * or never sent. Intents that it never sent an order for are in {@code neverSent}.
--- a/src/main/java/org/poplarwharf/internal/state/CellState.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellState.java
@@ -39,6 +39,7 @@
             case CellRecord.LeaseClaimed r -> lease.claim(offset, r);
             case CellRecord.LeaseRenewed r -> inEpoch(r.epoch(), () -> lease.renew(offset));
             case CellRecord.LeaseReleased r -> inEpoch(r.epoch(), lease::release);
+            case CellRecord.AuthorPlaced r -> Verdict.ACCEPTED;
             case CellRecord.StoodDown r -> slots.standDown(r);
             case CellRecord.LoadIntended r -> inEpoch(r.epoch(), () -> slots.intendLoad(offset, r));
             case CellRecord.UnloadIntended r -> inEpoch(r.epoch(), () -> slots.intendUnload(offset, r));
