--- a/src/test/java/org/poplarwharf/internal/cell/CellChaosTest.java
+++ b/src/test/java/org/poplarwharf/internal/cell/CellChaosTest.java
@@ -13,7 +13,7 @@
 class CellChaosTest {
     private static final int FAULTS = 17;
 
-    @Property(tries = 300, seed = "1")
+    @Property(tries = 1_000, seed = "1")
     void bounds_hold_under_any_schedule_of_faults(
             @ForAll boolean fencing, @ForAll @Size(min = 20, max = 120) List<@IntRange(max = 999) Integer> choices) {
         CellWorld world = new CellWorld(fencing, 2);
--- a/src/test/java/org/poplarwharf/internal/cell/CellWorld.java
+++ b/src/test/java/org/poplarwharf/internal/cell/CellWorld.java
@@ -74,6 +74,13 @@
         return node;
     }
 
+    /** The VM of a target goes and another comes under the same name and address. */
+    void replaceTargetVm(String target, String vmId) {
+        vmList.removeIf(vm -> vm.name().equals(target));
+        vmList.add(new Vm(vmId, target, target, "z", VmState.LIVE));
+        engines.restart(target);
+    }
+
     /** Kills a node's process; its connections end with it. */
     void kill(CellNode node) {
         node.dead = true;
--- a/src/test/java/org/poplarwharf/internal/cell/LoaderFaultTest.java
+++ b/src/test/java/org/poplarwharf/internal/cell/LoaderFaultTest.java
@@ -8,7 +8,10 @@
 import org.poplarwharf.internal.cell.FakeEngines.Wire;
 import org.poplarwharf.internal.state.CellRecord.LoadIntended;
 import org.poplarwharf.internal.state.CellRecord.StoodDown;
+import org.poplarwharf.internal.state.CellStateView.OpenOrder;
 import org.poplarwharf.internal.state.CellStateView.Phase;
+import org.poplarwharf.plugins.VmList.Vm;
+import org.poplarwharf.plugins.VmList.VmState;
 
 /** A load stays exact when its holder dies or pauses at any step. */
 class LoaderFaultTest {
@@ -208,4 +211,89 @@
         world.engines.engines.get("t0").running = 0;
         world.until("unloaded", () -> world.engines.holding(CellWorld.LLAMA) == 0);
     }
+
+    @Test
+    void listed_artifact_does_not_settle_an_order_that_a_second_one_followed() {
+        CellWorld world = new CellWorld(false, 1);
+        CellNode holder = world.start("a", 1);
+        Wire first = untilOrderSent(world);
+        world.engines.giveUp(first);
+        world.until("the order is sent again", () -> !world.engines.wires.isEmpty());
+        world.engines.deliver(world.engines.wires.get(0));
+        world.steps(60);
+        assertThat(holder.stream.state.slot("t0", CellWorld.LLAMA))
+                .get()
+                .satisfies(slot -> assertThat(slot.openOrders())
+                        .extracting(OpenOrder::intentOffset)
+                        .containsExactly(first.order.fencingNumber()));
+    }
+
+    @Test
+    void listed_artifact_settles_the_only_order_of_the_slot() {
+        CellWorld world = new CellWorld(false, 1);
+        CellNode holder = world.start("a", 1);
+        Wire only = untilOrderSent(world);
+        world.engines.loseAnswer(only, true);
+        world.until(
+                "settled",
+                () -> holder.stream
+                        .state
+                        .slot("t0", CellWorld.LLAMA)
+                        .filter(slot -> slot.openOrders().isEmpty())
+                        .isPresent());
+    }
+
+    @Test
+    void slots_of_a_reclaimed_vm_are_retired_and_loaded_on_its_successor() {
+        CellWorld world = new CellWorld(false, 1);
+        CellNode holder = world.start("a", 1);
+        world.until("served", () -> served(holder));
+        world.replaceTargetVm("t0", "vm-new");
+        world.until(
+                "loaded on the new VM",
+                () -> holder.stream
+                        .state
+                        .slot("t0", CellWorld.LLAMA)
+                        .filter(slot -> slot.targetVmId().equals("vm-new") && slot.phase() == Phase.LOADED)
+                        .isPresent());
+    }
+
+    @Test
+    void reclaimed_vm_keeps_its_slot_while_a_paused_author_may_order_at_its_address() {
+        CellWorld world = new CellWorld(false, 1);
+        CellNode holder = world.start("a", 1);
+        Wire late = untilOrderSent(world);
+        holder.paused = true;
+        CellNode successor = world.start("b", 1);
+        world.until("taken over", successor::holds);
+        world.engines.wires.remove(late);
+        world.holdOrders = false;
+        world.replaceTargetVm("t0", "vm-new");
+        world.configure(CellWorld.model("mistral", "1", 60, 1));
+        world.steps(200);
+        world.engines.deliver(late);
+        world.steps(5);
+        assertThat(successor.stream.state.slot("t0", CellWorld.LLAMA)).isPresent();
+        assertThat(world.engines.holding(CellWorld.MISTRAL)).isZero();
+    }
+
+    @Test
+    void leaving_target_gets_no_load_and_its_replica_moves_within_the_count() {
+        CellWorld world = new CellWorld(true, 2);
+        CellNode holder = world.start("a", 1);
+        world.until("served", () -> served(holder));
+        String from = holder.stream.state.slots().iterator().next().target();
+        world.vmList.replaceAll(vm ->
+                vm.name().equals(from) ? new Vm(vm.vmId(), vm.name(), vm.address(), vm.zone(), VmState.LEAVING) : vm);
+        world.until(
+                "moved",
+                () -> served(holder)
+                        && !holder.stream
+                                .state
+                                .slots()
+                                .iterator()
+                                .next()
+                                .target()
+                                .equals(from));
+    }
 }
