Find places at the holder of a cell, at another node or among warm replicas

Cause: a request needs a place whichever node holds its cell, and none may be lost or kept when links break, leases move or answers come late. Ruled out: one wire id for all attempts; a late grant of an old holder could then be taken for the new one's.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/place/PlacePlugin.java
@@ -0,0 +1,15 @@
+package org.poplarwharf.internal.place;
+
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.plugins.Plugin;
+import org.poplarwharf.plugins.PluginRegistry;
+
+/**
+ * Registers the role that finds places for requests. Stateless and thread-safe.
+ */
+public final class PlacePlugin implements Plugin {
+    @Override
+    public void registerWith(PluginRegistry registry) {
+        registry.register(Role.Factory.class, "places", PlaceRole::new);
+    }
+}
