--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimRole.java
@@ -0,0 +1,66 @@
+package org.poplarwharf.internal.claim;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.time.Duration;
+import java.util.List;
+import org.poplarwharf.internal.cell.CellView;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeSettings;
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.internal.peer.Peers;
+import org.poplarwharf.internal.place.PlaceSource;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.plugins.EngineDialect;
+
+/**
+ * Offers {@link ClaimService} and answers calls of other nodes. Draining waits until no call is running. Belongs to the
+ * control thread.
+ */
+public final class ClaimRole implements Role {
+    private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
+
+    private final NodeContext context;
+    private ClaimService service;
+
+    public ClaimRole(NodeContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public String name() {
+        return "claims";
+    }
+
+    @Override
+    public Promise<Void> start() {
+        NodeSettings settings = context.settings();
+        EngineDialect.Factory dialect = context.plugins()
+                .find(EngineDialect.Factory.class, settings.engineDialect())
+                .orElseThrow(() -> Reporter.settingsInvalid(
+                        List.of("No engine dialect is called " + settings.engineDialect() + ".")));
+        CellView cells = context.find(CellView.class).orElseThrow();
+        Peers peers = context.find(Peers.class).orElseThrow();
+        TargetDispatcher dispatcher =
+                new TargetDispatcher(context.control(), context.traffic().get(0), dialect, settings.maxBodyBytes());
+        CellRecord.Author self = new CellRecord.Author(settings.nodeId(), context.incarnation());
+        service = new ClaimService(
+                context.control(), context.clock(), cells, () -> context.find(PlaceSource.class), dispatcher, self);
+        service.start();
+        new ClaimServer(service, peers);
+        context.offer(ClaimService.class, service);
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> drain() {
+        return service.idle() ? Promise.complete() : Promises.delay(DRAIN_CHECK).then(this::drain);
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        service.stop();
+        return Promise.complete();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/Answers.java
@@ -0,0 +1,67 @@
+package org.poplarwharf.internal.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.ProblemDocument;
+import org.poplarwharf.internal.failure.Reporter;
+
+/**
+ * Makes answers to callers. Stateless and thread-safe.
+ */
+final class Answers {
+    private static final HttpHeader REPLAYED = HttpHeaders.of("Idempotency-Replayed");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Answers() {}
+
+    static PoplarWharfException failure(Exception e) {
+        return e instanceof PoplarWharfException failure ? failure : Reporter.internal("the entry", e);
+    }
+
+    /** Returns the problem document of a failure. */
+    static HttpResponse problem(PoplarWharfException failure, String requestId) {
+        HttpResponse.Builder builder = HttpResponse.ofCode(failure.code().httpStatus())
+                .withHeader(HttpHeaders.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE)
+                .withHeader(RequestParser.REQUEST_ID, requestId);
+        ProblemDocument.retryAfterSeconds(failure)
+                .ifPresent(seconds -> builder.withHeader(HttpHeaders.RETRY_AFTER, Long.toString(seconds)));
+        return builder.withBody(json(failure)).build();
+    }
+
+    static HttpResponse whole(int status, String contentType, byte[] body, String requestId) {
+        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestParser.REQUEST_ID, requestId);
+        if (!contentType.isEmpty()) {
+            builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
+        }
+        return builder.withBody(body).build();
+    }
+
+    static HttpResponse called(int status, String contentType, byte[] body, String requestId, boolean replayed) {
+        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestParser.REQUEST_ID, requestId);
+        if (!contentType.isEmpty()) {
+            builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
+        }
+        return builder.withHeader(REPLAYED, Boolean.toString(replayed))
+                .withBody(body)
+                .build();
+    }
+
+    /** Returns the event that ends a stream which is not whole. */
+    static byte[] errorEvent(PoplarWharfException failure) {
+        String document = new String(json(failure), StandardCharsets.UTF_8);
+        return ("event: error\ndata: {\"error\":" + document + "}\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] json(PoplarWharfException failure) {
+        try {
+            return MAPPER.writeValueAsBytes(ProblemDocument.of(failure));
+        } catch (JsonProcessingException e) {
+            throw Reporter.internal("a problem document", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
@@ -0,0 +1,73 @@
+package org.poplarwharf.internal.entry;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.CallerReporter;
+import org.poplarwharf.internal.target.BodyReader;
+
+/**
+ * Takes callers' requests on one traffic thread and gives each exactly one answer.
+ *
+ * <p>Belongs to that thread, except for {@link DrainState}, which is shared.
+ */
+final class CallerServlet implements AsyncServlet {
+    private final TrafficThread thread;
+    private final ConfigSnapshot config;
+    private final CallRouter calls;
+    private final DrainState drain;
+
+    CallerServlet(TrafficThread thread, ConfigSnapshot config, CallRouter calls, DrainState drain) {
+        this.thread = thread;
+        this.config = config;
+        this.calls = calls;
+        this.drain = drain;
+    }
+
+    @Override
+    public Promise<HttpResponse> serve(HttpRequest request) {
+        String made = thread.ids().next();
+        String requestId = RequestParser.requestId(request, made);
+        drain.entered();
+        return accept(request, made).then((response, e) -> {
+            drain.left();
+            if (e == null) {
+                return Promise.of(response);
+            }
+            PoplarWharfException failure = Answers.failure(e);
+            thread.measure(m -> m.refused(failure.code()));
+            return Promise.of(Answers.problem(failure, requestId));
+        });
+    }
+
+    private Promise<HttpResponse> accept(HttpRequest request, String made) {
+        try {
+            if (!config.ready()) {
+                throw CallerReporter.notReady();
+            }
+            RequestParser.checkHead(request, thread.maxBodyBytes());
+        } catch (PoplarWharfException e) {
+            return Promise.ofException(e);
+        }
+        return body(request)
+                .map(body -> RequestParser.parse(request, body, config.current(), made, thread.nowMillis()))
+                .then(this::run);
+    }
+
+    private Promise<byte[]> body(HttpRequest request) {
+        return BodyReader.read(
+                request.takeBodyStream(),
+                thread.maxBodyBytes(),
+                read -> read,
+                () -> CallerReporter.bodyTooLarge(thread.maxBodyBytes()));
+    }
+
+    private Promise<HttpResponse> run(CallerRequest request) {
+        Promise<HttpResponse> answer =
+                request.nonRepeatable() ? calls.call(thread, request) : new Exchange(thread, request).run();
+        return answer.whenResult(response -> thread.measure(m -> m.wholeRequest(
+                request.tenant(), request.requestClass().name(), thread.nowMillis() - request.arrivedMillis())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/ConfigSnapshot.java
@@ -0,0 +1,45 @@
+package org.poplarwharf.internal.entry;
+
+import io.activej.eventloop.Eventloop;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.config.FleetConfig;
+
+/**
+ * The configuration in force, and whether the node is ready, as the traffic threads see them.
+ *
+ * <p>Written by the control thread, read by all; thread-safe.
+ */
+final class ConfigSnapshot {
+    private static final long READY_CHECK_MILLIS = 50;
+
+    private final Eventloop control;
+    private final ConfigView view;
+    private volatile FleetConfig current = FleetConfig.EMPTY;
+    private volatile boolean ready;
+
+    ConfigSnapshot(Eventloop control, ConfigView view) {
+        this.control = control;
+        this.view = view;
+    }
+
+    /** Begins to follow the view; call it on the control thread. */
+    void follow() {
+        view.onChange(config -> current = config);
+        checkReady();
+    }
+
+    FleetConfig current() {
+        return current;
+    }
+
+    boolean ready() {
+        return ready;
+    }
+
+    private void checkReady() {
+        ready = view.ready();
+        if (!ready) {
+            control.delayBackground(READY_CHECK_MILLIS, this::checkReady);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
@@ -0,0 +1,140 @@
+package org.poplarwharf.internal.entry;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpServer;
+import io.activej.net.PrimaryServer;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.failure.CallerReporter;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.kernel.Crossing;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeSettings;
+import org.poplarwharf.internal.kernel.Role;
+import org.poplarwharf.internal.peer.PeerAddress;
+import org.poplarwharf.internal.place.PlaceSource;
+import org.poplarwharf.plugins.EngineDialect;
+
+/**
+ * The callers' side of a node: one acceptor on the first traffic thread shares connections among servers on all of them.
+ *
+ * <p>Invariant: after {@link #drain} has begun no connection is accepted, and every request that was taken is answered
+ * before its connection closes. The role belongs to the control thread, each server to its traffic thread.
+ */
+public final class EntryRole implements Role {
+    private static final long KEEP_ALIVE_GRACE_MILLIS = 200;
+
+    private final NodeContext context;
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final List<TrafficThread> threads = new ArrayList<>();
+    private final DrainState drain = new DrainState();
+    private final RequestIds ids;
+    private PrimaryServer acceptor;
+
+    public EntryRole(NodeContext context) {
+        this.context = context;
+        this.ids = new RequestIds(context.settings().nodeId(), context.incarnation());
+    }
+
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public Promise<Void> start() {
+        PlaceSource places = context.find(PlaceSource.class).orElseThrow();
+        ConfigSnapshot config = new ConfigSnapshot(
+                context.control(), context.find(ConfigView.class).orElseThrow());
+        config.follow();
+        CallRouter calls = ClaimCalls.create(context, ids);
+        for (Eventloop loop : context.traffic()) {
+            TrafficThread thread = new TrafficThread(context, loop, ids, places, dialect(loop));
+            threads.add(thread);
+            servers.add(server(loop, new CallerServlet(thread, config, calls, drain)));
+        }
+        Eventloop first = context.traffic().get(0);
+        return Crossing.call(context.control(), first, this::listen);
+    }
+
+    /** Returns the address where callers are served; its port is the one that the system chose. */
+    public String listenAddress() {
+        return PeerAddress.format(
+                PeerAddress.parse(context.settings().listenAddress()),
+                acceptor.getBoundAddresses().get(0).getPort());
+    }
+
+    @Override
+    public Promise<Void> drain() {
+        return Crossing.call(
+                        context.control(),
+                        context.traffic().get(0),
+                        () -> acceptor.close().toVoid())
+                .then(() -> Promises.delay(Duration.ofMillis(KEEP_ALIVE_GRACE_MILLIS)))
+                .then(this::closeServers);
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        threads.forEach(thread -> thread.loop().execute(thread.connections()::close));
+        return Crossing.call(
+                context.control(),
+                context.traffic().get(0),
+                () -> acceptor.close().toVoid());
+    }
+
+    private Promise<Void> closeServers() {
+        List<Promise<Void>> closing = new ArrayList<>();
+        for (int i = 0; i < servers.size(); i++) {
+            HttpServer server = servers.get(i);
+            Eventloop loop = context.traffic().get(i);
+            closing.add(
+                    Crossing.call(context.control(), loop, () -> server.close().toVoid()));
+        }
+        return Promises.all(closing);
+    }
+
+    private Promise<Void> listen() {
+        NodeSettings settings = context.settings();
+        acceptor = PrimaryServer.builder(context.traffic().get(0), servers)
+                .withListenAddress(PeerAddress.parse(settings.listenAddress()))
+                .build();
+        try {
+            acceptor.listen();
+        } catch (IOException e) {
+            return Promise.ofException(Reporter.addressUnusable(settings.listenAddress(), e));
+        }
+        return Promise.complete();
+    }
+
+    private HttpServer server(Eventloop loop, CallerServlet servlet) {
+        Duration drainLimit = Duration.ofMillis(context.settings().drainMillis());
+        return HttpServer.builder(loop, servlet)
+                .withReadWriteTimeout(Duration.ZERO, drainLimit)
+                .withServeTimeoutShutdown(drainLimit)
+                .withHttpErrorFormatter(this::malformedRequest)
+                .build();
+    }
+
+    private Promise<io.activej.http.HttpResponse> malformedRequest(Exception e) {
+        PoplarWharfException failure = e instanceof io.activej.http.MalformedHttpException
+                ? CallerReporter.invalidRequest(
+                        "The request is not well-formed HTTP.", "Use a client library for HTTP.")
+                : Answers.failure(e);
+        return Promise.of(Answers.problem(failure, ids.next()));
+    }
+
+    private EngineDialect dialect(Eventloop loop) {
+        String name = context.settings().engineDialect();
+        Optional<EngineDialect.Factory> factory = context.plugins().find(EngineDialect.Factory.class, name);
+        return factory.orElseThrow(() -> Reporter.settingsInvalid(List.of("No engine dialect is called " + name + ".")))
+                .create(loop);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/Fingerprints.java
@@ -0,0 +1,29 @@
+package org.poplarwharf.internal.entry;
+
+import com.dynatrace.hash4j.hashing.HashStream128;
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.poplarwharf.plugins.ArtifactId;
+
+/**
+ * Hashes that recognise requests. Stateless and thread-safe.
+ */
+final class Fingerprints {
+    private static final int PREFIX_BYTES = 1_024;
+
+    private Fingerprints() {}
+
+    /** Returns a hash of tenant, artifact and body, to recognise a request that crashes targets. */
+    static String ofRequest(String tenant, ArtifactId artifact, String method, String path, byte[] body) {
+        HashStream128 stream = Hashing.murmur3_128().hashStream();
+        stream.putString(tenant).putString(artifact.toString());
+        stream.putString(method).putString(path).putByteArray(body);
+        HashValue128 hash = stream.get();
+        return String.format("%016x%016x", hash.getMostSignificantBits(), hash.getLeastSignificantBits());
+    }
+
+    /** Returns a hash of the body's beginning, by which requests with a common prompt prefix meet. */
+    static long ofPrefix(byte[] body) {
+        return Hashing.wyhashFinal4().hashBytesToLong(body, 0, Math.min(PREFIX_BYTES, body.length));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/RequestParser.java
@@ -0,0 +1,203 @@
+package org.poplarwharf.internal.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.poplarwharf.internal.config.FleetConfig;
+import org.poplarwharf.internal.config.FleetConfig.ClassSpec;
+import org.poplarwharf.internal.config.FleetConfig.ServiceSpec;
+import org.poplarwharf.internal.config.FleetConfig.TenantSpec;
+import org.poplarwharf.internal.failure.CallerReporter;
+import org.poplarwharf.plugins.ArtifactId;
+
+/**
+ * Checks a caller's request against the configuration in force.
+ *
+ * <p>Raises a failure whose code says what is wrong; nothing has been run then. Stateless and thread-safe.
+ */
+final class RequestParser {
+    static final String COMPLETIONS = "/v1/chat/completions";
+    static final String SERVICES = "/services/";
+    static final HttpHeader REQUEST_ID = HttpHeaders.of("X-Request-Id");
+
+    private static final HttpHeader DEADLINE = HttpHeaders.of("X-Deadline-Millis");
+    private static final HttpHeader CLASS = HttpHeaders.of("X-Request-Class");
+    private static final HttpHeader TENANT = HttpHeaders.of("X-Tenant");
+    private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
+    private static final String JSON = "application/json";
+    private static final String ANONYMOUS = "anonymous";
+    private static final ClassSpec STANDARD = new ClassSpec("standard", 30_000, 0, 1_000);
+    private static final long MAX_DEADLINE_MILLIS = 3_600_000;
+    private static final Pattern NAME = Pattern.compile("[\\x21-\\x7e]{1,200}");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private RequestParser() {}
+
+    /** Returns the request id that a caller gave, or the one that was made for it. */
+    static String requestId(HttpRequest request, String made) {
+        String given = request.getHeader(REQUEST_ID);
+        return given != null && NAME.matcher(given).matches() ? given : made;
+    }
+
+    /** Checks what can be known before the body is read. */
+    static void checkHead(HttpRequest request, long maxBodyBytes) {
+        String path = request.getPath();
+        boolean completion = path.equals(COMPLETIONS);
+        if (!completion && !path.startsWith(SERVICES)) {
+            throw CallerReporter.unknownPath(path);
+        }
+        if (completion && !request.getMethod().name().equals("POST")) {
+            throw CallerReporter.methodNotAllowed(request.getMethod().name(), "POST");
+        }
+        String contentType = header(request, HttpHeaders.CONTENT_TYPE).orElse("");
+        if (completion && !contentType.toLowerCase(Locale.ROOT).startsWith(JSON)) {
+            throw CallerReporter.unsupportedMediaType(contentType);
+        }
+        Optional<Long> lengthBytes = number(request, HttpHeaders.CONTENT_LENGTH, "Content-Length");
+        if (lengthBytes.isPresent() && lengthBytes.get() > maxBodyBytes) {
+            throw CallerReporter.bodyTooLarge(maxBodyBytes);
+        }
+    }
+
+    /** Returns the whole request; {@code made} is its id when the caller gave none. */
+    static CallerRequest parse(HttpRequest request, byte[] body, FleetConfig config, String made, long nowMillis) {
+        boolean completion = request.getPath().equals(COMPLETIONS);
+        JsonNode json = completion ? json(body) : MAPPER.missingNode();
+        ArtifactId artifact = completion ? model(json) : service(request.getPath());
+        if (!config.serves(artifact)) {
+            throw CallerReporter.unknown(artifact);
+        }
+        String tenant = name(request, TENANT, "X-Tenant").orElse(ANONYMOUS);
+        ClassSpec requestClass = requestClass(request, config, tenant);
+        String method = request.getMethod().name();
+        String path = completion ? COMPLETIONS : servicePath(request, artifact);
+        Optional<String> key = name(request, KEY, "Idempotency-Key");
+        CallerRequest parsed = new CallerRequest(
+                requestId(request, made),
+                artifact,
+                tenant,
+                requestClass,
+                nowMillis,
+                nowMillis + deadline(request, requestClass),
+                method,
+                path,
+                header(request, HttpHeaders.CONTENT_TYPE).orElse(""),
+                body,
+                completion && json.path("stream").asBoolean(),
+                Fingerprints.ofRequest(tenant, artifact, method, path, body),
+                completion ? Fingerprints.ofPrefix(body) : 0,
+                key,
+                key.isPresent() || nonRepeatable(config, artifact, method, path));
+        checkKey(parsed);
+        return parsed;
+    }
+
+    private static void checkKey(CallerRequest request) {
+        if (request.nonRepeatable() && request.idempotencyKey().isEmpty()) {
+            throw CallerReporter.invalidRequest(
+                    "This call may not be repeated and has no Idempotency-Key header.",
+                    "Send an Idempotency-Key that is unique for this call and the same for its repeats.");
+        }
+        if (request.nonRepeatable() && request.stream()) {
+            throw CallerReporter.invalidRequest(
+                    "A streamed completion can't have an Idempotency-Key.",
+                    "Leave out the key, or ask for the answer without stream.");
+        }
+    }
+
+    private static JsonNode json(byte[] body) {
+        try {
+            JsonNode json = MAPPER.readTree(body);
+            if (json != null && json.isObject()) {
+                return json;
+            }
+        } catch (IOException | RuntimeException e) {
+            throw invalidJson();
+        }
+        throw invalidJson();
+    }
+
+    private static RuntimeException invalidJson() {
+        return CallerReporter.invalidRequest("The body is not a JSON object.", "Send a chat completion in JSON.");
+    }
+
+    private static ArtifactId model(JsonNode json) {
+        String model = json.path("model").asText();
+        if (!json.path("model").isTextual() || model.isBlank() || model.startsWith("service/")) {
+            throw CallerReporter.invalidRequest(
+                    "The body names no model.", "Set \"model\" to a name, or to name:adapter.");
+        }
+        return ArtifactId.parse(model);
+    }
+
+    private static ArtifactId service(String path) {
+        String rest = path.substring(SERVICES.length());
+        int slash = rest.indexOf('/');
+        return ArtifactId.service(slash < 0 ? rest : rest.substring(0, slash));
+    }
+
+    private static String servicePath(HttpRequest request, ArtifactId artifact) {
+        String behind = request.getPathAndQuery()
+                .substring(SERVICES.length() + artifact.name().length());
+        return behind.startsWith("/") ? behind : "/" + behind;
+    }
+
+    private static ClassSpec requestClass(HttpRequest request, FleetConfig config, String tenant) {
+        Optional<String> named = name(request, CLASS, "X-Request-Class");
+        if (named.isPresent()) {
+            return config.requestClass(named.get())
+                    .orElseThrow(() -> CallerReporter.invalidRequest(
+                            "There is no request class " + named.get() + ".",
+                            "Use a class that the configuration names, or leave the header out."));
+        }
+        return config.tenant(tenant)
+                .flatMap(TenantSpec::defaultClass)
+                .flatMap(config::requestClass)
+                .orElse(STANDARD);
+    }
+
+    private static long deadline(HttpRequest request, ClassSpec requestClass) {
+        long millis = number(request, DEADLINE, "X-Deadline-Millis").orElse(requestClass.deadlineMillis());
+        if (millis <= 0 || millis > MAX_DEADLINE_MILLIS) {
+            throw CallerReporter.invalidRequest(
+                    "X-Deadline-Millis is out of range.",
+                    "Send milliseconds between 1 and " + MAX_DEADLINE_MILLIS + ".");
+        }
+        return millis;
+    }
+
+    private static boolean nonRepeatable(FleetConfig config, ArtifactId artifact, String method, String path) {
+        return artifact.kind() == ArtifactId.Kind.SERVICE
+                && config.service(artifact.name()).map(ServiceSpec::nonRepeatable).stream()
+                        .flatMap(java.util.List::stream)
+                        .anyMatch(call -> call.method().equalsIgnoreCase(method) && path.startsWith(call.pathPrefix()));
+    }
+
+    private static Optional<String> header(HttpRequest request, HttpHeader header) {
+        return Optional.ofNullable(request.getHeader(header));
+    }
+
+    private static Optional<String> name(HttpRequest request, HttpHeader header, String label) {
+        Optional<String> value = header(request, header);
+        if (value.isPresent() && !NAME.matcher(value.get()).matches()) {
+            throw CallerReporter.invalidRequest(
+                    label + " is empty, too long or has odd characters.",
+                    "Use 1 to 200 printable characters without spaces.");
+        }
+        return value;
+    }
+
+    private static Optional<Long> number(HttpRequest request, HttpHeader header, String label) {
+        try {
+            return header(request, header).map(String::trim).map(Long::parseLong);
+        } catch (NumberFormatException e) {
+            throw CallerReporter.invalidRequest(label + " is not a number.", "Send a whole number.");
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/peer/PeerAddress.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerAddress.java
@@ -42,7 +42,8 @@
                 Integer.parseInt(address.substring(colon + 1)));
     }
 
-    static String format(InetSocketAddress address, int port) {
+    /** Returns the text of a host with another port. */
+    public static String format(InetSocketAddress address, int port) {
         String host = address.getHostString();
         return (host.contains(":") ? "[" + host + "]" : host) + ":" + port;
     }
