--- a/src/main/java/org/poplarwharf/internal/standin/Faults.java
+++ b/src/main/java/org/poplarwharf/internal/standin/Faults.java
@@ -23,10 +23,10 @@
         return current;
     }
 
-    /** Replaces the faults. */
+    /** Replaces the faults; those that the stand-in does not accept change nothing. */
     public void set(F faults) {
-        current = faults;
         listener.accept(faults);
+        current = faults;
     }
 
     void update(UnaryOperator<F> change) {
--- a/src/main/java/org/poplarwharf/internal/standin/Hashes.java
+++ b/src/main/java/org/poplarwharf/internal/standin/Hashes.java
@@ -3,6 +3,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import org.poplarwharf.internal.failure.Reporter;
 
 /** Hashes by which journals and answers name a body. Stateless and thread-safe. */
 public final class Hashes {
@@ -13,7 +14,7 @@
         try {
             return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
         } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
+            throw Reporter.internal("Hashing", e);
         }
     }
 }
--- a/src/main/java/org/poplarwharf/internal/standin/Journal.java
+++ b/src/main/java/org/poplarwharf/internal/standin/Journal.java
@@ -1,7 +1,6 @@
 package org.poplarwharf.internal.standin;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 
 /**
@@ -49,7 +49,7 @@
         try {
             Files.writeString(path, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw Reporter.internal("Writing journal " + path, e);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/standin/StandinAddresses.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinAddresses.java
@@ -2,7 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.Reporter;
 
 /**
  * Where a stand-in listens and keeps its journal. Immutable and thread-safe.
@@ -21,16 +24,20 @@
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         if (colon <= 0) {
-            throw StandinHost.invalidAddress(text);
+            throw invalid(text);
         }
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (port < 0 || port > MAX_PORT) {
-                throw StandinHost.invalidAddress(text);
+                throw invalid(text);
             }
             return new InetSocketAddress(text.substring(0, colon), port);
         } catch (NumberFormatException e) {
-            throw StandinHost.invalidAddress(text);
+            throw invalid(text);
         }
     }
+
+    private static PoplarWharfException invalid(String text) {
+        return Reporter.settingsInvalid(List.of("'" + text + "' is not an address; write host:port."));
+    }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinCommand.java
@@ -0,0 +1,89 @@
+package org.poplarwharf.internal.standin;
+
+import io.activej.eventloop.Eventloop;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicReference;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.cli.Command;
+import org.poplarwharf.internal.cli.OptionSet;
+import org.poplarwharf.internal.cli.OptionValues;
+
+/**
+ * {@code poplarwharf standin KIND}: runs one stand-in as a process until the process is asked to end.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class StandinCommand implements Command {
+    private static final Map<String, StandinKind> KINDS = new TreeMap<>(Map.of(
+            "log", StandinKinds.log(),
+            "vms", StandinKinds.vms(),
+            "store", StandinKinds.store(),
+            "engine", StandinKinds.engine(),
+            "service", StandinKinds.service(),
+            "proxy", StandinKinds.proxy()));
+
+    @Override
+    public String name() {
+        return "standin";
+    }
+
+    @Override
+    public String summary() {
+        return "runs a stand-in for an outside system: " + String.join(", ", KINDS.keySet());
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) {
+        if (arguments.isEmpty() || arguments.getFirst().equals("--help")) {
+            PrintStream stream = arguments.isEmpty() ? err : out;
+            stream.println("Usage: poplarwharf standin " + String.join("|", KINDS.keySet()) + " [OPTIONS]");
+            return arguments.isEmpty() ? EXIT_USAGE : EXIT_OK;
+        }
+        StandinKind kind = KINDS.get(arguments.getFirst());
+        if (kind == null) {
+            err.println("poplarwharf standin: there is no stand-in '" + arguments.getFirst() + "'; choose from "
+                    + String.join(", ", KINDS.keySet()) + ".");
+            return EXIT_USAGE;
+        }
+        OptionSet options = new OptionSet("standin " + arguments.getFirst(), "", kind.options());
+        return options.run(
+                arguments.subList(1, arguments.size()), out, err, values -> runUntilEnded(kind, values, out));
+    }
+
+    private static int runUntilEnded(StandinKind kind, OptionValues values, PrintStream out) {
+        StandinKind.Starter starter = kind.starter(values);
+        values.check();
+        Eventloop reactor = Eventloop.create();
+        reactor.keepAlive(true);
+        AtomicReference<PoplarWharfException> failure = new AtomicReference<>();
+        reactor.post(() -> {
+            try {
+                Standin standin = starter.start(reactor);
+                out.println(line(standin));
+                out.flush();
+            } catch (PoplarWharfException e) {
+                failure.set(e);
+                reactor.keepAlive(false);
+                reactor.breakEventloop();
+            }
+        });
+        reactor.run();
+        Optional.ofNullable(failure.get()).ifPresent(e -> {
+            throw e;
+        });
+        return EXIT_OK;
+    }
+
+    private static String line(Standin standin) {
+        Listening listening = new Listening("listening", standin.address(), standin.adminAddress());
+        return new String(StandinJson.write(listening), StandardCharsets.UTF_8);
+    }
+
+    /** What is printed once the stand-in takes connections. */
+    private record Listening(String event, String address, String admin) {}
+}
--- a/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
@@ -13,34 +13,40 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.failure.Reporter;
 
 /**
  * The HTTP servers of a stand-in: one for its clients and one for its administration.
  *
- * <p>Invariant: after {@link #crash} every connection is closed and new ones are refused. Belongs to one reactor thread.
+ * <p>Invariant: after {@link #crash} every client's connection is closed and new ones are refused; the administration goes
+ * on until {@link #stop}. Belongs to one reactor thread.
  */
 final class StandinHost {
     private final SocketTracker sockets = new SocketTracker();
-    private final HttpServer server;
+    private final SocketTracker adminSockets = new SocketTracker();
+    private final Optional<HttpServer> server;
     private final HttpServer admin;
     private final String address;
     private final String adminAddress;
 
     private StandinHost(
-            NioReactor reactor, StandinAddresses addresses, AsyncServlet servlet, AsyncServlet adminServlet) {
-        server = listen(reactor, addresses.listen(), servlet);
-        admin = listen(reactor, addresses.admin(), adminServlet);
-        address = addressOf(server);
+            NioReactor reactor, StandinAddresses addresses, Optional<AsyncServlet> servlet, AsyncServlet adminServlet) {
+        server = servlet.map(served -> listen(reactor, addresses.listen(), served, sockets));
+        admin = listen(reactor, addresses.admin(), adminServlet, adminSockets);
+        address = server.map(StandinHost::addressOf).orElse("");
         adminAddress = addressOf(admin);
     }
 
     static StandinHost start(
             NioReactor reactor, StandinAddresses addresses, AsyncServlet servlet, AsyncServlet adminServlet) {
-        return new StandinHost(reactor, addresses, servlet, adminServlet);
+        return new StandinHost(reactor, addresses, Optional.of(servlet), adminServlet);
+    }
+
+    static StandinHost startAdmin(NioReactor reactor, StandinAddresses addresses, AsyncServlet adminServlet) {
+        return new StandinHost(reactor, addresses, Optional.empty(), adminServlet);
     }
 
     /** Returns the administration paths that every stand-in has. */
@@ -101,27 +107,28 @@
         return adminAddress;
     }
 
-    /** Closes all and keeps the administration server only when asked to. */
+    /** Closes every connection and refuses new ones. */
     void crash() {
-        server.close();
+        server.ifPresent(HttpServer::close);
         sockets.closeAll();
     }
 
     void stop() {
         crash();
         admin.close();
-        sockets.closeAll();
+        adminSockets.closeAll();
     }
 
-    private HttpServer listen(NioReactor reactor, InetSocketAddress listenAddress, AsyncServlet servlet) {
+    private HttpServer listen(
+            NioReactor reactor, InetSocketAddress listenAddress, AsyncServlet servlet, SocketTracker tracker) {
         HttpServer created = HttpServer.builder(reactor, servlet)
                 .withListenAddress(listenAddress)
-                .withSocketInspector(sockets)
+                .withSocketInspector(tracker)
                 .build();
         try {
             created.listen();
         } catch (IOException e) {
-            throw new UncheckedIOException("can't listen on " + listenAddress, e);
+            throw Reporter.addressUnusable(listenAddress.toString(), e);
         }
         return created;
     }
@@ -142,13 +149,4 @@
             return new Problem(failure.code().text(), failure.getMessage());
         }
     }
-
-    static PoplarWharfException invalidAddress(String text) {
-        return Reporter.failure(
-                org.poplarwharf.FailureCode.SETTINGS_INVALID,
-                "\"" + text + "\" is no address.",
-                "An address is written host:port.",
-                "Give one such as 127.0.0.1:9000; port 0 lets the system choose.",
-                null);
-    }
 }
