Add the harness that starts the binary's processes with a proxy on their links

The harness starts log, list, store, service, engines and nodes, waits for their listening lines, signals them by process id, and reads their journals from files, which survive a crash. The proxy runs inside the test, where its faults are set through types. Writing journals by the runtime class lost the events' kinds; entries are now written by their declared type.

--- a/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
@@ -47,7 +47,7 @@
         this.reactor = reactor;
         this.settings = settings;
         this.exit = exit;
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(EngineEvent.class, addresses.journal());
         this.batch = new EngineBatch(settings.maxRunning(), journal);
         WeightSource weights = new WeightSource(reactor, settings.storeAddress());
         this.memory = new EngineMemory(reactor, settings, journal, weights, batch::uses);
--- a/src/main/java/org/poplarwharf/internal/standin/Journal.java
+++ b/src/main/java/org/poplarwharf/internal/standin/Journal.java
@@ -21,9 +21,17 @@
 public final class Journal<E> {
     private final List<Entry<E>> entries = new ArrayList<>();
     private final MonotonicClock clock = MonotonicClock.system();
+    private final Class<E> type;
     private final Optional<Path> file;
 
-    public Journal(Optional<Path> file) {
+    /**
+     * Creates an empty journal.
+     *
+     * @param type the type of the events
+     * @param file where JSON lines are appended, empty for none
+     */
+    public Journal(Class<E> type, Optional<Path> file) {
+        this.type = type;
         this.file = file;
     }
 
@@ -44,8 +52,12 @@
         return entries.stream().map(Entry::event).toList();
     }
 
-    private static void appendLine(Path path, Entry<?> entry) {
-        String line = new String(StandinJson.write(entry), StandardCharsets.UTF_8) + "\n";
+    byte[] json() {
+        return StandinJson.writeEntries(entries, type);
+    }
+
+    private void appendLine(Path path, Entry<E> entry) {
+        String line = new String(StandinJson.writeEntry(entry, type), StandardCharsets.UTF_8) + "\n";
         try {
             Files.writeString(path, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         } catch (IOException e) {
--- a/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
@@ -43,7 +43,7 @@
         this.reactor = reactor;
         this.settings = settings;
         this.random = new Random(settings.seed());
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(LogEvent.class, addresses.journal());
         RoutingServlet servlet = RoutingServlet.builder(reactor)
                 .with(POST, "/streams/:stream", this::append)
                 .with(GET, "/streams/:stream", this::read)
--- a/src/main/java/org/poplarwharf/internal/standin/ProxyStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyStandin.java
@@ -27,7 +27,7 @@
     private final StandinHost host;
 
     private ProxyStandin(NioReactor reactor, StandinAddresses addresses, List<Link> settings) {
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(ProxyEvent.class, addresses.journal());
         for (Link link : settings) {
             links.put(link.name(), new ProxyLink(reactor, link, journal));
         }
--- a/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
@@ -28,7 +28,7 @@
             NioReactor reactor, StandinAddresses addresses, long serviceMillis, Optional<Runnable> exit) {
         this.reactor = reactor;
         this.exit = exit;
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(ServiceCall.class, addresses.journal());
         this.faults = new Faults<>(ServiceFaults.class, ServiceFaults.none(serviceMillis));
         host = StandinHost.start(
                 reactor,
--- a/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StandinHost.java
@@ -52,7 +52,7 @@
     /** Returns the administration paths that every stand-in has. */
     static RoutingServlet.Builder adminServlet(NioReactor reactor, Journal<?> journal, Faults<?> faults) {
         return RoutingServlet.builder(reactor)
-                .with(GET, "/journal", request -> Promise.of(StandinJson.response(200, journal.entries())))
+                .with(GET, "/journal", request -> Promise.of(StandinJson.response(200, journal.json())))
                 .with(GET, "/faults", request -> Promise.of(StandinJson.response(200, faults.get())))
                 .with(PUT, "/faults", bodyServlet(body -> {
                     faults.setJson(body);
--- a/src/main/java/org/poplarwharf/internal/standin/StoreStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StoreStandin.java
@@ -31,7 +31,7 @@
     private StoreStandin(NioReactor reactor, StandinAddresses addresses, StoreSettings settings) {
         this.reactor = reactor;
         this.settings = settings;
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(StoreEvent.class, addresses.journal());
         this.bandwidth = new SharedBandwidth(reactor, settings.fullSpeedPlaces(), settings.bytesPerSecond());
         faults.onChange(now -> bandwidth.slowDown(Math.max(1, now.slowDownFactor())));
         RoutingServlet servlet =
--- a/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
@@ -26,7 +26,7 @@
 
     private VmListStandin(NioReactor reactor, StandinAddresses addresses, long lagMillis) {
         this.reactor = reactor;
-        this.journal = new Journal<>(addresses.journal());
+        this.journal = new Journal<>(VmsChanged.class, addresses.journal());
         this.faults = new Faults<>(VmListFaults.class, new VmListFaults(false, lagMillis));
         RoutingServlet admin = StandinHost.adminServlet(reactor, journal, faults)
                 .with(PUT, "/vms", StandinHost.bodyServlet(this::putVms))
--- /dev/null
+++ b/src/test/java/org/poplarwharf/process/Cluster.java
@@ -0,0 +1,306 @@
+package org.poplarwharf.process;
+
+import static org.poplarwharf.support.Eventually.eventually;
+
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.poplarwharf.internal.standin.EngineEvent;
+import org.poplarwharf.internal.standin.Journal;
+import org.poplarwharf.internal.standin.LinkFaults;
+import org.poplarwharf.internal.standin.ProxyStandin;
+import org.poplarwharf.internal.standin.ServiceCall;
+import org.poplarwharf.internal.standin.StandinAddresses;
+import org.poplarwharf.internal.standin.VmListStandin;
+import org.poplarwharf.plugins.VmList.Vm;
+import org.poplarwharf.plugins.VmList.VmState;
+import org.poplarwharf.support.ReactorThread;
+import org.poplarwharf.support.TestHttp;
+
+/**
+ * Log, VM list, store, engines, service and nodes as processes, with a proxy on each link between them.
+ *
+ * <p>Processes are named {@code log}, {@code vms}, {@code store}, {@code service}, {@code e1..eN} and {@code n1..nM}. A link
+ * is named after its ends, such as {@code n1-log} and {@code n1-n2}; {@code any-e1}, {@code any-n1} and {@code
+ * any-service} are the addresses that the VM list and the configuration give to all. The proxy runs inside the test. For
+ * one test thread.
+ */
+public final class Cluster implements AutoCloseable {
+    public static final String ADMIN_TOKEN = "test-token";
+
+    private static final String ANY = "any";
+    private static final ObjectMapper MAPPER = new ObjectMapper().registerModule(new Jdk8Module());
+
+    private final Path folder;
+    private final ClusterSettings settings;
+    private final ReactorThread thread = new ReactorThread();
+    private final TestHttp http = new TestHttp(thread);
+    private final Map<String, PoplarProcess> processes = new LinkedHashMap<>();
+    private final Map<String, List<String>> nodeArguments = new LinkedHashMap<>();
+    private final List<String> nodePeerAddresses;
+    private ProxyStandin proxy;
+
+    private Cluster(Path folder, ClusterSettings settings) {
+        this.folder = folder;
+        this.settings = settings;
+        this.nodePeerAddresses = FreePorts.addresses(settings.nodes());
+    }
+
+    /** Starts everything but the nodes, and sets the VM list. */
+    public static Cluster start(Path folder, ClusterSettings settings) {
+        Cluster cluster = new Cluster(folder, settings);
+        try {
+            cluster.startStandins();
+            cluster.startProxy();
+            cluster.setVms(cluster.vms());
+            return cluster;
+        } catch (RuntimeException | AssertionError e) {
+            cluster.close();
+            throw e;
+        }
+    }
+
+    /** Starts all nodes and waits until each takes connections. */
+    public void startNodes() {
+        List<String> names = nodeNames();
+        names.forEach(this::startNode);
+        names.forEach(name -> process(name).listening());
+    }
+
+    /** Starts or restarts one node. */
+    public PoplarProcess startNode(String name) {
+        List<String> arguments = nodeArguments.computeIfAbsent(name, this::nodeArguments);
+        PoplarProcess started = PoplarProcess.start(folder, name, arguments);
+        processes.put(name, started);
+        return started;
+    }
+
+    /** Restarts a stand-in at the addresses that it had; what it held is gone. */
+    public PoplarProcess restartStandin(String name, List<String> options) {
+        PoplarProcess.Listening old = process(name).listening();
+        return startStandin(name, kind(name), old.address(), old.admin(), options);
+    }
+
+    public PoplarProcess process(String name) {
+        PoplarProcess process = processes.get(name);
+        if (process == null) {
+            throw new AssertionError("no process " + name + " was started");
+        }
+        return process;
+    }
+
+    public List<String> nodeNames() {
+        return names("n", settings.nodes());
+    }
+
+    public List<String> engineNames() {
+        return names("e", settings.engines());
+    }
+
+    /** Returns the address of a link of the proxy. */
+    public String link(String from, String to) {
+        return thread.call(() -> proxy.address(from + "-" + to));
+    }
+
+    /** Returns the address under which all reach a process. */
+    public String linkToAny(String to) {
+        return link(ANY, to);
+    }
+
+    public void setLink(String from, String to, LinkFaults faults) {
+        thread.run(() -> proxy.set(from + "-" + to, faults));
+    }
+
+    public void silenceLink(String from, String to) {
+        thread.run(() -> proxy.silence(from + "-" + to));
+    }
+
+    public void resetLink(String from, String to) {
+        thread.run(() -> proxy.reset(from + "-" + to));
+    }
+
+    /** Sets the faults of a stand-in, given as one of the records of its package. */
+    public void setFaults(String name, Object faults) {
+        put(process(name).listening().admin() + "/faults", faults);
+    }
+
+    public void setVms(List<Vm> vms) {
+        put(process("vms").listening().admin() + "/vms", new VmListStandin.VmsChanged(vms));
+    }
+
+    /** Returns the VMs of all nodes, engines and the service, all live. */
+    public List<Vm> vms() {
+        List<Vm> vms = new ArrayList<>();
+        nodeNames().forEach(name -> vms.add(vm(name)));
+        engineNames().forEach(name -> vms.add(vm(name)));
+        vms.add(vm("service"));
+        return vms;
+    }
+
+    /** Returns what an engine did, also after its death. */
+    public List<Journal.Entry<EngineEvent>> engineJournal(String name) {
+        return journalFile(name, EngineEvent.class);
+    }
+
+    /** Returns the calls that the service ran, also after its death. */
+    public List<Journal.Entry<ServiceCall>> serviceJournal() {
+        return journalFile("service", ServiceCall.class);
+    }
+
+    public TestHttp http() {
+        return http;
+    }
+
+    public ReactorThread thread() {
+        return thread;
+    }
+
+    /** Runs a command of the binary to its end. */
+    public PoplarProcess.Ended run(String... arguments) {
+        return PoplarProcess.run(folder, "command-" + System.nanoTime(), List.of(arguments));
+    }
+
+    /** Waits until a URL answers with 200. */
+    public void awaitOk(String url) {
+        eventually(url + " answers", () -> {
+            try {
+                return http.get(url).status() == 200;
+            } catch (RuntimeException e) {
+                return false;
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(PoplarProcess::close);
+        if (proxy != null) {
+            thread.run(proxy::stop);
+        }
+        thread.close();
+    }
+
+    private void startStandins() {
+        startStandin("log", settings.logOptions());
+        startStandin("vms", List.of());
+        startStandin("store", settings.storeOptions());
+        startStandin("service", List.of());
+        List<String> options = new ArrayList<>(settings.engineOptions());
+        options.addAll(List.of("--store", process("store").listening().address()));
+        engineNames().forEach(name -> startStandin(name, options));
+        processes.values().forEach(PoplarProcess::listening);
+    }
+
+    private void startStandin(String name, List<String> options) {
+        startStandin(name, kind(name), "127.0.0.1:0", "127.0.0.1:0", options);
+    }
+
+    private PoplarProcess startStandin(String name, String kind, String address, String admin, List<String> options) {
+        List<String> arguments = new ArrayList<>(List.of("standin", kind, "--listen", address, "--admin", admin));
+        arguments.addAll(List.of("--journal", journalPath(name).toString()));
+        arguments.addAll(options);
+        PoplarProcess started = PoplarProcess.start(folder, name, arguments);
+        processes.put(name, started);
+        return started;
+    }
+
+    private static String kind(String name) {
+        return name.startsWith("e") ? "engine" : name;
+    }
+
+    private void startProxy() {
+        List<ProxyStandin.Link> links = new ArrayList<>();
+        String log = process("log").listening().address();
+        String vms = process("vms").listening().address();
+        for (String node : nodeNames()) {
+            links.add(ProxyStandin.Link.loopback(node + "-log", log));
+            links.add(ProxyStandin.Link.loopback(node + "-vms", vms));
+            links.add(ProxyStandin.Link.loopback(ANY + "-" + node, peerAddress(node)));
+            others(node)
+                    .forEach(other -> links.add(ProxyStandin.Link.loopback(node + "-" + other, peerAddress(other))));
+        }
+        for (String engine : engineNames()) {
+            links.add(ProxyStandin.Link.loopback(
+                    ANY + "-" + engine, process(engine).listening().address()));
+        }
+        links.add(ProxyStandin.Link.loopback(
+                ANY + "-service", process("service").listening().address()));
+        proxy = thread.call(() -> ProxyStandin.start(thread.reactor(), StandinAddresses.loopback(), links));
+    }
+
+    private List<String> nodeArguments(String name) {
+        List<String> peers =
+                others(name).stream().map(other -> link(name, other)).toList();
+        List<String> addresses = FreePorts.addresses(2);
+        List<String> arguments = new ArrayList<>(List.of("node", "--node-id", name, "--vm-id", "vm-" + name));
+        arguments.addAll(List.of("--zone", zone(name), "--listen", addresses.get(0), "--admin", addresses.get(1)));
+        arguments.addAll(List.of("--peer", peerAddress(name), "--peers", String.join(",", peers)));
+        arguments.addAll(List.of("--admin-token", ADMIN_TOKEN));
+        arguments.addAll(List.of("--log", link(name, "log"), "--vm-list", link(name, "vms")));
+        arguments.addAll(settings.nodeOptions());
+        return arguments;
+    }
+
+    private Vm vm(String name) {
+        return new Vm("vm-" + name, name, linkToAny(name), zone(name), VmState.LIVE);
+    }
+
+    private String peerAddress(String node) {
+        return nodePeerAddresses.get(nodeNames().indexOf(node));
+    }
+
+    private List<String> others(String node) {
+        return nodeNames().stream().filter(name -> !name.equals(node)).toList();
+    }
+
+    private static String zone(String name) {
+        return "z1";
+    }
+
+    private static List<String> names(String prefix, int count) {
+        List<String> names = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            names.add(prefix + i);
+        }
+        return names;
+    }
+
+    private Path journalPath(String name) {
+        return folder.resolve(name + ".journal");
+    }
+
+    private <E> List<Journal.Entry<E>> journalFile(String name, Class<E> type) {
+        JavaType entryType = MAPPER.getTypeFactory().constructParametricType(Journal.Entry.class, type);
+        List<Journal.Entry<E>> entries = new ArrayList<>();
+        try {
+            if (!Files.exists(journalPath(name))) {
+                return entries;
+            }
+            for (String line : Files.readAllLines(journalPath(name))) {
+                entries.add(MAPPER.readValue(line, entryType));
+            }
+            return entries;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void put(String url, Object value) {
+        try {
+            TestHttp.Answer answer = http.put(url, MAPPER.writeValueAsString(value));
+            if (answer.status() != 200) {
+                throw new AssertionError(url + " answered " + answer);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/process/StandinProcessTest.java
@@ -0,0 +1,114 @@
+package org.poplarwharf.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.poplarwharf.support.Eventually.eventually;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.poplarwharf.internal.platform.HttpEngineDialect;
+import org.poplarwharf.internal.platform.HttpEventLog;
+import org.poplarwharf.internal.platform.HttpVmList;
+import org.poplarwharf.internal.standin.EngineEvent;
+import org.poplarwharf.internal.standin.EngineFaults;
+import org.poplarwharf.internal.standin.Journal;
+import org.poplarwharf.internal.standin.LinkFaults;
+import org.poplarwharf.internal.standin.TokenSource;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.EngineDialect;
+import org.poplarwharf.support.TestHttp;
+
+class StandinProcessTest {
+    private static final ArtifactId MODEL = ArtifactId.model("m");
+    private static final String BODY = "{\"model\":\"m\",\"max_tokens\":3}";
+
+    @TempDir
+    private Path folder;
+
+    private static void load(Cluster cluster, EngineDialect dialect) {
+        EngineDialect.Order order = new EngineDialect.Order(EngineDialect.OrderKind.LOAD, MODEL, "v1", 1_000_000, 1);
+        String address = cluster.linkToAny("e1");
+        assertThat(cluster.thread().await(() -> dialect.send(address, order)))
+                .isEqualTo(new EngineDialect.OrderReply.Accepted());
+        eventually(
+                "the model is loaded",
+                () -> cluster.thread().await(() -> dialect.report(address)).held().stream()
+                        .anyMatch(held -> held.state() == EngineDialect.ArtifactState.LOADED));
+    }
+
+    private static List<EngineEvent> events(Cluster cluster) {
+        return cluster.engineJournal("e1").stream().map(Journal.Entry::event).toList();
+    }
+
+    @Test
+    void the_stand_ins_work_as_processes_behind_the_proxy() {
+        try (Cluster cluster = Cluster.start(folder, ClusterSettings.of(2, 1))) {
+            var thread = cluster.thread();
+            HttpEventLog log = thread.call(() -> new HttpEventLog(thread.reactor(), cluster.link("n1", "log")));
+            HttpVmList vms = thread.call(() -> new HttpVmList(thread.reactor(), cluster.link("n2", "vms")));
+            EngineDialect dialect = thread.call(() -> new HttpEngineDialect(thread.reactor()));
+
+            assertThat(thread.await(() -> log.append("s", new byte[] {7}))).isZero();
+            assertThat(thread.await(vms::list)).isEqualTo(cluster.vms());
+            load(cluster, dialect);
+            String url = cluster.linkToAny("e1") + "/v1/chat/completions";
+            assertThat(cluster.http().post(url, BODY).body())
+                    .contains(TokenSource.text(BODY.getBytes(StandardCharsets.UTF_8), 0, 3));
+            assertThat(cluster.http()
+                            .post(cluster.linkToAny("service") + "/bonds", "x")
+                            .status())
+                    .isEqualTo(200);
+            assertThat(cluster.serviceJournal()).hasSize(1);
+
+            cluster.setLink("any", "e1", LinkFaults.refusing());
+            assertThatThrownBy(() -> cluster.http().post(url, BODY)).isInstanceOf(Exception.class);
+        }
+    }
+
+    @Test
+    void a_marked_request_ends_the_engine_process_and_its_journal_stays() {
+        try (Cluster cluster = Cluster.start(folder, ClusterSettings.of(0, 1))) {
+            EngineDialect dialect = cluster.thread()
+                    .call(() -> new HttpEngineDialect(cluster.thread().reactor()));
+            load(cluster, dialect);
+            cluster.setFaults("e1", EngineFaults.crashOn("poison"));
+            String url = cluster.linkToAny("e1") + "/v1/chat/completions";
+
+            assertThatThrownBy(() -> cluster.http().post(url, "{\"model\":\"m\",\"x\":\"poison\"}"))
+                    .isInstanceOf(Exception.class);
+
+            assertThat(cluster.process("e1").awaitExit()).isEqualTo(137);
+            assertThat(events(cluster)).last().isInstanceOf(EngineEvent.RequestEnded.class);
+            cluster.restartStandin("e1", List.of()).listening();
+            TestHttp.Answer answer = cluster.http().post(url, BODY);
+            assertThat(answer.status()).isEqualTo(404);
+        }
+    }
+
+    @Test
+    void a_process_is_paused_resumed_ended_and_killed() {
+        try (PoplarProcess process = PoplarProcess.start(folder, "log", List.of("standin", "log"))) {
+            process.listening();
+            process.pause();
+            process.resume();
+            process.terminate();
+            assertThat(process.awaitExit()).isEqualTo(143);
+        }
+        try (PoplarProcess process = PoplarProcess.start(folder, "vms", List.of("standin", "vms"))) {
+            process.listening();
+            process.kill();
+            assertThat(process.isAlive()).isFalse();
+        }
+    }
+
+    @Test
+    void bad_options_end_with_the_usage_code_and_clear_lines() {
+        PoplarProcess.Ended ended = PoplarProcess.run(folder, "bad", List.of("standin", "log", "--retention", "soon"));
+
+        assertThat(ended.exitCode()).isEqualTo(2);
+        assertThat(ended.errors()).contains("--retention", "'soon' is not a duration");
+    }
+}
--- a/src/test/java/org/poplarwharf/support/ReactorThread.java
+++ b/src/test/java/org/poplarwharf/support/ReactorThread.java
@@ -29,9 +29,22 @@
 
     /** Runs something in the reactor's thread and returns its result. */
     public <T> T call(SupplierEx<T> work) {
+        if (Thread.currentThread() == thread) {
+            return inThread(work);
+        }
         return await(() -> Promise.of(work.get()));
     }
 
+    private static <T> T inThread(SupplierEx<T> work) {
+        try {
+            return work.get();
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Runs something in the reactor's thread. */
     public void run(Runnable work) {
         call(() -> {
