--- a/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
@@ -156,7 +156,7 @@
                 .filter(c -> c.text().equals(code))
                 .findFirst()
                 .orElse(FailureCode.INTERNAL);
-        return new PoplarWharfException(known, message, retryAfterMillis, null);
+        return Reporter.told(known, message, retryAfterMillis);
     }
 
     private static PoplarWharfException retryable(FailureCode code, String what, String why, Throwable cause) {
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -301,6 +301,11 @@
                 cause);
     }
 
+    /** Makes the failure that another process has worded. */
+    static PoplarWharfException told(FailureCode code, String message, long retryAfterMillis) {
+        return new PoplarWharfException(code, message, retryAfterMillis, null);
+    }
+
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -38,10 +38,12 @@
         room("load"),
         room("log"),
         room("peer"),
+        room("place"),
         room("platform"),
         room("routing"),
         room("standin"),
         room("state"),
+        room("target"),
     };
 
     @Test
