Add the setting for the log's retention

Cause: checkpoints must be written within the time that the platform keeps a record, which only the operator knows.

NodeSettings keeps a constructor of its old form, with an hour.

--- a/src/main/java/org/poplarwharf/internal/cell/NodeCellStreams.java
+++ b/src/main/java/org/poplarwharf/internal/cell/NodeCellStreams.java
@@ -5,7 +5,6 @@
 import org.poplarwharf.internal.log.FoldingStream;
 import org.poplarwharf.internal.log.NodeStreams;
 import org.poplarwharf.internal.log.StreamParts;
-import org.poplarwharf.internal.log.StreamSettings;
 import org.poplarwharf.internal.state.CellRecord;
 import org.poplarwharf.internal.state.CellState;
 
@@ -19,7 +18,7 @@
 
     @Override
     public Opened open(String cell) {
-        StreamParts parts = NodeStreams.of(context).parts(CellRecord.stream(cell), StreamSettings.DEFAULT);
+        StreamParts parts = NodeStreams.of(context).parts(CellRecord.stream(cell));
         CellState state = new CellState();
         FoldingStream<CellRecord> stream = new FoldingStream<>(parts, CellRecord.class, state);
         Checkpointer<CellRecord> checkpointer = new Checkpointer<>(parts, stream, state);
--- a/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
@@ -12,6 +12,9 @@
     /** How many renewals must fit into a lease, so that one lost renewal does not cost it. */
     private static final int RENEWALS_PER_LEASE = 2;
 
+    /** How many leases the log must remember, so that a new holder can write a checkpoint in time. */
+    private static final int LEASES_PER_RETENTION = 10;
+
     private static final int MOST_THREADS = 256;
     private static final int MOST_PLACES = 10_000;
     private static final int MOST_BODY_BYTES = 1 << 30;
@@ -43,7 +46,8 @@
             OptionSpec.of("drain", "DURATION", "30s", "how long requests may go on after a shutdown was asked for"),
             OptionSpec.of("store-loads-per-second", "NUMBER", "1.5", "loads a second that the weight store allows"),
             OptionSpec.of("store-full-speed-places", "COUNT", "4", "loads that the store serves at full speed"),
-            OptionSpec.of("max-body", "BYTES", "4194304", "the largest body of a request"));
+            OptionSpec.of("max-body", "BYTES", "4194304", "the largest body of a request"),
+            OptionSpec.of("log-retention", "DURATION", "60m", "how long the platform's log keeps a record"));
 
     private NodeSettingsReader() {}
 
@@ -77,7 +81,8 @@
                 values.durationMillis("drain"),
                 values.positiveNumber("store-loads-per-second"),
                 values.integer("store-full-speed-places", 1, MOST_PLACES),
-                values.integer("max-body", 1, MOST_BODY_BYTES));
+                values.integer("max-body", 1, MOST_BODY_BYTES),
+                values.durationMillis("log-retention"));
         if (!values.faulty()) {
             checkTogether(settings, values);
         }
@@ -92,6 +97,10 @@
                 "must be above zero and at most half of --lease");
         values.require(settings.driftMillis() < settings.leaseMillis(), "drift", "must be below --lease");
         values.require(settings.engineReportMillis() > 0, "engine-report", "must be above zero");
+        values.require(
+                settings.logRetentionMillis() >= settings.leaseMillis() * LEASES_PER_RETENTION,
+                "log-retention",
+                "must be at least ten times --lease");
         values.require(settings.progressTimeoutMillis() > 0, "progress-timeout", "must be above zero");
         values.require(distinct(settings.listenAddress(), settings.peerAddress()), "peer", "must differ from --listen");
         values.require(
--- a/src/main/java/org/poplarwharf/internal/config/ConfigPlugin.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPlugin.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.config;
 
+import org.poplarwharf.internal.kernel.NodeContext;
 import org.poplarwharf.internal.kernel.Role;
 import org.poplarwharf.internal.log.StreamSettings;
 import org.poplarwharf.plugins.Plugin;
@@ -9,7 +10,10 @@
 public final class ConfigPlugin implements Plugin {
     @Override
     public void registerWith(PluginRegistry registry) {
-        registry.register(
-                Role.Factory.class, ConfigRole.NAME, context -> new ConfigRole(context, StreamSettings.DEFAULT));
+        registry.register(Role.Factory.class, ConfigRole.NAME, context -> new ConfigRole(context, settings(context)));
+    }
+
+    private static StreamSettings settings(NodeContext context) {
+        return StreamSettings.DEFAULT.withRetentionMillis(context.settings().logRetentionMillis());
     }
 }
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
@@ -24,6 +24,7 @@
  * @param drainMillis how long streams may go on after a shutdown was asked for
  * @param storeLoadsPerSecond loads a second that the weight store allows
  * @param storeFullSpeedPlaces loads that the weight store serves at once at full speed
+ * @param logRetentionMillis how long the platform's log keeps a record
  */
 public record NodeSettings(
         String nodeId,
@@ -51,7 +52,67 @@
         long drainMillis,
         double storeLoadsPerSecond,
         int storeFullSpeedPlaces,
-        int maxBodyBytes) {
+        int maxBodyBytes,
+        long logRetentionMillis) {
+    private static final long DEFAULT_LOG_RETENTION_MILLIS = 3_600_000;
+
+    /** Creates settings for a log that keeps its records for an hour. */
+    public NodeSettings(
+            String nodeId,
+            String vmId,
+            String zone,
+            String listenAddress,
+            String peerAddress,
+            String adminAddress,
+            Optional<String> adminToken,
+            List<String> peers,
+            String logAddress,
+            String vmListAddress,
+            String logProtocol,
+            String vmListProtocol,
+            String engineDialect,
+            String replicaSelector,
+            String idlePolicy,
+            int trafficThreads,
+            long leaseMillis,
+            long driftMillis,
+            long renewMillis,
+            long engineReportMillis,
+            long keepAliveMillis,
+            long progressTimeoutMillis,
+            long drainMillis,
+            double storeLoadsPerSecond,
+            int storeFullSpeedPlaces,
+            int maxBodyBytes) {
+        this(
+                nodeId,
+                vmId,
+                zone,
+                listenAddress,
+                peerAddress,
+                adminAddress,
+                adminToken,
+                peers,
+                logAddress,
+                vmListAddress,
+                logProtocol,
+                vmListProtocol,
+                engineDialect,
+                replicaSelector,
+                idlePolicy,
+                trafficThreads,
+                leaseMillis,
+                driftMillis,
+                renewMillis,
+                engineReportMillis,
+                keepAliveMillis,
+                progressTimeoutMillis,
+                drainMillis,
+                storeLoadsPerSecond,
+                storeFullSpeedPlaces,
+                maxBodyBytes,
+                DEFAULT_LOG_RETENTION_MILLIS);
+    }
 
     /** Returns the same settings with these addresses. */
     public NodeSettings withAddresses(String listen, String peer, String admin) {
@@ -81,6 +142,7 @@
                 drainMillis,
                 storeLoadsPerSecond,
                 storeFullSpeedPlaces,
-                maxBodyBytes);
+                maxBodyBytes,
+                logRetentionMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/log/NodeStreams.java
+++ b/src/main/java/org/poplarwharf/internal/log/NodeStreams.java
@@ -41,6 +41,12 @@
         return streams;
     }
 
+    /** Returns the parts of a stream with this node's setting for the log's retention. */
+    public StreamParts parts(String stream) {
+        long retentionMillis = context.settings().logRetentionMillis();
+        return parts(stream, StreamSettings.DEFAULT.withRetentionMillis(retentionMillis));
+    }
+
     /** Returns the parts of a stream, for {@link FoldingStream} and {@link Checkpointer}. */
     public StreamParts parts(String stream, StreamSettings settings) {
         return new StreamParts(
