--- a/src/test/java/org/poplarwharf/internal/platform/HttpEventLogTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/HttpEventLogTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.poplarwharf.support.Eventually.eventually;
 
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -90,6 +92,31 @@
         assertThat(page.entries()).hasSize(2);
     }
 
+    @Test
+    void retention_by_time_empties_the_stream_and_keeps_its_offsets() {
+        thread.run(standin::stop);
+        startWith(new LogSettings(1_000, 50, 100, 1));
+        append(PAYLOAD);
+
+        eventually("the record has aged out", () -> read(0, 10, 0).firstOffset() == 1);
+
+        assertThat(read(0, 10, 0)).isEqualTo(new EventLog.Page(1, 1, List.of()));
+        assertThat(append(PAYLOAD)).isEqualTo(1);
+    }
+
+    @Test
+    void a_read_outage_leaves_appends_working_and_an_append_outage_leaves_reads() {
+        thread.run(() -> standin.faults().set(new LogFaults(false, true, 0, 0, 0, false)));
+        assertThat(append(PAYLOAD)).isZero();
+        assertThat(catchThrowableOfType(PoplarWharfException.class, () -> read(0, 10, 0))
+                        .code())
+                .isEqualTo(FailureCode.LOG_UNAVAILABLE);
+
+        thread.run(() -> standin.faults().set(new LogFaults(true, false, 0, 0, 0, false)));
+        assertThat(read(0, 10, 0).entries()).hasSize(1);
+        assertThat(appendFailure()).isEqualTo(FailureCode.LOG_UNAVAILABLE);
+    }
+
     @Test
     void an_outage_is_surely_not_appended() {
         thread.run(() -> standin.faults().set(LogFaults.outage()));
--- a/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
+++ b/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
@@ -242,6 +242,28 @@
                 .containsExactly(EngineEvent.State.LOADING);
     }
 
+    @Test
+    void a_stalled_answer_makes_two_tokens_and_never_ends_while_others_go_on() {
+        load(MODEL, 10, 1);
+        thread.run(() -> engine.faults().set(EngineFaults.stallNext(1)));
+        String body = "{\"model\":\"m\"}";
+        Promise<TestHttp.Answer> stalled = thread.call(() -> http.start(completion("stalled", body, 0, 0)));
+        eventually("the first has begun", () -> started().contains("stalled"));
+
+        assertThat(http.call(completion("next", body, 0, 0)).status()).isEqualTo(200);
+
+        assertThat(thread.call(stalled::isComplete)).isFalse();
+        assertThat(events(EngineEvent.RequestEnded.class))
+                .containsExactly(new EngineEvent.RequestEnded("next", EngineEvent.End.ANSWERED, TOKENS));
+    }
+
+    @Test
+    void a_report_says_that_the_engine_is_leaving() {
+        thread.run(() -> engine.faults().set(new EngineFaults("", -1, false, 0, 1, true)));
+
+        assertThat(report().leaving()).isTrue();
+    }
+
     @Test
     void a_refused_load_says_so() {
         thread.run(() -> engine.faults().set(new EngineFaults("", -1, true, 0, 1, false)));
--- a/src/test/java/org/poplarwharf/process/Cluster.java
+++ b/src/test/java/org/poplarwharf/process/Cluster.java
@@ -261,8 +261,10 @@
         return nodeNames().stream().filter(name -> !name.equals(node)).toList();
     }
 
-    private static String zone(String name) {
-        return "z1";
+    /** Returns the availability zone of a node or an engine, {@code z1} to {@code zN}. */
+    public String zone(String name) {
+        int index = Math.max(nodeNames().indexOf(name), engineNames().indexOf(name));
+        return "z" + (Math.max(0, index) % settings.zones() + 1);
     }
 
     private static List<String> names(String prefix, int count) {
--- a/src/test/java/org/poplarwharf/process/StandinProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/StandinProcessTest.java
@@ -19,6 +19,7 @@
 import org.poplarwharf.internal.standin.TokenSource;
 import org.poplarwharf.plugins.ArtifactId;
 import org.poplarwharf.plugins.EngineDialect;
+import org.poplarwharf.plugins.VmList;
 import org.poplarwharf.support.TestHttp;
 
 class StandinProcessTest {
@@ -45,7 +46,7 @@
 
     @Test
     void the_stand_ins_work_as_processes_behind_the_proxy() {
-        try (Cluster cluster = Cluster.start(folder, ClusterSettings.of(2, 1))) {
+        try (Cluster cluster = Cluster.start(folder, ClusterSettings.of(2, 1).withZones(2))) {
             var thread = cluster.thread();
             HttpEventLog log = thread.call(() -> new HttpEventLog(thread.reactor(), cluster.link("n1", "log")));
             HttpVmList vms = thread.call(() -> new HttpVmList(thread.reactor(), cluster.link("n2", "vms")));
@@ -53,6 +54,7 @@
 
             assertThat(thread.await(() -> log.append("s", new byte[] {7}))).isZero();
             assertThat(thread.await(vms::list)).isEqualTo(cluster.vms());
+            assertThat(cluster.vms()).extracting(VmList.Vm::zone).containsExactly("z1", "z2", "z1", "z1");
             load(cluster, dialect);
             String url = cluster.linkToAny("e1") + "/v1/chat/completions";
             assertThat(cluster.http().post(url, BODY).body())
