--- a/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
+++ b/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
@@ -9,6 +9,9 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -257,6 +260,27 @@
                 .containsExactly(new EngineEvent.RequestEnded("next", EngineEvent.End.ANSWERED, TOKENS));
     }
 
+    @Test
+    void a_caller_that_left_while_queued_takes_no_place_for_long() throws IOException {
+        load(MODEL, 10, 1);
+        String lasting = "{\"model\":\"m\",\"max_tokens\":100000}";
+        List<HttpResponse> held = List.of(open("a", lasting), open("b", lasting));
+        InetSocketAddress address = StandinAddresses.parse(engine.address());
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nX-Request-Id: gone\r\nContent-Length: "
+                    + lasting.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + lasting).getBytes(StandardCharsets.UTF_8));
+            eventually("it is queued", () -> report().queuedRequests() == 1);
+        }
+
+        thread.run(() -> held.getFirst().takeBodyStream().closeEx(new IllegalStateException("the caller left")));
+
+        eventually(
+                "the place is free again",
+                () -> events(EngineEvent.RequestEnded.class).stream()
+                        .anyMatch(ended -> ended.requestId().equals("gone")));
+    }
+
     @Test
     void a_report_says_that_the_engine_is_leaving() {
         thread.run(() -> engine.faults().set(new EngineFaults("", -1, false, 0, 1, true)));
