--- a/src/test/java/org/poplarwharf/support/TestHttp.java
+++ b/src/test/java/org/poplarwharf/support/TestHttp.java
@@ -2,6 +2,7 @@
 
 import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -52,5 +53,12 @@
         return call(HttpRequest.post("http://" + url).withBody(body).build());
     }
 
+    public Answer postJson(String url, String body) {
+        return call(HttpRequest.post("http://" + url)
+                .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                .withBody(body)
+                .build());
+    }
+
     public record Answer(int status, String body) {}
 }
