--- a/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
+++ b/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
@@ -37,6 +37,7 @@
     private final DrainState drain = new DrainState();
     private final RequestIds ids;
     private PrimaryServer acceptor;
+    private volatile String listenAddress = "";
 
     public EntryRole(NodeContext context) {
         this.context = context;
@@ -66,9 +67,7 @@
 
     /** Returns the address where callers are served; its port is the one that the system chose. */
     public String listenAddress() {
-        return PeerAddress.format(
-                PeerAddress.parse(context.settings().listenAddress()),
-                acceptor.getBoundAddresses().get(0).getPort());
+        return listenAddress;
     }
 
     @Override
@@ -111,6 +110,9 @@
         } catch (IOException e) {
             return Promise.ofException(Reporter.addressUnusable(settings.listenAddress(), e));
         }
+        listenAddress = PeerAddress.format(
+                PeerAddress.parse(settings.listenAddress()),
+                acceptor.getBoundAddresses().get(0).getPort());
         return Promise.complete();
     }
 
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -0,0 +1,334 @@
+package org.poplarwharf.internal.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.poplarwharf.internal.admission.Admission;
+import org.poplarwharf.internal.admission.Finished.Outcome;
+import org.poplarwharf.internal.admission.Grant;
+import org.poplarwharf.internal.admission.Replicas;
+import org.poplarwharf.internal.cell.CellView;
+import org.poplarwharf.internal.claim.ClaimService;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.config.FleetConfig;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeSettings;
+import org.poplarwharf.internal.kernel.TestSettings;
+import org.poplarwharf.internal.log.RecordStream;
+import org.poplarwharf.internal.peer.PeerMessage;
+import org.poplarwharf.internal.peer.Peers;
+import org.poplarwharf.internal.place.Place;
+import org.poplarwharf.internal.place.PlaceRequest;
+import org.poplarwharf.internal.place.PlaceSource;
+import org.poplarwharf.internal.platform.HttpEngineDialect;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.plugins.ArtifactId;
+import org.poplarwharf.plugins.EngineDialect;
+import org.poplarwharf.plugins.PluginRegistry;
+
+/** An entry role on real event loops, with fake places, configuration, cells and peers. */
+final class EntryFixture implements AutoCloseable, NodeContext, PluginRegistry {
+    static final long PROGRESS_MILLIS = 300;
+    private static final long LIMIT_MILLIS = 10_000;
+
+    final Places places = new Places();
+    final Config config = new Config();
+    final EntryRole role;
+    private final Eventloop control = loop("control");
+    private final Eventloop traffic = loop("traffic");
+    private final Map<Class<?>, Object> services = new HashMap<>();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    EntryFixture() {
+        this(true);
+    }
+
+    EntryFixture(boolean ready) {
+        config.ready = ready;
+        offer(PlaceSource.class, places);
+        offer(ConfigView.class, config);
+        Cells cells = new Cells();
+        NoPeers peers = new NoPeers();
+        offer(CellView.class, cells);
+        offer(Peers.class, peers);
+        CellRecord.Author self = new CellRecord.Author("n1", 1);
+        offer(
+                ClaimService.class,
+                new ClaimService(control, clock(), cells, () -> Optional.of(places), (p, c) -> null, self));
+        role = new EntryRole(this);
+        onControl(role::start);
+    }
+
+    private static Eventloop loop(String name) {
+        Eventloop loop = Eventloop.builder().withThreadName(name).build();
+        loop.keepAlive(true);
+        new Thread(loop, name).start();
+        return loop;
+    }
+
+    <T> T onControl(Supplier<Promise<T>> work) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        control.execute(() -> work.get().whenComplete((value, e) -> {
+            if (e == null) {
+                result.complete(value);
+            } else {
+                result.completeExceptionally(e);
+            }
+        }));
+        return result.orTimeout(LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+
+    CompletableFuture<Void> drain() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        control.execute(() -> role.drain().whenComplete(() -> done.complete(null)));
+        return done.orTimeout(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + role.listenAddress() + path))
+                .timeout(Duration.ofMillis(LIMIT_MILLIS));
+    }
+
+    HttpRequest.Builder completion(String body) {
+        return request("/v1/chat/completions")
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    CompletableFuture<HttpResponse<java.io.InputStream>> open(HttpRequest.Builder request) {
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+    }
+
+    @Override
+    public void close() {
+        onControl(role::stop);
+        List.of(control, traffic).forEach(loop -> loop.execute(loop::breakEventloop));
+        client.shutdownNow();
+    }
+
+    @Override
+    public NodeSettings settings() {
+        NodeSettings s = TestSettings.create(Optional.empty());
+        return new NodeSettings(
+                s.nodeId(),
+                s.vmId(),
+                s.zone(),
+                s.listenAddress(),
+                s.peerAddress(),
+                s.adminAddress(),
+                s.adminToken(),
+                s.peers(),
+                s.logAddress(),
+                s.vmListAddress(),
+                s.logProtocol(),
+                s.vmListProtocol(),
+                s.engineDialect(),
+                s.replicaSelector(),
+                s.idlePolicy(),
+                1,
+                s.leaseMillis(),
+                s.driftMillis(),
+                s.renewMillis(),
+                s.engineReportMillis(),
+                s.keepAliveMillis(),
+                PROGRESS_MILLIS,
+                5_000,
+                s.storeLoadsPerSecond(),
+                s.storeFullSpeedPlaces(),
+                10_000);
+    }
+
+    @Override
+    public Eventloop control() {
+        return control;
+    }
+
+    @Override
+    public List<Eventloop> traffic() {
+        return List.of(traffic);
+    }
+
+    @Override
+    public MonotonicClock clock() {
+        return MonotonicClock.system();
+    }
+
+    @Override
+    public PluginRegistry plugins() {
+        return this;
+    }
+
+    @Override
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    @Override
+    public long incarnation() {
+        return 1;
+    }
+
+    @Override
+    public <T> void offer(Class<T> type, T service) {
+        services.put(type, service);
+    }
+
+    @Override
+    public <T> Optional<T> find(Class<T> type) {
+        return Optional.ofNullable(services.get(type)).map(type::cast);
+    }
+
+    @Override
+    public <T> void register(Class<T> extensionPoint, String name, T implementation) {
+        offer(extensionPoint, implementation);
+    }
+
+    @Override
+    public <T> Optional<T> find(Class<T> extensionPoint, String name) {
+        return extensionPoint == EngineDialect.Factory.class
+                ? Optional.of(extensionPoint.cast(HttpEngineDialect.factory()))
+                : Optional.empty();
+    }
+
+    @Override
+    public SortedSet<String> names(Class<?> extensionPoint) {
+        return new TreeSet<>();
+    }
+
+    /** Gives places on the queued targets in turn; wishes wait when the queue is empty. */
+    static final class Places implements PlaceSource {
+        final Queue<String> addresses = new ArrayDeque<>();
+        final List<PlaceRequest> asked = new CopyOnWriteArrayList<>();
+        final List<String> withdrawn = new CopyOnWriteArrayList<>();
+        final List<Outcome> givenBack = new CopyOnWriteArrayList<>();
+
+        @Override
+        public Promise<Place> ask(PlaceRequest request) {
+            asked.add(request);
+            String address = addresses.poll();
+            if (address == null) {
+                return new SettablePromise<>();
+            }
+            Grant grant = new Grant("g" + asked.size(), "t" + asked.size(), address, 0, false);
+            return Promise.of(new Place(Optional.of("c"), Optional.empty(), grant));
+        }
+
+        @Override
+        public void withdraw(String requestId) {
+            withdrawn.add(requestId);
+        }
+
+        @Override
+        public void giveBack(Place place, Outcome outcome, long serviceMillis, long firstByteMillis) {
+            givenBack.add(outcome);
+        }
+    }
+
+    /** One model, one service with a call that may not be repeated, one class. */
+    static final class Config implements ConfigView {
+        volatile boolean ready = true;
+
+        @Override
+        public FleetConfig current() {
+            return new FleetConfig(
+                    1,
+                    List.of(),
+                    List.of(),
+                    List.of(new FleetConfig.ModelSpec(
+                            "llama", "v1", 1, 1, 0, 0, List.of(), List.of(), List.of(), OptionalLong.empty())),
+                    List.of(new FleetConfig.ServiceSpec(
+                            "ledger", List.of(), List.of(new FleetConfig.CallSpec("POST", "/confirm")))),
+                    List.of(new FleetConfig.ClassSpec("teller", 5_000, 5, 10)),
+                    List.of());
+        }
+
+        @Override
+        public boolean ready() {
+            return ready;
+        }
+
+        @Override
+        public void onChange(Consumer<FleetConfig> listener) {
+            listener.accept(current());
+        }
+    }
+
+    private static final class Cells implements CellView {
+        @Override
+        public List<String> cellsFor(ArtifactId artifact, String zone) {
+            return List.of();
+        }
+
+        @Override
+        public Optional<String> claimCell(String callKey) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<Holder> holder(String cell) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<Admission> admissionHere(String cell) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<RecordStream<CellRecord>> stream(String cell) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact) {
+            return List.of();
+        }
+
+        @Override
+        public boolean condemned(String fingerprint) {
+            return false;
+        }
+    }
+
+    private static final class NoPeers implements Peers {
+        @Override
+        public boolean send(String peerAddress, PeerMessage message) {
+            return false;
+        }
+
+        @Override
+        public List<String> connected() {
+            return List.of();
+        }
+
+        @Override
+        public void listen(Listener listener) {}
+    }
+}
