--- a/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
+++ b/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
@@ -12,6 +12,7 @@
 import org.poplarwharf.internal.cell.CellView;
 import org.poplarwharf.internal.claim.ClaimService;
 import org.poplarwharf.internal.failure.CallerReporter;
+import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.Crossing;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.kernel.NodeContext;
@@ -94,7 +95,7 @@
             case PeerMessage.Failed failed -> {
                 CallWait wait = waiting.remove(failed.requestId());
                 if (wait != null) {
-                    failed(wait, CallerReporter.told(failed.code(), failed.message(), failed.retryAfterMillis()));
+                    failed(wait, Reporter.told(failed.code(), failed.message(), failed.retryAfterMillis()));
                 }
             }
             default -> {
--- a/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
@@ -1,6 +1,5 @@
 package org.poplarwharf.internal.failure;
 
-import java.util.List;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.plugins.ArtifactId;
@@ -150,15 +149,6 @@
                 null);
     }
 
-    /** Makes the failure that another node told; a code that this release does not know counts as internal. */
-    public static PoplarWharfException told(String code, String message, long retryAfterMillis) {
-        FailureCode known = List.of(FailureCode.values()).stream()
-                .filter(c -> c.text().equals(code))
-                .findFirst()
-                .orElse(FailureCode.INTERNAL);
-        return Reporter.told(known, message, retryAfterMillis);
-    }
-
     private static PoplarWharfException retryable(FailureCode code, String what, String why, Throwable cause) {
         return Reporter.retryable(code, what, why, "Try again after the given time.", RETRY_AFTER_MILLIS, cause);
     }
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -245,6 +245,15 @@
                 null);
     }
 
+    /** Makes the failure that another node told; a code that this release does not know counts as internal. */
+    public static PoplarWharfException told(String code, String message, long retryAfterMillis) {
+        FailureCode known = List.of(FailureCode.values()).stream()
+                .filter(c -> c.text().equals(code))
+                .findFirst()
+                .orElse(FailureCode.INTERNAL);
+        return new PoplarWharfException(known, message, retryAfterMillis, null);
+    }
+
     /** Returns a failure's code; {@code internal} for any other exception. */
     public static FailureCode codeOf(Throwable cause) {
         return cause instanceof PoplarWharfException failure ? failure.code() : FailureCode.INTERNAL;
@@ -301,11 +310,6 @@
                 cause);
     }
 
-    /** Makes the failure that another process has worded. */
-    static PoplarWharfException told(FailureCode code, String message, long retryAfterMillis) {
-        return new PoplarWharfException(code, message, retryAfterMillis, null);
-    }
-
     /** Makes a failure that is no use to retry unchanged. */
     public static PoplarWharfException failure(
             FailureCode code, String what, String why, String next, Throwable cause) {
--- a/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
@@ -192,7 +192,13 @@
             close();
             return false;
         }
-        return takeMessage(message);
+        try {
+            return takeMessage(message);
+        } catch (RuntimeException e) {
+            events.malformed(this, Reporter.malformedMessage("a node whose message lacks a field", e));
+            close();
+            return false;
+        }
     }
 
     private boolean takeMessage(PeerMessage message) {
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -88,8 +88,18 @@
                 .resideInAPackage(room("platform"))
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(
-                        rooms("admin", "admission", "cell", "claim", "cli", "config", "entry", "peer", "state")));
+                .resideInAnyPackage(rooms(
+                        "admin",
+                        "admission",
+                        "cell",
+                        "claim",
+                        "cli",
+                        "config",
+                        "entry",
+                        "peer",
+                        "state",
+                        "place",
+                        "target")));
     }
 
     @Test
@@ -99,8 +109,18 @@
                 .resideInAPackage(room("state"))
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(
-                        rooms("admin", "admission", "cell", "claim", "cli", "entry", "kernel", "peer", "platform")));
+                .resideInAnyPackage(rooms(
+                        "admin",
+                        "admission",
+                        "cell",
+                        "claim",
+                        "cli",
+                        "entry",
+                        "kernel",
+                        "peer",
+                        "platform",
+                        "place",
+                        "target")));
     }
 
     @Test
@@ -111,7 +131,18 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(rooms(
-                        "admin", "admission", "cell", "claim", "cli", "config", "entry", "log", "peer", "state")));
+                        "admin",
+                        "admission",
+                        "cell",
+                        "claim",
+                        "cli",
+                        "config",
+                        "entry",
+                        "log",
+                        "peer",
+                        "state",
+                        "place",
+                        "target")));
     }
 
     @Test
@@ -122,7 +153,18 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(rooms(
-                        "admin", "admission", "cell", "claim", "cli", "config", "entry", "log", "peer", "state")));
+                        "admin",
+                        "admission",
+                        "cell",
+                        "claim",
+                        "cli",
+                        "config",
+                        "entry",
+                        "log",
+                        "peer",
+                        "state",
+                        "place",
+                        "target")));
     }
 
     @Test
@@ -142,14 +184,16 @@
                 .resideInAPackage(room("standin"))
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(rooms("admin", "admission", "cell", "claim", "entry", "peer", "state")));
+                .resideInAnyPackage(
+                        rooms("admin", "admission", "cell", "claim", "entry", "peer", "state", "place", "target")));
     }
 
     @Test
     void roles_use_no_command() {
         check(noClasses()
                 .that()
-                .resideInAnyPackage(rooms("admin", "admission", "cell", "claim", "entry", "peer", "log", "state"))
+                .resideInAnyPackage(rooms(
+                        "admin", "admission", "cell", "claim", "entry", "peer", "log", "state", "place", "target"))
                 .should()
                 .dependOnClassesThat()
                 .resideInAPackage(room("cli")));
@@ -159,7 +203,8 @@
     void entry_and_admin_are_used_by_no_role() {
         check(noClasses()
                 .that()
-                .resideInAnyPackage(rooms("admission", "cell", "claim", "config", "log", "peer", "state"))
+                .resideInAnyPackage(
+                        rooms("admission", "cell", "claim", "config", "log", "peer", "state", "place", "target"))
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(rooms("entry", "admin")));
--- a/src/test/java/org/poplarwharf/internal/peer/TcpPeersTest.java
+++ b/src/test/java/org/poplarwharf/internal/peer/TcpPeersTest.java
@@ -130,6 +130,20 @@
         await(() -> metrics.counter("peer.malformed-frames").getCount() == 1);
     }
 
+    @Test
+    void a_message_that_lacks_its_fields_closes_the_link_and_is_counted() throws Exception {
+        TcpPeers a = node("a");
+        byte[] hello = new org.poplarwharf.internal.codec.MessagePackCodec<>(PeerMessage.class)
+                .encode(new PeerMessage.Hello(null, 1, null, null));
+        byte[] frame = new byte[hello.length + 4];
+        frame[3] = (byte) hello.length;
+        System.arraycopy(hello, 0, frame, 4, hello.length);
+
+        assertClosedAfter(a, frame);
+
+        await(() -> metrics.counter("peer.malformed-frames").getCount() == 1);
+    }
+
     @Property(tries = 20)
     void bytes_of_any_kind_never_stop_the_node(@ForAll byte[] bytes) throws Exception {
         TcpPeers a = node("a");
