--- a/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
@@ -72,7 +72,7 @@
         }
         if (event.tokenIndex().isEmpty()) {
             indexed = indexed && nextToken > 0;
-            return resuming ? doGet() : Promise.of(ByteBuf.wrapForReading(event.raw()));
+            return resuming && !event.finish() ? doGet() : Promise.of(ByteBuf.wrapForReading(event.raw()));
         }
         int index = event.tokenIndex().getAsInt();
         if (index > nextToken) {
--- a/src/main/java/org/poplarwharf/internal/entry/SseReader.java
+++ b/src/main/java/org/poplarwharf/internal/entry/SseReader.java
@@ -70,15 +70,17 @@
         byte[] raw = text.getBytes(StandardCharsets.ISO_8859_1);
         String data = data(new String(raw, StandardCharsets.UTF_8));
         if (data.equals(DONE)) {
-            return new Event(raw, true, OptionalInt.empty());
+            return new Event(raw, true, false, OptionalInt.empty());
         }
         if (data.isEmpty()) {
-            return new Event(raw, false, OptionalInt.empty());
+            return new Event(raw, false, false, OptionalInt.empty());
         }
-        return new Event(raw, false, tokenIndex(data));
+        JsonNode json = json(data);
+        JsonNode reason = json.path("choices").path(0).path("finish_reason");
+        return new Event(raw, false, reason.isTextual(), tokenIndex(json));
     }
 
-    private OptionalInt tokenIndex(String data) {
+    private JsonNode json(String data) {
         JsonNode json;
         try {
             json = MAPPER.readTree(data);
@@ -88,6 +90,10 @@
         if (RequestIds.anothers(json.path("id").asText(), sentId)) {
             throw malformed();
         }
+        return json;
+    }
+
+    private static OptionalInt tokenIndex(JsonNode json) {
         JsonNode index = json.path("token_index");
         return index.isInt() ? OptionalInt.of(index.asInt()) : OptionalInt.empty();
     }
@@ -114,7 +120,8 @@
     /**
      * One event.
      *
+     * @param finish whether it tells why the answer ends
      * @param tokenIndex the index of the token that it carries, where the engine tells it
      */
-    record Event(byte[] raw, boolean done, OptionalInt tokenIndex) {}
+    record Event(byte[] raw, boolean done, boolean finish, OptionalInt tokenIndex) {}
 }
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/place/FakeCluster.java
@@ -0,0 +1,97 @@
+package org.poplarwharf.internal.place;
+
+import io.activej.promise.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.poplarwharf.internal.admission.Admission;
+import org.poplarwharf.internal.admission.AdmitRequest;
+import org.poplarwharf.internal.admission.Replicas;
+import org.poplarwharf.internal.cell.CellView;
+import org.poplarwharf.internal.log.RecordStream;
+import org.poplarwharf.internal.peer.PeerMessage;
+import org.poplarwharf.internal.peer.Peers;
+import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.plugins.ArtifactId;
+
+/** One cell {@code c} whose holder is at another node, and the links to it; a test moves and cuts both. */
+public final class FakeCluster implements CellView, Peers {
+    public final List<PeerMessage> sent = new ArrayList<>();
+    public final List<Replicas.Replica> warm = new ArrayList<>();
+    public Optional<String> holderAddress = Optional.of("a:1");
+    public boolean linked = true;
+    private final List<Listener> listeners = new ArrayList<>();
+
+    public void receive(String peerAddress, PeerMessage message) {
+        List.copyOf(listeners).forEach(listener -> listener.received(peerAddress, message));
+    }
+
+    public void cut(String peerAddress) {
+        List.copyOf(listeners).forEach(listener -> listener.linkDown(peerAddress));
+    }
+
+    public <T> List<T> sent(Class<T> type) {
+        return sent.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    public static AdmitRequest admission(String requestId) {
+        return new AdmitRequest(requestId, ArtifactId.model("m"), "c", "t", "z", 1_000, "f", 0, List.of());
+    }
+
+    @Override
+    public boolean send(String peerAddress, PeerMessage message) {
+        if (linked) {
+            sent.add(message);
+        }
+        return linked;
+    }
+
+    @Override
+    public List<String> connected() {
+        return List.of();
+    }
+
+    @Override
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public List<String> cellsFor(ArtifactId artifact, String zone) {
+        return List.of("c");
+    }
+
+    @Override
+    public Optional<String> claimCell(String callKey) {
+        return Optional.of("c");
+    }
+
+    @Override
+    public Optional<Holder> holder(String cell) {
+        return holderAddress.map(address -> new Holder(new CellRecord.Author("n2", 1), address, 1, false));
+    }
+
+    @Override
+    public Optional<Admission> admissionHere(String cell) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<RecordStream<CellRecord>> stream(String cell) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact) {
+        return warm;
+    }
+
+    @Override
+    public boolean condemned(String fingerprint) {
+        return fingerprint.equals("condemned");
+    }
+
+    public static <T> T failure(Promise<?> promise, Class<T> type) {
+        return type.cast(promise.getException());
+    }
+}
