Give commands one way to send an HTTP request

Cause: quickstart and status both need a blocking exchange. Ruled out: java.net.http, since the project's HTTP client is ActiveJ's.

--- a/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.PrintStream;
 import java.util.List;
-import org.poplarwharf.internal.admin.AdminClient;
 import org.poplarwharf.internal.admin.StatusReport;
 import org.poplarwharf.internal.admin.StatusReport.CellStatus;
 import org.poplarwharf.internal.admin.StatusReport.SlotStatus;
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -227,15 +227,33 @@
                 null);
     }
 
-    public static PoplarWharfException adminUnreachable(String address, Throwable cause) {
+    public static PoplarWharfException noAnswer(String address, Throwable cause) {
         return failure(
                 FailureCode.TARGET_UNREACHABLE,
-                "The administration API at " + address + " gave no answer.",
-                "The node is down, or the address is another one.",
-                "Check the address in the node's listening line.",
+                "The process at " + address + " gave no whole answer.",
+                "It is down, or the address is another one.",
+                "Check the address in its listening line.",
                 cause);
     }
 
+    public static PoplarWharfException exampleMissing(String folder, Throwable cause) {
+        return failure(
+                FailureCode.CONFIG_INVALID,
+                "The example configuration " + folder + " can't be read.",
+                "It is neither beside the working folder nor inside this binary.",
+                "Run from a checkout of the project, or build the binary again.",
+                cause);
+    }
+
+    public static PoplarWharfException quickstartStuck(String what, long waitedMillis) {
+        return failure(
+                FailureCode.NOT_READY,
+                "After " + waitedMillis + " ms " + what + ".",
+                "The machine may be busy, or a role fails.",
+                "Run it again; if it stays so, report it.",
+                null);
+    }
+
     public static PoplarWharfException adminRefused(String address, int status, String body) {
         return failure(
                 status == FailureCode.UNAUTHORIZED.httpStatus() ? FailureCode.UNAUTHORIZED : FailureCode.TARGET_REFUSED,
