--- a/src/main/java/org/poplarwharf/internal/kernel/RoleOrder.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/RoleOrder.java
@@ -11,7 +11,8 @@
  */
 final class RoleOrder {
     /** The names before which roles of other plug-ins start; entry comes after them, so that they see all requests. */
-    private static final List<String> FIRST = List.of("peers", "config", "admission", "cells", "claims");
+    private static final List<String> FIRST =
+            List.of("peers", "config", "admission", "cell-streams", "cells", "places", "claims");
 
     private static final List<String> LAST = List.of("entry", "admin");
 
