Show a cell's state to claims and operators; count only what would be lost

Cause: CellView.state kept its empty default in the cell role, so that every call that may not be repeated was refused with no-holder (seen in a trial of quickstart on the joined modules). Typed failures thrown in a promise's callback were logged and counted as defects: one for each request for an unknown model. Ruled out: passing over every typed failure; one thrown by a plain task reaches nobody and is still logged and counted. Conclusion: claims work across cells; the counter of defects means defects.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRole.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRole.java
@@ -24,6 +24,7 @@
 import org.poplarwharf.internal.log.RecordStream;
 import org.poplarwharf.internal.state.CellRecord;
 import org.poplarwharf.internal.state.CellRecord.Author;
+import org.poplarwharf.internal.state.CellStateView;
 import org.poplarwharf.internal.state.CellStateView.Lease;
 import org.poplarwharf.internal.state.CellStateView.Phase;
 import org.poplarwharf.plugins.ArtifactId;
@@ -203,6 +204,11 @@
                 .map(this::holder);
     }
 
+    @Override
+    public Optional<CellStateView> state(String cell) {
+        return Optional.ofNullable(cells.get(cell)).map(CellRuntime::state);
+    }
+
     private Holder holder(Lease lease) {
         boolean here = lease.holder().equals(self);
         return new Holder(lease.holder(), lease.peerAddress(), lease.epoch(), here);
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeThreads.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeThreads.java
@@ -107,7 +107,7 @@
         Eventloop loop = Eventloop.builder()
                 .withThreadName(name)
                 .withTimeProvider(monotonicTime())
-                .withFatalErrorHandler((error, context) -> onUnexpected(name, error))
+                .withFatalErrorHandler((error, context) -> onError(name, error, context))
                 .build();
         loop.keepAlive(true);
         return loop;
@@ -120,6 +120,17 @@
         thread.start();
     }
 
+    /**
+     * Hears of every exception that a callback throws. A typed failure in a promise's callback goes on as that promise's
+     * failure and is heard of there; all else would be lost.
+     */
+    private void onError(String thread, Throwable error, Object context) {
+        boolean carriedOn = error instanceof PoplarWharfException && !(context instanceof Runnable);
+        if (!carriedOn) {
+            onUnexpected(thread, error);
+        }
+    }
+
     private void onUnexpected(String thread, Throwable error) {
         unexpected.inc();
         log.failure(LogEvent.UNEXPECTED_EXCEPTION, FailureCode.INTERNAL, thread, error);
--- a/src/main/launcher/poplarwharf.sh
+++ b/src/main/launcher/poplarwharf.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
 # Finds a Java runtime of release 21 or later by reading its "release" file, then becomes it.
+# Releases that warn of what the MessagePack library does are told that it may, so that standard error holds only the log.
+unsafe_release=24
 accept() {
   [ -x "$1/bin/java" ] && [ -r "$1/release" ] || return 1
   while IFS='=' read -r key value; do
@@ -14,7 +16,9 @@
 for home in "$POPLARWHARF_JAVA_HOME" "$JAVA_HOME" /usr/lib/jvm/* /opt/java/* /Library/Java/JavaVirtualMachines/*/Contents/Home; do
   [ -n "$home" ] || continue
   if accept "$home"; then
-    exec "$home/bin/java" -XX:+UseSerialGC -Xshare:auto $POPLARWHARF_JAVA_OPTIONS -jar "$0" "$@"
+    unsafe=
+    [ "$major" -ge "$unsafe_release" ] && unsafe=--sun-misc-unsafe-memory-access=allow
+    exec "$home/bin/java" $unsafe -XX:+UseSerialGC -Xshare:auto $POPLARWHARF_JAVA_OPTIONS -jar "$0" "$@"
   fi
 done
 echo "poplarwharf: needs a Java runtime of release 21 or later; set POPLARWHARF_JAVA_HOME to its folder" >&2
--- a/src/test/java/org/poplarwharf/internal/kernel/NodeKernelTest.java
+++ b/src/test/java/org/poplarwharf/internal/kernel/NodeKernelTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.util.List;
@@ -86,6 +87,30 @@
                 .isEqualTo(1);
     }
 
+    @Test
+    void typed_failure_of_a_promise_goes_on_as_its_failure_and_is_not_counted_but_one_of_a_task_is()
+            throws InterruptedException {
+        start("peers");
+        CountDownLatch failed = new CountDownLatch(1);
+        Eventloop control = context.get().control();
+        control.execute(() -> Promise.of(1)
+                .then(value -> {
+                    throw Reporter.notReady();
+                })
+                .whenException(PoplarWharfException.class, e -> failed.countDown()));
+        assertThat(failed.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(context.get().metrics().counter("unexpected_exceptions").getCount())
+                .isZero();
+        CountDownLatch after = new CountDownLatch(1);
+        control.execute(() -> {
+            throw Reporter.notReady();
+        });
+        control.execute(after::countDown);
+        assertThat(after.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(context.get().metrics().counter("unexpected_exceptions").getCount())
+                .isEqualTo(1);
+    }
+
     @Test
     void free_ports_are_chosen_and_differ() {
         start();
