--- a/src/main/java/org/poplarwharf/internal/cli/NodeCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeCommand.java
@@ -14,9 +14,8 @@
  * <p>Stateless and thread-safe.
  */
 public final class NodeCommand implements Command {
-    private static final List<String> LEVELS = List.of("trace", "debug", "info", "warn", "error", "off");
-    private static final OptionSpec LOG_LEVEL =
-            OptionSpec.of("log-level", "LEVEL", "info", "the least level that is logged: " + String.join(", ", LEVELS));
+    private static final OptionSpec LOG_LEVEL = OptionSpec.of(
+            "log-level", "LEVEL", "info", "the least level that is logged: " + String.join(", ", NodeLog.LEVELS));
     private static final OptionSet OPTIONS = new OptionSet("node", "", specs());
 
     @Override
@@ -42,7 +41,10 @@
 
     private static int runNode(OptionValues values, PrintStream out) {
         String level = values.text(LOG_LEVEL.flag());
-        values.require(LEVELS.contains(level), LOG_LEVEL.flag(), "must be one of " + String.join(", ", LEVELS));
+        values.require(
+                NodeLog.LEVELS.contains(level),
+                LOG_LEVEL.flag(),
+                "must be one of " + String.join(", ", NodeLog.LEVELS));
         NodeSettings settings = NodeSettingsReader.read(values);
         NodeLog.setLevel(level);
         Node node = Node.start(settings);
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartStandins.java
@@ -0,0 +1,153 @@
+package org.poplarwharf.internal.cli;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.poplarwharf.internal.config.FleetConfig;
+import org.poplarwharf.internal.config.FleetConfig.TargetKind;
+import org.poplarwharf.internal.config.FleetConfig.TargetSpec;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.standin.EngineSettings;
+import org.poplarwharf.internal.standin.EngineStandin;
+import org.poplarwharf.internal.standin.LogSettings;
+import org.poplarwharf.internal.standin.LogStandin;
+import org.poplarwharf.internal.standin.ServiceStandin;
+import org.poplarwharf.internal.standin.Standin;
+import org.poplarwharf.internal.standin.StandinAddresses;
+import org.poplarwharf.internal.standin.StoreSettings;
+import org.poplarwharf.internal.standin.StoreStandin;
+import org.poplarwharf.internal.standin.VmListStandin;
+import org.poplarwharf.plugins.VmList.Vm;
+import org.poplarwharf.plugins.VmList.VmState;
+
+/**
+ * The stand-ins of quickstart on one event loop: log, VM list, weight store, and one for each target.
+ *
+ * <p>Thread-safe: every call runs on the loop's thread and blocks its caller.
+ */
+final class QuickstartStandins {
+    private static final String VM_SUFFIX = "-vm";
+    private static final long NO_LAG_MILLIS = 0;
+    private static final long SERVICE_MILLIS = 5;
+
+    private final Eventloop loop = Eventloop.create();
+    private final List<Standin> all = new ArrayList<>();
+    private final Map<String, Standin> targets = new LinkedHashMap<>();
+    private final List<ServiceStandin> services = new ArrayList<>();
+    private final List<Vm> vms = new ArrayList<>();
+    private LogStandin log;
+    private VmListStandin vmList;
+
+    /** Starts the stand-ins for the targets of a configuration. */
+    QuickstartStandins(FleetConfig config) {
+        loop.keepAlive(true);
+        Thread thread = new Thread(loop, "standins");
+        thread.setDaemon(true);
+        thread.start();
+        call(() -> startAll(config));
+    }
+
+    String logAddress() {
+        return log.address();
+    }
+
+    String vmListAddress() {
+        return vmList.address();
+    }
+
+    String targetAddress(String target) {
+        return targets.get(target).address();
+    }
+
+    /** Puts the VM of a node on the list. */
+    void addNode(String nodeId, String vmId, String address, String zone) {
+        call(() -> {
+            vms.add(new Vm(vmId, nodeId, address, zone, VmState.LIVE));
+            vmList.setVms(List.copyOf(vms));
+            return true;
+        });
+    }
+
+    /** Returns how many calls with an idempotency key the services ran. */
+    long callsRun(String idempotencyKey) {
+        return call(() -> services.stream()
+                .flatMap(service -> service.journal().entries().stream())
+                .filter(run -> run.event().idempotencyKey().equals(Optional.of(idempotencyKey)))
+                .count());
+    }
+
+    void stop() {
+        call(() -> {
+            all.forEach(Standin::stop);
+            loop.keepAlive(false);
+            return true;
+        });
+    }
+
+    private boolean startAll(FleetConfig config) {
+        log = add(LogStandin.start(loop, StandinAddresses.loopback(), LogSettings.defaults()));
+        vmList = add(VmListStandin.start(loop, StandinAddresses.loopback(), NO_LAG_MILLIS));
+        StoreStandin store = add(StoreStandin.start(loop, StandinAddresses.loopback(), StoreSettings.defaults()));
+        for (TargetSpec target : config.targets()) {
+            Standin standin = target.kind() == TargetKind.ENGINE ? engine(target, store) : service();
+            targets.put(target.name(), standin);
+            vms.add(new Vm(target.name() + VM_SUFFIX, target.name(), standin.address(), target.zone(), VmState.LIVE));
+        }
+        vmList.setVms(List.copyOf(vms));
+        return true;
+    }
+
+    private Standin engine(TargetSpec target, StoreStandin store) {
+        EngineSettings defaults = EngineSettings.defaults(Optional.of(store.address()));
+        EngineSettings settings = new EngineSettings(
+                target.memoryBytes(),
+                target.maxConcurrent(),
+                defaults.prefillMillis(),
+                defaults.tokenMillis(),
+                defaults.defaultTokens(),
+                target.fencing(),
+                defaults.reportLagMillis(),
+                defaults.storeAddress(),
+                defaults.nearBytesPerSecond(),
+                defaults.nearCopyLimit(),
+                defaults.nearCopies(),
+                defaults.unloadMillis());
+        return add(EngineStandin.start(loop, StandinAddresses.loopback(), settings));
+    }
+
+    private Standin service() {
+        ServiceStandin service = add(ServiceStandin.start(loop, StandinAddresses.loopback(), SERVICE_MILLIS));
+        services.add(service);
+        return service;
+    }
+
+    private <T extends Standin> T add(T standin) {
+        all.add(standin);
+        return standin;
+    }
+
+    private <T> T call(Callable<T> action) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                result.complete(action.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        try {
+            return result.get();
+        } catch (ExecutionException e) {
+            throw Reporter.internal("A stand-in", e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw Reporter.interrupted("a stand-in", e);
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeLog.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeLog.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.kernel;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.poplarwharf.FailureCode;
 import org.tinylog.Logger;
@@ -13,6 +14,9 @@
  * <p>Invariant: a line holds names and codes, never a caller's payload. Thread-safe.
  */
 public final class NodeLog {
+    /** The levels that can be set, from the most lines to none. */
+    public static final List<String> LEVELS = List.of("trace", "debug", "info", "warn", "error", "off");
+
     private static final String LEVEL = "level";
 
     private final String nodeId;
--- a/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
+++ b/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
@@ -2,3 +2,4 @@
 org.poplarwharf.internal.cli.StatusCommand
 org.poplarwharf.internal.cli.ConfigCommand
 org.poplarwharf.internal.standin.StandinCommand
+org.poplarwharf.internal.cli.QuickstartCommand
