Tell the token's index in the engine stand-in's events

Cause: a broken stream is resumed only where events carry the index of their token, and the stand-in's did not. Change: token_index beside choices, for events that hold a token.

--- a/src/main/java/org/poplarwharf/internal/standin/EngineAnswer.java
+++ b/src/main/java/org/poplarwharf/internal/standin/EngineAnswer.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.standin;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.AbstractChannelSupplier;
@@ -8,6 +9,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * The body of a chat completion, made token by token: events for a streamed answer, else one JSON document after a space
@@ -62,9 +64,10 @@
         long millis = made == 0 ? pace.prefillMillis() : pace.tokenMillis();
         Promise<Void> ready = millis == 0 ? Promise.complete() : Promises.delay(reactor, millis);
         return ready.map(ignored -> {
-            String token = TokenSource.token(job.body(), nextToken++);
+            int index = nextToken++;
+            String token = TokenSource.token(job.body(), index);
             run.countToken();
-            return ByteBuf.wrapForReading(job.stream() ? event(token, null) : KEEP_OPEN.clone());
+            return ByteBuf.wrapForReading(job.stream() ? event(token, null, OptionalInt.of(index)) : KEEP_OPEN.clone());
         });
     }
 
@@ -75,19 +78,20 @@
     }
 
     private byte[] lastEvents() {
-        byte[] stop = event("", "stop");
+        byte[] stop = event("", "stop", OptionalInt.empty());
         byte[] both = new byte[stop.length + DONE.length];
         System.arraycopy(stop, 0, both, 0, stop.length);
         System.arraycopy(DONE, 0, both, stop.length, DONE.length);
         return both;
     }
 
-    private byte[] event(String content, String finishReason) {
+    private byte[] event(String content, String finishReason, OptionalInt tokenIndex) {
         Chunk chunk = new Chunk(
                 job.requestId(),
                 "chat.completion.chunk",
                 job.artifact().toString(),
-                List.of(new ChunkChoice(0, new Delta(content), finishReason)));
+                List.of(new ChunkChoice(0, new Delta(content), finishReason)),
+                tokenIndex.isPresent() ? tokenIndex.getAsInt() : null);
         return ("data: " + new String(StandinJson.write(chunk), StandardCharsets.UTF_8) + "\n\n")
                 .getBytes(StandardCharsets.UTF_8);
     }
@@ -111,7 +115,14 @@
         ENDED
     }
 
-    private record Chunk(String id, String object, String model, List<ChunkChoice> choices) {}
+    private record Chunk(
+            String id,
+            String object,
+            String model,
+            List<ChunkChoice> choices,
+
+            @JsonProperty("token_index") @JsonInclude(JsonInclude.Include.NON_NULL)
+            Integer tokenIndex) {}
 
     private record ChunkChoice(
             int index,
