Tell other nodes an address that differs from the listening one

Cause: a node named its listening address in its hello and its lease claim, so traffic that followed a claim went round the proxy of the process tests; a VM behind an address translation could not be reached at all. Ruled out: rewriting addresses in the proxy, which knows nothing of frames. Conclusion: cuts between nodes can now be brought about for lease traffic too.

--- a/src/main/java/org/poplarwharf/internal/cell/LeaseKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/cell/LeaseKeeper.java
@@ -144,7 +144,8 @@
         long previousEpoch = lease.map(Lease::epoch).orElse(-1L);
         long previousRenewal = lease.map(Lease::renewalOffset).orElse(-1L);
         append(
-                new LeaseClaimed(self, settings.peerAddress(), previousEpoch, previousRenewal, settings.leaseMillis()),
+                new LeaseClaimed(
+                        self, settings.advertisedPeerAddress(), previousEpoch, previousRenewal, settings.leaseMillis()),
                 -1);
     }
 
--- a/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
@@ -28,6 +28,7 @@
             OptionSpec.of("peer", "HOST:PORT", "127.0.0.1:7080", "where other nodes connect"),
             OptionSpec.of("admin", "HOST:PORT", "127.0.0.1:9080", "where operators connect"),
             OptionSpec.of("admin-token", "TEXT", "", "what operators must show; without it only health is served"),
+            OptionSpec.of("peer-advertise", "HOST:PORT", "where other nodes are told to connect, when not --peer"),
             OptionSpec.of("peers", "LIST", "", "peer addresses of nodes to start from"),
             OptionSpec.of("log", "HOST:PORT", "the platform's log"),
             OptionSpec.of("vm-list", "HOST:PORT", "the platform's list of VMs"),
@@ -82,7 +83,8 @@
                 values.positiveNumber("store-loads-per-second"),
                 values.integer("store-full-speed-places", 1, MOST_PLACES),
                 values.integer("max-body", 1, MOST_BODY_BYTES),
-                values.durationMillis("log-retention"));
+                values.durationMillis("log-retention"),
+                values.optionalText("peer-advertise").map(text -> values.address("peer-advertise")));
         if (!values.faulty()) {
             checkTogether(settings, values);
         }
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
@@ -9,7 +9,7 @@
  * @param nodeId unique among the nodes that run at one time
  * @param vmId the VM that the node runs on
  * @param listenAddress where callers connect
- * @param peerAddress where other nodes connect, and what they are told
+ * @param peerAddress where this node listens for other nodes
  * @param adminAddress where operators connect
  * @param adminToken what operators must show
  * @param peers addresses of nodes to start from; the VM list adds to them
@@ -25,6 +25,7 @@
  * @param storeLoadsPerSecond loads a second that the weight store allows
  * @param storeFullSpeedPlaces loads that the weight store serves at once at full speed
  * @param logRetentionMillis how long the platform's log keeps a record
+ * @param peerAdvertiseAddress where other nodes are told to connect, when that differs from {@code peerAddress}
  */
 public record NodeSettings(
         String nodeId,
@@ -53,7 +54,8 @@
         double storeLoadsPerSecond,
         int storeFullSpeedPlaces,
         int maxBodyBytes,
-        long logRetentionMillis) {
+        long logRetentionMillis,
+        Optional<String> peerAdvertiseAddress) {
     private static final long DEFAULT_LOG_RETENTION_MILLIS = 3_600_000;
 
     /** Creates settings for a log that keeps its records for an hour. */
@@ -111,7 +113,8 @@
                 storeLoadsPerSecond,
                 storeFullSpeedPlaces,
                 maxBodyBytes,
-                DEFAULT_LOG_RETENTION_MILLIS);
+                DEFAULT_LOG_RETENTION_MILLIS,
+                Optional.empty());
     }
 
     /** Returns the same settings with these addresses. */
@@ -143,6 +146,12 @@
                 storeLoadsPerSecond,
                 storeFullSpeedPlaces,
                 maxBodyBytes,
-                logRetentionMillis);
+                logRetentionMillis,
+                peerAdvertiseAddress);
+    }
+
+    /** Returns where other nodes are told to connect. */
+    public String advertisedPeerAddress() {
+        return peerAdvertiseAddress.orElse(peerAddress);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
@@ -24,8 +24,12 @@
     public PeerRole(NodeContext context) {
         this.context = context;
         NodeSettings settings = context.settings();
-        PeerIdentity identity =
-                new PeerIdentity(settings.nodeId(), context.incarnation(), settings.zone(), settings.peerAddress());
+        PeerIdentity identity = new PeerIdentity(
+                settings.nodeId(),
+                context.incarnation(),
+                settings.zone(),
+                settings.peerAddress(),
+                settings.peerAdvertiseAddress());
         this.peers = new TcpPeers(
                 context.control(),
                 context.clock(),
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -76,8 +76,10 @@
         } catch (IOException e) {
             return Promise.ofException(new UncheckedIOException(e));
         }
-        String announced =
+        String bound =
                 PeerAddress.format(listen, server.getBoundAddresses().get(0).getPort());
+        String announced = identity.advertisedAddress().orElse(bound);
+        own.add(bound);
         ownHello = new PeerMessage.Hello(identity.nodeId(), identity.incarnation(), identity.zone(), announced);
         own.add(announced);
         diallers.remove(announced);
--- a/src/test/java/org/poplarwharf/process/Cluster.java
+++ b/src/test/java/org/poplarwharf/process/Cluster.java
@@ -243,7 +243,7 @@
         List<String> arguments = new ArrayList<>(List.of("node", "--node-id", name, "--vm-id", "vm-" + name));
         arguments.addAll(List.of("--zone", zone(name), "--listen", addresses.get(0), "--admin", addresses.get(1)));
         arguments.addAll(List.of("--peer", peerAddress(name), "--peers", String.join(",", peers)));
-        arguments.addAll(List.of("--admin-token", ADMIN_TOKEN));
+        arguments.addAll(List.of("--peer-advertise", linkToAny(name), "--admin-token", ADMIN_TOKEN));
         arguments.addAll(List.of("--log", link(name, "log"), "--vm-list", link(name, "vms")));
         arguments.addAll(settings.nodeOptions());
         return arguments;
