Predict a load before the first report and while a lapsed lease can be renewed

Cause: right after a lease was taken a cold request was refused with no-capacity, because a target counted only after its first report; a lapsed lease, and a replica that was just being unloaded, refused in the same way. whyNotReady was never overridden, so an outage of the log was told as no-capacity, and a cleared suspect was never recorded as lifted. Ruled out: holding the request back until the first report, since the prediction is as good without it and a wrong one is corrected while it waits. Change: targets count unless suspect; only a silent log makes a load impossible; an unload under way adds a second; the reason names the log; a cleared fingerprint is lifted on the stream.

--- a/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.admission.Finished.Outcome;
 import org.poplarwharf.internal.admission.Replicas;
 import org.poplarwharf.internal.cell.PlanInput.Demand;
@@ -72,7 +73,7 @@
         if (!serving(artifact).isEmpty()) {
             return OptionalLong.of(0);
         }
-        if (!cell.mayLoad() || artifact.kind() == Kind.SERVICE) {
+        if (!cell.logAnswers() || artifact.kind() == Kind.SERVICE) {
             return OptionalLong.empty();
         }
         OptionalLong own = cell.loadingMillis(artifact);
@@ -85,6 +86,16 @@
         return base.isEmpty() ? base : OptionalLong.of(base.getAsLong() + own.getAsLong());
     }
 
+    @Override
+    public FailureCode whyNotReady(ArtifactId artifact) {
+        return cell.logAnswers() ? FailureCode.NO_CAPACITY : FailureCode.LOG_UNAVAILABLE;
+    }
+
+    @Override
+    public void cleared(String fingerprint) {
+        cell.cleared(fingerprint);
+    }
+
     @Override
     public void demand(ArtifactId artifact, int waiting, int highestPriority, long earliestDeadlineMillis) {
         uses.demand(artifact, new Demand(waiting, highestPriority, earliestDeadlineMillis));
--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -39,6 +39,8 @@
 final class CellRuntime {
     private static final long COOL_MILLIS = 5_000;
     private static final long RECOVERY_PAUSE_MILLIS = 1_000;
+    /** How long an unload that is under way is taken to last. */
+    private static final long UNLOAD_MILLIS = 1_000;
 
     private final String name;
     private final Parts parts;
@@ -129,7 +131,23 @@
     }
 
     boolean mayLoad() {
-        return lease.holds() && stream.millisSinceAnswer() < parts.settings().leaseMillis();
+        return lease.holds() && logAnswers();
+    }
+
+    /** Tells whether the log has answered within a lease, so that a lease that has lapsed can be renewed. */
+    boolean logAnswers() {
+        return stream.millisSinceAnswer() < parts.settings().leaseMillis();
+    }
+
+    /** An answer from a target on which it ran apart from all others proves that a fingerprint crashes none. */
+    void cleared(String fingerprint) {
+        boolean recorded =
+                state.suspects().stream().anyMatch(s -> s.fingerprint().equals(fingerprint));
+        if (recorded) {
+            stream.commit(
+                    new CellRecord.CondemnationLifted(fingerprint),
+                    parts.settings().leaseMillis());
+        }
     }
 
     /** Tells whether a target gets no new work because it leaves or was taken out of service. */
@@ -307,10 +325,19 @@
                 best = OptionalLong.of(Math.min(millis, best.orElse(Long.MAX_VALUE)));
             }
         }
-        if (best.isPresent() || state.replicas(artifact) >= share.get().limit()) {
+        if (best.isPresent()) {
             return best;
         }
-        return startableMillis(share.get());
+        if (state.replicas(artifact) < share.get().limit()) {
+            return startableMillis(share.get());
+        }
+        OptionalLong afterUnload = unloading(artifact) ? startableMillis(share.get()) : OptionalLong.empty();
+        return afterUnload.isPresent() ? OptionalLong.of(afterUnload.getAsLong() + UNLOAD_MILLIS) : afterUnload;
+    }
+
+    private boolean unloading(ArtifactId artifact) {
+        return state.slots().stream()
+                .anyMatch(slot -> slot.artifact().equals(artifact) && slot.phase() == Phase.UNLOADING);
     }
 
     private long remainingMillis(Slot slot) {
@@ -324,7 +351,7 @@
     private OptionalLong startableMillis(ReplicaShare share) {
         OptionalLong best = OptionalLong.empty();
         for (TargetSpec target : targets()) {
-            boolean usable = watch(target.name()).answering() && !withdrawn(target.name());
+            boolean usable = !watch(target.name()).suspect() && !withdrawn(target.name());
             if (!usable || !ReplicaShare.permits(share.model(), target) || target.memoryBytes() < share.sizeBytes()) {
                 continue;
             }
