Forget claims that an earlier holder recorded

Ruled out: ageing by the log's time stamps, which would need a shared clock. Change: what the fold holds when the records begin counts as made then.

--- a/src/main/java/org/poplarwharf/internal/claim/ClaimRecords.java
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimRecords.java
@@ -15,7 +15,8 @@
  * What the claim service remembers of one cell's stream: the age of claims, the bytes of kept answers, and which of its
  * own attempts were withdrawn.
  *
- * <p>Belongs to the control thread.
+ * <p>Invariant: a claim that the fold held before this began to listen counts as made at that moment, so it is forgotten
+ * later than its key's validity, never earlier. Belongs to the control thread.
  */
 final class ClaimRecords implements RecordStream.Listener<CellRecord> {
     private static final long KEY_VALIDITY_MILLIS = 3_600_000;
@@ -31,6 +32,7 @@
     ClaimRecords(MonotonicClock clock, RecordStream<CellRecord> stream) {
         this.clock = clock;
         this.stream = stream;
+        ages.add(new Age(stream.appliedOffset(), "", clock.nowMillis()));
         stream.onApplied(this);
     }
 
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/claim/ClaimRecordsTest.java
@@ -0,0 +1,23 @@
+package org.poplarwharf.internal.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.state.CellRecord;
+
+class ClaimRecordsTest {
+    private long nowMillis;
+
+    @Test
+    void claims_that_an_earlier_holder_recorded_are_forgotten_after_their_validity() {
+        FakeStream stream = new FakeStream();
+        stream.commit(new CellRecord.CallClaimed("k", "old-1", new CellRecord.Author("old", 1), "f"), 1_000);
+        ClaimRecords records = new ClaimRecords(() -> nowMillis, stream);
+
+        assertThat(records.outlived()).isEmpty();
+        nowMillis += TimeUnit.HOURS.toMillis(1);
+
+        assertThat(records.outlived()).hasValue(stream.appliedOffset());
+    }
+}
