Leave targets alone when looking for peers, and name the node in every log line

Lines of streams, of peers and of libraries went past NodeLog and lacked node and zone. Ruled out: dialling no listed address before a configuration is known; a node must find its peers while the log is down. Passing NodeLog to every stream; the threads of a node are the node's own, so the thread names it once. Change: an address has an origin. One known by the list alone goes when the list, less the targets of the configuration in force, no longer names it; one that gives no hello is left alone for a minute while other links work, and is no malformed frame. The event loop threads carry node and zone for whatever logs there.

--- a/src/main/java/org/poplarwharf/internal/config/ConfigRole.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigRole.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.poplarwharf.internal.kernel.LogEvent;
 import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeLog;
 import org.poplarwharf.internal.kernel.Role;
 import org.poplarwharf.internal.log.Checkpointer;
 import org.poplarwharf.internal.log.FoldingStream;
@@ -16,7 +18,6 @@
 import org.poplarwharf.internal.log.StreamSettings;
 import org.poplarwharf.internal.peer.PeerMessage.ConfigKnown;
 import org.poplarwharf.internal.peer.Peers;
-import org.tinylog.Logger;
 
 /**
  * Follows the configuration stream and offers the configuration in force.
@@ -140,7 +141,8 @@
             return;
         }
         current = fold.config();
-        Logger.info("config-in-force");
+        context.find(NodeLog.class)
+                .ifPresent(log -> log.event(LogEvent.CONFIG_IN_FORCE, Long.toString(current.version())));
         List.copyOf(listeners).forEach(listener -> listener.accept(current));
         peers.ifPresent(ConfigPeers::announce);
     }
--- a/src/main/java/org/poplarwharf/internal/kernel/LogEvent.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/LogEvent.java
@@ -26,7 +26,8 @@
     UNLOAD_ORDERED(Level.INFO),
     LOAD_CONFIRMED(Level.INFO),
     TARGET_DIED(Level.WARN),
-    CONFIG_IN_FORCE(Level.INFO);
+    CONFIG_IN_FORCE(Level.INFO),
+    PEER_MALFORMED_FRAME(Level.WARN);
 
     /** How much an event matters. */
     enum Level {
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeLog.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeLog.java
@@ -1,6 +1,5 @@
 package org.poplarwharf.internal.kernel;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.poplarwharf.FailureCode;
@@ -18,6 +17,8 @@
     public static final List<String> LEVELS = List.of("trace", "debug", "info", "warn", "error", "off");
 
     private static final String LEVEL = "level";
+    private static final String NODE = "node";
+    private static final String ZONE = "zone";
 
     private final String nodeId;
     private final String zone;
@@ -52,15 +53,21 @@
         write(event, Map.of("code", code.text(), "subject", subject), cause);
     }
 
+    /** Makes the calling thread a thread of this node: every line that it logs, by libraries too, names the node. */
+    void bindThread() {
+        ThreadContext.put(NODE, nodeId);
+        ThreadContext.put(ZONE, zone);
+    }
+
     private void write(LogEvent event, Map<String, String> fields, Throwable cause) {
-        Map<String, String> all = new LinkedHashMap<>(fields);
-        all.put("node", nodeId);
-        all.put("zone", zone);
-        all.forEach(ThreadContext::put);
+        Map<String, String> before = Map.copyOf(ThreadContext.getMapping());
+        fields.forEach(ThreadContext::put);
+        bindThread();
         try {
             log(event, cause);
         } finally {
-            all.keySet().forEach(ThreadContext::remove);
+            ThreadContext.clear();
+            before.forEach(ThreadContext::put);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeThreads.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeThreads.java
@@ -114,7 +114,11 @@
     }
 
     private void start(Eventloop loop, String name) {
-        Thread thread = new Thread(loop, name);
+        Runnable named = () -> {
+            log.bindThread();
+            loop.run();
+        };
+        Thread thread = new Thread(named, name);
         thread.setUncaughtExceptionHandler((dead, error) -> onUnexpected(name, error));
         threads.add(thread);
         thread.start();
--- a/src/main/java/org/poplarwharf/internal/peer/PeerDialler.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerDialler.java
@@ -5,22 +5,35 @@
 /**
  * When to connect to one address: at once after a link was lost, with growing and jittered waits after failures.
  *
- * <p>Belongs to the control thread.
+ * <p>Invariant: an address of the VM list whose process does not speak the protocol of nodes is left alone while other
+ * links work. Belongs to the control thread.
  */
 final class PeerDialler {
     private static final int MAX_DOUBLINGS = 16;
+    private static final long FOREIGN_PAUSE_MILLIS = 60_000;
+
+    /** How an address was learned. */
+    enum Origin {
+        /** From the settings; never forgotten. */
+        SEED,
+        /** From a hello or a lease: a node listened there. */
+        NODE,
+        /** From the VM list, which names targets too. */
+        LIST
+    }
 
     private final String address;
-    private final boolean seed;
     private final PeerOptions options;
     private final SplittableRandom random;
+    private Origin origin;
     private boolean connecting;
     private int failures;
     private long nextMillis = Long.MIN_VALUE;
+    private long foreignUntilMillis = Long.MIN_VALUE;
 
-    PeerDialler(String address, boolean seed, PeerOptions options, SplittableRandom random) {
+    PeerDialler(String address, Origin origin, PeerOptions options, SplittableRandom random) {
         this.address = address;
-        this.seed = seed;
+        this.origin = origin;
         this.options = options;
         this.random = random;
     }
@@ -29,13 +42,27 @@
         return address;
     }
 
-    boolean due(long nowMillis) {
-        return !connecting && nowMillis >= nextMillis;
+    Origin origin() {
+        return origin;
+    }
+
+    /** Takes note that an address of the list belongs to a node. */
+    void isNode() {
+        if (origin == Origin.LIST) {
+            origin = Origin.NODE;
+            foreignUntilMillis = Long.MIN_VALUE;
+        }
+    }
+
+    /** Tells whether to connect now, with or without other links that work. */
+    boolean due(long nowMillis, boolean anyLink) {
+        boolean leftAlone = anyLink && nowMillis < foreignUntilMillis;
+        return !connecting && !leftAlone && nowMillis >= nextMillis;
     }
 
     /** Tells whether the address has failed so often that it should be dropped. */
     boolean exhausted() {
-        return !seed && failures >= options.attemptsBeforeForgotten();
+        return origin == Origin.NODE && failures >= options.attemptsBeforeForgotten();
     }
 
     void begun() {
@@ -54,6 +81,14 @@
         nextMillis = Long.MIN_VALUE;
     }
 
+    /** A connection came up, and what answered did not say hello. */
+    void foreign(long nowMillis) {
+        failed(nowMillis);
+        if (origin == Origin.LIST) {
+            foreignUntilMillis = nowMillis + FOREIGN_PAUSE_MILLIS;
+        }
+    }
+
     void failed(long nowMillis) {
         connecting = false;
         long doubledMillis = options.backoffMinMillis() << Math.min(failures, MAX_DOUBLINGS);
--- a/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
@@ -2,7 +2,12 @@
 
 import io.activej.promise.Promise;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.kernel.LogEvent;
 import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeLog;
 import org.poplarwharf.internal.kernel.NodeSettings;
 import org.poplarwharf.internal.kernel.Role;
 import org.poplarwharf.plugins.VmList;
@@ -11,8 +16,9 @@
  * Keeps links to the other nodes, offers {@link Peers} and {@link PeerAddresses}, and adds the nodes that the
  * platform's list of VMs names.
  *
- * <p>Targets on the list aren't known by their names here; they don't answer with a hello and are forgotten. Belongs to
- * the control thread.
+ * <p>Invariant: once a configuration is in force, no target that it names is dialled. Before that the list alone can't
+ * tell nodes from targets, and a node must find its peers also while the log is down; a target does not answer with a
+ * hello and is left alone. Belongs to the control thread.
  */
 public final class PeerRole implements Role {
     private static final long LIST_MILLIS = 2_000;
@@ -45,6 +51,7 @@
     @Override
     public Promise<Void> start() {
         peers.addSeeds(context.settings().peers());
+        peers.onMalformed(this::logMalformed);
         return peers.start().whenResult(this::followList);
     }
 
@@ -71,16 +78,24 @@
         }
         list.list().whenComplete((vms, e) -> {
             if (e == null) {
-                vms.stream().filter(this::isOtherNode).forEach(vm -> peers.add(vm.address()));
+                peers.listed(vms.stream()
+                        .filter(this::mayBeOtherNode)
+                        .map(VmList.Vm::address)
+                        .collect(Collectors.toSet()));
             }
             context.control().delayBackground(LIST_MILLIS, () -> readList(list));
         });
     }
 
-    private boolean isOtherNode(VmList.Vm vm) {
-        boolean isTarget = context.find(org.poplarwharf.internal.config.ConfigView.class)
+    private boolean mayBeOtherNode(VmList.Vm vm) {
+        boolean isTarget = context.find(ConfigView.class)
                 .map(view -> view.current().target(vm.name()).isPresent())
-                .orElse(true);
+                .orElse(false);
         return !isTarget && !vm.name().equals(context.settings().nodeId());
     }
+
+    private void logMalformed(PoplarWharfException failure) {
+        context.find(NodeLog.class)
+                .ifPresent(log -> log.failure(LogEvent.PEER_MALFORMED_FRAME, failure.code(), name(), failure));
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -19,9 +19,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.kernel.MonotonicClock;
-import org.tinylog.Logger;
+import org.poplarwharf.internal.peer.PeerDialler.Origin;
 
 /**
  * Links to other nodes over TCP.
@@ -44,6 +45,7 @@
     private final Set<PeerLink> open = new HashSet<>();
     private final Set<String> own = new HashSet<>();
     private final List<Listener> listeners = new ArrayList<>();
+    private final List<Consumer<PoplarWharfException>> malformedListeners = new ArrayList<>();
     private final SplittableRandom random;
     private SimpleServer server;
     private PeerMessage.Hello ownHello;
@@ -99,12 +101,23 @@
 
     @Override
     public void add(String peerAddress) {
-        learn(peerAddress, false);
+        learn(peerAddress, Origin.NODE);
     }
 
     /** Adds addresses from the settings, which are never forgotten. */
     public void addSeeds(Collection<String> peerAddresses) {
-        peerAddresses.forEach(a -> learn(a, true));
+        peerAddresses.forEach(a -> learn(a, Origin.SEED));
+    }
+
+    /** Takes the addresses that may be nodes by the VM list; those it named before and now does not are forgotten. */
+    public void listed(Set<String> peerAddresses) {
+        diallers.values().removeIf(d -> d.origin() == Origin.LIST && !peerAddresses.contains(d.address()));
+        peerAddresses.forEach(a -> learn(a, Origin.LIST));
+    }
+
+    /** Registers who hears of messages that can't be read. */
+    public void onMalformed(Consumer<PoplarWharfException> listener) {
+        malformedListeners.add(listener);
     }
 
     @Override
@@ -128,11 +141,16 @@
         listeners.add(listener);
     }
 
-    private void learn(String peerAddress, boolean seed) {
-        if (own.contains(peerAddress) || diallers.containsKey(peerAddress) || !PeerAddress.valid(peerAddress)) {
+    private void learn(String peerAddress, Origin origin) {
+        if (own.contains(peerAddress) || !PeerAddress.valid(peerAddress)) {
             return;
         }
-        diallers.put(peerAddress, new PeerDialler(peerAddress, seed, options, random.split()));
+        PeerDialler known = diallers.get(peerAddress);
+        if (known == null) {
+            diallers.put(peerAddress, new PeerDialler(peerAddress, origin, options, random.split()));
+        } else if (origin == Origin.NODE) {
+            known.isNode();
+        }
     }
 
     private void tick() {
@@ -167,7 +185,7 @@
             return;
         }
         boolean linked = links.containsKey(announcedByDialled.getOrDefault(address, address));
-        if (linked || !dialler.due(clock.nowMillis())) {
+        if (linked || !dialler.due(clock.nowMillis(), !links.isEmpty())) {
             return;
         }
         if (dialler.exhausted()) {
@@ -218,7 +236,7 @@
             present.close();
         }
         links.put(address, link);
-        learn(address, false);
+        learn(address, Origin.NODE);
         dialler(link, address).ifPresent(PeerDialler::succeeded);
         listeners.forEach(l -> l.linkUp(address, hello));
     }
@@ -254,8 +272,18 @@
 
     @Override
     public void malformed(PeerLink link, PoplarWharfException failure) {
+        if (mayBeTarget(link)) {
+            return;
+        }
         malformedFrames.inc();
-        Logger.warn("peer-malformed-frame: {}", failure.getMessage());
+        malformedListeners.forEach(listener -> listener.accept(failure));
+    }
+
+    /** Tells whether the other end of a link is known by the VM list alone, which names targets too. */
+    private boolean mayBeTarget(PeerLink link) {
+        Optional<PeerDialler> dialler = link.dialledAddress().map(diallers::get);
+        return link.hello().isEmpty()
+                && dialler.filter(d -> d.origin() == Origin.LIST).isPresent();
     }
 
     @Override
@@ -270,7 +298,9 @@
             dialler.ifPresent(d -> control.post(() -> dialWhenDue(d)));
             return;
         }
-        if (link.dialled()) {
+        if (link.dialled() && link.hello().isEmpty()) {
+            dialler.ifPresent(d -> d.foreign(clock.nowMillis()));
+        } else if (link.dialled()) {
             dialler.ifPresent(d -> d.failed(clock.nowMillis()));
         }
     }
--- a/src/test/java/org/poplarwharf/internal/peer/TcpPeersTest.java
+++ b/src/test/java/org/poplarwharf/internal/peer/TcpPeersTest.java
@@ -11,8 +11,10 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -121,6 +123,57 @@
         }
     }
 
+    @Test
+    void a_target_on_the_vm_list_is_dialled_once_while_a_node_is_linked_and_is_no_fault() throws Exception {
+        try (HttpTarget target = new HttpTarget();
+                HttpTarget seed = new HttpTarget()) {
+            TcpPeers a = node("a");
+            TcpPeers b = node("b");
+            on(() -> {
+                a.addSeeds(List.of(b.announcedAddress()));
+                return null;
+            });
+            await(() -> a.connected().size() == 1);
+
+            listed(a, target.address());
+            await(() -> target.connections.get() > 0);
+            on(() -> {
+                a.addSeeds(List.of(seed.address()));
+                return null;
+            });
+            await(() -> seed.connections.get() >= 5);
+
+            assertThat(target.connections).hasValue(1);
+            await(() -> metrics.counter("peer.malformed-frames").getCount() >= 1);
+            assertThat(metrics.counter("peer.malformed-frames").getCount()).isLessThanOrEqualTo(seed.connections.get());
+        }
+    }
+
+    @Test
+    void a_listed_address_is_tried_again_while_no_node_is_linked_and_forgotten_when_it_leaves_the_list()
+            throws Exception {
+        try (HttpTarget target = new HttpTarget();
+                HttpTarget witness = new HttpTarget()) {
+            TcpPeers a = node("a");
+            listed(a, target.address());
+            await(() -> target.connections.get() >= 3);
+
+            listed(a, witness.address());
+            await(() -> witness.connections.get() >= 2);
+            int connections = target.connections.get();
+            await(() -> witness.connections.get() >= 6);
+
+            assertThat(target.connections).hasValue(connections);
+        }
+    }
+
+    private void listed(TcpPeers peers, String... addresses) throws Exception {
+        on(() -> {
+            peers.listed(Set.of(addresses));
+            return null;
+        });
+    }
+
     @Test
     void a_frame_beyond_the_bound_closes_the_link_and_is_counted() throws Exception {
         TcpPeers a = node("a");
@@ -246,6 +299,38 @@
         }
     }
 
+    /** Answers each connection as an HTTP server answers what is no request. */
+    private static final class HttpTarget implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final AtomicInteger connections = new AtomicInteger();
+
+        HttpTarget() throws IOException {
+            Thread.ofVirtual().start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    try (Socket socket = server.accept()) {
+                        connections.incrementAndGet();
+                        socket.getOutputStream().write("HTTP/1.1 400 Bad Request\r\n\r\n".getBytes());
+                    }
+                }
+            } catch (IOException e) {
+                assertThat(server.isClosed()).isTrue();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
     /** Relays connections; those that are open when it is silenced stay open and carry nothing more. */
     private static final class SilencingRelay implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
