Read a request's head before its body

Cause: the entry read the path and the headers of a request after its body. The HTTP server uses the buffer of the head again by then, so under load a request was judged by another caller's headers: lookups were refused for a missing Idempotency-Key, calls for an odd one. The engine and the service stand-in had the same fault.

Ruled out: the proxy and the callers of the test; the text of the refusals names headers that the request did not have.

Change: RequestHead copies the head first. The deadline now counts from the arrival of the head too.

--- a/src/main/java/org/poplarwharf/internal/entry/Answers.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Answers.java
@@ -27,14 +27,14 @@
     static HttpResponse problem(PoplarWharfException failure, String requestId) {
         HttpResponse.Builder builder = HttpResponse.ofCode(failure.code().httpStatus())
                 .withHeader(HttpHeaders.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE)
-                .withHeader(RequestParser.REQUEST_ID, requestId);
+                .withHeader(RequestHead.REQUEST_ID, requestId);
         ProblemDocument.retryAfterSeconds(failure)
                 .ifPresent(seconds -> builder.withHeader(HttpHeaders.RETRY_AFTER, Long.toString(seconds)));
         return builder.withBody(json(failure)).build();
     }
 
     static HttpResponse whole(int status, String contentType, byte[] body, String requestId) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestParser.REQUEST_ID, requestId);
+        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
         if (!contentType.isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
@@ -42,7 +42,7 @@
     }
 
     static HttpResponse called(int status, String contentType, byte[] body, String requestId, boolean replayed) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestParser.REQUEST_ID, requestId);
+        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
         if (!contentType.isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
--- a/src/main/java/org/poplarwharf/internal/entry/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Attempt.java
@@ -118,7 +118,7 @@
         }
         HttpRequest.Builder builder = HttpRequest.builder(
                         HttpMethod.valueOf(request.method()), "http://" + address + request.path())
-                .withHeader(RequestParser.REQUEST_ID, sentId);
+                .withHeader(RequestHead.REQUEST_ID, sentId);
         if (!request.contentType().isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, request.contentType());
         }
--- a/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
@@ -29,9 +29,10 @@
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
         String made = thread.ids().next();
-        String requestId = RequestParser.requestId(request, made);
+        RequestHead head = RequestHead.of(request);
+        String requestId = RequestParser.requestId(head, made);
         drain.entered();
-        return accept(request, made).then((response, e) -> {
+        return accept(request, head, made).then((response, e) -> {
             drain.left();
             if (e == null) {
                 return Promise.of(response);
@@ -42,17 +43,18 @@
         });
     }
 
-    private Promise<HttpResponse> accept(HttpRequest request, String made) {
+    private Promise<HttpResponse> accept(HttpRequest request, RequestHead head, String made) {
+        long arrivedMillis = thread.nowMillis();
         try {
             if (!config.ready()) {
                 throw CallerReporter.notReady();
             }
-            RequestParser.checkHead(request, thread.maxBodyBytes());
+            RequestParser.checkHead(head, thread.maxBodyBytes());
         } catch (PoplarWharfException e) {
             return Promise.ofException(e);
         }
         return body(request)
-                .map(body -> RequestParser.parse(request, body, config.current(), made, thread.nowMillis()))
+                .map(body -> RequestParser.parse(head, body, config.current(), made, arrivedMillis))
                 .then(this::run);
     }
 
--- a/src/main/java/org/poplarwharf/internal/entry/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Exchange.java
@@ -174,7 +174,7 @@
     }
 
     private void answered(Attempt now, boolean before, HttpResponse response) {
-        if (RequestIds.anothers(response.getHeader(RequestParser.REQUEST_ID), now.sentId())) {
+        if (RequestIds.anothers(response.getHeader(RequestHead.REQUEST_ID), now.sentId())) {
             now.end(Outcome.TARGET_ERROR);
             retry(now, CallerReporter.targetFailed(now.target(), null));
             return;
@@ -243,7 +243,7 @@
             stream = Optional.of(body);
             answer.trySet(HttpResponse.ok200()
                     .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-                    .withHeader(RequestParser.REQUEST_ID, request.requestId())
+                    .withHeader(RequestHead.REQUEST_ID, request.requestId())
                     .withBodyStream(body)
                     .build());
         });
--- a/src/main/java/org/poplarwharf/internal/entry/RequestParser.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RequestParser.java
@@ -2,9 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaders;
-import io.activej.http.HttpRequest;
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Optional;
@@ -24,12 +21,7 @@
 final class RequestParser {
     static final String COMPLETIONS = "/v1/chat/completions";
     static final String SERVICES = "/services/";
-    static final HttpHeader REQUEST_ID = HttpHeaders.of("X-Request-Id");
 
-    private static final HttpHeader DEADLINE = HttpHeaders.of("X-Deadline-Millis");
-    private static final HttpHeader CLASS = HttpHeaders.of("X-Request-Class");
-    private static final HttpHeader TENANT = HttpHeaders.of("X-Tenant");
-    private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
     private static final String JSON = "application/json";
     private static final String ANONYMOUS = "anonymous";
     private static final ClassSpec STANDARD = new ClassSpec("standard", 30_000, 0, 1_000);
@@ -40,54 +32,55 @@
     private RequestParser() {}
 
     /** Returns the request id that a caller gave, or the one that was made for it. */
-    static String requestId(HttpRequest request, String made) {
-        String given = request.getHeader(REQUEST_ID);
-        return given != null && NAME.matcher(given).matches() ? given : made;
+    static String requestId(RequestHead request, String made) {
+        return request.requestId()
+                .filter(given -> NAME.matcher(given).matches())
+                .orElse(made);
     }
 
     /** Checks what can be known before the body is read. */
-    static void checkHead(HttpRequest request, long maxBodyBytes) {
-        String path = request.getPath();
+    static void checkHead(RequestHead request, long maxBodyBytes) {
+        String path = request.path();
         boolean completion = path.equals(COMPLETIONS);
         if (!completion && !path.startsWith(SERVICES)) {
             throw CallerReporter.unknownPath(path);
         }
-        if (completion && !request.getMethod().name().equals("POST")) {
-            throw CallerReporter.methodNotAllowed(request.getMethod().name(), "POST");
+        if (completion && !request.method().equals("POST")) {
+            throw CallerReporter.methodNotAllowed(request.method(), "POST");
         }
-        String contentType = header(request, HttpHeaders.CONTENT_TYPE).orElse("");
+        String contentType = request.contentType().orElse("");
         if (completion && !contentType.toLowerCase(Locale.ROOT).startsWith(JSON)) {
             throw CallerReporter.unsupportedMediaType(contentType);
         }
-        Optional<Long> lengthBytes = number(request, HttpHeaders.CONTENT_LENGTH, "Content-Length");
+        Optional<Long> lengthBytes = number(request.contentLength(), "Content-Length");
         if (lengthBytes.isPresent() && lengthBytes.get() > maxBodyBytes) {
             throw CallerReporter.bodyTooLarge(maxBodyBytes);
         }
     }
 
     /** Returns the whole request; {@code made} is its id when the caller gave none. */
-    static CallerRequest parse(HttpRequest request, byte[] body, FleetConfig config, String made, long nowMillis) {
-        boolean completion = request.getPath().equals(COMPLETIONS);
+    static CallerRequest parse(RequestHead request, byte[] body, FleetConfig config, String made, long arrivedMillis) {
+        boolean completion = request.path().equals(COMPLETIONS);
         JsonNode json = completion ? json(body) : MAPPER.missingNode();
-        ArtifactId artifact = completion ? model(json) : service(request.getPath());
+        ArtifactId artifact = completion ? model(json) : service(request.path());
         if (!config.serves(artifact)) {
             throw CallerReporter.unknown(artifact);
         }
-        String tenant = name(request, TENANT, "X-Tenant").orElse(ANONYMOUS);
+        String tenant = name(request.tenant(), "X-Tenant").orElse(ANONYMOUS);
         ClassSpec requestClass = requestClass(request, config, tenant);
-        String method = request.getMethod().name();
+        String method = request.method();
         String path = completion ? COMPLETIONS : servicePath(request, artifact);
-        Optional<String> key = name(request, KEY, "Idempotency-Key");
+        Optional<String> key = name(request.idempotencyKey(), "Idempotency-Key");
         CallerRequest parsed = new CallerRequest(
                 requestId(request, made),
                 artifact,
                 tenant,
                 requestClass,
-                nowMillis,
-                nowMillis + deadline(request, requestClass),
+                arrivedMillis,
+                arrivedMillis + deadline(request, requestClass),
                 method,
                 path,
-                header(request, HttpHeaders.CONTENT_TYPE).orElse(""),
+                request.contentType().orElse(""),
                 body,
                 completion && json.path("stream").asBoolean(),
                 Fingerprints.ofRequest(tenant, artifact, method, path, body),
@@ -142,14 +135,14 @@
         return ArtifactId.service(slash < 0 ? rest : rest.substring(0, slash));
     }
 
-    private static String servicePath(HttpRequest request, ArtifactId artifact) {
-        String behind = request.getPathAndQuery()
+    private static String servicePath(RequestHead request, ArtifactId artifact) {
+        String behind = request.pathAndQuery()
                 .substring(SERVICES.length() + artifact.name().length());
         return behind.startsWith("/") ? behind : "/" + behind;
     }
 
-    private static ClassSpec requestClass(HttpRequest request, FleetConfig config, String tenant) {
-        Optional<String> named = name(request, CLASS, "X-Request-Class");
+    private static ClassSpec requestClass(RequestHead request, FleetConfig config, String tenant) {
+        Optional<String> named = name(request.requestClass(), "X-Request-Class");
         if (named.isPresent()) {
             return config.requestClass(named.get())
                     .orElseThrow(() -> CallerReporter.invalidRequest(
@@ -162,8 +155,8 @@
                 .orElse(STANDARD);
     }
 
-    private static long deadline(HttpRequest request, ClassSpec requestClass) {
-        long millis = number(request, DEADLINE, "X-Deadline-Millis").orElse(requestClass.deadlineMillis());
+    private static long deadline(RequestHead request, ClassSpec requestClass) {
+        long millis = number(request.deadlineMillis(), "X-Deadline-Millis").orElse(requestClass.deadlineMillis());
         if (millis <= 0 || millis > MAX_DEADLINE_MILLIS) {
             throw CallerReporter.invalidRequest(
                     "X-Deadline-Millis is out of range.",
@@ -179,12 +172,7 @@
                         .anyMatch(call -> call.method().equalsIgnoreCase(method) && path.startsWith(call.pathPrefix()));
     }
 
-    private static Optional<String> header(HttpRequest request, HttpHeader header) {
-        return Optional.ofNullable(request.getHeader(header));
-    }
-
-    private static Optional<String> name(HttpRequest request, HttpHeader header, String label) {
-        Optional<String> value = header(request, header);
+    private static Optional<String> name(Optional<String> value, String label) {
         if (value.isPresent() && !NAME.matcher(value.get()).matches()) {
             throw CallerReporter.invalidRequest(
                     label + " is empty, too long or has odd characters.",
@@ -193,9 +181,9 @@
         return value;
     }
 
-    private static Optional<Long> number(HttpRequest request, HttpHeader header, String label) {
+    private static Optional<Long> number(Optional<String> value, String label) {
         try {
-            return header(request, header).map(String::trim).map(Long::parseLong);
+            return value.map(String::trim).map(Long::parseLong);
         } catch (NumberFormatException e) {
             throw CallerReporter.invalidRequest(label + " is not a number.", "Send a whole number.");
         }
--- a/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
@@ -146,9 +146,14 @@
     }
 
     private Promise<HttpResponse> complete(HttpRequest request) {
+        JobHead head = new JobHead(
+                request.getHeader(ARTIFACT),
+                request.getHeader(REQUEST_ID),
+                intHeader(request, RESUME_AFTER),
+                intHeader(request, PRIORITY));
         return StandinHost.body(request).then(body -> {
             try {
-                return start(job(request, body));
+                return start(job(head, body));
             } catch (PoplarWharfException e) {
                 return Promise.of(StandinJson.response(400, StandinHost.Problem.of(e)));
             }
@@ -187,18 +192,16 @@
                 .build();
     }
 
-    private EngineJob job(HttpRequest request, byte[] body) {
+    private EngineJob job(JobHead head, byte[] body) {
         JsonNode json = StandinJson.tree(body);
-        String named = request.getHeader(ARTIFACT);
-        String requestId = request.getHeader(REQUEST_ID);
         return new EngineJob(
-                requestId == null ? "request-" + nextRequest++ : requestId,
-                ArtifactId.parse(named == null ? json.path("model").asText() : named),
+                head.requestId == null ? "request-" + nextRequest++ : head.requestId,
+                ArtifactId.parse(head.artifact == null ? json.path("model").asText() : head.artifact),
                 body,
                 json.path("stream").asBoolean(),
                 json.path("max_tokens").asInt(settings.defaultTokens()),
-                intHeader(request, RESUME_AFTER),
-                intHeader(request, PRIORITY));
+                head.resumeAfterTokens,
+                head.priority);
     }
 
     private static int intHeader(HttpRequest request, HttpHeader header) {
@@ -215,4 +218,7 @@
     }
 
     private record Refusal(String code, String reason, long highestFencingNumber) {}
+
+    /** What a request's headers say, read before its body; nulls for absent headers. */
+    private record JobHead(String artifact, String requestId, int resumeAfterTokens, int priority) {}
 }
--- a/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
@@ -71,13 +71,11 @@
     }
 
     private Promise<HttpResponse> serve(HttpRequest request) {
+        String method = request.getMethod().name();
+        String path = request.getPath();
+        Optional<String> key = Optional.ofNullable(request.getHeader(IDEMPOTENCY_KEY));
         return StandinHost.body(request).then(body -> {
-            ServiceCall call = new ServiceCall(
-                    ++calls,
-                    request.getMethod().name(),
-                    request.getPath(),
-                    Hashes.sha256(body),
-                    Optional.ofNullable(request.getHeader(IDEMPOTENCY_KEY)));
+            ServiceCall call = new ServiceCall(++calls, method, path, Hashes.sha256(body), key);
             journal.add(call);
             return answer(call);
         });
