Move the load forecast out of the cell's runtime; take test ports that no client takes

WholePathProcessTest failed once: a port that the harness had found free was taken by an outgoing connection before the node listened on it. Ruled out: a fault in the node, whose log names the taken port. Change: LoadForecast; the harness takes ports below the range that the system gives to outgoing connections.

--- a/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
@@ -76,13 +76,13 @@
         if (!cell.logAnswers() || artifact.kind() == Kind.SERVICE) {
             return OptionalLong.empty();
         }
-        OptionalLong own = cell.loadingMillis(artifact);
+        OptionalLong own = cell.forecast().loadingMillis(artifact);
         if (own.isEmpty()
                 || artifact.kind() != Kind.ADAPTER
                 || !serving(artifact.base()).isEmpty()) {
             return own;
         }
-        OptionalLong base = cell.loadingMillis(artifact.base());
+        OptionalLong base = cell.forecast().loadingMillis(artifact.base());
         return base.isEmpty() ? base : OptionalLong.of(base.getAsLong() + own.getAsLong());
     }
 
--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -40,8 +39,6 @@
 final class CellRuntime {
     private static final long COOL_MILLIS = 5_000;
     private static final long RECOVERY_PAUSE_MILLIS = 1_000;
-    /** How long an unload that is under way is taken to last. */
-    private static final long UNLOAD_MILLIS = 1_000;
 
     private final String name;
     private final Parts parts;
@@ -53,6 +50,7 @@
     private final EngineWatcher engines;
     private final LoadTimeEstimate loadTimes = new LoadTimeEstimate();
     private final UseTable uses;
+    private final LoadForecast forecast;
     private final CellReplicas replicas;
     private final Map<SlotKey, Long> coolUntilMillis = new HashMap<>();
     private final Map<SlotKey, Long> recoverAtMillis = new HashMap<>();
@@ -88,6 +86,7 @@
                 new DeathRecorder(
                         lease, loader, stream, () -> parts.admissions().apply(name), settings.leaseMillis()));
         this.uses = new UseTable(idlePolicy, loadTimes);
+        this.forecast = new LoadForecast(this, loadTimes, uses, parts.store());
         this.replicas = new CellReplicas(this, uses);
         parts.vms().onList(loader.authors()::listed);
         stream.onApplied(this::applied);
@@ -245,7 +244,7 @@
                 .count();
     }
 
-    private boolean near(SlotKey key) {
+    boolean near(SlotKey key) {
         return watch(key.target())
                 .report()
                 .map(report -> report.nearCopies().contains(key.artifact()))
@@ -330,55 +329,8 @@
         return config().target(target);
     }
 
-    /** Predicts when an artifact that is not served yet can be. */
-    OptionalLong loadingMillis(ArtifactId artifact) {
-        Optional<ReplicaShare> share = ReplicaShare.of(config(), artifact, name);
-        if (share.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        OptionalLong best = OptionalLong.empty();
-        for (Slot slot : state.slots()) {
-            if (slot.artifact().equals(artifact) && slot.phase() == Phase.INTENDED) {
-                long millis = remainingMillis(slot);
-                best = OptionalLong.of(Math.min(millis, best.orElse(Long.MAX_VALUE)));
-            }
-        }
-        if (best.isPresent()) {
-            return best;
-        }
-        if (state.replicas(artifact) < share.get().limit()) {
-            return startableMillis(share.get());
-        }
-        OptionalLong afterUnload = unloading(artifact) ? startableMillis(share.get()) : OptionalLong.empty();
-        return afterUnload.isPresent() ? OptionalLong.of(afterUnload.getAsLong() + UNLOAD_MILLIS) : afterUnload;
-    }
-
-    private boolean unloading(ArtifactId artifact) {
-        return state.slots().stream()
-                .anyMatch(slot -> slot.artifact().equals(artifact) && slot.phase() == Phase.UNLOADING);
-    }
-
-    private long remainingMillis(Slot slot) {
-        double fraction = watch(slot.target())
-                .held(slot.artifact())
-                .map(EngineDialect.Held::loadedFraction)
-                .orElse(0.0);
-        return (long) (loadTimes.millis(slot.sizeBytes(), near(SlotKey.of(slot))) * (1 - fraction));
-    }
-
-    private OptionalLong startableMillis(ReplicaShare share) {
-        OptionalLong best = OptionalLong.empty();
-        for (TargetSpec target : targets()) {
-            boolean usable = !watch(target.name()).suspect() && !withdrawn(target.name());
-            if (!usable || !ReplicaShare.permits(share.model(), target) || target.memoryBytes() < share.sizeBytes()) {
-                continue;
-            }
-            boolean near = near(new SlotKey(target.name(), share.artifact()));
-            long waitMillis = near ? 0 : parts.store().waitMillis(uses.demand().size(), nowMillis());
-            long millis = waitMillis + loadTimes.millis(share.sizeBytes(), near);
-            best = OptionalLong.of(Math.min(millis, best.orElse(Long.MAX_VALUE)));
-        }
-        return best;
+    LoadForecast forecast() {
+        return forecast;
     }
 
     private void applied(CellRecord record, Applied applied) {
--- a/src/test/java/org/poplarwharf/process/FreePorts.java
+++ b/src/test/java/org/poplarwharf/process/FreePorts.java
@@ -6,30 +6,43 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Loopback addresses that were free when asked for.
  */
 final class FreePorts {
+    private static final int LOWEST_PORT = 12_000;
+    /** From here on the system takes ports for outgoing connections. */
+    private static final int LOWEST_EPHEMERAL_PORT = 32_000;
+
     private FreePorts() {}
 
     /** Returns distinct addresses. */
     static List<String> addresses(int count) {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            while (sockets.size() < count) {
+                bindOne().ifPresent(sockets::add);
             }
             return sockets.stream()
                     .map(socket -> "127.0.0.1:" + socket.getLocalPort())
                     .toList();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         } finally {
             sockets.forEach(FreePorts::close);
         }
     }
 
+    private static Optional<ServerSocket> bindOne() {
+        int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, LOWEST_EPHEMERAL_PORT);
+        try {
+            return Optional.of(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
     private static void close(ServerSocket socket) {
         try {
             socket.close();
