Keep replicas within the configured count while shares move between cells

Cause: each cell took its share of a model's replicas from the configuration alone. When a change moved share, the one cell loaded before the other had unloaded; a holder that lagged behind could load by an older version. Ruled out: a hand-over message between holders, which a cut would lose; a wait by the clock. Change: ConfigAdopted on the cell's stream; loads only under the adopted version; growth only when every other cell has adopted it and is within its share. Each change of configuration costs one more append a cell.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRole.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRole.java
@@ -81,7 +81,8 @@
                 new VmWatcher(vms),
                 store,
                 this::config,
-                cell -> Optional.ofNullable(admissions.get(cell)));
+                cell -> Optional.ofNullable(admissions.get(cell)),
+                this::otherCells);
         context.offer(CellView.class, this);
         service(ConfigView.class).onChange(this::follow);
         tick();
@@ -100,6 +101,14 @@
         return Promise.complete();
     }
 
+    private Map<String, CellStateView> otherCells(String cell) {
+        Map<String, CellStateView> others = new TreeMap<>();
+        cells.values().stream()
+                .filter(other -> !other.name().equals(cell))
+                .forEach(other -> others.put(other.name(), other.state()));
+        return others;
+    }
+
     private void tick() {
         if (stopped) {
             return;
--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -51,6 +51,7 @@
     private final LoadTimeEstimate loadTimes = new LoadTimeEstimate();
     private final UseTable uses;
     private final LoadForecast forecast;
+    private final ShareGrowth growth;
     private final CellReplicas replicas;
     private final Map<SlotKey, Long> coolUntilMillis = new HashMap<>();
     private final Map<SlotKey, Long> recoverAtMillis = new HashMap<>();
@@ -66,7 +67,8 @@
             VmWatcher vms,
             StoreBudget store,
             Supplier<FleetConfig> config,
-            Function<String, Optional<Admission>> admissions) {}
+            Function<String, Optional<Admission>> admissions,
+            Function<String, Map<String, CellStateView>> otherCells) {}
 
     CellRuntime(String name, Parts parts, CellStreams.Opened opened, IdlePolicy idlePolicy) {
         this.name = name;
@@ -86,6 +88,7 @@
                 new DeathRecorder(
                         lease, loader, stream, () -> parts.admissions().apply(name), settings.leaseMillis()));
         this.uses = new UseTable(idlePolicy, loadTimes);
+        this.growth = new ShareGrowth(name, lease, stream, state, parts.config(), parts.otherCells());
         this.forecast = new LoadForecast(this, loadTimes, uses, parts.store());
         this.replicas = new CellReplicas(this, uses);
         parts.vms().onList(loader.authors()::listed);
@@ -191,6 +194,9 @@
         }
         retireGoneVms();
         recover();
+        if (!growth.adopted()) {
+            return;
+        }
         for (PlanAction action : Planner.plan(planInput())) {
             carryOut(action);
         }
@@ -219,7 +225,11 @@
                     spec(unload.slot().target()).ifPresent(target -> loader.unload(unload.slot(), target));
                 }
             }
-            case PlanAction.Load load -> startLoad(load);
+            case PlanAction.Load load -> {
+                if (growth.allowed(load.share().artifact())) {
+                    startLoad(load);
+                }
+            }
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/state/CellRecord.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellRecord.java
@@ -24,6 +24,7 @@
     @JsonSubTypes.Type(value = CellRecord.LoadConfirmed.class, name = "loaded"),
     @JsonSubTypes.Type(value = CellRecord.SlotRetired.class, name = "retired"),
     @JsonSubTypes.Type(value = CellRecord.TargetGone.class, name = "target-gone"),
+    @JsonSubTypes.Type(value = CellRecord.ConfigAdopted.class, name = "adopted"),
     @JsonSubTypes.Type(value = CellRecord.TargetExcluded.class, name = "excluded"),
     @JsonSubTypes.Type(value = CellRecord.TargetDied.class, name = "died"),
     @JsonSubTypes.Type(value = CellRecord.CondemnationLifted.class, name = "lifted"),
@@ -117,6 +118,12 @@
     /** The VM of a target is gone for good; every slot on that VM is retired. */
     record TargetGone(long epoch, String target, String vmId) implements CellRecord {}
 
+    /**
+     * From here on the cell's replicas follow this version of the configuration. Accepted only when it is higher than the
+     * one adopted before, so that a holder with older knowledge can't take the cell back.
+     */
+    record ConfigAdopted(long epoch, long configVersion) implements CellRecord {}
+
     /** An operator takes a target out of service, or puts it back. */
     record TargetExcluded(String target, boolean excluded) implements CellRecord {}
 
--- a/src/main/java/org/poplarwharf/internal/state/CellSnapshot.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellSnapshot.java
@@ -12,10 +12,12 @@
  * <p>Invariant: every list is in the order of its keys, so that equal states have equal bytes. Immutable and
  * thread-safe.
  *
+ * @param adoptedVersion the configuration that the cell follows
  * @param writers what the stream remembers of writers
  */
 record CellSnapshot(
         Optional<Lease> lease,
+        long adoptedVersion,
         List<Slot> slots,
         List<String> excludedTargets,
         List<SuspectList.Entry> suspects,
--- a/src/main/java/org/poplarwharf/internal/state/CellState.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellState.java
@@ -21,12 +21,14 @@
  */
 public final class CellState implements CellStateView, Fold<CellRecord> {
     private static final MessagePackCodec<CellSnapshot> CODEC = new MessagePackCodec<>(CellSnapshot.class);
+    private static final long NO_VERSION = -1;
     private static final byte[] NO_WRITERS = {};
 
     private final LeaseState lease = new LeaseState();
     private final SlotTable slots = new SlotTable();
     private final SuspectList suspects = new SuspectList();
     private final CallTable calls = new CallTable();
+    private long adoptedVersion = NO_VERSION;
     private final TreeSet<String> excludedTargets = new TreeSet<>();
 
     @Override
@@ -47,6 +49,7 @@
             case CellRecord.LoadConfirmed r -> inEpoch(r.epoch(), () -> slots.confirmLoad(r.target(), r.artifact()));
             case CellRecord.SlotRetired r -> inEpoch(r.epoch(), () -> slots.retire(r.target(), r.artifact()));
             case CellRecord.TargetGone r -> inEpoch(r.epoch(), () -> slots.retireVm(r.vmId()));
+            case CellRecord.ConfigAdopted r -> inEpoch(r.epoch(), () -> adopt(r.configVersion()));
             case CellRecord.TargetExcluded r -> exclude(r);
             case CellRecord.TargetDied r -> inEpoch(r.epoch(), () -> suspects.died(offset, r));
             case CellRecord.CondemnationLifted r -> suspects.lift(r.fingerprint());
@@ -65,6 +68,14 @@
         return decision.get();
     }
 
+    private Verdict adopt(long configVersion) {
+        if (configVersion <= adoptedVersion) {
+            return Verdict.refused("configuration " + adoptedVersion + " is adopted already");
+        }
+        adoptedVersion = configVersion;
+        return Verdict.ACCEPTED;
+    }
+
     private Verdict exclude(CellRecord.TargetExcluded record) {
         if (record.excluded()) {
             excludedTargets.add(record.target());
@@ -81,7 +92,13 @@
 
     private byte[] encode(byte[] writers) {
         return CODEC.encode(new CellSnapshot(
-                lease.current(), slots.all(), List.copyOf(excludedTargets), suspects.entries(), calls.all(), writers));
+                lease.current(),
+                adoptedVersion,
+                slots.all(),
+                List.copyOf(excludedTargets),
+                suspects.entries(),
+                calls.all(),
+                writers));
     }
 
     @Override
@@ -103,6 +120,7 @@
         }
         CellSnapshot snapshot = CODEC.decode(found.state(), "a checkpoint of a cell");
         lease.restore(snapshot.lease());
+        adoptedVersion = snapshot.adoptedVersion();
         slots.restore(snapshot.slots());
         suspects.restore(snapshot.suspects());
         calls.restore(snapshot.calls());
@@ -121,6 +139,11 @@
         return lease.epoch();
     }
 
+    @Override
+    public long adoptedVersion() {
+        return adoptedVersion;
+    }
+
     @Override
     public Collection<Slot> slots() {
         return slots.all();
--- a/src/main/java/org/poplarwharf/internal/state/CellStateView.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellStateView.java
@@ -20,6 +20,11 @@
     /** Returns the current epoch; -1 before any claim. */
     long epoch();
 
+    /** Returns the version of the configuration that the cell follows; -1 before any. */
+    default long adoptedVersion() {
+        return -1;
+    }
+
     /** Returns every slot that takes a replica and memory, whether its artifact is loaded or not. */
     Collection<Slot> slots();
 
--- a/src/test/java/org/poplarwharf/internal/cell/CellNode.java
+++ b/src/test/java/org/poplarwharf/internal/cell/CellNode.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.poplarwharf.internal.idle.FixedIdlePolicy;
 import org.poplarwharf.internal.kernel.NodeSettings;
@@ -34,7 +35,8 @@
                 vms,
                 new StoreBudget(1_000, 100, world.nowMillis),
                 () -> world.config,
-                cellName -> Optional.empty());
+                cellName -> Optional.empty(),
+                cellName -> Map.of());
         CellStreams.Opened opened = new CellStreams.Opened(stream, stream.state, new CellStreams.Control() {});
         this.cell = new CellRuntime(CellWorld.CELL, parts, opened, new FixedIdlePolicy(CellWorld.KEEP_ALIVE_MILLIS));
     }
--- a/src/test/java/org/poplarwharf/internal/state/CellStateTest.java
+++ b/src/test/java/org/poplarwharf/internal/state/CellStateTest.java
@@ -47,6 +47,19 @@
         assertThat(apply(claim(CHALLENGER, epoch, -7))).isTrue();
     }
 
+    @Test
+    void an_older_configuration_is_never_adopted_again_not_even_by_a_later_holder() {
+        assertThat(apply(new CellRecord.ConfigAdopted(epoch, 7))).isTrue();
+        apply(new CellRecord.LeaseReleased(epoch));
+        apply(claim(CHALLENGER, epoch, -1));
+
+        assertThat(apply(new CellRecord.ConfigAdopted(state.epoch(), 6))).isFalse();
+        assertThat(state.adoptedVersion()).isEqualTo(7);
+        CellState restored = new CellState();
+        restored.restore(state.checkpoint(offset, new byte[0]));
+        assertThat(restored.adoptedVersion()).isEqualTo(7);
+    }
+
     @Test
     void a_load_is_refused_where_memory_or_replicas_would_go_over() {
         assertThat(apply(load(MODEL, "gpu", 60))).isTrue();
