--- a/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
@@ -53,9 +53,13 @@
         } catch (PoplarWharfException e) {
             return Promise.ofException(e);
         }
-        return body(request)
-                .map(body -> RequestParser.parse(head, body, config.current(), made, arrivedMillis))
-                .then(this::run);
+        return body(request).then(body -> {
+            try {
+                return run(RequestParser.parse(head, body, config.current(), made, arrivedMillis));
+            } catch (PoplarWharfException e) {
+                return Promise.ofException(e);
+            }
+        });
     }
 
     private Promise<byte[]> body(HttpRequest request) {
--- a/src/test/java/org/poplarwharf/process/CallerRequest.java
+++ b/src/test/java/org/poplarwharf/process/CallerRequest.java
@@ -74,6 +74,11 @@
         return completion() ? TokenSource.text(body, 0, tokens) : bodyHash();
     }
 
+    @Override
+    public String toString() {
+        return "#" + number + " " + kind;
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/src/test/java/org/poplarwharf/process/Callers.java
+++ b/src/test/java/org/poplarwharf/process/Callers.java
@@ -45,19 +45,19 @@
                 .build());
     }
 
-    /** Sends a request to the address of a node. */
+    /** Sends a request to the address of a node; the answer is not kept. */
     CompletableFuture<CallerAnswer> send(String address, CallerRequest request) {
-        return thread.reactor()
-                .submit(callback ->
-                        start(address, request).whenResult(this::keep).subscribe(callback));
+        return thread.reactor().submit(callback -> start(address, request).subscribe(callback));
     }
 
     /** Sends a request and waits for its answer. */
     CallerAnswer call(String address, CallerRequest request) {
-        return await(send(address, request));
+        CallerAnswer answer = await(send(address, request));
+        keep(answer);
+        return answer;
     }
 
-    /** Returns every answer so far. */
+    /** Returns every answer that was kept. */
     synchronized List<CallerAnswer> answers() {
         return List.copyOf(answers);
     }
@@ -70,6 +70,17 @@
         }
     }
 
+    /** Sends requests to nodes in turn, all at once, and waits for their answers. */
+    List<CallerAnswer> callAll(List<String> addresses, List<CallerRequest> requests) {
+        List<CompletableFuture<CallerAnswer>> open = new ArrayList<>();
+        for (int i = 0; i < requests.size(); i++) {
+            open.add(send(addresses.get(i % addresses.size()), requests.get(i)));
+        }
+        List<CallerAnswer> all = awaitAll(open);
+        all.forEach(this::keep);
+        return all;
+    }
+
     static List<CallerAnswer> awaitAll(List<CompletableFuture<CallerAnswer>> answers) {
         return answers.stream().map(Callers::await).toList();
     }
@@ -79,7 +90,8 @@
         thread.close();
     }
 
-    private synchronized void keep(CallerAnswer answer) {
+    /** Counts an answer among those that are checked. */
+    synchronized void keep(CallerAnswer answer) {
         answers.add(answer);
     }
 
--- a/src/test/java/org/poplarwharf/process/Fleet.java
+++ b/src/test/java/org/poplarwharf/process/Fleet.java
@@ -1,16 +1,21 @@
 package org.poplarwharf.process;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.poplarwharf.support.Eventually.eventually;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.poplarwharf.internal.standin.EngineEvent;
 import org.poplarwharf.internal.standin.Journal;
-import org.poplarwharf.support.TestHttp;
 
 /**
  * A cluster with its configuration in force, and callers of it: one cell, a model {@code m} that may run on every engine,
@@ -35,8 +40,12 @@
               - {name: review, deadline: 60s, priority: 0}
             """;
 
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     private final Cluster cluster;
     private final Callers callers = new Callers();
+    private final AtomicInteger numbers = new AtomicInteger();
+    private final AtomicInteger turns = new AtomicInteger();
 
     private Fleet(Cluster cluster) {
         this.cluster = cluster;
@@ -69,6 +78,16 @@
         return callers;
     }
 
+    int nextNumber() {
+        return numbers.getAndIncrement();
+    }
+
+    /** Returns the address of one node after the other. */
+    String nextAddress() {
+        List<String> nodes = cluster.nodeNames();
+        return address(nodes.get(Math.floorMod(turns.getAndIncrement(), nodes.size())));
+    }
+
     /** Returns the address where a node serves callers. */
     String address(String node) {
         return cluster.process(node).listening().listen();
@@ -106,37 +125,25 @@
                 .isEmpty();
     }
 
-    /** Returns the node that holds the cell, by the word of any node that is ready. */
+    /** Returns the node that holds the cell by its own word, empty when there is none. */
     String holder() {
-        for (String node : cluster.nodeNames()) {
-            if (metric(node, "poplarwharf_lease_state{cell=\"main\"}") == 2) {
-                return node;
-            }
-        }
-        return "";
+        return cluster.nodeNames().stream()
+                .filter(node -> status(node).at("/cells/0/here").asBoolean())
+                .findFirst()
+                .orElse("");
     }
 
-    /** Returns a series of a node's metrics, or minus one where there is none. */
-    double metric(String node, String series) {
+    /** Returns the status of a node as the administration API tells it; missing when it does not answer. */
+    JsonNode status(String node) {
         try {
-            for (String line : metrics(node).split("\n")) {
-                if (line.startsWith(series + " ")) {
-                    return Double.parseDouble(line.substring(series.length() + 1));
-                }
-            }
-        } catch (RuntimeException e) {
-            return -1;
+            String url = "http://" + cluster.process(node).listening().admin() + "/status";
+            HttpRequest request = HttpRequest.get(url)
+                    .withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + Cluster.ADMIN_TOKEN)
+                    .build();
+            return MAPPER.readTree(cluster.http().call(request).body());
+        } catch (IOException | RuntimeException e) {
+            return MAPPER.missingNode();
         }
-        return -1;
-    }
-
-    private String metrics(String node) {
-        TestHttp.Answer answer = cluster.http()
-                .call(io.activej.http.HttpRequest.get(
-                                "http://" + cluster.process(node).listening().admin() + "/metrics")
-                        .withHeader(io.activej.http.HttpHeaders.AUTHORIZATION, "Bearer " + Cluster.ADMIN_TOKEN)
-                        .build());
-        return answer.body();
     }
 
     @Override
@@ -163,7 +170,7 @@
     }
 
     private void awaitReplicas(int replicas) {
-        org.poplarwharf.support.Eventually.eventually(
+        eventually(
                 replicas + " replicas are loaded",
                 () -> engineJournals().stream()
                                 .filter(entry -> entry.event() instanceof EngineEvent.StateChanged change
