--- a/src/main/java/org/poplarwharf/internal/admin/AdminAnswers.java
+++ b/src/main/java/org/poplarwharf/internal/admin/AdminAnswers.java
@@ -22,6 +22,7 @@
 
     private static final String JSON_TYPE = "application/json";
     private static final String TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+    private static final String SEE_PATHS = "See the list of paths in docs/OPERATORS.md.";
     private static final int OK = 200;
 
     private AdminAnswers() {}
@@ -53,10 +54,10 @@
             return failure;
         }
         if (exception instanceof HttpError error && error.getCode() == FailureCode.UNKNOWN_PATH.httpStatus()) {
-            return Reporter.unknownPath(request.getPath());
+            return unknownPath(request.getPath());
         }
         if (exception instanceof HttpError error && error.getCode() == FailureCode.METHOD_NOT_ALLOWED.httpStatus()) {
-            return Reporter.methodNotAllowed(request.getMethod().name(), request.getPath());
+            return methodNotAllowed(request);
         }
         return Reporter.internal("The administration API", exception);
     }
@@ -75,4 +76,14 @@
             throw Reporter.internal("The administration API", e);
         }
     }
+
+    /** Returns the refusal of a path where this API has nothing. */
+    static PoplarWharfException unknownPath(String path) {
+        return Reporter.unknownPath(path, SEE_PATHS);
+    }
+
+    /** Returns the refusal of a method that a path does not take. */
+    static PoplarWharfException methodNotAllowed(HttpRequest request) {
+        return Reporter.methodNotAllowed(request.getMethod().name(), request.getPath(), SEE_PATHS);
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/admin/AdminChanges.java
+++ b/src/main/java/org/poplarwharf/internal/admin/AdminChanges.java
@@ -50,7 +50,7 @@
         FleetConfig config = config();
         Optional<CellSpec> cell = config.target(target).flatMap(config::cellOf);
         if (cell.isEmpty()) {
-            throw Reporter.unknownPath("/targets/" + target);
+            throw AdminAnswers.unknownPath("/targets/" + target);
         }
         return commit(cell.get().name(), new CellRecord.TargetExcluded(target, excluded))
                 .then(done -> AdminAnswers.json(new AdminAnswers.Done(excluded ? "excluded" : "included")));
@@ -68,7 +68,7 @@
                 .filter(cell -> suspects(cell, fingerprint))
                 .toList();
         if (cells.isEmpty()) {
-            throw Reporter.unknownPath("/suspects/" + fingerprint);
+            throw AdminAnswers.unknownPath("/suspects/" + fingerprint);
         }
         return Promises.all(cells.stream().map(cell -> commit(cell, new CellRecord.CondemnationLifted(fingerprint))))
                 .then(done -> AdminAnswers.json(new AdminAnswers.Done("lifted")));
@@ -76,14 +76,14 @@
 
     private Promise<HttpResponse> settle(Settlement settlement) {
         CellStateView state = cells().flatMap(view -> view.state(settlement.cell()))
-                .orElseThrow(() -> Reporter.unknownPath("/cells/" + settlement.cell()));
+                .orElseThrow(() -> AdminAnswers.unknownPath("/cells/" + settlement.cell()));
         CellRecord word = new CellRecord.OrderSettled(state.epoch(), settlement.intentOffset(), Evidence.OPERATOR_WORD);
         return commit(settlement.cell(), word).then(done -> AdminAnswers.json(new AdminAnswers.Done("settled")));
     }
 
     private Promise<Void> commit(String cell, CellRecord record) {
-        RecordStream<CellRecord> stream =
-                cells().flatMap(view -> view.stream(cell)).orElseThrow(() -> Reporter.unknownPath("/cells/" + cell));
+        RecordStream<CellRecord> stream = cells().flatMap(view -> view.stream(cell))
+                .orElseThrow(() -> AdminAnswers.unknownPath("/cells/" + cell));
         String what = record.getClass().getSimpleName();
         log.event(LogEvent.ADMIN_CHANGE, what);
         return stream.commit(record, COMMIT_MILLIS).then(applied -> accepted(what, applied));
--- a/src/main/java/org/poplarwharf/internal/admin/AdminServlet.java
+++ b/src/main/java/org/poplarwharf/internal/admin/AdminServlet.java
@@ -15,6 +15,7 @@
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.config.ConfigView;
+import org.poplarwharf.internal.failure.CallerReporter;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.LogEvent;
 import org.poplarwharf.internal.kernel.NodeContext;
@@ -116,11 +117,11 @@
 
     private Promise<HttpResponse> ready() {
         if (lifeCycle.phase() == Phase.DRAINING || lifeCycle.phase() == Phase.STOPPED) {
-            throw Reporter.shuttingDown();
+            throw CallerReporter.shuttingDown();
         }
         Optional<ConfigView> config = context.find(ConfigView.class).filter(ConfigView::ready);
         if (lifeCycle.phase() != Phase.RUNNING || config.isEmpty()) {
-            throw Reporter.notReady();
+            throw CallerReporter.notReady();
         }
         return AdminAnswers.json(new Ready(true, config.get().current().version()));
     }
@@ -132,7 +133,7 @@
     }
 
     private static Promise<HttpResponse> refuseMethod(HttpRequest request) {
-        throw Reporter.methodNotAllowed(request.getMethod().name(), request.getPath());
+        throw AdminAnswers.methodNotAllowed(request);
     }
 
     private static String name(HttpRequest request) {
--- a/src/main/java/org/poplarwharf/internal/cli/OptionSet.java
+++ b/src/main/java/org/poplarwharf/internal/cli/OptionSet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.MissingArgumentException;
@@ -88,7 +89,7 @@
             if (operands.isEmpty() && !line.getArgList().isEmpty()) {
                 throw fault("unexpected argument '" + line.getArgList().get(0) + "'");
             }
-            return new OptionValues(values(line), line.getArgList());
+            return new OptionValues(values(line), line.getArgList(), variablesUsed(line));
         } catch (UnrecognizedOptionException e) {
             throw fault("unknown option '" + e.getOption() + "'");
         } catch (MissingArgumentException e) {
@@ -138,6 +139,13 @@
         return values;
     }
 
+    /** Returns the variable behind each flag whose value came from the environment. */
+    private Map<String, String> variablesUsed(CommandLine line) {
+        return specs.stream()
+                .filter(spec -> !line.hasOption(spec.flag()) && environment.containsKey(spec.variable()))
+                .collect(Collectors.toMap(OptionSpec::flag, OptionSpec::variable));
+    }
+
     private void printHelp(PrintStream out) {
         out.println("Usage: poplarwharf " + command + " [OPTIONS]" + (operands.isEmpty() ? "" : " " + operands));
         out.println();
--- a/src/main/java/org/poplarwharf/internal/cli/OptionValues.java
+++ b/src/main/java/org/poplarwharf/internal/cli/OptionValues.java
@@ -24,11 +24,18 @@
     private static final String HARMLESS_ADDRESS = "127.0.0.1:0";
 
     private final Map<String, String> values;
+    private final Map<String, String> variables;
     private final List<String> operands;
     private final List<String> faults = new ArrayList<>();
 
-    OptionValues(Map<String, String> values, List<String> operands) {
+    /**
+     * Creates the values of one run.
+     *
+     * @param variables the environment variable of each flag whose value came from there; faults name it
+     */
+    OptionValues(Map<String, String> values, List<String> operands, Map<String, String> variables) {
         this.values = Map.copyOf(values);
+        this.variables = Map.copyOf(variables);
         this.operands = List.copyOf(operands);
     }
 
@@ -156,6 +163,7 @@
     }
 
     private void fault(String flag, String fault) {
-        faults.add("--" + flag + ": " + fault + ".");
+        String name = variables.getOrDefault(flag, "--" + flag);
+        faults.add(name + ": " + fault + ".");
     }
 }
--- a/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
@@ -5,7 +5,7 @@
 import org.poplarwharf.plugins.ArtifactId;
 
 /**
- * Makes the failures that callers of this node see, as {@link Reporter} makes those of its parts.
+ * Words the failures that only a request to a node can meet; {@link Reporter} makes them, and words all others.
  *
  * <p>Stateless and thread-safe.
  */
@@ -20,21 +20,11 @@
     }
 
     public static PoplarWharfException unknownPath(String path) {
-        return Reporter.failure(
-                FailureCode.UNKNOWN_PATH,
-                "There is nothing at " + path + ".",
-                "The path was mistyped.",
-                "Use /v1/chat/completions or /services/NAME/.",
-                null);
+        return Reporter.unknownPath(path, "Use /v1/chat/completions or /services/NAME/.");
     }
 
     public static PoplarWharfException methodNotAllowed(String method, String allowed) {
-        return Reporter.failure(
-                FailureCode.METHOD_NOT_ALLOWED,
-                "Method " + method + " is not allowed here.",
-                "The path takes other methods.",
-                "Use " + allowed + ".",
-                null);
+        return Reporter.methodNotAllowed(method, "This path", "Use " + allowed + ".");
     }
 
     public static PoplarWharfException unsupportedMediaType(String contentType) {
--- a/src/main/java/org/poplarwharf/internal/failure/Reporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/Reporter.java
@@ -9,7 +9,9 @@
  * Makes every failure of the project, so that each message has the same three parts: what happened, why that is
  * likely, what to do next.
  *
- * <p>Stateless and thread-safe.
+ * <p>Invariant: no other class constructs a failure. The failures that only a caller's request can meet are worded in
+ * {@link CallerReporter}, which builds them through this class; in one file they would be too many to read. Stateless
+ * and thread-safe.
  */
 public final class Reporter {
     private static final long NO_RETRY = -1;
@@ -171,41 +173,23 @@
                 null);
     }
 
-    public static PoplarWharfException notReady() {
-        return retryable(
-                FailureCode.NOT_READY,
-                "This node is not ready for requests.",
-                "It has not yet read the configuration in force.",
-                "Ask another node, or again in a second.",
-                1_000,
-                null);
-    }
-
-    public static PoplarWharfException shuttingDown() {
-        return retryable(
-                FailureCode.SHUTTING_DOWN,
-                "This node takes no new requests.",
-                "It is being drained.",
-                "Ask another node.",
-                1_000,
-                null);
-    }
-
-    public static PoplarWharfException unknownPath(String path) {
+    /** Nothing is served at a path; {@code next} tells which paths there are. */
+    public static PoplarWharfException unknownPath(String path, String next) {
         return failure(
                 FailureCode.UNKNOWN_PATH,
                 "There is nothing at " + path + ".",
                 "The path is misspelt, or the thing that it names is not known on this node.",
-                "See the list of paths in docs/OPERATORS.md.",
+                next,
                 null);
     }
 
-    public static PoplarWharfException methodNotAllowed(String method, String path) {
+    /** A path takes another method; {@code next} tells which. */
+    public static PoplarWharfException methodNotAllowed(String method, String path, String next) {
         return failure(
                 FailureCode.METHOD_NOT_ALLOWED,
                 path + " does not take " + method + ".",
                 "The path takes another method.",
-                "See the list of paths in docs/OPERATORS.md.",
+                next,
                 null);
     }
 
--- a/src/test/java/org/poplarwharf/internal/kernel/NodeKernelTest.java
+++ b/src/test/java/org/poplarwharf/internal/kernel/NodeKernelTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.CallerReporter;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.NodeLifeCycle.Phase;
 
@@ -95,7 +96,7 @@
         Eventloop control = context.get().control();
         control.execute(() -> Promise.of(1)
                 .then(value -> {
-                    throw Reporter.notReady();
+                    throw CallerReporter.notReady();
                 })
                 .whenException(PoplarWharfException.class, e -> failed.countDown()));
         assertThat(failed.await(5, TimeUnit.SECONDS)).isTrue();
@@ -103,7 +104,7 @@
                 .isZero();
         CountDownLatch after = new CountDownLatch(1);
         control.execute(() -> {
-            throw Reporter.notReady();
+            throw CallerReporter.notReady();
         });
         control.execute(after::countDown);
         assertThat(after.await(5, TimeUnit.SECONDS)).isTrue();
