--- a/src/test/java/org/poplarwharf/process/WholePathProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/WholePathProcessTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.poplarwharf.support.Eventually.eventually;
 
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -16,6 +18,18 @@
 class WholePathProcessTest {
     private static final String BODY =
             "{\"model\":\"m\",\"max_tokens\":5,\"messages\":" + "[{\"role\":\"user\",\"content\":\"cask 7\"}]}";
+    private static final String[] RECORDED_FAMILIES = {
+        "poplarwharf_class_wait_millis_count{class=\"",
+        "poplarwharf_tenant_wait_millis_count{tenant=\"",
+        "poplarwharf_class_whole_request_millis_count{class=\"",
+        "poplarwharf_tenant_whole_request_millis_count{tenant=\"",
+        "poplarwharf_lease_state{cell=\"main\"} 2.0",
+        "poplarwharf_loads_total{outcome=\"ordered\"} 1.0",
+        "poplarwharf_loads_total{outcome=\"loaded\"} 1.0",
+        "poplarwharf_idle_accelerator_seconds{target=\"e",
+        "poplarwharf_control_bytes_sent_total",
+        "poplarwharf_control_bytes_received_total",
+    };
     private static final String CONFIGURATION = """
             cells:
               - {name: main, zones: [z1]}
@@ -68,6 +82,20 @@
                             && change.state() == EngineEvent.State.LOADED)
                     .count();
             assertThat(loads).isEqualTo(1);
+            assertThat(metrics(cluster)).contains(RECORDED_FAMILIES);
         }
     }
+
+    /** Returns the metrics pages of all nodes. */
+    private static String metrics(Cluster cluster) {
+        StringBuilder pages = new StringBuilder();
+        for (String node : cluster.nodeNames()) {
+            String url = "http://" + cluster.process(node).listening().admin() + "/metrics";
+            HttpRequest request = HttpRequest.get(url)
+                    .withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + Cluster.ADMIN_TOKEN)
+                    .build();
+            pages.append(cluster.http().call(request).body());
+        }
+        return pages.toString();
+    }
 }
