--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartFleet.java
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartFleet.java
@@ -30,8 +30,6 @@
     private static final int NODES = 3;
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long POLL_MILLIS = 100;
-    /** Time in which each holder hears the first report of its engines; it orders no load before that. */
-    private static final long REPORTS_HEARD_MILLIS = 1_000;
 
     private static final String LOCAL_ADDRESSES = "zz-local-addresses.yaml";
 
@@ -165,7 +163,6 @@
             pause(POLL_MILLIS);
             missing = missing();
         }
-        pause(REPORTS_HEARD_MILLIS);
     }
 
     /** Returns what is not yet as it should be. */
