--- a/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
@@ -29,6 +29,7 @@
     private final Optional<String> dialledAddress;
     private final PeerOptions options;
     private final MonotonicClock clock;
+    private final PeerTraffic traffic;
     private final Events events;
     private final BinaryChannelSupplier input;
     private final Deque<ByteBuf> queue = new ArrayDeque<>();
@@ -45,11 +46,13 @@
             Optional<String> dialledAddress,
             PeerOptions options,
             MonotonicClock clock,
+            PeerTraffic traffic,
             Events events) {
         this.socket = socket;
         this.dialledAddress = dialledAddress;
         this.options = options;
         this.clock = clock;
+        this.traffic = traffic;
         this.events = events;
         this.openedMillis = clock.nowMillis();
         this.heardMillis = openedMillis;
@@ -110,6 +113,7 @@
         }
         queuedBytes += bytes.length + Integer.BYTES;
         queue.add(frame(bytes));
+        traffic.sent(message, bytes.length + Integer.BYTES);
         writeNext();
         return !closed;
     }
@@ -192,6 +196,7 @@
             close();
             return false;
         }
+        traffic.received(message, bytes.length + Integer.BYTES);
         try {
             return takeMessage(message);
         } catch (RuntimeException e) {
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -40,6 +40,7 @@
     private final PeerIdentity identity;
     private final Counter malformedFrames;
     private final Map<String, PeerDialler> diallers = new HashMap<>();
+    private final PeerTraffic traffic;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Map<String, String> announcedByDialled = new HashMap<>();
     private final Set<PeerLink> open = new HashSet<>();
@@ -64,6 +65,7 @@
         this.options = options;
         this.identity = identity;
         this.malformedFrames = metrics.counter("peer.malformed-frames");
+        this.traffic = new PeerTraffic(metrics);
         this.random = new SplittableRandom(seed);
     }
 
@@ -209,13 +211,13 @@
             socket.close();
             return;
         }
-        PeerLink link = new PeerLink(socket, Optional.of(dialler.address()), options, clock, this);
+        PeerLink link = new PeerLink(socket, Optional.of(dialler.address()), options, clock, traffic, this);
         open.add(link);
         link.open(ownHello);
     }
 
     private void accepted(ITcpSocket socket) {
-        PeerLink link = new PeerLink(socket, Optional.empty(), options, clock, this);
+        PeerLink link = new PeerLink(socket, Optional.empty(), options, clock, traffic, this);
         open.add(link);
         link.open(ownHello);
     }
