Keep a bounded number of links between nodes, and tell a configuration on change

Cause: every node kept a link to every other and sent its configuration version on each of them twice a second. The cost of a node grew with the number of nodes.

Change: a node keeps links to 8 addresses that rendezvous hashing ranks first for it; addresses that fail rank last. Other links are opened for a message and closed after five minutes without one. The version is told on a new link and when it changes, since a link loses no message while it stays. The VM list, which names every VM, is read by the peer role each 30 s once a node is linked. Up to nine nodes are linked as before.

--- a/src/main/java/org/poplarwharf/internal/config/ConfigPeers.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPeers.java
@@ -40,9 +40,8 @@
         peers.listen(this);
     }
 
-    /** Tells every connected peer what this node knows, and asks one that has stayed ahead for its state. */
+    /** Asks a peer that has stayed ahead for its state. */
     void tick() {
-        announce();
         Set<String> stillAhead = new HashSet<>();
         known.forEach((address, theirs) -> {
             if (theirs.version() > own.get().version()) {
@@ -55,6 +54,10 @@
         ahead.addAll(stillAhead);
     }
 
+    /**
+     * Tells every connected peer what this node knows; due when that changes. A new link is told on its own, and a link
+     * loses no message while it stays, so that nothing is told twice.
+     */
     void announce() {
         peers.connected().forEach(address -> peers.send(address, own.get()));
     }
--- a/src/main/java/org/poplarwharf/internal/peer/PeerDialler.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerDialler.java
@@ -10,6 +10,7 @@
  */
 final class PeerDialler {
     private static final int MAX_DOUBLINGS = 16;
+    private static final int FAILING = 2;
     private static final long FOREIGN_PAUSE_MILLIS = 60_000;
 
     /** How an address was learned. */
@@ -23,6 +24,7 @@
     }
 
     private final String address;
+    private final long weight;
     private final PeerOptions options;
     private final SplittableRandom random;
     private Origin origin;
@@ -30,9 +32,11 @@
     private int failures;
     private long nextMillis = Long.MIN_VALUE;
     private long foreignUntilMillis = Long.MIN_VALUE;
+    private long failedMillis;
 
-    PeerDialler(String address, Origin origin, PeerOptions options, SplittableRandom random) {
+    PeerDialler(String address, long weight, Origin origin, PeerOptions options, SplittableRandom random) {
         this.address = address;
+        this.weight = weight;
         this.origin = origin;
         this.options = options;
         this.random = random;
@@ -46,6 +50,20 @@
         return origin;
     }
 
+    long weight() {
+        return weight;
+    }
+
+    /** Tells whether the last attempts in a row failed or met no node, so that other addresses should be tried first. */
+    boolean failing() {
+        return failures >= FAILING || foreignUntilMillis != Long.MIN_VALUE;
+    }
+
+    /** Tells whether the address failed and was not tried again for so long that it should be dropped. */
+    boolean outlived(long nowMillis) {
+        return origin == Origin.NODE && !connecting && failing() && nowMillis - failedMillis > options.idleMillis();
+    }
+
     /** Takes note that an address of the list belongs to a node. */
     void isNode() {
         if (origin == Origin.LIST) {
@@ -71,6 +89,7 @@
 
     void succeeded() {
         connecting = false;
+        foreignUntilMillis = Long.MIN_VALUE;
         failures = 0;
     }
 
@@ -94,6 +113,7 @@
         long doubledMillis = options.backoffMinMillis() << Math.min(failures, MAX_DOUBLINGS);
         long capMillis = Math.min(doubledMillis, options.backoffMaxMillis());
         nextMillis = nowMillis + capMillis / 2 + random.nextLong(capMillis / 2 + 1);
+        failedMillis = nowMillis;
         failures++;
     }
 }
--- a/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
@@ -39,6 +39,7 @@
     private boolean closed;
     private long heardMillis;
     private long pingedMillis;
+    private long usedMillis;
     private Optional<PeerMessage.Hello> hello = Optional.empty();
 
     PeerLink(
@@ -56,6 +57,7 @@
         this.events = events;
         this.openedMillis = clock.nowMillis();
         this.heardMillis = openedMillis;
+        this.usedMillis = openedMillis;
         this.input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket));
     }
 
@@ -99,10 +101,18 @@
         return clock.nowMillis() - heardMillis;
     }
 
+    /** Returns how long ago the last message passed, signs of life aside. */
+    long unusedMillis() {
+        return clock.nowMillis() - usedMillis;
+    }
+
     boolean send(PeerMessage message) {
         if (closed) {
             return false;
         }
+        if (!(message instanceof PeerMessage.Ping) && !(message instanceof PeerMessage.Pong)) {
+            usedMillis = clock.nowMillis();
+        }
         byte[] bytes = CODEC.encode(message);
         if (bytes.length > options.maxFrameBytes()) {
             return false;
@@ -222,7 +232,10 @@
             case PeerMessage.Pong $ -> {
                 /* reading it has already counted as a sign of life */
             }
-            default -> events.received(this, message);
+            default -> {
+                usedMillis = heardMillis;
+                events.received(this, message);
+            }
         }
         return !closed;
     }
--- a/src/main/java/org/poplarwharf/internal/peer/PeerMessage.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerMessage.java
@@ -73,7 +73,7 @@
     record CallAnswer(String requestId, int status, String contentType, byte[] body, boolean replayed)
             implements PeerMessage {}
 
-    /** Tells which configuration the sender has in force; sent when it changes and with each ping. */
+    /** Tells which configuration the sender has in force; sent on a new link and when it changes. */
     record ConfigKnown(long version, long appliedOffset) implements PeerMessage {}
 
     /** Asks for the sender's folded configuration. */
--- a/src/main/java/org/poplarwharf/internal/peer/PeerOptions.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerOptions.java
@@ -9,6 +9,8 @@
  * @param backoffMinMillis the first wait after a failed attempt
  * @param backoffMaxMillis the longest wait between attempts
  * @param attemptsBeforeForgotten failed attempts in a row after which an address that was learned is dropped
+ * @param meshLinks how many links a node opens and keeps whether they are used or not
+ * @param idleMillis how long a further link, opened for a message, is kept without another message
  * @param maxFrameBytes the largest frame that is read or sent
  * @param maxQueuedBytes the most bytes that wait to be written to one link
  */
@@ -19,14 +21,19 @@
         long backoffMinMillis,
         long backoffMaxMillis,
         int attemptsBeforeForgotten,
+        int meshLinks,
+        long idleMillis,
         int maxFrameBytes,
         int maxQueuedBytes) {
     private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
     private static final int MIN_FRAME_BYTES = 16 << 20;
+    private static final int MESH_LINKS = 8;
+    private static final long IDLE_MILLIS = 300_000;
 
     /** Returns the limits for nodes that accept bodies up to a size. */
     public static PeerOptions forBodies(int maxBodyBytes) {
         int maxFrameBytes = Math.max(MIN_FRAME_BYTES, maxBodyBytes + FRAME_OVERHEAD_BYTES);
-        return new PeerOptions(500, 1_500, 1_000, 50, 2_000, 20, maxFrameBytes, 2 * maxFrameBytes);
+        return new PeerOptions(
+                500, 1_500, 1_000, 50, 2_000, 20, MESH_LINKS, IDLE_MILLIS, maxFrameBytes, 2 * maxFrameBytes);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerRole.java
@@ -21,7 +21,9 @@
  * hello and is left alone. Belongs to the control thread.
  */
 public final class PeerRole implements Role {
-    private static final long LIST_MILLIS = 2_000;
+    private static final long FIRST_LIST_MILLIS = 2_000;
+    /** The list carries every VM of the fleet; later nodes make themselves known by dialling. */
+    private static final long LIST_MILLIS = 30_000;
 
     private final NodeContext context;
     private final TcpPeers peers;
@@ -87,7 +89,8 @@
                         .map(VmList.Vm::address)
                         .collect(Collectors.toSet()));
             }
-            context.control().delayBackground(LIST_MILLIS, () -> readList(list));
+            boolean knowsOthers = !peers.connected().isEmpty();
+            context.control().delayBackground(knowsOthers ? LIST_MILLIS : FIRST_LIST_MILLIS, () -> readList(list));
         });
     }
 
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.activej.eventloop.Eventloop;
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
@@ -25,7 +26,7 @@
 import org.poplarwharf.internal.peer.PeerDialler.Origin;
 
 /**
- * Links to other nodes over TCP.
+ * Links to other nodes over TCP: a bounded number that is kept always, and others while messages pass on them.
  *
  * <p>Invariants: at most one link for each announced address takes part; of two that were dialled at the same time,
  * the one that the lower address dialled stays. A link that loses, or that is silent too long, is told as down before
@@ -40,7 +41,9 @@
     private final PeerIdentity identity;
     private final Counter malformedFrames;
     private final Map<String, PeerDialler> diallers = new HashMap<>();
+    private final PeerMesh mesh;
     private final PeerTraffic traffic;
+    private final Set<PeerDialler> demanded = new HashSet<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final Map<String, String> announcedByDialled = new HashMap<>();
     private final Set<PeerLink> open = new HashSet<>();
@@ -66,6 +69,7 @@
         this.identity = identity;
         this.malformedFrames = metrics.counter("peer.malformed-frames");
         this.traffic = new PeerTraffic(metrics);
+        this.mesh = new PeerMesh(options.meshLinks());
         this.random = new SplittableRandom(seed);
     }
 
@@ -86,7 +90,7 @@
         own.add(bound);
         ownHello = new PeerMessage.Hello(identity.nodeId(), identity.incarnation(), identity.zone(), announced);
         own.add(announced);
-        diallers.remove(announced);
+        Optional.ofNullable(diallers.get(announced)).ifPresent(this::forget);
         tick();
         return Promise.complete();
     }
@@ -115,7 +119,9 @@
 
     /** Takes the addresses that may be nodes by the VM list; those it named before and now does not are forgotten. */
     public void listed(Set<String> peerAddresses) {
-        diallers.values().removeIf(d -> d.origin() == Origin.LIST && !peerAddresses.contains(d.address()));
+        List.copyOf(diallers.values()).stream()
+                .filter(d -> d.origin() == Origin.LIST && !peerAddresses.contains(d.address()))
+                .forEach(this::forget);
         peerAddresses.forEach(a -> learn(a, Origin.LIST));
     }
 
@@ -131,7 +137,7 @@
             return link.send(message);
         }
         add(peerAddress);
-        Optional.ofNullable(diallers.get(peerAddress)).ifPresent(this::dialWhenDue);
+        Optional.ofNullable(diallers.get(peerAddress)).ifPresent(this::demand);
         return false;
     }
 
@@ -151,12 +157,37 @@
         }
         PeerDialler known = diallers.get(peerAddress);
         if (known == null) {
-            diallers.put(peerAddress, new PeerDialler(peerAddress, origin, options, random.split()));
+            long weight = Hashing.komihash5_0().hashCharsToLong(identity.nodeId() + '\n' + peerAddress);
+            diallers.put(peerAddress, new PeerDialler(peerAddress, weight, origin, options, random.split()));
+            mesh.changed();
         } else if (origin == Origin.NODE) {
             known.isNode();
+            mesh.changed();
         }
     }
 
+    private void demand(PeerDialler dialler) {
+        demanded.add(dialler);
+        dialWhenDue(dialler);
+    }
+
+    private void forget(PeerDialler dialler) {
+        diallers.remove(dialler.address());
+        announcedByDialled.remove(dialler.address());
+        demanded.remove(dialler);
+        mesh.changed();
+    }
+
+    private boolean wanted(PeerDialler dialler) {
+        return demanded.contains(dialler) || mesh.chosen(diallers.values()).contains(dialler);
+    }
+
+    private Set<PeerDialler> wanted() {
+        Set<PeerDialler> wanted = new HashSet<>(mesh.chosen(diallers.values()));
+        wanted.addAll(demanded);
+        return wanted;
+    }
+
     private void tick() {
         if (stopped) {
             return;
@@ -165,46 +196,67 @@
         for (PeerLink link : List.copyOf(open)) {
             checkLink(link);
         }
-        for (PeerDialler dialler : List.copyOf(diallers.values())) {
-            dialWhenDue(dialler);
-        }
+        List.copyOf(diallers.values()).stream().filter(this::outlived).forEach(this::forget);
+        wanted().forEach(this::dialWhenDue);
         control.delayBackground(Math.min(options.pingMillis(), options.backoffMinMillis()), this::tick);
     }
 
+    private boolean outlived(PeerDialler dialler) {
+        return dialler.outlived(clock.nowMillis()) && !linked(dialler.address());
+    }
+
+    private boolean linked(String address) {
+        return links.containsKey(announcedByDialled.getOrDefault(address, address));
+    }
+
     private void checkLink(PeerLink link) {
         long limitMillis = link.hello().isPresent() ? options.silenceMillis() : options.connectMillis();
         if (link.silentMillis() > limitMillis) {
             link.close();
             return;
         }
+        if (unneeded(link)) {
+            demanded.remove(diallers.get(link.dialledAddress().orElseThrow()));
+            link.close();
+            return;
+        }
         if (link.hello().isPresent() && link.pingDue()) {
             link.send(new PeerMessage.Ping(pingSequence));
         }
     }
 
+    /** Tells whether this node opened the link for messages that have ceased; the other end may have reasons of its own. */
+    private boolean unneeded(PeerLink link) {
+        return link.unusedMillis() > options.idleMillis()
+                && link.dialledAddress()
+                        .map(diallers::get)
+                        .filter(dialler -> !mesh.chosen(diallers.values()).contains(dialler))
+                        .isPresent();
+    }
+
     private void dialWhenDue(PeerDialler dialler) {
         String address = dialler.address();
         if (stopped || own.contains(address)) {
-            diallers.remove(address);
+            forget(dialler);
             return;
         }
-        boolean linked = links.containsKey(announcedByDialled.getOrDefault(address, address));
-        if (linked || !dialler.due(clock.nowMillis(), !links.isEmpty())) {
+        if (linked(address) || !wanted(dialler) || !dialler.due(clock.nowMillis(), !links.isEmpty())) {
             return;
         }
         if (dialler.exhausted()) {
-            diallers.remove(address);
-            announcedByDialled.remove(address);
+            forget(dialler);
             return;
         }
         dialler.begun();
-        TcpSocket.connect(control, PeerAddress.parse(address), options.connectMillis(), null)
+        InetSocketAddress remote = PeerAddress.parse(address);
+        TcpSocket.connect(control, remote, options.connectMillis(), null)
                 .whenComplete((socket, e) -> connected(dialler, socket, e));
     }
 
     private void connected(PeerDialler dialler, TcpSocket socket, Exception e) {
         if (e != null) {
             dialler.failed(clock.nowMillis());
+            mesh.changed();
             return;
         }
         if (stopped) {
@@ -242,6 +294,7 @@
         links.put(address, link);
         learn(address, Origin.NODE);
         dialler(link, address).ifPresent(PeerDialler::succeeded);
+        mesh.changed();
         listeners.forEach(l -> l.linkUp(address, hello));
     }
 
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/peer/PeerMeshTest.java
@@ -0,0 +1,55 @@
+package org.poplarwharf.internal.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PeerMeshTest extends PeerNodes {
+    @Test
+    void many_nodes_keep_few_links_each_form_one_graph_and_reach_the_others_on_demand() throws Exception {
+        List<TcpPeers> nodes = new java.util.ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            nodes.add(node("n" + i));
+        }
+        List<String> addresses = nodes.stream().map(TcpPeers::announcedAddress).toList();
+        on(() -> {
+            nodes.forEach(node -> node.addSeeds(addresses));
+            return null;
+        });
+        int mostLinks = nodes.size() * MESH_LINKS;
+        await(() -> reached(nodes).size() == nodes.size() && linkEnds(nodes) > mostLinks);
+        assertThat(on(() -> linkEnds(nodes))).isLessThanOrEqualTo(2 * mostLinks);
+
+        TcpPeers asking = nodes.get(0);
+        String far = on(() -> addresses.stream()
+                .filter(address -> !address.equals(asking.announcedAddress()))
+                .filter(address -> !asking.connected().contains(address))
+                .findFirst()
+                .orElseThrow());
+        await(() -> asking.send(far, new PeerMessage.ConfigWanted()));
+
+        await(() -> !asking.connected().contains(far));
+        await(() -> reached(nodes).size() == nodes.size());
+    }
+
+    private static int linkEnds(List<TcpPeers> nodes) {
+        return nodes.stream().mapToInt(node -> node.connected().size()).sum();
+    }
+
+    /** Returns the nodes that a message passed on from link to link would reach from the first one. */
+    private static java.util.Set<String> reached(List<TcpPeers> nodes) {
+        java.util.Set<String> reached = new java.util.HashSet<>();
+        java.util.ArrayDeque<String> open =
+                new java.util.ArrayDeque<>(List.of(nodes.get(0).announcedAddress()));
+        while (!open.isEmpty()) {
+            String address = open.poll();
+            if (reached.add(address)) {
+                nodes.stream()
+                        .filter(node -> node.announcedAddress().equals(address))
+                        .forEach(node -> open.addAll(node.connected()));
+            }
+        }
+        return reached;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/peer/PeerNodes.java
@@ -0,0 +1,112 @@
+package org.poplarwharf.internal.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.junit.jupiter.api.AfterEach;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+/** Nodes of one test on one event loop, as far as their links go. */
+abstract class PeerNodes {
+    static final long DEADLINE_MILLIS = 10_000;
+    static final int MESH_LINKS = 4;
+    private static final PeerOptions OPTIONS =
+            new PeerOptions(50, 300, 300, 20, 100, 20, MESH_LINKS, 400, 10_000, 100_000);
+
+    private final Eventloop eventloop =
+            Eventloop.builder().withThreadName("control").build();
+    final MetricRegistry metrics = new MetricRegistry();
+    private final List<TcpPeers> started = new CopyOnWriteArrayList<>();
+    private Thread thread;
+
+    @AfterEach
+    @AfterTry
+    void stop() throws Exception {
+        if (thread == null) {
+            return;
+        }
+        for (TcpPeers peers : started) {
+            on(() -> peers.stop());
+        }
+        started.clear();
+        eventloop.submit(() -> eventloop.keepAlive(false)).get();
+        thread.join(DEADLINE_MILLIS);
+        thread = null;
+    }
+
+    Recorder listen(TcpPeers peers) throws Exception {
+        Recorder recorder = new Recorder();
+        on(() -> {
+            peers.listen(recorder);
+            return null;
+        });
+        return recorder;
+    }
+
+    TcpPeers node(String id) throws Exception {
+        return node(id, "127.0.0.1:0", 1);
+    }
+
+    TcpPeers node(String id, String address, long incarnation) throws Exception {
+        if (thread == null) {
+            eventloop.keepAlive(true);
+            thread = new Thread(eventloop);
+            thread.start();
+        }
+        PeerIdentity identity = new PeerIdentity(id, incarnation, "z1", address);
+        TcpPeers peers = on(() -> {
+            TcpPeers made = new TcpPeers(eventloop, MonotonicClock.system(), OPTIONS, identity, metrics, 1);
+            made.start();
+            return made;
+        });
+        started.add(peers);
+        return peers;
+    }
+
+    <T> T on(Callable<T> work) throws Exception {
+        java.util.concurrent.CompletableFuture<T> result = new java.util.concurrent.CompletableFuture<>();
+        eventloop.execute(() -> {
+            try {
+                result.complete(work.call());
+            } catch (Exception e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result.get(DEADLINE_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
+    void await(Callable<Boolean> condition) throws Exception {
+        long endNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
+        while (!on(condition)) {
+            assertThat(System.nanoTime()).as("deadline").isLessThan(endNanos);
+            java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    static final class Recorder implements Peers.Listener {
+        final List<Long> versions = new CopyOnWriteArrayList<>();
+        final List<String> events = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void received(String peerAddress, PeerMessage message) {
+            if (message instanceof PeerMessage.ConfigKnown known) {
+                versions.add(known.version());
+            }
+        }
+
+        @Override
+        public void linkUp(String peerAddress, PeerMessage.Hello hello) {
+            events.add("up " + peerAddress);
+        }
+
+        @Override
+        public void linkDown(String peerAddress) {
+            events.add("down " + peerAddress);
+        }
+    }
+}
