Send small messages between nodes at once

Cause: the dialling end of a link between nodes kept the system's default of holding back a small segment until the last one is acknowledged, which takes 40 ms. A 'done' followed by an 'admit' waited for it. The accepting end and HTTP were right already. The proxy stand-in had the same fault.

--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -8,6 +8,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.net.SocketSettings;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -249,7 +250,7 @@
         }
         dialler.begun();
         InetSocketAddress remote = PeerAddress.parse(address);
-        TcpSocket.connect(control, remote, options.connectMillis(), null)
+        TcpSocket.connect(control, remote, options.connectMillis(), SocketSettings.defaultInstance())
                 .whenComplete((socket, e) -> connected(dialler, socket, e));
     }
 
--- a/src/main/java/org/poplarwharf/internal/standin/ProxyLink.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyLink.java
@@ -2,6 +2,7 @@
 
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -99,7 +100,7 @@
 
     private void accept(TcpSocket client) {
         long number = ++accepted;
-        TcpSocket.connect(reactor, upstream)
+        TcpSocket.connect(reactor, upstream, 0, SocketSettings.defaultInstance())
                 .whenResult(socket -> open(number, client, socket))
                 .whenException(failure -> {
                     journal.add(new ProxyEvent(name, ProxyEvent.Kind.UPSTREAM_REFUSED, number));
--- a/src/test/java/org/poplarwharf/internal/peer/PeerMeshTest.java
+++ b/src/test/java/org/poplarwharf/internal/peer/PeerMeshTest.java
@@ -33,6 +33,36 @@
         await(() -> reached(nodes).size() == nodes.size());
     }
 
+    /** Two writes in a row and then a wait for an answer: where the system holds back small segments, each round takes 40 ms. */
+    @Test
+    void small_messages_in_a_row_are_not_held_back() throws Exception {
+        TcpPeers a = node("a");
+        TcpPeers b = node("b");
+        Recorder heard = listen(a);
+        on(() -> {
+            b.listen(new Peers.Listener() {
+                @Override
+                public void received(String peerAddress, PeerMessage message) {
+                    if (message instanceof PeerMessage.ConfigKnown known) {
+                        b.send(peerAddress, known);
+                    }
+                }
+            });
+            a.add(b.announcedAddress());
+            return null;
+        });
+        await(() -> a.connected().size() == 1);
+
+        long startNanos = System.nanoTime();
+        for (int i = 1; i <= 50; i++) {
+            long round = i;
+            on(() -> a.send(b.announcedAddress(), new PeerMessage.ConfigWanted())
+                    && a.send(b.announcedAddress(), new PeerMessage.ConfigKnown(round, 0)));
+            await(() -> heard.versions.contains(round));
+        }
+        assertThat((System.nanoTime() - startNanos) / 1_000_000).isLessThan(50 * 40 / 2);
+    }
+
     private static int linkEnds(List<TcpPeers> nodes) {
         return nodes.stream().mapToInt(node -> node.connected().size()).sum();
     }
