Read the VM list seldom where no cell is held

Cause: every node fetched the whole list of VMs each second, though only a holder acts on it at once. Change: a node that holds no cell fetches it each 5 s; one that begins to hold asks at once if its list is old.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRole.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRole.java
@@ -104,6 +104,7 @@
         if (stopped) {
             return;
         }
+        parts.vms().holding(cells.values().stream().anyMatch(CellRuntime::grants));
         parts.vms().tick(context.clock().nowMillis());
         for (CellRuntime cell : cells.values()) {
             cell.tick();
--- a/src/main/java/org/poplarwharf/internal/cell/VmWatcher.java
+++ b/src/main/java/org/poplarwharf/internal/cell/VmWatcher.java
@@ -19,13 +19,16 @@
  * fetch changes nothing. Belongs to the control thread.
  */
 final class VmWatcher {
-    private static final long POLL_MILLIS = 1_000;
+    private static final long HOLDER_POLL_MILLIS = 1_000;
+    /** The list carries every VM of the fleet, and only a holder acts on it at once. */
+    private static final long FOLLOWER_POLL_MILLIS = 5_000;
 
     private final VmList list;
     private final List<Consumer<List<Vm>>> listeners = new ArrayList<>();
     private final Map<String, Vm> seen = new HashMap<>();
     private final Map<String, Integer> absences = new HashMap<>();
     private Map<String, Vm> byName = Map.of();
+    private long pollMillis = HOLDER_POLL_MILLIS;
     private boolean polling;
     private long polledMillis = Long.MIN_VALUE / 2;
 
@@ -37,8 +40,13 @@
         listeners.add(listener);
     }
 
+    /** Tells whether this node holds a cell; one that begins to asks for a list at once if its own is old. */
+    void holding(boolean holds) {
+        pollMillis = holds ? HOLDER_POLL_MILLIS : FOLLOWER_POLL_MILLIS;
+    }
+
     void tick(long nowMillis) {
-        if (polling || nowMillis - polledMillis < POLL_MILLIS) {
+        if (polling || nowMillis - polledMillis < pollMillis) {
             return;
         }
         polling = true;
