--- a/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
+++ b/src/main/java/org/poplarwharf/internal/peer/PeerLink.java
@@ -29,6 +29,7 @@
     private final Optional<String> dialledAddress;
     private final PeerOptions options;
     private final MonotonicClock clock;
+    private final PeerTraffic traffic;
     private final Events events;
     private final BinaryChannelSupplier input;
     private final Deque<ByteBuf> queue = new ArrayDeque<>();
@@ -38,6 +39,7 @@
     private boolean closed;
     private long heardMillis;
     private long pingedMillis;
+    private long usedMillis;
     private Optional<PeerMessage.Hello> hello = Optional.empty();
 
     PeerLink(
@@ -45,14 +47,17 @@
             Optional<String> dialledAddress,
             PeerOptions options,
             MonotonicClock clock,
+            PeerTraffic traffic,
             Events events) {
         this.socket = socket;
         this.dialledAddress = dialledAddress;
         this.options = options;
         this.clock = clock;
+        this.traffic = traffic;
         this.events = events;
         this.openedMillis = clock.nowMillis();
         this.heardMillis = openedMillis;
+        this.usedMillis = openedMillis;
         this.input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket));
     }
 
@@ -96,10 +101,18 @@
         return clock.nowMillis() - heardMillis;
     }
 
+    /** Returns how long ago the last message passed, signs of life aside. */
+    long unusedMillis() {
+        return clock.nowMillis() - usedMillis;
+    }
+
     boolean send(PeerMessage message) {
         if (closed) {
             return false;
         }
+        if (!(message instanceof PeerMessage.Ping) && !(message instanceof PeerMessage.Pong)) {
+            usedMillis = clock.nowMillis();
+        }
         byte[] bytes = CODEC.encode(message);
         if (bytes.length > options.maxFrameBytes()) {
             return false;
@@ -110,6 +123,7 @@
         }
         queuedBytes += bytes.length + Integer.BYTES;
         queue.add(frame(bytes));
+        traffic.sent(message, bytes.length + Integer.BYTES);
         writeNext();
         return !closed;
     }
@@ -192,6 +206,7 @@
             close();
             return false;
         }
+        traffic.received(message, bytes.length + Integer.BYTES);
         try {
             return takeMessage(message);
         } catch (RuntimeException e) {
@@ -217,7 +232,10 @@
             case PeerMessage.Pong $ -> {
                 /* reading it has already counted as a sign of life */
             }
-            default -> events.received(this, message);
+            default -> {
+                usedMillis = heardMillis;
+                events.received(this, message);
+            }
         }
         return !closed;
     }
