Tell callers of a cold start; let a local fleet have its own shape and pace

Cause: the load generator reads X-Cold-Start, but the entry never sent it, and the in-process fleet of quickstart could run only its own example at its own speed. Change: whole answers and streams carry X-Cold-Start from the grant. The fleet takes the number of nodes, their flags and the stand-ins' pace. A stand-in tells its progress in a load by the speed of its last large fetch, so that it is right at every pace.

--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartFleet.java
+++ b/src/main/java/org/poplarwharf/internal/cli/LocalFleet.java
@@ -22,12 +22,11 @@
 import org.poplarwharf.internal.kernel.NodeSettings;
 
 /**
- * Three nodes and the stand-ins around them in this process.
+ * Some nodes and the stand-ins around them in this process.
  *
  * <p>Used by one thread.
  */
-final class QuickstartFleet implements AutoCloseable {
-    private static final int NODES = 3;
+final class LocalFleet implements AutoCloseable {
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long POLL_MILLIS = 100;
     /** Time in which each holder hears the first report of its engines; it orders no load before that. */
@@ -35,28 +34,30 @@
 
     private static final String LOCAL_ADDRESSES = "zz-local-addresses.yaml";
 
-    private final QuickstartExample example;
-    private final QuickstartStandins standins;
+    private final FleetExample example;
+    private final LocalFleetOptions options;
+    private final LocalStandins standins;
     private final String token = UUID.randomUUID().toString();
     private final List<Node> nodes = new ArrayList<>();
     private final MonotonicClock clock = MonotonicClock.system();
 
-    QuickstartFleet(QuickstartExample example) {
+    LocalFleet(FleetExample example, LocalFleetOptions options) {
         this.example = example;
-        this.standins = new QuickstartStandins(example.config());
+        this.options = options;
+        this.standins = new LocalStandins(example.config(), options.pace());
     }
 
     /** Starts the nodes, publishes the example and waits until each node knows it and every cell has a holder. */
     void start() {
         List<String> zones = zones();
-        for (int i = 0; i < NODES; i++) {
+        for (int i = 0; i < options.nodes(); i++) {
             startNode("n" + (i + 1), zones.get(i % zones.size()));
         }
         publish();
         awaitReady();
     }
 
-    QuickstartStandins standins() {
+    LocalStandins standins() {
         return standins;
     }
 
@@ -68,6 +69,10 @@
         return nodes.get(node).settings().adminAddress();
     }
 
+    List<String> listenAddresses() {
+        return nodes.stream().map(node -> node.settings().listenAddress()).toList();
+    }
+
     String token() {
         return token;
     }
@@ -94,8 +99,9 @@
         }
         arguments.addAll(List.of("--admin-token", token, "--log", standins.logAddress()));
         arguments.addAll(List.of("--vm-list", standins.vmListAddress(), "--peers", peers()));
-        OptionSet options = new OptionSet("quickstart", "", NodeSettingsReader.SPECS).withEnvironment(Map.of());
-        NodeSettings settings = NodeSettingsReader.read(options.parse(arguments));
+        arguments.addAll(options.nodeFlags());
+        OptionSet nodeOptions = new OptionSet("node", "", NodeSettingsReader.SPECS).withEnvironment(Map.of());
+        NodeSettings settings = NodeSettingsReader.read(nodeOptions.parse(arguments));
         Node node = Node.start(settings);
         nodes.add(node);
         standins.addNode(nodeId, vmId, node.settings().peerAddress(), zone);
@@ -113,7 +119,7 @@
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         PrintStream stream = new PrintStream(output, true, StandardCharsets.UTF_8);
         try {
-            Path folder = Files.createTempDirectory("poplarwharf-quickstart");
+            Path folder = Files.createTempDirectory("poplarwharf-local");
             try {
                 write(folder, files);
                 List<String> arguments =
@@ -189,7 +195,7 @@
             Thread.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw Reporter.interrupted("quickstart", e);
+            throw Reporter.interrupted("a local fleet", e);
         }
     }
 }
--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartStandins.java
+++ b/src/main/java/org/poplarwharf/internal/cli/LocalStandins.java
@@ -13,39 +13,43 @@
 import org.poplarwharf.internal.config.FleetConfig.TargetKind;
 import org.poplarwharf.internal.config.FleetConfig.TargetSpec;
 import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.standin.EngineEvent;
 import org.poplarwharf.internal.standin.EngineSettings;
 import org.poplarwharf.internal.standin.EngineStandin;
-import org.poplarwharf.internal.standin.LogSettings;
+import org.poplarwharf.internal.standin.Journal;
 import org.poplarwharf.internal.standin.LogStandin;
 import org.poplarwharf.internal.standin.ServiceStandin;
 import org.poplarwharf.internal.standin.Standin;
 import org.poplarwharf.internal.standin.StandinAddresses;
-import org.poplarwharf.internal.standin.StoreSettings;
+import org.poplarwharf.internal.standin.StoreEvent;
 import org.poplarwharf.internal.standin.StoreStandin;
 import org.poplarwharf.internal.standin.VmListStandin;
 import org.poplarwharf.plugins.VmList.Vm;
 import org.poplarwharf.plugins.VmList.VmState;
 
 /**
- * The stand-ins of quickstart on one event loop: log, VM list, weight store, and one for each target.
+ * The stand-ins of a local fleet on one event loop: log, VM list, weight store, and one for each target.
  *
  * <p>Thread-safe: every call runs on the loop's thread and blocks its caller.
  */
-final class QuickstartStandins {
+final class LocalStandins {
     private static final String VM_SUFFIX = "-vm";
     private static final long NO_LAG_MILLIS = 0;
-    private static final long SERVICE_MILLIS = 5;
 
     private final Eventloop loop = Eventloop.create();
     private final List<Standin> all = new ArrayList<>();
     private final Map<String, Standin> targets = new LinkedHashMap<>();
+    private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
+    private final StandinPace pace;
     private final List<ServiceStandin> services = new ArrayList<>();
     private final List<Vm> vms = new ArrayList<>();
     private LogStandin log;
+    private StoreStandin store;
     private VmListStandin vmList;
 
     /** Starts the stand-ins for the targets of a configuration. */
-    QuickstartStandins(FleetConfig config) {
+    LocalStandins(FleetConfig config, StandinPace pace) {
+        this.pace = pace;
         loop.keepAlive(true);
         Thread thread = new Thread(loop, "standins");
         thread.setDaemon(true);
@@ -82,6 +86,21 @@
                 .count());
     }
 
+    /** Returns what each engine did so far. */
+    Map<String, List<Journal.Entry<EngineEvent>>> engineJournals() {
+        return call(() -> {
+            Map<String, List<Journal.Entry<EngineEvent>>> journals = new LinkedHashMap<>();
+            engines.forEach(
+                    (name, engine) -> journals.put(name, engine.journal().entries()));
+            return journals;
+        });
+    }
+
+    /** Returns what the weight store did so far. */
+    List<Journal.Entry<StoreEvent>> storeJournal() {
+        return call(() -> store.journal().entries());
+    }
+
     void stop() {
         call(() -> {
             all.forEach(Standin::stop);
@@ -91,11 +110,11 @@
     }
 
     private boolean startAll(FleetConfig config) {
-        log = add(LogStandin.start(loop, StandinAddresses.loopback(), LogSettings.defaults()));
+        log = add(LogStandin.start(loop, StandinAddresses.loopback(), pace.log()));
         vmList = add(VmListStandin.start(loop, StandinAddresses.loopback(), NO_LAG_MILLIS));
-        StoreStandin store = add(StoreStandin.start(loop, StandinAddresses.loopback(), StoreSettings.defaults()));
+        store = add(StoreStandin.start(loop, StandinAddresses.loopback(), pace.store()));
         for (TargetSpec target : config.targets()) {
-            Standin standin = target.kind() == TargetKind.ENGINE ? engine(target, store) : service();
+            Standin standin = target.kind() == TargetKind.ENGINE ? engine(target) : service();
             targets.put(target.name(), standin);
             vms.add(new Vm(target.name() + VM_SUFFIX, target.name(), standin.address(), target.zone(), VmState.LIVE));
         }
@@ -103,26 +122,15 @@
         return true;
     }
 
-    private Standin engine(TargetSpec target, StoreStandin store) {
-        EngineSettings defaults = EngineSettings.defaults(Optional.of(store.address()));
-        EngineSettings settings = new EngineSettings(
-                target.memoryBytes(),
-                target.maxConcurrent(),
-                defaults.prefillMillis(),
-                defaults.tokenMillis(),
-                defaults.defaultTokens(),
-                target.fencing(),
-                defaults.reportLagMillis(),
-                defaults.storeAddress(),
-                defaults.nearBytesPerSecond(),
-                defaults.nearCopyLimit(),
-                defaults.nearCopies(),
-                defaults.unloadMillis());
-        return add(EngineStandin.start(loop, StandinAddresses.loopback(), settings));
+    private Standin engine(TargetSpec target) {
+        EngineSettings settings = pace.engine(target, store.address());
+        EngineStandin engine = add(EngineStandin.start(loop, StandinAddresses.loopback(), settings));
+        engines.put(target.name(), engine);
+        return engine;
     }
 
     private Standin service() {
-        ServiceStandin service = add(ServiceStandin.start(loop, StandinAddresses.loopback(), SERVICE_MILLIS));
+        ServiceStandin service = add(ServiceStandin.start(loop, StandinAddresses.loopback(), pace.serviceMillis()));
         services.add(service);
         return service;
     }
--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
@@ -13,6 +13,7 @@
 public final class QuickstartCommand implements Command {
     private static final String KEEP = "keep";
     private static final String LOG_LEVEL = "log-level";
+    private static final String EXAMPLE = "quickstart";
     private static final int FIRST_NODE = 0;
     private static final OptionSet OPTIONS = new OptionSet(
             "quickstart",
@@ -43,8 +44,8 @@
         NodeLog.setLevel(level);
         MonotonicClock clock = MonotonicClock.system();
         long startMillis = clock.nowMillis();
-        QuickstartExample example = QuickstartExample.load();
-        try (QuickstartFleet fleet = new QuickstartFleet(example)) {
+        FleetExample example = FleetExample.load(EXAMPLE);
+        try (LocalFleet fleet = new LocalFleet(example, LocalFleetOptions.quickstart())) {
             fleet.start();
             out.printf("Three nodes are ready after %d ms.%n%n", clock.nowMillis() - startMillis);
             List<Step> steps = new QuickstartSteps(fleet, example.config()).run();
@@ -80,7 +81,7 @@
         }
     }
 
-    private static void printCurlLines(QuickstartFleet fleet, FleetConfig config, PrintStream out) {
+    private static void printCurlLines(LocalFleet fleet, FleetConfig config, PrintStream out) {
         String node = fleet.listenAddress(FIRST_NODE);
         out.println();
         out.println("Still up; end with Ctrl-C. Try:");
--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartSteps.java
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartSteps.java
@@ -31,13 +31,13 @@
     private static final String END_OF_STREAM = "data: [DONE]";
     private static final String COMPLETIONS = "/v1/chat/completions";
 
-    private final QuickstartFleet fleet;
+    private final LocalFleet fleet;
     private final ModelSpec model;
     private final ServiceSpec service;
     private final CallSpec nonRepeatable;
     private final List<Step> steps = new ArrayList<>();
 
-    QuickstartSteps(QuickstartFleet fleet, FleetConfig config) {
+    QuickstartSteps(LocalFleet fleet, FleetConfig config) {
         this.fleet = fleet;
         this.model = smallest(config).orElseThrow(() -> Reporter.exampleMissing("holds no model", null));
         this.service = config.services().stream()
--- a/src/main/java/org/poplarwharf/internal/entry/Answers.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Answers.java
@@ -14,6 +14,8 @@
  * Makes answers to callers. Stateless and thread-safe.
  */
 final class Answers {
+    static final HttpHeader COLD_START = HttpHeaders.of("X-Cold-Start");
+
     private static final HttpHeader REPLAYED = HttpHeaders.of("Idempotency-Replayed");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -33,8 +35,13 @@
         return builder.withBody(json(failure)).build();
     }
 
-    static HttpResponse whole(int status, String contentType, byte[] body, String requestId) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
+    /** Which request an answer belongs to, and whether it waited for a load. Immutable and thread-safe. */
+    record Origin(String requestId, boolean coldStart) {}
+
+    static HttpResponse whole(int status, String contentType, byte[] body, Origin origin) {
+        HttpResponse.Builder builder = HttpResponse.ofCode(status)
+                .withHeader(RequestHead.REQUEST_ID, origin.requestId())
+                .withHeader(COLD_START, Boolean.toString(origin.coldStart()));
         if (!contentType.isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
--- a/src/main/java/org/poplarwharf/internal/entry/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Exchange.java
@@ -43,6 +43,7 @@
     private Optional<CompletionStream> stream = Optional.empty();
     private String wishId = "";
     private boolean mayHaveRun;
+    private boolean waitedForLoad;
     private boolean ended;
 
     Exchange(TrafficThread thread, CallerRequest request) {
@@ -141,6 +142,7 @@
     }
 
     private Attempt begin(Place place) {
+        waitedForLoad |= place.grant().coldStart();
         Attempt begun = new Attempt(thread, request, place);
         attempt = Optional.of(begun);
         return begun;
@@ -226,7 +228,8 @@
     private void complete(Attempt now, WholeAnswer whole) {
         now.answered();
         end(Outcome.ANSWERED);
-        answer.trySet(Answers.whole(whole.status(), whole.contentType(), whole.body(), request.requestId()));
+        Answers.Origin origin = new Answers.Origin(request.requestId(), waitedForLoad);
+        answer.trySet(Answers.whole(whole.status(), whole.contentType(), whole.body(), origin));
     }
 
     private void beginStream(Attempt now, HttpResponse response) {
@@ -244,6 +247,7 @@
             answer.trySet(HttpResponse.ok200()
                     .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
                     .withHeader(RequestHead.REQUEST_ID, request.requestId())
+                    .withHeader(Answers.COLD_START, Boolean.toString(waitedForLoad))
                     .withBodyStream(body)
                     .build());
         });
--- a/src/main/java/org/poplarwharf/internal/standin/WeightSource.java
+++ b/src/main/java/org/poplarwharf/internal/standin/WeightSource.java
@@ -15,10 +15,13 @@
  */
 final class WeightSource {
     private static final int STATUS_OK = 200;
-    private static final double EXPECTED_BYTES_PER_SECOND = 2e9;
+    private static final double FIRST_EXPECTED_BYTES_PER_SECOND = 2e9;
+    private static final long LEAST_SPEED_SAMPLE_BYTES = 1_000_000_000;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Optional<String> storeAddress;
     private final HttpClient client;
+    private double expectedBytesPerSecond = FIRST_EXPECTED_BYTES_PER_SECOND;
 
     WeightSource(NioReactor reactor, Optional<String> storeAddress) {
         this.storeAddress = storeAddress;
@@ -26,14 +29,17 @@
         client = HttpClient.builder(reactor, dns).withNoKeepAlive().build();
     }
 
+    /** Returns the speed of the last large fetch. */
     double expectedBytesPerSecond() {
-        return EXPECTED_BYTES_PER_SECOND;
+        return expectedBytesPerSecond;
     }
 
     Promise<Void> fetch(long sizeBytes) {
         String url = "http://" + storeAddress.orElseThrow() + "/fetch?bytes=" + sizeBytes;
+        long startNanos = System.nanoTime();
         return client.request(HttpRequest.get(url).build()).then(response -> {
             if (response.getCode() == STATUS_OK) {
+                fetched(sizeBytes, System.nanoTime() - startNanos);
                 return Promise.complete();
             }
             return Promise.ofException(Reporter.failure(
@@ -44,4 +50,10 @@
                     null));
         });
     }
+
+    private void fetched(long sizeBytes, long nanos) {
+        if (sizeBytes >= LEAST_SPEED_SAMPLE_BYTES) {
+            expectedBytesPerSecond = sizeBytes * NANOS_PER_SECOND / Math.max(1, nanos);
+        }
+    }
 }
