Add poplarwharf load and poplarwharf experiment

Change: load sends a seeded open-loop workload to running nodes. experiment idle and experiment routing run fresh in-process fleets at compressed time on one trace and write JSON, a page and a chart. IdleTime reads the engines' journals, ForesightBound gives what no policy can beat, TradeOff compares policies with the fixed keep-alive. ExpectedCostIdlePolicy is registered as expected-cost.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/cli/LoadCommand.java
@@ -0,0 +1,114 @@
+package org.poplarwharf.internal.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import me.tongfei.progressbar.ProgressBar;
+import org.poplarwharf.internal.config.ConfigFolder;
+import org.poplarwharf.internal.config.ConfigMerge;
+import org.poplarwharf.internal.config.ConfigMerge.Merged;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.load.Arrival;
+import org.poplarwharf.internal.load.LoadReport;
+import org.poplarwharf.internal.load.LoadReport.Quantiles;
+import org.poplarwharf.internal.load.LoadRunner;
+import org.poplarwharf.internal.load.WorkloadGenerator;
+import org.poplarwharf.internal.load.WorkloadSpec;
+
+/**
+ * {@code poplarwharf load}: sends a seeded workload to running nodes, in an open loop. Stateless and thread-safe.
+ */
+public final class LoadCommand implements Command {
+    private static final int MOST_TOKENS = 100_000;
+    private static final OptionSet OPTIONS = new OptionSet(
+            "load",
+            "",
+            List.of(
+                    OptionSpec.of("nodes", "LIST", "addresses of nodes, used in turn"),
+                    OptionSpec.of("config", "DIR", "the configuration that the nodes serve"),
+                    OptionSpec.of("seed", "NUMBER", "1", "seed of the workload"),
+                    OptionSpec.of("duration", "DURATION", "60s", "how long requests arrive"),
+                    OptionSpec.of("rate", "NUMBER", "10", "mean requests a second"),
+                    OptionSpec.of("service-share", "NUMBER", "0.2", "share of requests that go to plain services"),
+                    OptionSpec.of("skew", "NUMBER", "0.9", "exponent of the popularity of models and adapters"),
+                    OptionSpec.of("burst", "NUMBER", "3", "mean requests of a burst for one model"),
+                    OptionSpec.of("burst-gap", "DURATION", "500ms", "mean gap between requests of a burst"),
+                    OptionSpec.of("tokens", "COUNT", "32", "mean length of an answer"),
+                    OptionSpec.of("result", "FILE", "results/load.json", "where the figures are written")));
+
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public String summary() {
+        return "sends a seeded workload to running nodes and measures the answers";
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) {
+        return OPTIONS.run(arguments, out, err, values -> send(values, out, err));
+    }
+
+    private static int send(OptionValues values, PrintStream out, PrintStream err) {
+        List<String> nodes = values.addresses("nodes");
+        values.require(!nodes.isEmpty(), "nodes", "must name at least one");
+        String folder = values.text("config");
+        Path result = Path.of(values.text("result"));
+        WorkloadSpec spec = new WorkloadSpec(
+                values.integer("seed", 0, Integer.MAX_VALUE),
+                values.durationMillis("duration"),
+                values.positiveNumber("rate"),
+                share(values),
+                values.positiveNumber("skew"),
+                values.positiveNumber("burst"),
+                values.durationMillis("burst-gap"),
+                values.integer("tokens", 1, MOST_TOKENS));
+        values.check();
+        Merged merged = ConfigMerge.merge(0, ConfigFolder.read(folder));
+        if (!merged.faults().isEmpty()) {
+            throw Reporter.configInvalid(merged.faultLines());
+        }
+        List<Arrival> arrivals = WorkloadGenerator.generate(merged.config(), spec);
+        LoadReport report;
+        try (ProgressBar bar = Experiment.bar("requests", arrivals.size(), err)) {
+            report = LoadReport.of(new LoadRunner(nodes, arrivals, bar::stepTo).run());
+        }
+        ExperimentReport.writeJson(result, new Result(spec, report));
+        print(report, out);
+        out.println("Results are in " + result + ".");
+        return report.lost() == 0 ? EXIT_OK : EXIT_FAILED;
+    }
+
+    private static double share(OptionValues values) {
+        if (values.text("service-share").equals("0")) {
+            return 0;
+        }
+        double share = values.positiveNumber("service-share");
+        values.require(share <= 1, "service-share", "must be at most 1");
+        return share;
+    }
+
+    private static void print(LoadReport report, PrintStream out) {
+        out.printf(
+                "%d requests, %d good, %d late, %d lost%n",
+                report.requests(), report.good(), report.late(), report.lost());
+        TextTable table = new TextTable("WHAT", "COUNT", "P50 MS", "P95 MS", "P99 MS", "MAX MS");
+        add(table, "first byte, cold start", report.coldStart());
+        add(table, "first byte, warm", report.warm());
+        add(table, "refusal", report.refusal());
+        for (Map.Entry<String, Quantiles> byClass : report.wholeByClass().entrySet()) {
+            add(table, "whole, " + byClass.getKey(), byClass.getValue());
+        }
+        table.print(out);
+        report.refused().forEach((code, count) -> out.println("refused as " + code + ": " + count));
+    }
+
+    private static void add(TextTable table, String what, Quantiles q) {
+        table.add(what, q.count(), q.p50Millis(), q.p95Millis(), q.p99Millis(), q.maxMillis());
+    }
+
+    private record Result(WorkloadSpec workload, LoadReport report) {}
+}
--- a/src/main/java/org/poplarwharf/internal/cli/StandinPace.java
+++ b/src/main/java/org/poplarwharf/internal/cli/StandinPace.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.poplarwharf.internal.config.FleetConfig.TargetSpec;
+import org.poplarwharf.internal.load.ForesightBound;
 import org.poplarwharf.internal.standin.EngineSettings;
 import org.poplarwharf.internal.standin.LogSettings;
 import org.poplarwharf.internal.standin.StoreSettings;
@@ -65,6 +66,12 @@
                 scaledMillis(SCALED_SERVICE_MILLIS, timeScale));
     }
 
+    /** Returns the limits of a deployment's store and engines in its own time. */
+    static ForesightBound.Limits limits(double storeLoadsPerSecond) {
+        return new ForesightBound.Limits(
+                storeLoadsPerSecond, STORE_PLACES, STORE_BYTES_PER_SECOND, PREFILL_MILLIS, TOKEN_MILLIS);
+    }
+
     static long scaledMillis(long millis, double timeScale) {
         return Math.max(1, Math.round(millis / timeScale));
     }
--- a/src/main/java/org/poplarwharf/internal/idle/IdlePlugin.java
+++ b/src/main/java/org/poplarwharf/internal/idle/IdlePlugin.java
@@ -9,5 +9,6 @@
     @Override
     public void registerWith(PluginRegistry registry) {
         registry.register(IdlePolicy.Factory.class, "fixed", FixedIdlePolicy::new);
+        registry.register(IdlePolicy.Factory.class, "expected-cost", ExpectedCostIdlePolicy::new);
     }
 }
