--- a/src/main/java/org/poplarwharf/internal/load/WorkloadGenerator.java
+++ b/src/main/java/org/poplarwharf/internal/load/WorkloadGenerator.java
@@ -21,6 +21,8 @@
  */
 public final class WorkloadGenerator {
     private static final double MILLIS_PER_SECOND = 1_000;
+    /** Difference of priorities at which a tenant is less likely by the factor e. */
+    private static final double PRIORITY_REACH = 8;
 
     private final FleetConfig config;
     private final WorkloadSpec spec;
@@ -77,7 +79,7 @@
     private void addBurstsOf(ArtifactId artifact, double meanPauseMillis) {
         double atMillis = exponential(meanPauseMillis);
         while (atMillis < spec.durationMillis()) {
-            TenantSpec tenant = tenant();
+            TenantSpec tenant = tenantOf(artifact);
             ClassSpec requestClass = requestClass(tenant);
             double requestAtMillis = atMillis;
             do {
@@ -144,14 +146,41 @@
                 key));
     }
 
+    /** Draws a tenant for a model, the likelier the nearer the priority of its class is to that of the model. */
+    private TenantSpec tenantOf(ArtifactId artifact) {
+        int modelPriority =
+                config.model(artifact.name()).map(ModelSpec::priority).orElse(0);
+        List<TenantSpec> tenants = config.tenants();
+        double[] weights = new double[tenants.size()];
+        double sum = 0;
+        for (int index = 0; index < weights.length; index++) {
+            int classPriority =
+                    requestClassOf(tenants.get(index)).map(ClassSpec::priority).orElse(modelPriority);
+            weights[index] = Math.exp(-Math.abs(modelPriority - classPriority) / PRIORITY_REACH);
+            sum += weights[index];
+        }
+        double drawn = random.nextDouble() * sum;
+        for (int index = 0; index < weights.length; index++) {
+            drawn -= weights[index];
+            if (drawn < 0) {
+                return tenants.get(index);
+            }
+        }
+        return tenants.get(tenants.size() - 1);
+    }
+
+    private Optional<ClassSpec> requestClassOf(TenantSpec tenant) {
+        return tenant.defaultClass().flatMap(config::requestClass);
+    }
+
     private TenantSpec tenant() {
         return config.tenants().get(random.nextInt(config.tenants().size()));
     }
 
     private ClassSpec requestClass(TenantSpec tenant) {
-        Optional<ClassSpec> ofTenant = tenant.defaultClass().flatMap(config::requestClass);
-        return ofTenant.orElseGet(
-                () -> config.classes().get(random.nextInt(config.classes().size())));
+        return requestClassOf(tenant)
+                .orElseGet(() ->
+                        config.classes().get(random.nextInt(config.classes().size())));
     }
 
     private double exponential(double mean) {
