--- a/src/main/java/org/poplarwharf/internal/cell/CellRole.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRole.java
@@ -132,9 +132,10 @@
             if (cells.containsKey(cell.name())) {
                 continue;
             }
-            IdlePolicy policy = plugin(
-                            IdlePolicy.Factory.class, context.settings().idlePolicy())
-                    .create(context.settings().keepAliveMillis());
+            IdlePolicy policy = new ConfiguredIdlePolicy(
+                    plugin(IdlePolicy.Factory.class, context.settings().idlePolicy()),
+                    context.settings().keepAliveMillis(),
+                    this::config);
             CellRuntime runtime = new CellRuntime(cell.name(), parts, streams.open(cell.name()), policy);
             cells.put(cell.name(), runtime);
             monitors.put(cell.name(), new CellMonitor(runtime, context));
