Never tell the repeat of a claimed key that it was not run

The entry judged only its own hand-over. Change: the entry looks the key up in the fold that it follows; a claimed key is told as outcome-unknown, also at the deadline. A fold that lags can still miss a claim of the last moment.

--- a/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
+++ b/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
@@ -22,8 +22,8 @@
 /**
  * Hands calls that may not be repeated to the holder of the cell that keeps their claims, here or at another node.
  *
- * <p>Invariant: once a call was handed to a holder whose link was lost, "not run" is never said for it any more; the
- * next holder learns from the stream what became of the key. Belongs to the control thread, except for {@link #call}.
+ * <p>Invariant: once a call was handed to a holder whose link was lost, or its key stands as claimed in the fold that this
+ * node follows, "not run" is never said for it any more; the next holder learns from the stream what became of the key. Belongs to the control thread, except for {@link #call}.
  */
 final class ClaimCalls implements CallRouter, Peers.Listener {
     private static final long RETRY_MILLIS = 50;
@@ -171,18 +171,29 @@
         }
         waiting.remove(wait.wireId());
         wait.promise()
-                .trySetException(CallerReporter.deadlineExceeded(wait.request().artifact(), wait.mayHaveRun()));
+                .trySetException(CallerReporter.deadlineExceeded(wait.request().artifact(), mayHaveRun(wait)));
+    }
+
+    /** Tells whether "not run" could be untrue: this hand-over was lost, or the key was claimed before. */
+    private boolean mayHaveRun(CallWait wait) {
+        String callKey = wait.request().callKey();
+        boolean claimed = cells.claimCell(callKey)
+                .flatMap(cells::state)
+                .flatMap(state -> state.call(callKey))
+                .isPresent();
+        return claimed || wait.mayHaveRun();
     }
 
     private void fail(CallWait wait, PoplarWharfException failure) {
-        boolean untrue = wait.mayHaveRun()
+        boolean untrue = mayHaveRun(wait)
                 && failure.code().ran() == FailureCode.Ran.NO
                 && failure.code() != FailureCode.KEY_REUSED;
         wait.promise()
                 .trySetException(
                         untrue
                                 ? CallerReporter.outcomeUnknown(
-                                        wait.request().callKey(), "The link to the node that ran it was lost.")
+                                        wait.request().callKey(),
+                                        "The node that runs it, or ran it before, can't be reached now.")
                                 : failure);
     }
 }
--- a/src/test/java/org/poplarwharf/internal/entry/ClaimCallsTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/ClaimCallsTest.java
@@ -45,6 +45,18 @@
         assertThat(code(answer)).isEqualTo(FailureCode.LOG_UNAVAILABLE);
     }
 
+    @Test
+    void a_repeat_of_a_key_that_was_claimed_before_is_never_told_that_it_was_not_run() {
+        CallerRequest request = request();
+        cluster.state.apply(
+                1, new CellRecord.CallClaimed(request.callKey(), "earlier", new CellRecord.Author("n3", 1), "f"));
+        Promise<PeerMessage.CallAnswer> answer = calls.start(request);
+
+        cluster.receive("a:1", new PeerMessage.Failed(lastId(), "log-unavailable", "down", 100));
+
+        assertThat(code(answer)).isEqualTo(FailureCode.OUTCOME_UNKNOWN);
+    }
+
     @Test
     void after_a_lost_hand_over_the_next_holder_is_asked_and_its_refusal_is_an_unknown_outcome() {
         Promise<PeerMessage.CallAnswer> answer = calls.start(request());
--- a/src/test/java/org/poplarwharf/internal/place/FakeCluster.java
+++ b/src/test/java/org/poplarwharf/internal/place/FakeCluster.java
@@ -12,6 +12,8 @@
 import org.poplarwharf.internal.peer.PeerMessage;
 import org.poplarwharf.internal.peer.Peers;
 import org.poplarwharf.internal.state.CellRecord;
+import org.poplarwharf.internal.state.CellState;
+import org.poplarwharf.internal.state.CellStateView;
 import org.poplarwharf.plugins.ArtifactId;
 
 /** One cell {@code c} whose holder is at another node, and the links to it; a test moves and cuts both. */
@@ -20,6 +22,7 @@
     public final List<Replicas.Replica> warm = new ArrayList<>();
     public Optional<String> holderAddress = Optional.of("a:1");
     public boolean linked = true;
+    public final CellState state = new CellState();
     private final List<Listener> listeners = new ArrayList<>();
 
     public void receive(String peerAddress, PeerMessage message) {
@@ -81,6 +84,11 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<CellStateView> state(String cell) {
+        return Optional.of(state);
+    }
+
     @Override
     public List<Replicas.Replica> lastKnownReplicas(ArtifactId artifact) {
         return warm;
