Drain whole answers, condemn whatever order deaths are known in, refuse with a margin

Causes, each found by a process test: - SIGTERM cut every running stream 250 ms later: a server that only gets connections from the acceptor is not running for ActiveJ, so closing it waits for nothing. The entry now counts busy connections itself. Any two deaths condemn now if it was the only suspect at one of them, and a further run waits while the fate of enough targets is in doubt. - Requests that got a place with too little time left ran into their deadline. The test uses a time that few requests exceed (mean and three deviations, between 1.1 and 2 times the mean).

--- a/src/main/java/org/poplarwharf/internal/admission/CellAdmission.java
+++ b/src/main/java/org/poplarwharf/internal/admission/CellAdmission.java
@@ -104,7 +104,9 @@
             return Optional.of(Reporter.noReplica(
                     request.artifact(), replicas.whyNotReady(request.artifact()), NO_REPLICA_RETRY_AFTER_MILLIS));
         }
-        if (wait.getAsLong() + predictor.serviceMillis(request) > request.remainingMillis()) {
+        long serviceMillis =
+                hasFreePlace ? predictor.serviceMillis(request) : predictor.serviceAfterWaitMillis(request);
+        if (wait.getAsLong() + serviceMillis > request.remainingMillis()) {
             tellDemandOf(candidate, wait.getAsLong());
             return Optional.of(Reporter.deadlineUnreachable(request.artifact(), retryAfter(wait.getAsLong())));
         }
@@ -170,7 +172,7 @@
         }
         long remainingMillis = candidate.deadlineMillis() - nowMillis;
         if (!replicas.serving(request.artifact()).isEmpty()) {
-            if (predictor.serviceMillis(request) > remainingMillis) {
+            if (predictor.serviceAfterWaitMillis(request) > remainingMillis) {
                 refuse(candidate, Reporter.deadlineUnreachable(request.artifact(), MIN_RETRY_AFTER_MILLIS));
             }
             return;
--- a/src/main/java/org/poplarwharf/internal/admission/Granter.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Granter.java
@@ -123,6 +123,9 @@
         if (request.excludedTargets().contains(replica.target()) || suspicion.inDoubtTarget(replica.target())) {
             return false;
         }
+        if (suspicion.mustWait(request.fingerprint())) {
+            return false;
+        }
         Optional<String> runningOn = places.targetOf(request.fingerprint());
         if (suspicion.suspected(request.fingerprint())) {
             return runningOn.isEmpty() && !places.hasQuarantined(replica.target());
--- a/src/main/java/org/poplarwharf/internal/admission/ServiceTimes.java
+++ b/src/main/java/org/poplarwharf/internal/admission/ServiceTimes.java
@@ -12,14 +12,21 @@
 final class ServiceTimes {
     private static final int MAX_ENTRIES = 20_000;
     private static final double WEIGHT_OF_NEWEST = 0.2;
+    private static final double DEVIATIONS = 3;
+    private static final double LEAST_FACTOR = 1.1;
+    private static final double MOST_FACTOR = 2;
 
     private final Map<Key, Double> millisByKey = bounded();
+    private final Map<Key, Double> deviationByKey = bounded();
     private final Map<String, Double> millisByTarget = bounded();
 
     private record Key(ArtifactId artifact, String requestClass) {}
 
     void record(ArtifactId artifact, String requestClass, String target, long serviceMillis) {
-        millisByKey.merge(new Key(artifact, requestClass), (double) serviceMillis, ServiceTimes::smooth);
+        Key key = new Key(artifact, requestClass);
+        double deviation = Math.abs(serviceMillis - millisByKey.getOrDefault(key, (double) serviceMillis));
+        deviationByKey.merge(key, deviation, ServiceTimes::smooth);
+        millisByKey.merge(key, (double) serviceMillis, ServiceTimes::smooth);
         millisByTarget.merge(target, (double) serviceMillis, ServiceTimes::smooth);
     }
 
@@ -28,6 +35,13 @@
         return millisByKey.getOrDefault(new Key(artifact, requestClass), 0.0);
     }
 
+    /** Returns a service time in milliseconds that few requests exceed; zero when nothing is known. */
+    double likelyMostMillis(ArtifactId artifact, String requestClass) {
+        double expected = expectedMillis(artifact, requestClass);
+        double deviation = deviationByKey.getOrDefault(new Key(artifact, requestClass), 0.0);
+        return Math.min(expected * MOST_FACTOR, expected * LEAST_FACTOR + DEVIATIONS * deviation);
+    }
+
     double targetMillis(String target) {
         return millisByTarget.getOrDefault(target, 0.0);
     }
--- a/src/main/java/org/poplarwharf/internal/admission/Suspicion.java
+++ b/src/main/java/org/poplarwharf/internal/admission/Suspicion.java
@@ -12,8 +12,8 @@
 /**
  * Finds the fingerprint that crashes targets, without condemning those that were in flight beside it.
  *
- * <p>A fingerprint that was in flight at a death is a suspect. Suspects run one at a time on a target, so that a further
- * death names its cause. A fingerprint that has never been answered runs on one target at a time, so that copies sent
+ * <p>A fingerprint that was in flight at a death is a suspect. Suspects run one at a time on a target, so that a
+ * death among them names its cause. Deaths may become known in another order than they happened. A fingerprint that has never been answered runs on one target at a time, so that copies sent
  * together can't take several targets down at once.
  *
  * <p>Invariant: what this node saw is counted at once; the folded state adds what other holders saw. Bounded. Belongs to
@@ -26,6 +26,7 @@
 
     private final CellStateView state;
     private final Map<String, Set<String>> deathsByFingerprint = bounded(MAX_SUSPECTS);
+    private final Map<String, Boolean> soleDeaths = bounded(MAX_SUSPECTS);
     private final Set<String> condemnedHere = new HashSet<>();
     private final Map<String, Boolean> proven = bounded(MAX_PROVEN);
     private final Map<String, List<Places.Taken>> inDoubtByTarget = new HashMap<>();
@@ -45,6 +46,16 @@
         return state.suspects().stream().anyMatch(s -> s.fingerprint().equals(fingerprint));
     }
 
+    /** Tells whether a further run could be the death of a third target before the fate of an earlier one is known. */
+    boolean mustWait(String fingerprint) {
+        long doubts = inDoubtByTarget.values().stream()
+                .filter(lost ->
+                        lost.stream().anyMatch(taken -> taken.fingerprint().equals(fingerprint)))
+                .count();
+        int deaths = deathsByFingerprint.getOrDefault(fingerprint, Set.of()).size();
+        return doubts > 0 && doubts + deaths >= DEATHS_TO_CONDEMN;
+    }
+
     boolean proven(String fingerprint) {
         return proven.containsKey(fingerprint);
     }
@@ -66,6 +77,9 @@
     /** Returns whether the answer cleared a suspect. */
     boolean answered(Places.Taken taken) {
         proven.put(taken.fingerprint(), true);
+        if (taken.quarantined()) {
+            soleDeaths.remove(taken.fingerprint());
+        }
         return taken.quarantined() && deathsByFingerprint.remove(taken.fingerprint()) != null;
     }
 
@@ -104,7 +118,10 @@
         proven.remove(fingerprint);
         Set<String> deaths = deathsByFingerprint.computeIfAbsent(fingerprint, absent -> new HashSet<>());
         deaths.add(deathId);
-        if (sole && deaths.size() >= DEATHS_TO_CONDEMN) {
+        if (sole) {
+            soleDeaths.put(fingerprint, true);
+        }
+        if (soleDeaths.containsKey(fingerprint) && deaths.size() >= DEATHS_TO_CONDEMN) {
             condemnedHere.add(fingerprint);
         }
     }
@@ -118,6 +135,7 @@
     /** An operator lifted the condemnation, or a later answer cleared the fingerprint. */
     void lifted(String fingerprint) {
         condemnedHere.remove(fingerprint);
+        soleDeaths.remove(fingerprint);
         deathsByFingerprint.remove(fingerprint);
     }
 
--- a/src/main/java/org/poplarwharf/internal/admission/WaitPredictor.java
+++ b/src/main/java/org/poplarwharf/internal/admission/WaitPredictor.java
@@ -37,7 +37,12 @@
         return OptionalLong.of(Math.round((ahead + 1) * serviceMillis / Math.max(1, places)));
     }
 
-    /** Returns the least time that the answer takes once it has a place. */
+    /** Returns the time that the answer of a request which has to wait may take once it has a place. */
+    long serviceAfterWaitMillis(AdmitRequest request) {
+        return Math.round(serviceTimes.likelyMostMillis(request.artifact(), request.requestClass()));
+    }
+
+    /** Returns the time that the answer takes once it has a place. */
     long serviceMillis(AdmitRequest request) {
         return Math.round(serviceTimes.expectedMillis(request.artifact(), request.requestClass()));
     }
--- a/src/main/java/org/poplarwharf/internal/claim/ClaimRecords.java
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimRecords.java
@@ -18,17 +18,18 @@
  * <p>Belongs to the control thread.
  */
 final class ClaimRecords implements RecordStream.Listener<CellRecord> {
-    private static final long KEY_VALIDITY_MILLIS = 3_600_000;
     private static final int MAX_WITHDRAWN = 100_000;
 
     private final MonotonicClock clock;
     private final RecordStream<CellRecord> stream;
+    private final long keyValidityMillis;
     private final Deque<Age> ages = new ArrayDeque<>();
     private final Map<String, Integer> keptBytesByKey = new HashMap<>();
     private final Set<String> withdrawn = new LinkedHashSet<>();
     private long keptBytes;
 
-    ClaimRecords(MonotonicClock clock, RecordStream<CellRecord> stream) {
+    ClaimRecords(MonotonicClock clock, RecordStream<CellRecord> stream, long keyValidityMillis) {
+        this.keyValidityMillis = keyValidityMillis;
         this.clock = clock;
         this.stream = stream;
         stream.onApplied(this);
@@ -70,7 +71,7 @@
         long nowMillis = clock.nowMillis();
         long offset = -1;
         for (Age age : ages) {
-            if (nowMillis - age.seenMillis() < KEY_VALIDITY_MILLIS) {
+            if (nowMillis - age.seenMillis() < keyValidityMillis) {
                 break;
             }
             offset = age.offset();
--- a/src/main/java/org/poplarwharf/internal/claim/ClaimRole.java
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimRole.java
@@ -46,7 +46,13 @@
                 new TargetDispatcher(context.control(), context.traffic().get(0), dialect, settings.maxBodyBytes());
         CellRecord.Author self = new CellRecord.Author(settings.nodeId(), context.incarnation());
         service = new ClaimService(
-                context.control(), context.clock(), cells, () -> context.find(PlaceSource.class), dispatcher, self);
+                context.control(),
+                context.clock(),
+                cells,
+                () -> context.find(PlaceSource.class),
+                dispatcher,
+                self,
+                settings.keyValidityMillis());
         service.start();
         new ClaimServer(service, peers);
         context.offer(ClaimService.class, service);
--- a/src/main/java/org/poplarwharf/internal/claim/ClaimService.java
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimService.java
@@ -48,6 +48,7 @@
     private final Supplier<Optional<PlaceSource>> places;
     private final CallDispatcher dispatcher;
     private final CellRecord.Author self;
+    private final long keyValidityMillis;
     private final Map<String, RunningCall> running = new HashMap<>();
     private final Map<String, ClaimRecords> records = new HashMap<>();
     private long nextAttempt;
@@ -59,7 +60,9 @@
             CellView cells,
             Supplier<Optional<PlaceSource>> places,
             CallDispatcher dispatcher,
-            CellRecord.Author self) {
+            CellRecord.Author self,
+            long keyValidityMillis) {
+        this.keyValidityMillis = keyValidityMillis;
         this.control = control;
         this.clock = clock;
         this.cells = cells;
@@ -81,9 +84,9 @@
         stopped = true;
     }
 
-    /** Tells whether no call is between its arrival and its outcome. */
+    /** Tells whether no call is between its arrival and the record of its outcome. */
     public boolean idle() {
-        return running.values().stream().allMatch(call -> call.phase() == RunningCall.Phase.ENDED);
+        return running.isEmpty();
     }
 
     /** Runs a call, joins it where it is running, or returns what became of it. */
@@ -98,7 +101,8 @@
         if (!holding || state.isEmpty() || stream.isEmpty() || !stream.get().caughtUp()) {
             return Promise.ofException(Reporter.holderChanged(call.cell()));
         }
-        ClaimRecords known = records.computeIfAbsent(call.cell(), c -> new ClaimRecords(clock, stream.get()));
+        ClaimRecords known =
+                records.computeIfAbsent(call.cell(), c -> new ClaimRecords(clock, stream.get(), keyValidityMillis));
         Optional<CellStateView.CallClaim> claim = state.get().call(call.callKey());
         if (claim.isPresent()) {
             return outcome(call, claim.get(), known);
--- a/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeSettingsReader.java
@@ -17,6 +17,7 @@
 
     private static final int MOST_THREADS = 256;
     private static final int MOST_PLACES = 10_000;
+    private static final int VALIDITIES_PER_RETENTION = 2;
     private static final int MOST_BODY_BYTES = 1 << 30;
 
     /** The options of a node. */
@@ -47,7 +48,9 @@
             OptionSpec.of("store-loads-per-second", "NUMBER", "1.5", "loads a second that the weight store allows"),
             OptionSpec.of("store-full-speed-places", "COUNT", "4", "loads that the store serves at full speed"),
             OptionSpec.of("max-body", "BYTES", "4194304", "the largest body of a request"),
-            OptionSpec.of("log-retention", "DURATION", "60m", "how long the platform's log keeps a record"));
+            OptionSpec.of("log-retention", "DURATION", "60m", "how long the platform's log keeps a record"),
+            OptionSpec.of("drain-notice", "DURATION", "2s", "how long a draining node still takes connections"),
+            OptionSpec.of("key-validity", "DURATION", "30m", "how long an Idempotency-Key is known"));
 
     private NodeSettingsReader() {}
 
@@ -82,7 +85,9 @@
                 values.positiveNumber("store-loads-per-second"),
                 values.integer("store-full-speed-places", 1, MOST_PLACES),
                 values.integer("max-body", 1, MOST_BODY_BYTES),
-                values.durationMillis("log-retention"));
+                values.durationMillis("log-retention"),
+                values.durationMillis("drain-notice"),
+                values.durationMillis("key-validity"));
         if (!values.faulty()) {
             checkTogether(settings, values);
         }
@@ -101,6 +106,12 @@
                 settings.logRetentionMillis() >= settings.leaseMillis() * LEASES_PER_RETENTION,
                 "log-retention",
                 "must be at least ten times --lease");
+        values.require(
+                settings.keyValidityMillis() > 0
+                        && settings.keyValidityMillis() * VALIDITIES_PER_RETENTION <= settings.logRetentionMillis(),
+                "key-validity",
+                "must be above zero and at most half of --log-retention");
+        values.require(settings.drainNoticeMillis() < settings.drainMillis(), "drain-notice", "must be below --drain");
         values.require(settings.progressTimeoutMillis() > 0, "progress-timeout", "must be above zero");
         values.require(distinct(settings.listenAddress(), settings.peerAddress()), "peer", "must differ from --listen");
         values.require(
--- a/src/main/java/org/poplarwharf/internal/entry/Answers.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Answers.java
@@ -15,6 +15,7 @@
  */
 final class Answers {
     private static final HttpHeader REPLAYED = HttpHeaders.of("Idempotency-Replayed");
+    private static final String CLOSE = "close";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private Answers() {}
@@ -23,26 +24,32 @@
         return e instanceof PoplarWharfException failure ? failure : Reporter.internal("the entry", e);
     }
 
+    /** Begins an answer; the last one of a connection asks the caller to close it. */
+    static HttpResponse.Builder begin(int status, String requestId, boolean last) {
+        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
+        return last ? builder.withHeader(HttpHeaders.CONNECTION, CLOSE) : builder;
+    }
+
     /** Returns the problem document of a failure. */
-    static HttpResponse problem(PoplarWharfException failure, String requestId) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(failure.code().httpStatus())
-                .withHeader(HttpHeaders.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE)
-                .withHeader(RequestHead.REQUEST_ID, requestId);
+    static HttpResponse problem(PoplarWharfException failure, String requestId, boolean last) {
+        HttpResponse.Builder builder = begin(failure.code().httpStatus(), requestId, last)
+                .withHeader(HttpHeaders.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE);
         ProblemDocument.retryAfterSeconds(failure)
                 .ifPresent(seconds -> builder.withHeader(HttpHeaders.RETRY_AFTER, Long.toString(seconds)));
         return builder.withBody(json(failure)).build();
     }
 
-    static HttpResponse whole(int status, String contentType, byte[] body, String requestId) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
+    static HttpResponse whole(int status, String contentType, byte[] body, String requestId, boolean last) {
+        HttpResponse.Builder builder = begin(status, requestId, last);
         if (!contentType.isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
         return builder.withBody(body).build();
     }
 
-    static HttpResponse called(int status, String contentType, byte[] body, String requestId, boolean replayed) {
-        HttpResponse.Builder builder = HttpResponse.ofCode(status).withHeader(RequestHead.REQUEST_ID, requestId);
+    static HttpResponse called(
+            int status, String contentType, byte[] body, String requestId, boolean replayed, boolean last) {
+        HttpResponse.Builder builder = begin(status, requestId, last);
         if (!contentType.isEmpty()) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
--- a/src/main/java/org/poplarwharf/internal/entry/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Attempt.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.entry;
 
+import io.activej.bytebuf.ByteBuf;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
@@ -33,7 +34,10 @@
         this.place = place;
         this.sentId = thread.ids().next();
         this.startedMillis = thread.nowMillis();
-        this.connection = thread.connections().borrow(place.grant().address());
+        String address = place.grant().address();
+        this.connection = answersAtItsEnd()
+                ? thread.connections().fresh(address)
+                : thread.connections().borrow(address);
     }
 
     String target() {
@@ -54,16 +58,41 @@
 
     /** Sends the request; one that stalls before the answer begins is tried once more on a fresh connection. */
     Promise<HttpResponse> send(int resumeAfterTokens) {
-        return connection.exchange(httpRequest(resumeAfterTokens)).then((response, e) -> {
+        return exchange(resumeAfterTokens).then((response, e) -> {
             boolean again = e != null && connection.stalled() && !finished;
             if (!again) {
                 return Promise.of(response, e);
             }
             connection = thread.connections().freshAfterStall(place.grant().address());
-            return connection.exchange(httpRequest(resumeAfterTokens));
+            return exchange(resumeAfterTokens);
         });
     }
 
+    /**
+     * An answer that is not streamed may begin as late as the deadline. Only on a connection that was used before is that
+     * taken for a stall, as such connections go silent.
+     */
+    private Promise<HttpResponse> exchange(int resumeAfterTokens) {
+        HttpRequest sent = httpRequest(resumeAfterTokens);
+        return request.stream() || connection.usedBefore()
+                ? connection.exchange(sent)
+                : connection.exchange(sent, remainingMillis());
+    }
+
+    /** Guards one read of the answer's body. */
+    Promise<ByteBuf> read(Promise<ByteBuf> step) {
+        return answersAtItsEnd() ? step : connection.progress(step);
+    }
+
+    /** Tells whether the engine may show nothing before its whole answer. */
+    private boolean answersAtItsEnd() {
+        return request.completion() && !request.stream();
+    }
+
+    private long remainingMillis() {
+        return Math.max(1, request.deadlineMillis() - thread.nowMillis());
+    }
+
     /** Returns how a failure of the exchange counts against the target. */
     Outcome lost() {
         if (connection.stalled()) {
@@ -104,7 +133,6 @@
     private HttpRequest httpRequest(int resumeAfterTokens) {
         String address = place.grant().address();
         if (request.completion()) {
-            long remainingMillis = Math.max(1, request.deadlineMillis() - thread.nowMillis());
             return thread.dialect()
                     .completion(
                             address,
@@ -114,7 +142,7 @@
                                     request.body(),
                                     place.grant().priority(),
                                     resumeAfterTokens,
-                                    remainingMillis));
+                                    remainingMillis()));
         }
         HttpRequest.Builder builder = HttpRequest.builder(
                         HttpMethod.valueOf(request.method()), "http://" + address + request.path())
--- a/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
@@ -11,19 +11,17 @@
 /**
  * Takes callers' requests on one traffic thread and gives each exactly one answer.
  *
- * <p>Belongs to that thread, except for {@link DrainState}, which is shared.
+ * <p>Belongs to that thread.
  */
 final class CallerServlet implements AsyncServlet {
     private final TrafficThread thread;
     private final ConfigSnapshot config;
     private final CallRouter calls;
-    private final DrainState drain;
 
-    CallerServlet(TrafficThread thread, ConfigSnapshot config, CallRouter calls, DrainState drain) {
+    CallerServlet(TrafficThread thread, ConfigSnapshot config, CallRouter calls) {
         this.thread = thread;
         this.config = config;
         this.calls = calls;
-        this.drain = drain;
     }
 
     @Override
@@ -31,16 +29,14 @@
         String made = thread.ids().next();
         RequestHead head = RequestHead.of(request);
         String requestId = RequestParser.requestId(head, made);
-        drain.entered();
-        return accept(request, head, made).then((response, e) -> {
-            drain.left();
-            if (e == null) {
-                return Promise.of(response);
-            }
-            PoplarWharfException failure = Answers.failure(e);
-            thread.measure(m -> m.refused(failure.code()));
-            return Promise.of(Answers.problem(failure, requestId));
-        });
+        return accept(request, head, made)
+                .then((response, e) -> Promise.of(e == null ? response : refusal(e, requestId)));
+    }
+
+    private HttpResponse refusal(Exception e, String requestId) {
+        PoplarWharfException failure = Answers.failure(e);
+        thread.refused(failure.code(), requestId);
+        return Answers.problem(failure, requestId, thread.draining());
     }
 
     private Promise<HttpResponse> accept(HttpRequest request, RequestHead head, String made) {
@@ -73,7 +69,6 @@
     private Promise<HttpResponse> run(CallerRequest request) {
         Promise<HttpResponse> answer =
                 request.nonRepeatable() ? calls.call(thread, request) : new Exchange(thread, request).run();
-        return answer.whenResult(response -> thread.measure(m -> m.wholeRequest(
-                request.tenant(), request.requestClass().name(), thread.nowMillis() - request.arrivedMillis())));
+        return request.stream() ? answer : answer.whenResult(response -> thread.answeredWhole(request));
     }
 }
--- a/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
+++ b/src/main/java/org/poplarwharf/internal/entry/ClaimCalls.java
@@ -71,7 +71,12 @@
     public Promise<HttpResponse> call(TrafficThread thread, CallerRequest request) {
         return Crossing.call(thread.loop(), control, () -> start(request))
                 .map(answer -> Answers.called(
-                        answer.status(), answer.contentType(), answer.body(), request.requestId(), answer.replayed()));
+                        answer.status(),
+                        answer.contentType(),
+                        answer.body(),
+                        request.requestId(),
+                        answer.replayed(),
+                        thread.draining()));
     }
 
     /** Starts a call; on the control thread. */
--- a/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
@@ -89,6 +89,7 @@
 
     private Promise<ByteBuf> finish(SseReader.Event event) {
         whole = true;
+        exchange.thread().answeredWhole(exchange.request());
         Attempt done = attempt;
         reader.drained().whenResult(clean -> {
             if (clean) {
@@ -130,6 +131,8 @@
     private Promise<ByteBuf> errorThenAbort() {
         if (!errorSent) {
             errorSent = true;
+            exchange.thread()
+                    .refused(failure.orElseThrow().code(), exchange.request().requestId());
             return Promise.of(ByteBuf.wrapForReading(Answers.errorEvent(failure.orElseThrow())));
         }
         exchange.end(Outcome.CALLER_LEFT);
--- a/src/main/java/org/poplarwharf/internal/entry/DrainState.java
+++ b/src/main/java/org/poplarwharf/internal/entry/DrainState.java
@@ -1,22 +1,17 @@
 package org.poplarwharf.internal.entry;
 
-import java.util.concurrent.atomic.AtomicInteger;
-
 /**
- * Counts requests whose answer has not begun. Thread-safe.
+ * Whether the node is being drained. Thread-safe.
  */
 final class DrainState {
-    private final AtomicInteger waiting = new AtomicInteger();
-
-    void entered() {
-        waiting.incrementAndGet();
-    }
+    private volatile boolean draining;
 
-    void left() {
-        waiting.decrementAndGet();
+    /** From now on callers are told to close their connections after the answer. */
+    void begin() {
+        draining = true;
     }
 
-    boolean idle() {
-        return waiting.get() == 0;
+    boolean draining() {
+        return draining;
     }
 }
--- a/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
+++ b/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
@@ -25,11 +25,12 @@
 /**
  * The callers' side of a node: one acceptor on the first traffic thread shares connections among servers on all of them.
  *
- * <p>Invariant: after {@link #drain} has begun no connection is accepted, and every request that was taken is answered
- * before its connection closes. The role belongs to the control thread, each server to its traffic thread.
+ * <p>Invariant: once {@link #drain} is done no connection is accepted, and every request that was taken was answered
+ * whole. The role belongs to the control thread, each server to its traffic thread.
  */
 public final class EntryRole implements Role {
     private static final long KEEP_ALIVE_GRACE_MILLIS = 200;
+    private static final Duration IDLE_CHECK = Duration.ofMillis(20);
 
     private final NodeContext context;
     private final List<HttpServer> servers = new ArrayList<>();
@@ -57,9 +58,9 @@
         config.follow();
         CallRouter calls = ClaimCalls.create(context, ids);
         for (Eventloop loop : context.traffic()) {
-            TrafficThread thread = new TrafficThread(context, loop, ids, places, dialect(loop));
+            TrafficThread thread = new TrafficThread(context, loop, ids, places, dialect(loop), drain);
             threads.add(thread);
-            servers.add(server(loop, new CallerServlet(thread, config, calls, drain)));
+            servers.add(server(loop, new CallerServlet(thread, config, calls)));
         }
         Eventloop first = context.traffic().get(0);
         return Crossing.call(context.control(), first, this::listen);
@@ -72,32 +73,42 @@
 
     @Override
     public Promise<Void> drain() {
-        return Crossing.call(
-                        context.control(),
-                        context.traffic().get(0),
-                        () -> acceptor.close().toVoid())
+        drain.begin();
+        return Promises.delay(Duration.ofMillis(context.settings().drainNoticeMillis()))
+                .then(this::stopAccepting)
                 .then(() -> Promises.delay(Duration.ofMillis(KEEP_ALIVE_GRACE_MILLIS)))
-                .then(this::closeServers);
+                .then(this::untilIdle);
     }
 
     @Override
     public Promise<Void> stop() {
         threads.forEach(thread -> thread.loop().execute(thread.connections()::close));
+        return stopAccepting();
+    }
+
+    private Promise<Void> stopAccepting() {
         return Crossing.call(
                 context.control(),
                 context.traffic().get(0),
                 () -> acceptor.close().toVoid());
     }
 
-    private Promise<Void> closeServers() {
-        List<Promise<Void>> closing = new ArrayList<>();
+    /** Waits until every answer that has begun, or is awaited, is written. A server that does not listen can't be closed. */
+    private Promise<Void> untilIdle() {
+        List<Promise<Integer>> counts = new ArrayList<>();
         for (int i = 0; i < servers.size(); i++) {
             HttpServer server = servers.get(i);
             Eventloop loop = context.traffic().get(i);
-            closing.add(
-                    Crossing.call(context.control(), loop, () -> server.close().toVoid()));
+            counts.add(Crossing.call(context.control(), loop, () -> Promise.of(busyConnections(server))));
         }
-        return Promises.all(closing);
+        return Promises.toList(counts.stream()).then(busy -> {
+            boolean idle = busy.stream().allMatch(count -> count == 0);
+            return idle ? Promise.complete() : Promises.delay(IDLE_CHECK).then(this::untilIdle);
+        });
+    }
+
+    private static int busyConnections(HttpServer server) {
+        return server.getConnectionsReadWriteCount() + server.getConnectionsServingCount();
     }
 
     private Promise<Void> listen() {
@@ -117,10 +128,8 @@
     }
 
     private HttpServer server(Eventloop loop, CallerServlet servlet) {
-        Duration drainLimit = Duration.ofMillis(context.settings().drainMillis());
         return HttpServer.builder(loop, servlet)
-                .withReadWriteTimeout(Duration.ZERO, drainLimit)
-                .withServeTimeoutShutdown(drainLimit)
+                .withReadWriteTimeout(Duration.ZERO)
                 .withHttpErrorFormatter(this::malformedRequest)
                 .build();
     }
@@ -130,7 +139,7 @@
                 ? CallerReporter.invalidRequest(
                         "The request is not well-formed HTTP.", "Use a client library for HTTP.")
                 : Answers.failure(e);
-        return Promise.of(Answers.problem(failure, ids.next()));
+        return Promise.of(Answers.problem(failure, ids.next(), true));
     }
 
     private EngineDialect dialect(Eventloop loop) {
--- a/src/main/java/org/poplarwharf/internal/entry/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Exchange.java
@@ -188,7 +188,7 @@
         BodyReader.read(
                         response.takeBodyStream(),
                         thread.maxBodyBytes(),
-                        now.connection()::progress,
+                        now::read,
                         () -> CallerReporter.targetFailed(now.target(), null))
                 .whenComplete((body, e) -> {
                     if (now.finished()) {
@@ -226,7 +226,8 @@
     private void complete(Attempt now, WholeAnswer whole) {
         now.answered();
         end(Outcome.ANSWERED);
-        answer.trySet(Answers.whole(whole.status(), whole.contentType(), whole.body(), request.requestId()));
+        answer.trySet(Answers.whole(
+                whole.status(), whole.contentType(), whole.body(), request.requestId(), thread.draining()));
     }
 
     private void beginStream(Attempt now, HttpResponse response) {
@@ -241,9 +242,8 @@
             }
             CompletionStream body = new CompletionStream(this, now, reader, first);
             stream = Optional.of(body);
-            answer.trySet(HttpResponse.ok200()
+            answer.trySet(Answers.begin(STATUS_OK, request.requestId(), thread.draining())
                     .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-                    .withHeader(RequestHead.REQUEST_ID, request.requestId())
                     .withBodyStream(body)
                     .build());
         });
--- a/src/main/java/org/poplarwharf/internal/entry/TrafficThread.java
+++ b/src/main/java/org/poplarwharf/internal/entry/TrafficThread.java
@@ -4,10 +4,13 @@
 import io.activej.promise.Promise;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.admission.Finished;
 import org.poplarwharf.internal.kernel.Crossing;
+import org.poplarwharf.internal.kernel.LogEvent;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.kernel.NodeContext;
+import org.poplarwharf.internal.kernel.NodeLog;
 import org.poplarwharf.internal.kernel.NodeMetrics;
 import org.poplarwharf.internal.place.Place;
 import org.poplarwharf.internal.place.PlaceRequest;
@@ -18,13 +21,14 @@
 /**
  * What the exchanges of one traffic thread share.
  *
- * <p>Belongs to that thread; places are asked for and given back on the control thread.
+ * <p>Belongs to that thread, but for the drain state, which is shared; places are asked for and given back on the control thread.
  */
 final class TrafficThread {
     private final Eventloop loop;
     private final Eventloop control;
     private final PlaceSource places;
     private final EngineDialect dialect;
+    private final DrainState drain;
     private final TargetConnections connections;
     private final RetryBudget retries = new RetryBudget();
     private final RequestIds ids;
@@ -32,8 +36,16 @@
     private final String zone;
     private final int maxBodyBytes;
     private final Optional<NodeMetrics> metrics;
+    private final Optional<NodeLog> log;
 
-    TrafficThread(NodeContext context, Eventloop loop, RequestIds ids, PlaceSource places, EngineDialect dialect) {
+    TrafficThread(
+            NodeContext context,
+            Eventloop loop,
+            RequestIds ids,
+            PlaceSource places,
+            EngineDialect dialect,
+            DrainState drain) {
+        this.drain = drain;
         this.loop = loop;
         this.control = context.control();
         this.places = places;
@@ -44,6 +56,7 @@
         this.zone = context.settings().zone();
         this.maxBodyBytes = context.settings().maxBodyBytes();
         this.metrics = context.find(NodeMetrics.class);
+        this.log = context.find(NodeLog.class);
     }
 
     Eventloop loop() {
@@ -74,6 +87,10 @@
         return maxBodyBytes;
     }
 
+    boolean draining() {
+        return drain.draining();
+    }
+
     long nowMillis() {
         return clock.nowMillis();
     }
@@ -82,6 +99,20 @@
         metrics.ifPresent(measurement);
     }
 
+    /** The whole answer of a request is out. */
+    void answeredWhole(CallerRequest request) {
+        measure(m ->
+                m.wholeRequest(request.tenant(), request.requestClass().name(), nowMillis() - request.arrivedMillis()));
+    }
+
+    /** A request was refused or failed. */
+    void refused(FailureCode code, String requestId) {
+        measure(m -> m.refused(code));
+        boolean notRun = code.ran() == FailureCode.Ran.NO;
+        log.ifPresent(
+                lines -> lines.request(notRun ? LogEvent.REQUEST_REFUSED : LogEvent.REQUEST_FAILED, requestId, code));
+    }
+
     Promise<Place> ask(PlaceRequest request) {
         return Crossing.call(loop, control, () -> places.ask(request));
     }
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
@@ -25,6 +25,8 @@
  * @param storeLoadsPerSecond loads a second that the weight store allows
  * @param storeFullSpeedPlaces loads that the weight store serves at once at full speed
  * @param logRetentionMillis how long the platform's log keeps a record
+ * @param drainNoticeMillis how long a node that is no longer ready still takes connections, so that balancers notice
+ * @param keyValidityMillis how long the key of a call that may not be repeated is known
  */
 public record NodeSettings(
         String nodeId,
@@ -53,10 +55,14 @@
         double storeLoadsPerSecond,
         int storeFullSpeedPlaces,
         int maxBodyBytes,
-        long logRetentionMillis) {
+        long logRetentionMillis,
+        long drainNoticeMillis,
+        long keyValidityMillis) {
     private static final long DEFAULT_LOG_RETENTION_MILLIS = 3_600_000;
+    private static final long DEFAULT_DRAIN_NOTICE_MILLIS = 0;
+    private static final long DEFAULT_KEY_VALIDITY_MILLIS = 1_800_000;
 
-    /** Creates settings for a log that keeps its records for an hour. */
+    /** Creates settings for a log that keeps its records for an hour, and a drain without notice. */
     public NodeSettings(
             String nodeId,
             String vmId,
@@ -111,7 +117,9 @@
                 storeLoadsPerSecond,
                 storeFullSpeedPlaces,
                 maxBodyBytes,
-                DEFAULT_LOG_RETENTION_MILLIS);
+                DEFAULT_LOG_RETENTION_MILLIS,
+                DEFAULT_DRAIN_NOTICE_MILLIS,
+                DEFAULT_KEY_VALIDITY_MILLIS);
     }
 
     /** Returns the same settings with these addresses. */
@@ -143,6 +151,8 @@
                 storeLoadsPerSecond,
                 storeFullSpeedPlaces,
                 maxBodyBytes,
-                logRetentionMillis);
+                logRetentionMillis,
+                drainNoticeMillis,
+                keyValidityMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -8,7 +8,6 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -20,6 +19,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.tinylog.Logger;
 
@@ -74,7 +74,7 @@
         try {
             server.listen();
         } catch (IOException e) {
-            return Promise.ofException(new UncheckedIOException(e));
+            return Promise.ofException(Reporter.addressUnusable(identity.peerAddress(), e));
         }
         String announced =
                 PeerAddress.format(listen, server.getBoundAddresses().get(0).getPort());
--- a/src/main/java/org/poplarwharf/internal/state/SuspectList.java
+++ b/src/main/java/org/poplarwharf/internal/state/SuspectList.java
@@ -65,8 +65,8 @@
         }
         Suspect before = known.suspect();
         int deaths = before.deaths() + 1;
-        boolean condemned = before.condemned() || (death.sole() && deaths >= DEATHS_TO_CONDEMN);
         int soleDeaths = before.soleDeaths() + (death.sole() ? 1 : 0);
+        boolean condemned = before.condemned() || (soleDeaths > 0 && deaths >= DEATHS_TO_CONDEMN);
         Suspect suspect = new Suspect(fingerprint, deaths, soleDeaths, condemned, offset);
         entries.put(fingerprint, new Entry(suspect, latest(known.deathIds(), death.deathId())));
     }
--- a/src/main/java/org/poplarwharf/internal/target/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/target/TargetConnection.java
@@ -50,8 +50,18 @@
 
     /** Begins an exchange; the promise fails when no progress is made in time. */
     public Promise<HttpResponse> exchange(HttpRequest request) {
+        return exchange(request, progressTimeoutMillis);
+    }
+
+    /** Begins an exchange; the promise fails when the answer does not begin in time. */
+    public Promise<HttpResponse> exchange(HttpRequest request, long firstByteLimitMillis) {
         sent = socket.isPresent();
-        return progress(client.request(request));
+        return within(firstByteLimitMillis, client.request(request));
+    }
+
+    /** Tells whether the connection carried an exchange before and may have been lost sight of since. */
+    public boolean usedBefore() {
+        return socket.isPresent();
     }
 
     /** Tells whether any byte of the present request may have reached the target. */
@@ -66,10 +76,14 @@
 
     /** Aborts the connection when a step takes longer than the progress timeout. */
     public <T> Promise<T> progress(Promise<T> step) {
+        return within(progressTimeoutMillis, step);
+    }
+
+    private <T> Promise<T> within(long limitMillis, Promise<T> step) {
         if (step.isComplete()) {
             return step;
         }
-        ScheduledRunnable timer = reactor.delayBackground(progressTimeoutMillis, this::stall);
+        ScheduledRunnable timer = reactor.delayBackground(limitMillis, this::stall);
         return step.whenComplete(timer::cancel);
     }
 
--- a/src/main/java/org/poplarwharf/internal/target/TargetConnections.java
+++ b/src/main/java/org/poplarwharf/internal/target/TargetConnections.java
@@ -68,7 +68,8 @@
         idle.clear();
     }
 
-    private TargetConnection fresh(String address) {
+    /** Returns a connection that was never used before. */
+    public TargetConnection fresh(String address) {
         return new TargetConnection(reactor, dns, address, progressTimeoutMillis, true);
     }
 }
