--- a/src/main/java/org/poplarwharf/internal/entry/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Exchange.java
@@ -190,7 +190,7 @@
         BodyReader.read(
                         response.takeBodyStream(),
                         thread.maxBodyBytes(),
-                        now.connection()::progress,
+                        now::read,
                         () -> CallerReporter.targetFailed(now.target(), null))
                 .whenComplete((body, e) -> {
                     if (now.finished()) {
@@ -228,7 +228,7 @@
     private void complete(Attempt now, WholeAnswer whole) {
         now.answered();
         end(Outcome.ANSWERED);
-        Answers.Origin origin = new Answers.Origin(request.requestId(), waitedForLoad);
+        Answers.Origin origin = new Answers.Origin(request.requestId(), waitedForLoad, thread.draining());
         answer.trySet(Answers.whole(whole.status(), whole.contentType(), whole.body(), origin));
     }
 
@@ -244,9 +244,8 @@
             }
             CompletionStream body = new CompletionStream(this, now, reader, first);
             stream = Optional.of(body);
-            answer.trySet(HttpResponse.ok200()
+            answer.trySet(Answers.begin(STATUS_OK, request.requestId(), thread.draining())
                     .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-                    .withHeader(RequestHead.REQUEST_ID, request.requestId())
                     .withHeader(Answers.COLD_START, Boolean.toString(waitedForLoad))
                     .withBodyStream(body)
                     .build());
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeSettings.java
@@ -26,6 +26,8 @@
  * @param storeFullSpeedPlaces loads that the weight store serves at once at full speed
  * @param logRetentionMillis how long the platform's log keeps a record
  * @param peerAdvertiseAddress where other nodes are told to connect, when that differs from {@code peerAddress}
+ * @param drainNoticeMillis how long a node that is no longer ready still takes connections, so that balancers notice
+ * @param keyValidityMillis how long the key of a call that may not be repeated is known
  */
 public record NodeSettings(
         String nodeId,
@@ -55,10 +57,14 @@
         int storeFullSpeedPlaces,
         int maxBodyBytes,
         long logRetentionMillis,
-        Optional<String> peerAdvertiseAddress) {
+        Optional<String> peerAdvertiseAddress,
+        long drainNoticeMillis,
+        long keyValidityMillis) {
     private static final long DEFAULT_LOG_RETENTION_MILLIS = 3_600_000;
+    private static final long DEFAULT_DRAIN_NOTICE_MILLIS = 0;
+    private static final long DEFAULT_KEY_VALIDITY_MILLIS = 1_800_000;
 
-    /** Creates settings for a log that keeps its records for an hour. */
+    /** Creates settings for a log that keeps its records for an hour, and a drain without notice. */
     public NodeSettings(
             String nodeId,
             String vmId,
@@ -114,7 +120,9 @@
                 storeFullSpeedPlaces,
                 maxBodyBytes,
                 DEFAULT_LOG_RETENTION_MILLIS,
-                Optional.empty());
+                Optional.empty(),
+                DEFAULT_DRAIN_NOTICE_MILLIS,
+                DEFAULT_KEY_VALIDITY_MILLIS);
     }
 
     /** Returns the same settings with these addresses. */
@@ -147,7 +155,9 @@
                 storeFullSpeedPlaces,
                 maxBodyBytes,
                 logRetentionMillis,
-                peerAdvertiseAddress);
+                peerAdvertiseAddress,
+                drainNoticeMillis,
+                keyValidityMillis);
     }
 
     /** Returns where other nodes are told to connect. */
--- a/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
+++ b/src/main/java/org/poplarwharf/internal/peer/TcpPeers.java
@@ -10,7 +10,6 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.net.SocketSettings;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -23,6 +22,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.peer.PeerDialler.Origin;
 
@@ -83,7 +83,7 @@
         try {
             server.listen();
         } catch (IOException e) {
-            return Promise.ofException(new UncheckedIOException(e));
+            return Promise.ofException(Reporter.addressUnusable(identity.peerAddress(), e));
         }
         String bound =
                 PeerAddress.format(listen, server.getBoundAddresses().get(0).getPort());
