--- a/src/main/java/org/poplarwharf/internal/admin/StatusCollector.java
+++ b/src/main/java/org/poplarwharf/internal/admin/StatusCollector.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.poplarwharf.internal.admin.StatusReport.CellStatus;
 import org.poplarwharf.internal.admin.StatusReport.OrderStatus;
+import org.poplarwharf.internal.admin.StatusReport.PeerStatus;
 import org.poplarwharf.internal.admin.StatusReport.SlotStatus;
 import org.poplarwharf.internal.admin.StatusReport.SuspectStatus;
 import org.poplarwharf.internal.admission.Admission;
@@ -16,7 +17,6 @@
 import org.poplarwharf.internal.kernel.NodeLifeCycle;
 import org.poplarwharf.internal.kernel.NodeLifeCycle.Phase;
 import org.poplarwharf.internal.log.RecordStream;
-import org.poplarwharf.internal.peer.Peers;
 import org.poplarwharf.internal.state.CellRecord;
 import org.poplarwharf.internal.state.CellStateView;
 
@@ -40,10 +40,16 @@
                 lowerCase(phase),
                 phase == Phase.RUNNING && view.map(ConfigView::ready).orElse(false),
                 config.version(),
-                context.find(Peers.class).map(Peers::connected).orElse(List.of()),
+                view.map(StatusCollector::peers).orElse(List.of()),
                 cells(config));
     }
 
+    private static List<PeerStatus> peers(ConfigView view) {
+        return view.peerVersions().stream()
+                .map(peer -> new PeerStatus(peer.peerAddress(), peer.version()))
+                .toList();
+    }
+
     private List<CellStatus> cells(FleetConfig config) {
         Optional<CellView> view = context.find(CellView.class);
         if (view.isEmpty()) {
--- a/src/main/java/org/poplarwharf/internal/admin/StatusReport.java
+++ b/src/main/java/org/poplarwharf/internal/admin/StatusReport.java
@@ -7,7 +7,7 @@
  * What the status path tells of a node and the cells that it follows. Immutable and thread-safe.
  *
  * @param configVersion the configuration in force on this node, -1 for none
- * @param peers addresses of nodes with a live link
+ * @param peers nodes with a live link
  */
 public record StatusReport(
         String node,
@@ -15,9 +15,16 @@
         String phase,
         boolean ready,
         long configVersion,
-        List<String> peers,
+        List<PeerStatus> peers,
         List<CellStatus> cells) {
 
+    /**
+     * Another node.
+     *
+     * @param configVersion the configuration in force there, -1 while it has told none
+     */
+    public record PeerStatus(String address, long configVersion) {}
+
     /**
      * A cell as this node knows it.
      *
--- a/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/StatusCommand.java
@@ -4,8 +4,6 @@
 import java.io.PrintStream;
 import java.util.List;
 import org.poplarwharf.internal.admin.StatusReport;
-import org.poplarwharf.internal.admin.StatusReport.CellStatus;
-import org.poplarwharf.internal.admin.StatusReport.SlotStatus;
 
 /** {@code poplarwharf status}: shows what a node tells of itself and its cells. Stateless and thread-safe. */
 public final class StatusCommand implements Command {
@@ -13,7 +11,6 @@
     private static final String ADMIN_TOKEN = "admin-token";
     private static final String TOKEN = "token";
     private static final String JSON = "json";
-    private static final String NONE = "-";
     private static final OptionSet OPTIONS = new OptionSet(
             "status",
             "",
@@ -49,82 +46,7 @@
             out.println(new ObjectMapper().valueToTree(report).toString());
             return EXIT_OK;
         }
-        printTables(report, out);
+        StatusTables.print(report, out);
         return EXIT_OK;
     }
-
-    private static void printTables(StatusReport report, PrintStream out) {
-        TextTable node = new TextTable("NODE", "ZONE", "PHASE", "READY", "CONFIG", "PEERS");
-        node.add(
-                report.node(),
-                report.zone(),
-                report.phase(),
-                report.ready(),
-                report.configVersion(),
-                report.peers().size());
-        node.print(out);
-        out.println();
-        printCells(report, out);
-        printSlots(report, out);
-        printQueues(report, out);
-        printSuspects(report, out);
-    }
-
-    private static void printCells(StatusReport report, PrintStream out) {
-        TextTable cells = new TextTable("CELL", "HOLDER", "HERE", "EPOCH", "CAUGHT UP", "CLAIMS", "EXCLUDED");
-        for (CellStatus cell : report.cells()) {
-            cells.add(
-                    cell.name(),
-                    cell.holder().isEmpty() ? NONE : cell.holder(),
-                    cell.here(),
-                    cell.epoch(),
-                    cell.caughtUp(),
-                    cell.claims(),
-                    cell.excludedTargets().isEmpty() ? NONE : String.join(",", cell.excludedTargets()));
-        }
-        cells.print(out);
-        out.println();
-    }
-
-    private static void printSlots(StatusReport report, PrintStream out) {
-        TextTable slots = new TextTable("CELL", "TARGET", "ARTIFACT", "VERSION", "BYTES", "PHASE", "OPEN ORDERS");
-        for (CellStatus cell : report.cells()) {
-            for (SlotStatus slot : cell.slots()) {
-                List<String> orders = slot.openOrders().stream()
-                        .map(order -> order.kind() + "@" + order.intentOffset())
-                        .toList();
-                slots.add(
-                        cell.name(),
-                        slot.target(),
-                        slot.artifact(),
-                        slot.version(),
-                        slot.sizeBytes(),
-                        slot.phase(),
-                        orders.isEmpty() ? NONE : String.join(",", orders));
-            }
-        }
-        slots.print(out);
-        out.println();
-    }
-
-    private static void printQueues(StatusReport report, PrintStream out) {
-        TextTable queues = new TextTable("CELL", "ARTIFACT", "CLASS", "WAITING", "RUNNING");
-        for (CellStatus cell : report.cells()) {
-            cell.queues()
-                    .forEach(queue -> queues.add(
-                            cell.name(), queue.artifact(), queue.requestClass(), queue.waiting(), queue.running()));
-        }
-        queues.print(out);
-        out.println();
-    }
-
-    private static void printSuspects(StatusReport report, PrintStream out) {
-        TextTable suspects = new TextTable("CELL", "SUSPECT", "DEATHS", "CONDEMNED");
-        for (CellStatus cell : report.cells()) {
-            cell.suspects()
-                    .forEach(suspect ->
-                            suspects.add(cell.name(), suspect.fingerprint(), suspect.deaths(), suspect.condemned()));
-        }
-        suspects.print(out);
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/config/ConfigPeers.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPeers.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.config.ConfigView.PeerVersion;
 import org.poplarwharf.internal.peer.PeerMessage;
 import org.poplarwharf.internal.peer.PeerMessage.ConfigKnown;
 import org.poplarwharf.internal.peer.PeerMessage.ConfigState;
@@ -24,6 +25,8 @@
 final class ConfigPeers implements Peers.Listener {
     private static final MessagePackCodec<ConfigRecord> CODEC = new MessagePackCodec<>(ConfigRecord.class);
 
+    private static final long NONE_TOLD = -1;
+
     private final Peers peers;
     private final Supplier<ConfigKnown> own;
     private final Supplier<ConfigRecord> checkpoint;
@@ -62,6 +65,17 @@
         peers.connected().forEach(address -> peers.send(address, own.get()));
     }
 
+    /** Returns what each connected peer has told. */
+    List<PeerVersion> versions() {
+        return peers.connected().stream()
+                .map(address -> new PeerVersion(
+                        address,
+                        Optional.ofNullable(known.get(address))
+                                .map(ConfigKnown::version)
+                                .orElse(NONE_TOLD)))
+                .toList();
+    }
+
     /** Tells whether a reachable peer is known to have a newer configuration. */
     boolean anyAhead() {
         long version = own.get().version();
--- a/src/main/java/org/poplarwharf/internal/config/ConfigRole.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigRole.java
@@ -95,6 +95,11 @@
         return ready;
     }
 
+    @Override
+    public List<PeerVersion> peerVersions() {
+        return peers.map(ConfigPeers::versions).orElse(List.of());
+    }
+
     private boolean knowsEnough() {
         if (peers.isPresent() && peers.get().anyAhead()) {
             return false;
