Reserve chosen ports; one base for the stand-ins; wait for a closed listener in the proxy's test

Cause: a port of zero was chosen by a socket that was closed before the role bound it, so another process could take it. Ruled out for the ports: binding by the roles, since a node's addresses stand in its lease claims and hellos before all roles listen. For the test: a bounded wait for the refusal, which would be weaker than asking once. Change: the chosen port stays bound by a socket that does not listen until the node has started. HostedStandin holds what the stand-ins share. The test's set of faults goes once through the loop. Each room has a package comment.

--- a/src/main/java/org/poplarwharf/internal/cell/TargetWatch.java
+++ b/src/main/java/org/poplarwharf/internal/cell/TargetWatch.java
@@ -7,7 +7,7 @@
 import org.poplarwharf.plugins.EngineDialect.Report;
 
 /**
- * The last report of one target.
+ * The last report of one target. Immutable and thread-safe.
  *
  * @param requestedAt the step count of this process when the report was asked for
  * @param receivedMillis monotonic time of its arrival
--- a/src/main/java/org/poplarwharf/internal/cli/Command.java
+++ b/src/main/java/org/poplarwharf/internal/cli/Command.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * A sub-command of the binary. Implementations are stateless; each run is independent.
+ * A sub-command of the binary. Implementations are stateless and thread-safe; each run is independent.
  */
 public interface Command {
     /** Exit code of a run that did what it was asked to. */
--- a/src/main/java/org/poplarwharf/internal/config/ConfigPlugin.java
+++ b/src/main/java/org/poplarwharf/internal/config/ConfigPlugin.java
@@ -6,7 +6,7 @@
 import org.poplarwharf.plugins.Plugin;
 import org.poplarwharf.plugins.PluginRegistry;
 
-/** Registers the role that follows the configuration. Stateless. */
+/** Registers the role that follows the configuration. Stateless and thread-safe. */
 public final class ConfigPlugin implements Plugin {
     @Override
     public void registerWith(PluginRegistry registry) {
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/failure/package-info.java
@@ -0,0 +1,2 @@
+/** Makes and words every failure. */
+package org.poplarwharf.internal.failure;
--- a/src/main/java/org/poplarwharf/internal/kernel/FreePorts.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/FreePorts.java
@@ -1,25 +1,23 @@
 package org.poplarwharf.internal.kernel;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import org.poplarwharf.internal.failure.Reporter;
 
 /**
  * Replaces ports of zero in a node's addresses by free ones, so that every role knows the addresses before any starts.
  *
- * <p>Another process can take such a port before the role binds it; the role then fails to start. Operators give fixed
- * ports. Used by one thread.
+ * <p>Invariant: a chosen port stays bound until {@link #close}, by a socket that does not listen, so that the system
+ * gives it to no other process and the node's own servers can listen there. Used by one thread.
  */
-final class FreePorts {
+final class FreePorts implements AutoCloseable {
     private static final String ANY_PORT = ":0";
     private static final int ANY = 0;
-    private static final int BACKLOG = 1;
-    private static final int ATTEMPTS = 100;
 
-    private final Set<Integer> taken = new HashSet<>();
+    private final List<Socket> reservations = new ArrayList<>();
 
     /** Returns the settings with a free port wherever they leave the choice. */
     NodeSettings choose(NodeSettings settings) {
@@ -32,19 +30,32 @@
             return address;
         }
         String host = address.substring(0, address.length() - ANY_PORT.length());
-        return host + ":" + freePort(host, address);
+        return host + ":" + reserve(host, address);
     }
 
-    private int freePort(String host, String address) {
-        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-            try (ServerSocket socket = new ServerSocket(ANY, BACKLOG, InetAddress.getByName(host))) {
-                if (taken.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
-                }
+    private int reserve(String host, String address) {
+        Socket reservation = new Socket();
+        reservations.add(reservation);
+        try {
+            reservation.setReuseAddress(true);
+            reservation.bind(new InetSocketAddress(host, ANY));
+            return reservation.getLocalPort();
+        } catch (IOException e) {
+            close();
+            throw Reporter.addressUnusable(address, e);
+        }
+    }
+
+    /** Gives the reservations up; what listens by now goes on. */
+    @Override
+    public void close() {
+        for (Socket reservation : reservations) {
+            try {
+                reservation.close();
             } catch (IOException e) {
-                throw Reporter.addressUnusable(address, e);
+                throw Reporter.internal("Closing a port's reservation", e);
             }
         }
-        throw Reporter.addressUnusable(address, null);
+        reservations.clear();
     }
 }
--- a/src/main/java/org/poplarwharf/internal/kernel/NodeKernel.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/NodeKernel.java
@@ -30,6 +30,7 @@
     private final NodeLog log;
     private final NodeThreads threads;
     private final KernelContext context;
+    private final FreePorts ports = new FreePorts();
     private final List<Role> started = new ArrayList<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -42,7 +43,7 @@
 
     /** Creates a node of these plug-ins. */
     public NodeKernel(NodeSettings settings, PluginRegistry plugins) {
-        this.settings = new FreePorts().choose(settings);
+        this.settings = ports.choose(settings);
         this.plugins = plugins;
         MetricRegistry metrics = new MetricRegistry();
         log = new NodeLog(settings.nodeId(), settings.zone());
@@ -75,6 +76,8 @@
             log.failure(LogEvent.NODE_FAILED, failure.code(), failure.getMessage(), failure);
             stop();
             throw failure;
+        } finally {
+            ports.close();
         }
         phase.compareAndSet(Phase.STARTING, Phase.RUNNING);
         log.event(LogEvent.NODE_STARTED);
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/load/package-info.java
@@ -0,0 +1,2 @@
+/** A load generator and its report, for commands. */
+package org.poplarwharf.internal.load;
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Policies that pick the replica for a request. */
+package org.poplarwharf.internal.routing;
--- a/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/EngineStandin.java
@@ -24,30 +24,28 @@
  *
  * <p>Nothing that a real engine would accept is refused; what goes wrong is journalled. Belongs to one reactor thread.
  */
-public final class EngineStandin implements Standin {
+public final class EngineStandin extends HostedStandin<EngineEvent, EngineFaults> {
     private static final HttpHeader REQUEST_ID = HttpHeaders.of("X-Request-Id");
     private static final HttpHeader ARTIFACT = HttpHeaders.of("X-Artifact");
     private static final HttpHeader PRIORITY = HttpHeaders.of("X-Priority");
     private static final HttpHeader RESUME_AFTER = HttpHeaders.of("X-Resume-After-Tokens");
 
-    private final NioReactor reactor;
     private final EngineSettings settings;
     private final Optional<Runnable> exit;
-    private final Journal<EngineEvent> journal;
-    private final Faults<EngineFaults> faults = new Faults<>(EngineFaults.class, EngineFaults.none());
     private final String bootId = UUID.randomUUID().toString();
     private final EngineBatch batch;
     private final EngineMemory memory;
-    private final StandinHost host;
     private long highestFencingNumber = -1;
     private long nextRequest;
 
     private EngineStandin(
             NioReactor reactor, StandinAddresses addresses, EngineSettings settings, Optional<Runnable> exit) {
-        this.reactor = reactor;
+        super(
+                reactor,
+                new Journal<>(EngineEvent.class, addresses.journal()),
+                new Faults<>(EngineFaults.class, EngineFaults.none()));
         this.settings = settings;
         this.exit = exit;
-        this.journal = new Journal<>(EngineEvent.class, addresses.journal());
         this.batch = new EngineBatch(settings.maxRunning(), journal);
         WeightSource weights = new WeightSource(reactor, settings.storeAddress());
         this.memory = new EngineMemory(reactor, settings, journal, weights, batch::uses);
@@ -56,11 +54,7 @@
                 .with(POST, "/v1/orders", StandinHost.bodyServlet(this::order))
                 .with(GET, "/v1/report", request -> Promise.of(StandinJson.response(200, report())))
                 .build();
-        host = StandinHost.start(
-                reactor,
-                addresses,
-                servlet,
-                StandinHost.adminServlet(reactor, journal, faults).build());
+        listen(addresses, servlet);
     }
 
     /** Starts an engine whose crash closes its connections; call it in the reactor's thread. */
@@ -73,28 +67,10 @@
         return new EngineStandin(reactor, addresses, settings, Optional.of(exit));
     }
 
-    public Journal<EngineEvent> journal() {
-        return journal;
-    }
-
-    public Faults<EngineFaults> faults() {
-        return faults;
-    }
-
-    @Override
-    public String address() {
-        return host.address();
-    }
-
-    @Override
-    public String adminAddress() {
-        return host.adminAddress();
-    }
-
     @Override
     public void stop() {
         memory.die();
-        host.stop();
+        super.stop();
     }
 
     /** Dies as a crashed process would: every connection closes and what was held is gone. */
@@ -103,7 +79,7 @@
         batch.crash();
         exit.ifPresent(Runnable::run);
         memory.die();
-        host.crash();
+        closeClients();
     }
 
     private EngineDialect.Report report() {
--- a/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/LogStandin.java
@@ -25,34 +25,28 @@
  * /streams/{stream}?from=&max=&wait=} answers with a page in MessagePack. Records live in memory. Belongs to one reactor
  * thread.
  */
-public final class LogStandin implements Standin {
+public final class LogStandin extends HostedStandin<LogEvent, LogFaults> {
     private static final int MILLIS_PER_SECOND = 1_000;
     private static final MessagePackCodec<EventLog.Page> PAGES = new MessagePackCodec<>(EventLog.Page.class);
 
-    private final NioReactor reactor;
     private final LogSettings settings;
-    private final Journal<LogEvent> journal;
-    private final Faults<LogFaults> faults = new Faults<>(LogFaults.class, LogFaults.none());
     private final Map<String, LogStream> streams = new HashMap<>();
     private final MonotonicClock clock = MonotonicClock.system();
     private final Random random;
-    private final StandinHost host;
     private double nextAppendMillis;
 
     private LogStandin(NioReactor reactor, StandinAddresses addresses, LogSettings settings) {
-        this.reactor = reactor;
+        super(
+                reactor,
+                new Journal<>(LogEvent.class, addresses.journal()),
+                new Faults<>(LogFaults.class, LogFaults.none()));
         this.settings = settings;
         this.random = new Random(settings.seed());
-        this.journal = new Journal<>(LogEvent.class, addresses.journal());
         RoutingServlet servlet = RoutingServlet.builder(reactor)
                 .with(POST, "/streams/:stream", this::append)
                 .with(GET, "/streams/:stream", this::read)
                 .build();
-        host = StandinHost.start(
-                reactor,
-                addresses,
-                servlet,
-                StandinHost.adminServlet(reactor, journal, faults).build());
+        listen(addresses, servlet);
     }
 
     /** Starts a log; call it in the reactor's thread. */
@@ -60,29 +54,6 @@
         return new LogStandin(reactor, addresses, settings);
     }
 
-    public Journal<LogEvent> journal() {
-        return journal;
-    }
-
-    public Faults<LogFaults> faults() {
-        return faults;
-    }
-
-    @Override
-    public String address() {
-        return host.address();
-    }
-
-    @Override
-    public String adminAddress() {
-        return host.adminAddress();
-    }
-
-    @Override
-    public void stop() {
-        host.stop();
-    }
-
     private Promise<HttpResponse> append(HttpRequest request) {
         String stream = request.getPathParameter("stream");
         return StandinHost.body(request).then(payload -> {
--- a/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ServiceStandin.java
@@ -14,27 +14,20 @@
  *
  * <p>Belongs to one reactor thread.
  */
-public final class ServiceStandin implements Standin {
+public final class ServiceStandin extends HostedStandin<ServiceCall, ServiceFaults> {
     private static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
 
-    private final NioReactor reactor;
-    private final Journal<ServiceCall> journal;
-    private final Faults<ServiceFaults> faults;
     private final Optional<Runnable> exit;
-    private final StandinHost host;
     private long calls;
 
     private ServiceStandin(
             NioReactor reactor, StandinAddresses addresses, long serviceMillis, Optional<Runnable> exit) {
-        this.reactor = reactor;
-        this.exit = exit;
-        this.journal = new Journal<>(ServiceCall.class, addresses.journal());
-        this.faults = new Faults<>(ServiceFaults.class, ServiceFaults.none(serviceMillis));
-        host = StandinHost.start(
+        super(
                 reactor,
-                addresses,
-                this::serve,
-                StandinHost.adminServlet(reactor, journal, faults).build());
+                new Journal<>(ServiceCall.class, addresses.journal()),
+                new Faults<>(ServiceFaults.class, ServiceFaults.none(serviceMillis)));
+        this.exit = exit;
+        listen(addresses, this::serve);
     }
 
     /** Starts a service whose death closes its connections; call it in the reactor's thread. */
@@ -47,29 +40,6 @@
         return new ServiceStandin(reactor, addresses, serviceMillis, Optional.of(exit));
     }
 
-    public Journal<ServiceCall> journal() {
-        return journal;
-    }
-
-    public Faults<ServiceFaults> faults() {
-        return faults;
-    }
-
-    @Override
-    public String address() {
-        return host.address();
-    }
-
-    @Override
-    public String adminAddress() {
-        return host.adminAddress();
-    }
-
-    @Override
-    public void stop() {
-        host.stop();
-    }
-
     private Promise<HttpResponse> serve(HttpRequest request) {
         String method = request.getMethod().name();
         String path = request.getPath();
@@ -85,7 +55,7 @@
         ServiceFaults now = faults.get();
         if (now.dieAfterNextCall()) {
             exit.ifPresent(Runnable::run);
-            host.crash();
+            closeClients();
             return StandinHost.noAnswer();
         }
         if (now.cutNextAnswers() > 0) {
--- a/src/main/java/org/poplarwharf/internal/standin/StoreStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/StoreStandin.java
@@ -15,32 +15,26 @@
  *
  * <p>{@code GET /fetch?bytes=N} answers when N bytes would have been transferred. Belongs to one reactor thread.
  */
-public final class StoreStandin implements Standin {
+public final class StoreStandin extends HostedStandin<StoreEvent, StoreFaults> {
     private static final int MILLIS_PER_SECOND = 1_000;
 
-    private final NioReactor reactor;
     private final StoreSettings settings;
-    private final Journal<StoreEvent> journal;
-    private final Faults<StoreFaults> faults = new Faults<>(StoreFaults.class, StoreFaults.none());
     private final MonotonicClock clock = MonotonicClock.system();
     private final SharedBandwidth bandwidth;
-    private final StandinHost host;
     private double nextStartMillis;
     private long nextFetchId;
 
     private StoreStandin(NioReactor reactor, StandinAddresses addresses, StoreSettings settings) {
-        this.reactor = reactor;
+        super(
+                reactor,
+                new Journal<>(StoreEvent.class, addresses.journal()),
+                new Faults<>(StoreFaults.class, StoreFaults.none()));
         this.settings = settings;
-        this.journal = new Journal<>(StoreEvent.class, addresses.journal());
         this.bandwidth = new SharedBandwidth(reactor, settings.fullSpeedPlaces(), settings.bytesPerSecond());
         faults.onChange(now -> bandwidth.slowDown(Math.max(1, now.slowDownFactor())));
         RoutingServlet servlet =
                 RoutingServlet.builder(reactor).with(GET, "/fetch", this::fetch).build();
-        host = StandinHost.start(
-                reactor,
-                addresses,
-                servlet,
-                StandinHost.adminServlet(reactor, journal, faults).build());
+        listen(addresses, servlet);
     }
 
     /** Starts a store; call it in the reactor's thread. */
@@ -48,29 +42,6 @@
         return new StoreStandin(reactor, addresses, settings);
     }
 
-    public Journal<StoreEvent> journal() {
-        return journal;
-    }
-
-    public Faults<StoreFaults> faults() {
-        return faults;
-    }
-
-    @Override
-    public String address() {
-        return host.address();
-    }
-
-    @Override
-    public String adminAddress() {
-        return host.adminAddress();
-    }
-
-    @Override
-    public void stop() {
-        host.stop();
-    }
-
     private Promise<HttpResponse> fetch(HttpRequest request) {
         if (faults.get().outage()) {
             return Promise.of(StandinJson.response(503, new StandinHost.Problem("store-outage", "a fault is set")));
--- a/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
@@ -17,23 +17,20 @@
  * <p>{@code GET /vms} answers with the list as it was a lag ago; {@code PUT /vms} at the administration endpoint sets it.
  * Belongs to one reactor thread.
  */
-public final class VmListStandin implements Standin {
-    private final NioReactor reactor;
-    private final Journal<VmsChanged> journal;
-    private final Faults<VmListFaults> faults;
-    private final StandinHost host;
+public final class VmListStandin extends HostedStandin<VmListStandin.VmsChanged, VmListFaults> {
     private List<VmList.Vm> visible = List.of();
 
     private VmListStandin(NioReactor reactor, StandinAddresses addresses, long lagMillis) {
-        this.reactor = reactor;
-        this.journal = new Journal<>(VmsChanged.class, addresses.journal());
-        this.faults = new Faults<>(VmListFaults.class, new VmListFaults(false, lagMillis));
+        super(
+                reactor,
+                new Journal<>(VmsChanged.class, addresses.journal()),
+                new Faults<>(VmListFaults.class, new VmListFaults(false, lagMillis)));
         RoutingServlet admin = StandinHost.adminServlet(reactor, journal, faults)
                 .with(PUT, "/vms", StandinHost.bodyServlet(this::putVms))
                 .build();
         RoutingServlet servlet =
                 RoutingServlet.builder(reactor).with(GET, "/vms", this::list).build();
-        host = StandinHost.start(reactor, addresses, servlet, admin);
+        listen(addresses, servlet, admin);
     }
 
     /** Starts a list; call it in the reactor's thread. */
@@ -52,29 +49,6 @@
         reactor.delayBackground(lagMillis, () -> visible = vms);
     }
 
-    public Journal<VmsChanged> journal() {
-        return journal;
-    }
-
-    public Faults<VmListFaults> faults() {
-        return faults;
-    }
-
-    @Override
-    public String address() {
-        return host.address();
-    }
-
-    @Override
-    public String adminAddress() {
-        return host.adminAddress();
-    }
-
-    @Override
-    public void stop() {
-        host.stop();
-    }
-
     private HttpResponse putVms(byte[] body) {
         VmsChanged change = StandinJson.read(body, VmsChanged.class);
         setVms(change.vms());
--- a/src/test/java/org/poplarwharf/internal/standin/ProxyStandinTest.java
+++ b/src/test/java/org/poplarwharf/internal/standin/ProxyStandinTest.java
@@ -7,12 +7,14 @@
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promises;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +23,7 @@
 import org.poplarwharf.support.TestHttp;
 
 class ProxyStandinTest {
+    private static final Duration NEXT_TURN = Duration.ofMillis(1);
     private static final int SILENCE_MILLIS = 150;
     private static final int ANSWER_MILLIS = 10_000;
 
@@ -70,8 +73,10 @@
         return socket;
     }
 
+    /** Sets faults and waits for the loop's next turn, in which a listener that was closed lets its port go. */
     private void set(LinkFaults faults) {
         thread.run(() -> proxy.set("a", faults));
+        thread.await(() -> Promises.delay(NEXT_TURN));
     }
 
     private static void send(Socket socket, int value) throws IOException {
