--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures what a node costs on this machine and writes one JSON file a section to docs/capacity/.
 #
-#   scripts/measure-capacity.sh [SECTION...]    sections: nodes cells targets models small traffic; all without an argument
+#   scripts/measure-capacity.sh [SECTION...]    sections: nodes cells targets models small traffic stream; all without an argument
 #
 # It starts stand-ins and nodes on loopback, in a network namespace of their own where the system allows one (then the
 # bytes on loopback are counted too), and ends only the processes that it started. Needs bash, curl, jq and a JDK (jcmd).
@@ -123,7 +123,8 @@
   rm -f "$WORK"/*.journal "$WORK"/*.err "$WORK"/*.out
   start log standin log --listen 127.0.0.1:10001 --admin 127.0.0.1:10002 --journal "$WORK/log.journal" --appends-per-second 400
   start vms standin vms --listen 127.0.0.1:10003 --admin 127.0.0.1:10004
-  start engine standin engine --listen 127.0.0.1:10010 --admin 127.0.0.1:10011
+  # shellcheck disable=SC2086
+  start engine standin engine --listen 127.0.0.1:10010 --admin 127.0.0.1:10011 ${ENGINE_OPTIONS:-}
   start service standin service --listen 127.0.0.1:10020 --admin 127.0.0.1:10021
   for t in $(seq 1 "$3"); do
     links+="${links:+,}t$t=127.0.0.1:$((15000 + t))=127.0.0.1:10010"
@@ -324,6 +325,49 @@
   for fd in "${open[@]}"; do exec {fd}>&-; done
 }
 
+complete() { # NODE TOKENS: prints how many tokens came
+  curl -sN -m 60 -H 'Content-Type: application/json' -H 'X-Deadline-Millis: 50000' \
+    -d "{\"model\":\"model-1\",\"stream\":true,\"max_tokens\":$2,\"messages\":[{\"role\":\"user\",\"content\":\"hello $RANDOM\"}]}" \
+    "http://127.0.0.1:$((12000 + $1))/v1/chat/completions" | grep -c '"content"' || true
+}
+
+# Processor time of the entry node for streamed tokens, at several numbers of streams at once.
+stream_line() { # STREAMS
+  local holder entry before after i tokens started ended
+  holder=$(admin 1 status | jq -r '.cells[] | select(.name == "c1") | .holder')
+  entry=$(((${holder#n} % 3) + 1))
+  : >"$WORK/tokens"
+  before=$(cpu_ticks "$(pid "n$entry")")
+  started=$(date +%s%3N)
+  declare -a clients=()
+  for i in $(seq 1 "$1"); do
+    complete "$entry" 6000 >>"$WORK/tokens" &
+    clients+=($!)
+  done
+  wait "${clients[@]}"
+  ended=$(date +%s%3N)
+  after=$(cpu_ticks "$(pid "n$entry")")
+  tokens=$(awk '{sum += $1} END {print sum}' "$WORK/tokens")
+  jq -nc --argjson streams "$1" --argjson tokens "$tokens" --argjson ticks $((after - before)) --argjson millis $((ended - started)) \
+    '{streams: $streams, tokens: $tokens, seconds: ($millis / 1000), tokensPerSecond: ($tokens / $millis * 1000 | round),
+      entryProcessSeconds: ($ticks / 100), entryMicrosPerToken: ($ticks * 10000 / $tokens * 10 | round / 10)}'
+}
+
+stream_section() {
+  local streams
+  if [ -n "$LOCK" ]; then
+    exec 9>"$LOCK"
+    flock 9
+  fi
+  ENGINE_OPTIONS="--token 1ms --max-running 64" start_fleet 3 1 1 30 60
+  sleep 5
+  complete 1 10 >/dev/null
+  stream_line 8 >/dev/null
+  for streams in ${SIZES:-4 8 16}; do stream_line "$streams"; done
+  end_all
+  if [ -n "$LOCK" ]; then flock -u 9; fi
+}
+
 traffic_section() {
   local rate
   if [ -n "$LOCK" ]; then
@@ -351,8 +395,9 @@
     nodes) for n in ${SIZES:-3 9 27}; do case_line "$n" 3 8 30 60 yes yes; done | section nodes ;;
     cells) for c in ${SIZES:-1 8 24}; do case_line 3 "$c" 24 30 60 no no; done | section cells ;;
     targets) for t in ${SIZES:-8 32 100}; do case_line 3 3 "$t" 30 60 no no; done | section targets ;;
-    models) for m in ${SIZES:-30 300 1300}; do case_line 3 3 8 "$m" $((m * 66 / 13)) no no; done | section models ;;
+    models) for m in ${SIZES:-30 300 1300}; do case_line 3 3 8 "$m" $((m * 66 / 13)) yes no; done | section models ;;
     traffic) traffic_section | section traffic ;;
+    stream) stream_section | section stream ;;
     small) POPLARWHARF_JAVA_OPTIONS="-Xmx64m" case_line 3 3 8 1300 6600 yes no | section small ;;
     *)
       echo "unknown section $1" >&2
@@ -362,4 +407,4 @@
 }
 
 mkdir -p "$OUT"
-for name in ${@:-nodes cells targets models small traffic}; do run "$name"; done
+for name in ${@:-nodes cells targets models small traffic stream}; do run "$name"; done
