Learn load times for the store apart from near copies, with a time before each load

Whether a load came from a near copy was asked when it had ended, when the engine lists every loaded artifact as a near copy; so the store's speed was never learned and that of near copies was wrong. Ruled out: the queue (no request waited), the store's rate (0 to 4 artifacts waited), models that were being unloaded.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -55,7 +55,6 @@
     private final CellReplicas replicas;
     private final Map<SlotKey, Long> coolUntilMillis = new HashMap<>();
     private final Map<SlotKey, Long> recoverAtMillis = new HashMap<>();
-    private final Map<SlotKey, Long> loadStartMillis = new HashMap<>();
     private boolean draining;
 
     /** What all cells of a node share. */
@@ -243,7 +242,7 @@
         if (!near && !parts.store().tryStart(loadingFromStore(), nowMillis())) {
             return;
         }
-        loadStartMillis.put(key, nowMillis());
+        loadTimes.started(key, near, nowMillis());
         loader.load(load.share(), load.target(), vm.get().vmId());
     }
 
@@ -360,16 +359,13 @@
     }
 
     private void loaded(SlotKey key) {
-        Long startMillis = loadStartMillis.remove(key);
-        Optional<Slot> slot = state.slot(key.target(), key.artifact());
-        if (startMillis != null && slot.isPresent()) {
-            loadTimes.loaded(slot.get().sizeBytes(), nowMillis() - startMillis, near(key));
-        }
+        state.slot(key.target(), key.artifact())
+                .ifPresent(slot -> loadTimes.loaded(key, slot.sizeBytes(), nowMillis()));
     }
 
     /** A load that ended in an absence failed there; it is tried elsewhere first. */
     private void retired(SlotKey key) {
-        if (loadStartMillis.remove(key) != null) {
+        if (loadTimes.failed(key)) {
             coolUntilMillis.put(key, nowMillis() + COOL_MILLIS);
         }
         recoverAtMillis.remove(key);
