--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
@@ -101,7 +101,7 @@
         out.flush();
     }
 
-    private static int finish(QuickstartFleet fleet, int exitCode) {
+    private static int finish(LocalFleet fleet, int exitCode) {
         fleet.close();
         return exitCode;
     }
