End the demand of a refused request when it may come again

Cause: admission keeps the demand of a refused cold request up, with the time until which it holds, so that the load goes on. Nothing ended it: where no further request came, the model counted as waited for, was never unloaded as idle and gave way to nobody of its own priority. Change: the planner sees no demand whose time has passed.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -314,7 +314,7 @@
                 name,
                 planTargets,
                 slots,
-                uses.demand(),
+                uses.demand(nowMillis()),
                 uses.uses(slots, foreignUse(), nowMillis()),
                 Set.copyOf(coolUntilMillis.keySet()));
     }
--- a/src/main/java/org/poplarwharf/internal/cell/LoadForecast.java
+++ b/src/main/java/org/poplarwharf/internal/cell/LoadForecast.java
@@ -75,7 +75,8 @@
                 continue;
             }
             boolean near = cell.near(new SlotKey(target.name(), share.artifact()));
-            long waitMillis = near ? 0 : store.waitMillis(uses.demand().size(), cell.nowMillis());
+            long waitMillis =
+                    near ? 0 : store.waitMillis(uses.demand(cell.nowMillis()).size(), cell.nowMillis());
             long millis = waitMillis + loadTimes.millis(share.sizeBytes(), near);
             best = OptionalLong.of(Math.min(millis, best.orElse(Long.MAX_VALUE)));
         }
--- a/src/main/java/org/poplarwharf/internal/cell/UseTable.java
+++ b/src/main/java/org/poplarwharf/internal/cell/UseTable.java
@@ -39,7 +39,9 @@
         demand.put(artifact, wanted);
     }
 
-    Map<ArtifactId, Demand> demand() {
+    /** Returns the demand whose earliest deadline has not passed; admission tells again what still waits after that. */
+    Map<ArtifactId, Demand> demand(long nowMillis) {
+        demand.values().removeIf(wanted -> wanted.earliestDeadlineMillis() <= nowMillis);
         return Map.copyOf(demand);
     }
 
