Add idle policies that keep small artifacts longer

Change: an idle policy may weigh an artifact's size. size-weighted is the fixed keep-alive for 16 GiB, longer for less and shorter for more; expected-cost-by-size scales the price of a cold start in the same way.

--- a/src/main/java/org/poplarwharf/internal/cell/ConfiguredIdlePolicy.java
+++ b/src/main/java/org/poplarwharf/internal/cell/ConfiguredIdlePolicy.java
@@ -47,6 +47,11 @@
         return of(artifact).keepAliveMillis(artifact, nowMillis);
     }
 
+    @Override
+    public OptionalLong keepAliveMillis(ArtifactId artifact, long sizeBytes, long nowMillis) {
+        return of(artifact).keepAliveMillis(artifact, sizeBytes, nowMillis);
+    }
+
     @Override
     public double keepWorth(ArtifactId artifact, long lastUseMillis, long loadMillis, long sizeBytes, long nowMillis) {
         return of(artifact).keepWorth(artifact, lastUseMillis, loadMillis, sizeBytes, nowMillis);
--- a/src/main/java/org/poplarwharf/internal/cell/UseTable.java
+++ b/src/main/java/org/poplarwharf/internal/cell/UseTable.java
@@ -88,7 +88,7 @@
         for (Slot slot : slots) {
             SlotKey key = SlotKey.of(slot);
             Count count = counts.computeIfAbsent(key, k -> new Count(0, nowMillis));
-            OptionalLong keepAliveMillis = policy.keepAliveMillis(slot.artifact(), nowMillis);
+            OptionalLong keepAliveMillis = policy.keepAliveMillis(slot.artifact(), slot.sizeBytes(), nowMillis);
             int inFlight = foreign.contains(slot.target()) ? Math.max(1, count.inFlight()) : count.inFlight();
             boolean expired = inFlight == 0
                     && keepAliveMillis.isPresent()
--- a/src/main/java/org/poplarwharf/internal/cli/ExperimentCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ExperimentCommand.java
@@ -39,16 +39,20 @@
     private static final List<OptionSpec> COMMON = List.of(
             OptionSpec.of(DEPLOYMENT, "NAME", "halvorsen", "halvorsen or balkan"),
             OptionSpec.of(SEED, "NUMBER", "1", "seed of the trace"),
-            OptionSpec.of(TIME_SCALE, "NUMBER", "20", "by what every duration is divided"),
-            OptionSpec.of(TRACE, "DURATION", "20m", "length of the trace in the deployment's time"),
-            OptionSpec.of(PARALLEL, "COUNT", "5", "fleets that run at once"),
+            OptionSpec.of(TIME_SCALE, "NUMBER", "10", "by what every duration is divided"),
+            OptionSpec.of(TRACE, "DURATION", "15m", "length of the trace in the deployment's time"),
+            OptionSpec.of(PARALLEL, "COUNT", "12", "fleets that run at once"),
             OptionSpec.of(OUT, "DIR", "results", "where results are written"));
     private static final OptionSet IDLE = new OptionSet(
             "experiment idle",
             "",
             with(
-                    OptionSpec.of(POLICIES, "LIST", "fixed,expected-cost", "idle policies"),
-                    OptionSpec.of(KEEP_ALIVES, "LIST", "30,120,300,600,1200", "settings of the dial in seconds")));
+                    OptionSpec.of(
+                            POLICIES,
+                            "LIST",
+                            "fixed,size-weighted,expected-cost,expected-cost-by-size",
+                            "idle policies"),
+                    OptionSpec.of(KEEP_ALIVES, "LIST", "30,120,480", "settings of the dial in seconds")));
     private static final OptionSet ROUTING = new OptionSet(
             "experiment routing",
             "",
--- a/src/main/java/org/poplarwharf/internal/idle/ExpectedCostIdlePolicy.java
+++ b/src/main/java/org/poplarwharf/internal/idle/ExpectedCostIdlePolicy.java
@@ -28,8 +28,20 @@
     private final GapHistogram all = new GapHistogram();
     private final Map<ArtifactId, History> histories = new HashMap<>();
 
+    private final boolean bySize;
+
     public ExpectedCostIdlePolicy(long priceMillis) {
+        this(priceMillis, false);
+    }
+
+    private ExpectedCostIdlePolicy(long priceMillis, boolean bySize) {
         this.priceMillis = priceMillis;
+        this.bySize = bySize;
+    }
+
+    /** Returns a policy for which the price holds for 16 GiB, and is higher for less memory and lower for more. */
+    public static ExpectedCostIdlePolicy bySize(long priceMillis) {
+        return new ExpectedCostIdlePolicy(priceMillis, true);
     }
 
     private static final class History {
@@ -55,36 +67,45 @@
 
     @Override
     public OptionalLong keepAliveMillis(ArtifactId artifact, long nowMillis) {
+        return keepAlive(artifact, priceMillis);
+    }
+
+    @Override
+    public OptionalLong keepAliveMillis(ArtifactId artifact, long sizeBytes, long nowMillis) {
+        return keepAlive(artifact, bySize ? priceMillis * SizeWeight.of(sizeBytes) : priceMillis);
+    }
+
+    private OptionalLong keepAlive(ArtifactId artifact, double price) {
         History history = histories.get(artifact);
         if (history == null) {
-            return OptionalLong.of(priceMillis);
+            return OptionalLong.of(Math.round(price));
         }
         if (history.keepAliveMillis < 0) {
-            history.keepAliveMillis = cheapestMillis(history.gaps);
+            history.keepAliveMillis = cheapestMillis(history.gaps, price);
         }
         return OptionalLong.of(Math.round(history.keepAliveMillis));
     }
 
-    private double cheapestMillis(GapHistogram own) {
+    private double cheapestMillis(GapHistogram own, double price) {
         double ownTotal = own.total();
         double weight = PRIOR_WEIGHT / (PRIOR_WEIGHT + ownTotal);
         double sum = ownTotal + weight * all.total();
         if (sum <= 0) {
-            return priceMillis;
+            return price;
         }
         double bestMillis = 0;
-        double bestCost = priceMillis;
+        double bestCost = price;
         double idleOfEarlier = 0;
         double shareOfEarlier = 0;
         for (int bucket = 0; bucket < GapHistogram.BUCKETS; bucket++) {
             double upperMillis = GapHistogram.upperMillis(bucket);
-            if (upperMillis > LONGEST_OVER_PRICE * priceMillis) {
+            if (upperMillis > LONGEST_OVER_PRICE * price) {
                 break;
             }
             double share = share(own, weight, bucket);
             idleOfEarlier += share * upperMillis;
             shareOfEarlier += share;
-            double cost = idleOfEarlier + (1 - shareOfEarlier) * (upperMillis + priceMillis);
+            double cost = idleOfEarlier + (1 - shareOfEarlier) * (upperMillis + price);
             if (cost < bestCost) {
                 bestCost = cost;
                 bestMillis = upperMillis;
--- a/src/main/java/org/poplarwharf/internal/idle/IdlePlugin.java
+++ b/src/main/java/org/poplarwharf/internal/idle/IdlePlugin.java
@@ -10,5 +10,7 @@
     public void registerWith(PluginRegistry registry) {
         registry.register(IdlePolicy.Factory.class, "fixed", FixedIdlePolicy::new);
         registry.register(IdlePolicy.Factory.class, "expected-cost", ExpectedCostIdlePolicy::new);
+        registry.register(IdlePolicy.Factory.class, "size-weighted", SizeWeightedIdlePolicy::new);
+        registry.register(IdlePolicy.Factory.class, "expected-cost-by-size", ExpectedCostIdlePolicy::bySize);
     }
 }
--- a/src/main/java/org/poplarwharf/plugins/IdlePolicy.java
+++ b/src/main/java/org/poplarwharf/plugins/IdlePolicy.java
@@ -15,6 +15,15 @@
     /** Returns how long after its last use the artifact may be unloaded; empty keeps it for good. */
     OptionalLong keepAliveMillis(ArtifactId artifact, long nowMillis);
 
+    /**
+     * Returns how long after its last use the artifact may be unloaded, for a policy that weighs its size.
+     *
+     * @param sizeBytes the memory that it takes
+     */
+    default OptionalLong keepAliveMillis(ArtifactId artifact, long sizeBytes, long nowMillis) {
+        return keepAliveMillis(artifact, nowMillis);
+    }
+
     /**
      * Returns the worth of keeping an idle artifact; the one with the lowest is evicted first.
      *
