--- a/src/main/java/org/poplarwharf/internal/cli/LocalFleet.java
+++ b/src/main/java/org/poplarwharf/internal/cli/LocalFleet.java
@@ -12,7 +12,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.UUID;
+import org.poplarwharf.FailureCode;
 import org.poplarwharf.Node;
+import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.admin.StatusReport;
 import org.poplarwharf.internal.admin.StatusReport.CellStatus;
 import org.poplarwharf.internal.config.FleetConfig.CellSpec;
@@ -27,6 +29,7 @@
  * <p>Used by one thread.
  */
 final class LocalFleet implements AutoCloseable {
+    private static final int START_ATTEMPTS = 5;
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long POLL_MILLIS = 100;
 
@@ -100,11 +103,25 @@
         arguments.addAll(options.nodeFlags());
         OptionSet nodeOptions = new OptionSet("node", "", NodeSettingsReader.SPECS).withEnvironment(Map.of());
         NodeSettings settings = NodeSettingsReader.read(nodeOptions.parse(arguments));
-        Node node = Node.start(settings);
+        Node node = startOnFreePorts(settings);
         nodes.add(node);
         standins.addNode(nodeId, vmId, node.settings().peerAddress(), zone);
     }
 
+    /** Starts a node again where another process took one of its free ports before it listened. */
+    private static Node startOnFreePorts(NodeSettings settings) {
+        for (int attempt = 1; attempt < START_ATTEMPTS; attempt++) {
+            try {
+                return Node.start(settings);
+            } catch (PoplarWharfException failure) {
+                if (failure.code() != FailureCode.SETTINGS_INVALID) {
+                    throw failure;
+                }
+            }
+        }
+        return Node.start(settings);
+    }
+
     private String peers() {
         return String.join(
                 ",", nodes.stream().map(node -> node.settings().peerAddress()).toList());
