--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -188,8 +188,10 @@
   after_lo=$(loopback_bytes)
   after_appends=$(appends)
   for n in $(seq 1 "$1"); do
-    pid=$(pid "n$n")
     peers[$n]=$(($(peer_bytes "$n") - peers[$n]))
+  done
+  for n in $(seq 1 "$1"); do
+    pid=$(pid "n$n")
     echo "${cpu[$n]} ${control[$n]} ${peers[$n]} $(resident_kib "$pid") $(live_bytes "$pid")"
   done >"$WORK/window"
   jq -Rn --argjson seconds "$WINDOW_SECONDS" --argjson lo $((after_lo - before_lo)) --arg namespace "$IN_NAMESPACE" \
