Keep work from leaving targets without a holder, and wait for a replica that moves

Cause: without a holder every entry picks among the last known replicas, and that list ignored the VM list. While a replica is unloaded on a leaving target the artifact's replicas are all taken, so requests were refused with no-capacity although the next load was about to begin. Ruled out: the holder's own path, which leaves withdrawn targets out already. Change: lastKnown leaves withdrawn targets out; the predicted wait counts an unload that an answering engine is about to end. The stand-in for the VM list no longer lets a late change hide a newer one.

--- a/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellReplicas.java
@@ -130,7 +130,7 @@
         listeners.forEach(Runnable::run);
     }
 
-    /** Returns what the slots of a cell whose lease is held elsewhere show as loaded. */
+    /** Returns what the slots of a cell whose lease is held elsewhere show as loaded on targets that stay. */
     static List<Replica> lastKnown(CellRuntime cell, ArtifactId artifact) {
         List<Replica> replicas = new ArrayList<>();
         for (TargetSpec target : cell.targets()) {
@@ -141,7 +141,7 @@
                             .service(artifact.name())
                             .filter(s -> s.targets().contains(target.name()))
                             .isPresent();
-            if (loaded || service) {
+            if ((loaded || service) && !cell.withdrawn(target.name())) {
                 replicas.add(new Replica(
                         target.name(), target.address(), target.zone(), target.maxConcurrent(), 0, Long.MAX_VALUE));
             }
--- a/src/main/java/org/poplarwharf/internal/cell/LoadForecast.java
+++ b/src/main/java/org/poplarwharf/internal/cell/LoadForecast.java
@@ -56,7 +56,8 @@
 
     private boolean unloading(ArtifactId artifact) {
         return cell.state().slots().stream()
-                .anyMatch(slot -> slot.artifact().equals(artifact) && slot.phase() == Phase.UNLOADING);
+                .filter(slot -> slot.artifact().equals(artifact))
+                .anyMatch(slot -> slot.phase() == Phase.UNLOADING || cell.withdrawn(slot.target()));
     }
 
     private long remainingMillis(Slot slot) {
--- a/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/VmListStandin.java
@@ -19,6 +19,8 @@
  */
 public final class VmListStandin extends HostedStandin<VmListStandin.VmsChanged, VmListFaults> {
     private List<VmList.Vm> visible = List.of();
+    private long changes;
+    private long visibleChange;
 
     private VmListStandin(NioReactor reactor, StandinAddresses addresses, long lagMillis) {
         super(
@@ -38,15 +40,23 @@
         return new VmListStandin(reactor, addresses, lagMillis);
     }
 
-    /** Sets the VMs, visible after the lag. */
+    /** Sets the VMs, visible after the lag unless a later change is visible by then. */
     public void setVms(List<VmList.Vm> vms) {
         journal.add(new VmsChanged(vms));
+        long change = ++changes;
         long lagMillis = faults.get().lagMillis();
         if (lagMillis == 0) {
-            visible = vms;
+            show(change, vms);
             return;
         }
-        reactor.delayBackground(lagMillis, () -> visible = vms);
+        reactor.delayBackground(lagMillis, () -> show(change, vms));
+    }
+
+    private void show(long change, List<VmList.Vm> vms) {
+        if (change > visibleChange) {
+            visibleChange = change;
+            visible = vms;
+        }
     }
 
     private HttpResponse putVms(byte[] body) {
