Fold the place of authors into the cell's state

Cause: which VM an author runs on and the latest incarnation of its node were kept by each reader from the records that it read. A reader that starts from a checkpoint had neither, and one that never saw the VM listed could not tell that it left, so a reserved slot could stay for good. Ruled out: telling it again after each checkpoint, which a dead author can't do. Change: AuthorTable in the folded state and its checkpoint; AuthorPlaced says whether the author saw its VM listed, so that a later absence counts for every reader. Conclusion: a slot is freed by any holder once the author's VM has left the list.

--- a/src/main/java/org/poplarwharf/internal/cell/Loader.java
+++ b/src/main/java/org/poplarwharf/internal/cell/Loader.java
@@ -50,7 +50,7 @@
     private final EngineDialect engine;
     private final long commitMillis;
     private final OrderBook orders = new OrderBook();
-    private final AuthorRegistry authors = new AuthorRegistry();
+    private final AuthorRegistry authors;
     private final StepCounter steps = new StepCounter();
     private final SettlementRules rules;
     private final Map<String, Long> acceptedNumbers = new HashMap<>();
@@ -74,8 +74,9 @@
         this.state = state;
         this.engine = engine;
         this.commitMillis = commitMillis;
+        this.authors = new AuthorRegistry(state);
         this.rules = new SettlementRules(self, orders, authors);
-        this.announcement = new AuthorAnnouncement(self, vmId, stream, state, commitMillis);
+        this.announcement = new AuthorAnnouncement(self, vmId, stream, state, authors, commitMillis);
         stream.onApplied(this::applied);
     }
 
@@ -277,7 +278,6 @@
     }
 
     private void applied(CellRecord record, Applied applied) {
-        authors.met(record);
         if (!applied.accepted()) {
             return;
         }
--- a/src/main/java/org/poplarwharf/internal/state/CellRecord.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellRecord.java
@@ -60,8 +60,12 @@
     /** Gives the lease of an epoch up, so that another claim needs no wait. */
     record LeaseReleased(long epoch) implements CellRecord {}
 
-    /** Tells which VM an author runs on, by its own word; the fold takes nothing from it. */
-    record AuthorPlaced(Author author, String vmId) implements CellRecord {}
+    /**
+     * Tells which VM an author runs on, by its own word.
+     *
+     * @param listed whether the author has seen that VM on the platform's list
+     */
+    record AuthorPlaced(Author author, String vmId, boolean listed) implements CellRecord {}
 
     /**
      * The author has sent its last order: every order for intents of the epochs up to {@code throughEpoch} was answered
--- a/src/main/java/org/poplarwharf/internal/state/CellSnapshot.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellSnapshot.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.poplarwharf.internal.state.CellStateView.CallClaim;
 import org.poplarwharf.internal.state.CellStateView.Lease;
+import org.poplarwharf.internal.state.CellStateView.Placement;
 import org.poplarwharf.internal.state.CellStateView.Slot;
 
 /**
@@ -22,4 +23,5 @@
         List<String> excludedTargets,
         List<SuspectList.Entry> suspects,
         List<CallClaim> calls,
+        List<Placement> authors,
         byte[] writers) {}
--- a/src/main/java/org/poplarwharf/internal/state/CellState.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellState.java
@@ -29,11 +29,14 @@
     private final SuspectList suspects = new SuspectList();
     private final CallTable calls = new CallTable();
     private long adoptedVersion = NO_VERSION;
+    private final AuthorTable authors = new AuthorTable();
     private final TreeSet<String> excludedTargets = new TreeSet<>();
 
     @Override
     public Applied apply(long recordOffset, CellRecord record) {
-        return decide(recordOffset, record).at(recordOffset);
+        Verdict verdict = decide(recordOffset, record);
+        authors.met(record, slots.all(), lease.current());
+        return verdict.at(recordOffset);
     }
 
     private Verdict decide(long offset, CellRecord record) {
@@ -98,6 +101,7 @@
                 List.copyOf(excludedTargets),
                 suspects.entries(),
                 calls.all(),
+                authors.all(),
                 writers));
     }
 
@@ -124,6 +128,7 @@
         slots.restore(snapshot.slots());
         suspects.restore(snapshot.suspects());
         calls.restore(snapshot.calls());
+        authors.restore(snapshot.authors());
         excludedTargets.clear();
         excludedTargets.addAll(snapshot.excludedTargets());
         return snapshot.writers();
@@ -184,6 +189,16 @@
         return calls.find(callKey);
     }
 
+    @Override
+    public Optional<Placement> placement(String nodeId) {
+        return authors.find(nodeId);
+    }
+
+    @Override
+    public List<Placement> placements() {
+        return authors.all();
+    }
+
     @Override
     public int callCount() {
         return calls.count();
--- a/src/main/java/org/poplarwharf/internal/state/CellStateView.java
+++ b/src/main/java/org/poplarwharf/internal/state/CellStateView.java
@@ -51,6 +51,20 @@
     /** Returns how many claims are kept. */
     int callCount();
 
+    /** Returns the latest incarnation of a node that wrote here, if it is remembered. */
+    Optional<Placement> placement(String nodeId);
+
+    /** Returns the latest incarnation of every node that is remembered. */
+    List<Placement> placements();
+
+    /**
+     * The latest incarnation of a node that wrote to the stream.
+     *
+     * @param vmId the VM that it runs on by its own word, empty until it has told
+     * @param listed whether it has seen that VM on the platform's list
+     */
+    record Placement(Author author, Optional<String> vmId, boolean listed) {}
+
     /** A lease as the fold knows it; {@code renewalOffset} is the claim's offset until the first renewal. */
     record Lease(
             Author holder, String peerAddress, long epoch, long renewalOffset, long durationMillis, boolean released) {}
--- a/src/test/java/org/poplarwharf/internal/admin/FakeRoles.java
+++ b/src/test/java/org/poplarwharf/internal/admin/FakeRoles.java
@@ -201,4 +201,14 @@
     public int callCount() {
         return 3;
     }
+
+    @Override
+    public Optional<Placement> placement(String nodeId) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<Placement> placements() {
+        return List.of();
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/admission/EmptyCellState.java
+++ b/src/test/java/org/poplarwharf/internal/admission/EmptyCellState.java
@@ -62,4 +62,14 @@
     public int callCount() {
         return 0;
     }
+
+    @Override
+    public Optional<Placement> placement(String nodeId) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<Placement> placements() {
+        return List.of();
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/state/CellStatePropertyTest.java
+++ b/src/test/java/org/poplarwharf/internal/state/CellStatePropertyTest.java
@@ -83,7 +83,7 @@
         ArtifactId artifact = ArtifactId.parse("m" + random.nextInt(3) + (random.nextBoolean() ? ":a" : ""));
         String key = "k" + random.nextInt(3);
         String attempt = "a" + random.nextInt(2);
-        return switch (random.nextInt(18)) {
+        return switch (random.nextInt(19)) {
             case 0 -> claim(random, state, author);
             case 1 -> new CellRecord.LeaseRenewed(epoch);
             case 2 -> new CellRecord.LeaseReleased(epoch);
@@ -97,6 +97,7 @@
             case 14 -> new CellRecord.TargetDied(epoch, target, attempt, List.of(key), random.nextBoolean());
             case 15 -> new CellRecord.CallClaimed(key, attempt, author, "f");
             case 16 -> new CellRecord.CallReleased(key, attempt);
+            case 17 -> new CellRecord.AuthorPlaced(author, "vm-" + attempt, random.nextBoolean());
             default -> new CellRecord.CallEnded(key, attempt, CallOutcome.UNKNOWN, 0, "", new byte[0], false);
         };
     }
