--- a/src/main/java/org/poplarwharf/internal/admin/StatusCollector.java
+++ b/src/main/java/org/poplarwharf/internal/admin/StatusCollector.java
@@ -95,6 +95,7 @@
                 slot.artifact().toString(),
                 slot.version(),
                 slot.sizeBytes(),
+                slot.fencing(),
                 lowerCase(slot.phase()),
                 orders);
     }
--- a/src/main/java/org/poplarwharf/internal/admin/StatusReport.java
+++ b/src/main/java/org/poplarwharf/internal/admin/StatusReport.java
@@ -45,12 +45,17 @@
             int claims,
             List<Admission.Queue> queues) {}
 
-    /** A replica's place on a target. */
+    /**
+     * A replica's place on a target.
+     *
+     * @param fencing whether the target's engine refuses orders with an old fencing number
+     */
     public record SlotStatus(
             String target,
             String artifact,
             String version,
             long sizeBytes,
+            boolean fencing,
             String phase,
             List<OrderStatus> openOrders) {}
 
--- a/src/main/java/org/poplarwharf/internal/cli/StatusTables.java
+++ b/src/main/java/org/poplarwharf/internal/cli/StatusTables.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.poplarwharf.internal.admin.StatusReport;
 import org.poplarwharf.internal.admin.StatusReport.CellStatus;
+import org.poplarwharf.internal.admin.StatusReport.OrderStatus;
 import org.poplarwharf.internal.admin.StatusReport.SlotStatus;
 
 /** The status of a node as tables of text. Stateless and thread-safe. */
@@ -26,6 +27,7 @@
         printPeers(report, out);
         printCells(report, out);
         printSlots(report, out);
+        printReserved(report, out);
         printQueues(report, out);
         printSuspects(report, out);
     }
@@ -78,6 +80,36 @@
         out.println();
     }
 
+    /** Tells of each slot that an order keeps reserved whose order that is, and what it waits for. */
+    private static void printReserved(StatusReport report, PrintStream out) {
+        TextTable reserved = new TextTable("CELL", "RESERVED", "TARGET", "INTENT", "ORDER", "AUTHOR", "WAITS FOR");
+        for (CellStatus cell : report.cells()) {
+            for (SlotStatus slot : cell.slots()) {
+                for (OrderStatus order : slot.openOrders()) {
+                    reserved.add(
+                            cell.name(),
+                            slot.artifact(),
+                            slot.target(),
+                            order.intentOffset(),
+                            order.kind(),
+                            order.author(),
+                            waitsFor(cell, slot, order));
+                }
+            }
+        }
+        reserved.print(out);
+        out.println();
+    }
+
+    private static String waitsFor(CellStatus cell, SlotStatus slot, OrderStatus order) {
+        if (order.author().equals(cell.holder())) {
+            return "the answer of " + slot.target() + ", or its restart";
+        }
+        return slot.fencing()
+                ? "a higher number accepted by " + slot.target()
+                : "the word, the restart or the end of the VM of " + order.author();
+    }
+
     private static void printQueues(StatusReport report, PrintStream out) {
         TextTable queues = new TextTable("CELL", "ARTIFACT", "CLASS", "WAITING", "RUNNING");
         for (CellStatus cell : report.cells()) {
