Prove the fleet's rules with processes, cuts and deaths

Cause: exactness was tested on fakes in one process. The proxy can freeze open connections. docs/PROOFS.md.

--- a/src/main/java/org/poplarwharf/internal/standin/ProxyConnection.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyConnection.java
@@ -26,6 +26,7 @@
     private final Pump toUpstream;
     private final Pump toClient;
     private boolean closed;
+    private boolean frozen;
 
     ProxyConnection(
             NioReactor reactor,
@@ -54,6 +55,12 @@
         faultsChanged();
     }
 
+    /** Keeps all bytes back from now on, or lets them go. */
+    void freeze(boolean on) {
+        frozen = on;
+        faultsChanged();
+    }
+
     /** Lets data go that a fault kept back and no longer does. */
     void faultsChanged() {
         toUpstream.release();
@@ -139,7 +146,8 @@
         }
 
         private Promise<Void> whileHeld() {
-            return direction.get().hold() && !isLost() ? released.then(this::whileHeld) : Promise.complete();
+            boolean held = frozen || direction.get().hold();
+            return held && !isLost() ? released.then(this::whileHeld) : Promise.complete();
         }
 
         private boolean isLost() {
--- a/src/main/java/org/poplarwharf/internal/standin/ProxyEvent.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyEvent.java
@@ -13,6 +13,8 @@
         UPSTREAM_REFUSED,
         FAULTS_SET,
         RESET,
-        SILENCED
+        SILENCED,
+        FROZEN,
+        THAWED
     }
 }
--- a/src/main/java/org/poplarwharf/internal/standin/ProxyLink.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyLink.java
@@ -74,6 +74,11 @@
         connections.forEach(ProxyConnection::silence);
     }
 
+    void freeze(boolean on) {
+        journal.add(new ProxyEvent(name, on ? ProxyEvent.Kind.FROZEN : ProxyEvent.Kind.THAWED, 0));
+        List.copyOf(connections).forEach(connection -> connection.freeze(on));
+    }
+
     void stop() {
         stopListening();
         List.copyOf(connections).forEach(ProxyConnection::reset);
--- a/src/main/java/org/poplarwharf/internal/standin/ProxyStandin.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyStandin.java
@@ -66,6 +66,16 @@
         link(link).silence();
     }
 
+    /** Keeps back what the connections of a link that are open now carry; new ones work. */
+    public void freeze(String link) {
+        link(link).freeze(true);
+    }
+
+    /** Lets the frozen connections of a link deliver what they kept back. */
+    public void thaw(String link) {
+        link(link).freeze(false);
+    }
+
     /** Returns every link as it is now. */
     public List<LinkState> states() {
         return links.values().stream()
--- a/src/test/java/org/poplarwharf/process/Cluster.java
+++ b/src/test/java/org/poplarwharf/process/Cluster.java
@@ -16,6 +16,7 @@
 import org.poplarwharf.internal.standin.EngineEvent;
 import org.poplarwharf.internal.standin.Journal;
 import org.poplarwharf.internal.standin.LinkFaults;
+import org.poplarwharf.internal.standin.LogEvent;
 import org.poplarwharf.internal.standin.ProxyStandin;
 import org.poplarwharf.internal.standin.ServiceCall;
 import org.poplarwharf.internal.standin.StandinAddresses;
@@ -89,6 +90,11 @@
         return startStandin(name, kind(name), old.address(), old.admin(), options);
     }
 
+    /** Restarts an engine at the addresses that it had, with the options that it had. */
+    public PoplarProcess restartEngine(String name) {
+        return restartStandin(name, engineOptions(name));
+    }
+
     public PoplarProcess process(String name) {
         PoplarProcess process = processes.get(name);
         if (process == null) {
@@ -127,6 +133,23 @@
         thread.run(() -> proxy.reset(from + "-" + to));
     }
 
+    /** Keeps back what the open connections of a link carry; new ones work. */
+    public void freezeLink(String from, String to) {
+        thread.run(() -> proxy.freeze(from + "-" + to));
+    }
+
+    public void thawLink(String from, String to) {
+        thread.run(() -> proxy.thaw(from + "-" + to));
+    }
+
+    /** Returns how many connections a link has now. */
+    public int openConnections(String from, String to) {
+        return thread.call(() -> proxy.states().stream()
+                .filter(link -> link.name().equals(from + "-" + to))
+                .mapToInt(ProxyStandin.LinkState::openConnections)
+                .sum());
+    }
+
     /** Sets the faults of a stand-in, given as one of the records of its package. */
     public void setFaults(String name, Object faults) {
         put(process(name).listening().admin() + "/faults", faults);
@@ -155,6 +178,11 @@
         return journalFile("service", ServiceCall.class);
     }
 
+    /** Returns the appends that reached the log. */
+    public List<Journal.Entry<LogEvent>> logJournal() {
+        return journalFile("log", LogEvent.class);
+    }
+
     public TestHttp http() {
         return http;
     }
@@ -193,10 +221,22 @@
         startStandin("vms", List.of());
         startStandin("store", settings.storeOptions());
         startStandin("service", List.of());
+        engineNames().forEach(name -> startStandin(name, engineOptions(name)));
+        processes.values().forEach(PoplarProcess::listening);
+    }
+
+    /** Tells whether an engine refuses orders with an old fencing number. */
+    public boolean fences(String engine) {
+        return engineNames().indexOf(engine) < settings.engines() - settings.enginesWithoutFencing();
+    }
+
+    private List<String> engineOptions(String name) {
         List<String> options = new ArrayList<>(settings.engineOptions());
         options.addAll(List.of("--store", process("store").listening().address()));
-        engineNames().forEach(name -> startStandin(name, options));
-        processes.values().forEach(PoplarProcess::listening);
+        if (!fences(name)) {
+            options.add("--no-fencing");
+        }
+        return options;
     }
 
     private void startStandin(String name, List<String> options) {
--- a/src/test/java/org/poplarwharf/process/ClusterSettings.java
+++ b/src/test/java/org/poplarwharf/process/ClusterSettings.java
@@ -5,6 +5,7 @@
 /**
  * What a cluster of processes is made of. Immutable.
  *
+ * @param enginesWithoutFencing how many of the engines, the last ones, ignore fencing numbers
  * @param zones availability zones, over which nodes and engines are spread in turn
  * @param engineOptions further options of each engine, for example its pace
  * @param nodeOptions options of each node beside its names and addresses
@@ -12,6 +13,7 @@
 public record ClusterSettings(
         int nodes,
         int engines,
+        int enginesWithoutFencing,
         int zones,
         List<String> logOptions,
         List<String> storeOptions,
@@ -30,21 +32,41 @@
 
     /** Returns a cluster with the usual options. */
     public static ClusterSettings of(int nodes, int engines) {
-        return new ClusterSettings(nodes, engines, 1, List.of(), List.of(), List.of(), NODE_OPTIONS);
+        return new ClusterSettings(nodes, engines, 0, 1, List.of(), List.of(), List.of(), NODE_OPTIONS);
     }
 
     /** Returns the same cluster spread over some availability zones. */
     public ClusterSettings withZones(int count) {
-        return new ClusterSettings(nodes, engines, count, logOptions, storeOptions, engineOptions, nodeOptions);
+        return new ClusterSettings(
+                nodes, engines, enginesWithoutFencing, count, logOptions, storeOptions, engineOptions, nodeOptions);
     }
 
     /** Returns the same cluster with other options for its nodes. */
     public ClusterSettings withNodeOptions(List<String> options) {
-        return new ClusterSettings(nodes, engines, zones, logOptions, storeOptions, engineOptions, options);
+        return new ClusterSettings(
+                nodes, engines, enginesWithoutFencing, zones, logOptions, storeOptions, engineOptions, options);
     }
 
     /** Returns the same cluster with further options for its engines. */
     public ClusterSettings withEngineOptions(List<String> options) {
-        return new ClusterSettings(nodes, engines, zones, logOptions, storeOptions, options, nodeOptions);
+        return new ClusterSettings(
+                nodes, engines, enginesWithoutFencing, zones, logOptions, storeOptions, options, nodeOptions);
+    }
+
+    /** Returns the same cluster, whose last engines ignore fencing numbers. */
+    public ClusterSettings withEnginesWithoutFencing(int count) {
+        return new ClusterSettings(nodes, engines, count, zones, logOptions, storeOptions, engineOptions, nodeOptions);
+    }
+
+    /** Returns the same cluster with further options for its log. */
+    public ClusterSettings withLogOptions(List<String> options) {
+        return new ClusterSettings(
+                nodes, engines, enginesWithoutFencing, zones, options, storeOptions, engineOptions, nodeOptions);
+    }
+
+    /** Returns the same cluster with further options for its weight store. */
+    public ClusterSettings withStoreOptions(List<String> options) {
+        return new ClusterSettings(
+                nodes, engines, enginesWithoutFencing, zones, logOptions, options, engineOptions, nodeOptions);
     }
 }
--- /dev/null
+++ b/src/test/java/org/poplarwharf/process/FleetFile.java
@@ -0,0 +1,64 @@
+package org.poplarwharf.process;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One configuration file of a test fleet. Immutable.
+ *
+ * @param cells how many cells, one for each availability zone
+ * @param deadline the deadline of a request
+ */
+record FleetFile(int cells, String deadline, List<Model> models) {
+    static final String SIZE = "1GiB";
+
+    /** A model; {@code targets} are the engines on which it may run, none for any. */
+    record Model(String name, String version, int replicas, List<String> targets) {}
+
+    static FleetFile of(String deadline, List<Model> models) {
+        return new FleetFile(1, deadline, models);
+    }
+
+    /** Returns the same file with another number of replicas for a model. */
+    FleetFile withReplicas(String model, int replicas) {
+        return new FleetFile(
+                cells,
+                deadline,
+                models.stream()
+                        .map(m -> m.name().equals(model) ? new Model(m.name(), m.version(), replicas, m.targets()) : m)
+                        .toList());
+    }
+
+    Map<String, Integer> replicas() {
+        Map<String, Integer> replicas = new LinkedHashMap<>();
+        models.forEach(model -> replicas.put(model.name(), model.replicas()));
+        return replicas;
+    }
+
+    String yaml(Cluster cluster) {
+        StringBuilder text = new StringBuilder("cells:\n");
+        for (int i = 1; i <= cells; i++) {
+            text.append("  - {name: %s, zones: [z%d]}%n".formatted(i == 1 ? "main" : "cell" + i, i));
+        }
+        text.append("targets:\n");
+        for (String engine : cluster.engineNames()) {
+            text.append("  - {name: %s, kind: engine, address: \"%s\", zone: %s, memory: %dB, fencing: %b}%n"
+                    .formatted(
+                            engine,
+                            cluster.linkToAny(engine),
+                            cluster.zone(engine),
+                            FaultFleet.MEMORY_BYTES,
+                            cluster.fences(engine)));
+        }
+        text.append("models:\n");
+        for (Model model : models) {
+            String targets = model.targets().isEmpty() ? "" : ", targets: [" + String.join(", ", model.targets()) + "]";
+            text.append("  - {name: %s, version: %s, size: %s, replicas: %d%s}%n"
+                    .formatted(model.name(), model.version(), SIZE, model.replicas(), targets));
+        }
+        text.append("classes:\n  - {name: usual, deadline: %s, priority: 50}%n".formatted(deadline));
+        text.append("tenants:\n  - {name: staff, class: usual}\n");
+        return text.toString();
+    }
+}
