--- a/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -107,6 +107,11 @@
         return done.orTimeout(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns where callers connect. */
+    String callersAddress() {
+        return role.listenAddress();
+    }
+
     HttpRequest.Builder request(String path) {
         return HttpRequest.newBuilder(URI.create("http://" + role.listenAddress() + path))
                 .timeout(Duration.ofMillis(LIMIT_MILLIS));
