--- a/src/test/java/org/poplarwharf/process/WholePathProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/WholePathProcessTest.java
@@ -23,6 +23,11 @@
         "poplarwharf_tenant_wait_millis_count{tenant=\"",
         "poplarwharf_class_whole_request_millis_count{class=\"",
         "poplarwharf_tenant_whole_request_millis_count{tenant=\"",
+        "poplarwharf_class_first_token_millis_count{class=\"",
+        "poplarwharf_tenant_first_token_millis_count{tenant=\"",
+        "poplarwharf_class_between_tokens_millis_count{class=\"",
+        "poplarwharf_tenant_between_tokens_millis_count{tenant=\"",
+        "poplarwharf_refusals_total{code=\"invalid-request\"} 1.0",
         "poplarwharf_lease_state{cell=\"main\"} 2.0",
         "poplarwharf_loads_total{outcome=\"ordered\"} 1.0",
         "poplarwharf_loads_total{outcome=\"loaded\"} 1.0",
@@ -82,6 +87,10 @@
                             && change.state() == EngineEvent.State.LOADED)
                     .count();
             assertThat(loads).isEqualTo(1);
+            String url = cluster.process("n1").listening().listen() + "/v1/chat/completions";
+            String streamed = BODY.replace("{\"model\"", "{\"stream\":true,\"model\"");
+            assertThat(cluster.http().postJson(url, streamed).body()).contains("[DONE]");
+            assertThat(cluster.http().postJson(url, "{}").status()).isEqualTo(400);
             assertThat(metrics(cluster)).contains(RECORDED_FAMILIES);
         }
     }
