--- a/src/test/java/org/poplarwharf/internal/cli/StatusTablesTest.java
+++ b/src/test/java/org/poplarwharf/internal/cli/StatusTablesTest.java
@@ -20,9 +20,9 @@
 
     @Test
     void tables_show_node_peers_cells_slots_queues_and_suspects() {
-        SlotStatus loaded = new SlotStatus("t1", "register", "v1", 50, "loaded", List.of());
+        SlotStatus loaded = new SlotStatus("t1", "register", "v1", 50, true, "loaded", List.of());
         OrderStatus order = new OrderStatus("load", 42, 7, "n2");
-        SlotStatus reserved = new SlotStatus("t2", "audit:excise", "v2", 5, "intended", List.of(order));
+        SlotStatus reserved = new SlotStatus("t2", "audit:excise", "v2", 5, true, "intended", List.of(order));
         CellStatus held = new CellStatus(
                 "c1",
                 "n1",
@@ -58,6 +58,9 @@
                 c1    t1      register      v1       50     loaded    -
                 c1    t2      audit:excise  v2       5      intended  load@42 by n2
 
+                CELL  RESERVED      TARGET  INTENT  ORDER  AUTHOR  WAITS FOR
+                c1    audit:excise  t2      42      load   n2      a higher number accepted by t2
+
                 CELL  ARTIFACT  CLASS   WAITING  RUNNING
                 c1    register  teller  4        2
 
--- a/src/test/java/org/poplarwharf/process/ChaosProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/ChaosProcessTest.java
@@ -68,7 +68,8 @@
     }
 
     /** Strikes for a while, ends every fault and returns the requests that were sent meanwhile. */
-    private static List<CompletableFuture<FaultFleet.Answered>> strike(FaultFleet fleet, FaultSchedule schedule, long millis) {
+    private static List<CompletableFuture<FaultFleet.Answered>> strike(
+            FaultFleet fleet, FaultSchedule schedule, long millis) {
         List<CompletableFuture<FaultFleet.Answered>> asked = new ArrayList<>();
         List<Running> running = new ArrayList<>();
         long endMillis = fleet.nowMillis() + millis;
--- a/src/test/java/org/poplarwharf/process/TargetFaultProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/TargetFaultProcessTest.java
@@ -143,7 +143,8 @@
         String engine = engineOf("staying");
         fleet.mark(engine, VmState.LEAVING);
 
-        List<FaultFleet.Answered> answers = askPastLeaving("staying", fleet.cluster().nodeNames());
+        List<FaultFleet.Answered> answers =
+                askPastLeaving("staying", fleet.cluster().nodeNames());
         assertThat(answers.stream().filter(answer -> answer.status() != 200)).isEmpty();
         fleet.check();
     }
