Take rates by each node's own times of reading; leave checkpoints out of the configuration's delay

Cause: with 27 nodes the loops over the nodes took seconds, so that rates came out too high; a checkpoint among the changes shifted the pairing by one change, so that a trial showed a delay of one publish interval (2.4 s).

--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -144,12 +144,8 @@
 }
 
 control_ticks() { # PID: the control thread
-  local task
-  for task in /proc/"$1"/task/*; do
-    if [ "$(cat "$task/comm")" = control ]; then
-      sed 's/.*) //' "$task/stat" | awk '{print $12 + $13}'
-    fi
-  done
+  { grep -l -x control /proc/"$1"/task/*/comm 2>/dev/null || true; } | head -1 | xargs dirname | xargs -I{} sed 's/.*) //' {}/stat |
+    awk '{print $12 + $13}'
 }
 
 loopback_bytes() { awk '$1 == "lo:" {print $10}' /proc/net/dev; }
@@ -166,42 +162,40 @@
 
 resident_kib() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 
-# One line of JSON for each node over one window without requests.
+readings() { # NODES: one line a node: time, processor time, that of the control thread, bytes between nodes
+  local n pid
+  for n in $(seq 1 "$1"); do
+    pid=$(pid "n$n")
+    echo "$(wall_millis) $(cpu_ticks "$pid") $(control_ticks "$pid") $(peer_bytes "$n")"
+  done
+}
+
+# Rates of each node over a window without requests, by the node's own times of reading.
 idle_window() { # NODES
-  local n pid before_lo after_lo before_appends after_appends
-  declare -A cpu=() control=() peers=()
+  local n before_lo after_lo before_appends after_appends began
   sleep "$SETTLE_SECONDS"
-  for n in $(seq 1 "$1"); do peers[$n]=$(peer_bytes "$n"); done
+  readings "$1" >"$WORK/before"
+  began=$(wall_millis)
   before_lo=$(loopback_bytes)
   before_appends=$(appends)
-  for n in $(seq 1 "$1"); do
-    pid=$(pid "n$n")
-    cpu[$n]=$(cpu_ticks "$pid")
-    control[$n]=$(control_ticks "$pid")
-  done
   sleep "$WINDOW_SECONDS"
-  for n in $(seq 1 "$1"); do
-    pid=$(pid "n$n")
-    cpu[$n]=$(($(cpu_ticks "$pid") - cpu[$n]))
-    control[$n]=$(($(control_ticks "$pid") - control[$n]))
-  done
   after_lo=$(loopback_bytes)
   after_appends=$(appends)
+  began=$(($(wall_millis) - began))
+  readings "$1" >"$WORK/after"
   for n in $(seq 1 "$1"); do
-    peers[$n]=$(($(peer_bytes "$n") - peers[$n]))
-  done
-  for n in $(seq 1 "$1"); do
-    pid=$(pid "n$n")
-    echo "${cpu[$n]} ${control[$n]} ${peers[$n]} $(resident_kib "$pid") $(live_bytes "$pid")"
-  done >"$WORK/window"
-  jq -Rn --argjson seconds "$WINDOW_SECONDS" --argjson lo $((after_lo - before_lo)) --arg namespace "$IN_NAMESPACE" \
+    echo "$(resident_kib "$(pid "n$n")") $(live_bytes "$(pid "n$n")")"
+  done >"$WORK/memory"
+  paste -d' ' "$WORK/before" "$WORK/after" "$WORK/memory" |
+    awk '{s = ($5 - $1) / 1000; print ($6 - $2) / s, ($7 - $3) / s, ($8 - $4) / s, $9, $10}' >"$WORK/window"
+  jq -Rn --argjson seconds "$(awk -v m="$began" 'BEGIN {print m / 1000}')" --argjson lo $((after_lo - before_lo)) --arg namespace "$IN_NAMESPACE" \
     --argjson appends $((after_appends - before_appends)) --argjson nodes "$1" '
     def mean: add / length; def round3: . * 1000 | round / 1000;
     [inputs | split(" ") | map(tonumber)] as $rows
     | def column($i; $f): [$rows[] | .[$i] * $f] | {mean: (mean | round3), min: (min | round3), max: (max | round3)};
     {
-      processCpuPercentOfCore: column(0; 1 / $seconds), controlThreadPercentOfCore: column(1; 1 / $seconds),
-      peerBytesPerSecond: column(2; 1 / $seconds), residentMiB: column(3; 1 / 1024),
+      processCpuPercentOfCore: column(0; 1), controlThreadPercentOfCore: column(1; 1),
+      peerBytesPerSecond: column(2; 1), residentMiB: column(3; 1 / 1024),
       liveHeapMiB: column(4; 1 / 1048576), appendsPerSecond: ($appends / $seconds | round3),
       loopbackBytesPerSecondPerNode: (if $namespace == "yes" then ($lo / $seconds / $nodes | round3) else null end)
     }' "$WORK/window"
@@ -209,7 +203,7 @@
 
 wall_millis() { date +%s%3N; }
 
-# Publishes one at a time; a delay runs from the log's journal entry to each node's line "config-in-force".
+# Changes of a small file; larger records are checkpoints. Published one at a time; a delay runs from the log's journal entry to each node's line "config-in-force".
 publish_delays() { # NODES
   local i n offset marker wall nodes=$1
   wall=$(wall_millis)
@@ -224,7 +218,7 @@
   done
   sleep 5
   jq -s --argjson offset "$offset" --argjson marker "$marker" \
-    '[.[] | select(.atMillis > $marker and (.event.stream | startswith("config"))) | .atMillis + $offset]' \
+    '[.[] | select(.atMillis > $marker and .event.stream == "config" and .event.sizeBytes < 2000) | .atMillis + $offset]' \
     "$WORK/log.journal" >"$WORK/accepted"
   for n in $(seq 1 "$nodes"); do
     tail -n "+$(($(cat "$WORK/n$n.skip") + 1))" "$WORK/n$n.err" |
