Test an experiment as a process; give its nodes a notice below their drain time

Cause: nodes refuse a drain time below the notice of draining, 2 s by default, so every experiment failed at its start; ExperimentProcessTest was red with it. The failure was told as a defect, without its text. Change: the notice is 100 ms in experiments, and a failure of a run is told as it is.

--- a/src/main/java/org/poplarwharf/internal/cli/Experiment.java
+++ b/src/main/java/org/poplarwharf/internal/cli/Experiment.java
@@ -10,6 +10,7 @@
 import me.tongfei.progressbar.ConsoleProgressBarConsumer;
 import me.tongfei.progressbar.ProgressBar;
 import me.tongfei.progressbar.ProgressBarBuilder;
+import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.cli.ExperimentFleet.Outcome;
 import org.poplarwharf.internal.cli.ExperimentFleet.Setup;
 import org.poplarwharf.internal.failure.Reporter;
@@ -33,7 +34,9 @@
             }
             return outcomes;
         } catch (ExecutionException e) {
-            throw Reporter.internal("An experiment", e.getCause());
+            throw e.getCause() instanceof PoplarWharfException failure
+                    ? failure
+                    : Reporter.internal("An experiment", e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw Reporter.interrupted("an experiment", e);
--- a/src/main/java/org/poplarwharf/internal/cli/ExperimentFleet.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ExperimentFleet.java
@@ -78,7 +78,9 @@
                 "--store-loads-per-second",
                 Double.toString(loadsPerSecond * scale),
                 "--drain",
-                "1s");
+                "1s",
+                "--drain-notice",
+                "100ms");
         return new LocalFleetOptions(NODES, flags, StandinPace.scaled(loadsPerSecond, scale));
     }
 
