Refuse a publish whose base changed while it was drawn up

A change of another operator that arrived in between was not noticed and was undone. The log's verdict was right: the change named the newer version. Ruled out: the fold; the options of the test. Change: the change is drawn up before the version is read, so that one in between is refused by base or by the log. ConfigRaceProcessTest gets the key validity that its short retention now needs.

--- a/src/main/java/org/poplarwharf/internal/cli/ConfigCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ConfigCommand.java
@@ -128,13 +128,14 @@
         TreeMap<String, String> contents = folder(values);
         checked(contents);
         try (ConfigSession session = open(values)) {
+            // Before the version is read: a change that arrives in between is then refused, not undone.
+            List<FileChange> changes = session.changesTo(contents);
             long versionInForce = session.config().version();
             if (base.isPresent() && !base.get().equals(Long.toString(versionInForce))) {
                 err.println("refused: version " + versionInForce + " is in force, not " + base.get()
                         + "; look at config history and publish again.");
                 return EXIT_FAILED;
             }
-            List<FileChange> changes = session.changesTo(contents);
             if (changes.isEmpty()) {
                 out.println("nothing to change: version " + versionInForce + " is in force");
                 return EXIT_OK;
--- a/src/test/java/org/poplarwharf/process/ConfigRaceProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/ConfigRaceProcessTest.java
@@ -133,6 +133,7 @@
     private static List<String> withRetention(List<String> options) {
         List<String> all = new ArrayList<>(options);
         all.add("--log-retention=10s");
+        all.add("--key-validity=5s");
         return all;
     }
 
