--- a/src/test/java/org/poplarwharf/internal/admission/AdmissionFixture.java
+++ b/src/test/java/org/poplarwharf/internal/admission/AdmissionFixture.java
@@ -7,6 +7,7 @@
 import org.poplarwharf.internal.config.FleetConfig;
 import org.poplarwharf.internal.config.FleetConfig.ClassSpec;
 import org.poplarwharf.internal.config.FleetConfig.TenantSpec;
+import org.poplarwharf.internal.state.CellState;
 import org.poplarwharf.plugins.ArtifactId;
 import org.poplarwharf.plugins.Plugin;
 import org.poplarwharf.plugins.PluginRegistry;
@@ -31,7 +32,7 @@
     AdmissionFixture(String selector) {
         this.selector = selector;
         this.admission = new CellAdmission(
-                "main", replicas, new EmptyCellState(), AdmissionFixture::config, selector(), () -> nowMillis);
+                "main", replicas, new CellState(), AdmissionFixture::config, selector(), () -> nowMillis);
     }
 
     private static FleetConfig config() {
