--- a/src/test/java/org/poplarwharf/internal/cell/CellRoleTest.java
+++ b/src/test/java/org/poplarwharf/internal/cell/CellRoleTest.java
@@ -133,7 +133,11 @@
                 1_000,
                 100,
                 4,
-                1_000);
+                1_000,
+                3_600_000,
+                Optional.empty(),
+                0,
+                1_800_000);
     }
 
     private FleetConfig config() {
--- a/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -167,7 +167,11 @@
                 5_000,
                 s.storeLoadsPerSecond(),
                 s.storeFullSpeedPlaces(),
-                10_000);
+                10_000,
+                3_600_000,
+                Optional.empty(),
+                0,
+                1_800_000);
     }
 
     @Override
--- a/src/test/java/org/poplarwharf/internal/kernel/TestSettings.java
+++ b/src/test/java/org/poplarwharf/internal/kernel/TestSettings.java
@@ -36,6 +36,10 @@
                 200,
                 1.5,
                 4,
-                4_194_304);
+                4_194_304,
+                3_600_000,
+                Optional.empty(),
+                0,
+                1_800_000);
     }
 }
