Serve callers on a platform of diskless VMs: gateway, holder of engines, adapter

Cause: the product had no way to run where targets register on a log, the operator writes there and no VM has a disk.

The protocols of the project's own stand-ins move from platform to protocol.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
@@ -0,0 +1,42 @@
+package org.poplarwharf.internal.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import org.poplarwharf.internal.platform.BootFile;
+import org.poplarwharf.internal.platform.PlatformGateway;
+
+/**
+ * {@code poplarwharf gateway}: serves callers on a platform of diskless VMs until the process is asked to end.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class GatewayCommand implements Command {
+    private static final OptionSpec BOOT =
+            OptionSpec.of("boot", "FILE", "the settings file that the platform writes for this process");
+    private static final OptionSet OPTIONS = new OptionSet("gateway", "", List.of(BOOT));
+
+    @Override
+    public String name() {
+        return "gateway";
+    }
+
+    @Override
+    public String summary() {
+        return "takes callers' requests on a platform of diskless VMs";
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) {
+        return OPTIONS.run(arguments, out, err, values -> {
+            Path file = Path.of(values.text(BOOT.flag()));
+            PlatformGateway gateway = PlatformGateway.start(file, BootFile.read(file), out);
+            ProcessEnd.onSignal(() -> {
+                gateway.drainAndStop();
+                return EXIT_OK;
+            });
+            gateway.awaitStop();
+            return EXIT_OK;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -0,0 +1,243 @@
+package org.poplarwharf.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.poplarwharf.internal.fleet.EngineSpec;
+import org.poplarwharf.internal.fleet.Target;
+
+/**
+ * Places the requests of one service with engines, and keeps its targets' models in step with demand.
+ *
+ * <p>Invariants: each wish gets one grant or one refusal, unless it is withdrawn; a granted run counts until it is
+ * finished; a request is granted only at a target that is believed to hold its model and adapter. Confined to one
+ * thread; time comes with each call.
+ */
+public final class Dispatcher {
+    /** The least time in which a request can be sent and its first event come back. */
+    private static final long LEAST_SERVICE_MILLIS = 60;
+
+    /** A wish that found all its targets full waits for this share of its time, then leaves time for a return. */
+    private static final double LONGEST_WAIT_SHARE = 0.4;
+
+    private static final long RETURN_MILLIS = 400;
+
+    private final Map<String, Waiting> waiting = new LinkedHashMap<>();
+    private final Map<String, EngineState> engines = new LinkedHashMap<>();
+    private final Map<String, EngineState> placeOf = new LinkedHashMap<>();
+    private final Demand demand = new Demand();
+    private final DispatchActions actions;
+    private final EngineChooser chooser;
+    private final ModelKeeper keeper;
+    private EngineSpec spec;
+
+    private record Waiting(Wish wish, long sinceMillis) {}
+
+    public Dispatcher(EngineSpec spec, LoadLimits limits, DispatchActions actions) {
+        this.spec = spec;
+        this.actions = actions;
+        this.chooser = new EngineChooser();
+        this.keeper = new ModelKeeper(demand, limits, spec.storeLoadsPerSecond(), actions);
+    }
+
+    /** How many loads from the weight store may begin within a window. */
+    public record LoadLimits(long windowMillis, double factor) {}
+
+    /** Replaces what is known of the targets; one that is no longer listed is gone, with its runs. */
+    public void targets(Collection<Target> latest, long nowMillis) {
+        Set<String> listed = new HashSet<>();
+        for (Target target : latest) {
+            listed.add(target.id());
+            EngineState known = engines.get(target.id());
+            if (known != null && known.target.sameIncarnation(target)) {
+                known.checkedIn(target, nowMillis);
+            } else {
+                engines.put(target.id(), new EngineState(target, spec, nowMillis));
+            }
+        }
+        engines.keySet().retainAll(listed);
+        pump(nowMillis);
+    }
+
+    /** Takes a request in. */
+    public void wish(Wish wish, long nowMillis) {
+        wish.model().ifPresent(model -> demand.asked(model, nowMillis));
+        waiting.put(wish.key(), new Waiting(wish, nowMillis));
+        pump(nowMillis);
+    }
+
+    /** Takes a request back that waits; a granted one is to be finished instead. */
+    public void withdraw(String key) {
+        waiting.remove(key);
+    }
+
+    /** A granted request has its first event, or has ended. */
+    public void finished(String key, RunOutcome outcome, long nowMillis) {
+        EngineState engine = placeOf.get(key);
+        EngineState.Run run = engine == null ? null : engine.running.get(key);
+        if (run == null) {
+            return;
+        }
+        switch (outcome) {
+            case RunOutcome.Answered answered -> {
+                engine.answered(run.estimateMillis(), answered.firstEventMillis(), nowMillis);
+                return;
+            }
+            case RunOutcome.Declined declined -> keeper.declined(engine, run.wish(), nowMillis);
+            case RunOutcome.Broken broken -> engine.broke(nowMillis);
+            case RunOutcome.Abandoned abandoned -> {
+                // Says nothing of the target.
+            }
+        }
+        ended(key, engine, run, nowMillis);
+        pump(nowMillis);
+    }
+
+    /** A granted request has ended in order. */
+    public void ended(String key, long nowMillis) {
+        EngineState engine = placeOf.get(key);
+        EngineState.Run run = engine == null ? null : engine.running.get(key);
+        if (run != null) {
+            ended(key, engine, run, nowMillis);
+            pump(nowMillis);
+        }
+    }
+
+    /** Takes a target's answer to an order. */
+    public void ordered(EngineOrder order, OrderAnswer answer, long nowMillis) {
+        EngineState engine = engines.get(order.target().id());
+        if (engine != null && engine.target.sameIncarnation(order.target())) {
+            keeper.ordered(engine, order, answer, nowMillis);
+            pump(nowMillis);
+        }
+    }
+
+    /** Takes a target's report; empty where it gave none. */
+    public void reported(Target target, Optional<EngineReport> report, long nowMillis) {
+        EngineState engine = engines.get(target.id());
+        if (engine == null || !engine.target.sameIncarnation(target)) {
+            return;
+        }
+        engine.reportAsked = false;
+        if (report.isPresent()) {
+            engine.reported(report.get(), nowMillis);
+        } else {
+            engine.nextOrderMillis = nowMillis + RETURN_MILLIS;
+        }
+        pump(nowMillis);
+    }
+
+    /** Says whether orders may be given, that is, whether the lease holds. */
+    public void ordersAllowed(boolean allowed) {
+        keeper.ordersAllowed(allowed);
+    }
+
+    /** Looks at everything again, since time has passed. */
+    public void tick(long nowMillis) {
+        pump(nowMillis);
+    }
+
+    /** Tells whether something waits for time to pass. */
+    public boolean hasWork() {
+        return !waiting.isEmpty()
+                || engines.values().stream()
+                        .anyMatch(engine -> engine.wantedModel.isPresent()
+                                || engine.models.values().stream().anyMatch(held -> held.unconfirmed));
+    }
+
+    /** Takes a new description of the service's engines. */
+    public void spec(EngineSpec latest) {
+        spec = latest;
+    }
+
+    private void ended(String key, EngineState engine, EngineState.Run run, long nowMillis) {
+        engine.running.remove(key);
+        placeOf.remove(key);
+        Residency held = run.wish().model().map(engine.models::get).orElse(null);
+        if (held == null) {
+            return;
+        }
+        held.running = Math.max(0, held.running - 1);
+        held.lastUsedMillis = nowMillis;
+        run.wish().traits().adapter().map(held.adapters::get).ifPresent(use -> {
+            use.running = Math.max(0, use.running - 1);
+            use.lastUsedMillis = nowMillis;
+        });
+    }
+
+    private void pump(long nowMillis) {
+        List<Waiting> ordered = new ArrayList<>(waiting.values());
+        ordered.sort(Comparator.comparingInt((Waiting each) -> each.wish().priority())
+                .thenComparing(each -> each.wish().objectiveMillis() < nowMillis)
+                .thenComparingLong(each -> each.wish().deadlineMillis()));
+        Set<String> cold = new HashSet<>();
+        for (Waiting each : ordered) {
+            place(each, cold, nowMillis);
+        }
+        keeper.keep(spec, engines.values(), cold, nowMillis);
+    }
+
+    private void place(Waiting each, Set<String> cold, long nowMillis) {
+        Wish wish = each.wish();
+        Optional<String> model = wish.model();
+        if (model.isPresent() && !spec.models().containsKey(model.get())) {
+            refuse(wish, "no-such-model", 0);
+            return;
+        }
+        Optional<EngineChooser.Choice> choice = chooser.choose(wish, engines.values(), spec, nowMillis);
+        if (choice.isPresent()) {
+            take(wish, choice.get(), nowMillis);
+            return;
+        }
+        boolean served = model.isPresent()
+                && engines.values().stream()
+                        .anyMatch(engine -> engine.models.containsKey(model.get())
+                                && engine.takesWork(nowMillis)
+                                && !wish.excluded().contains(engine.target.id()));
+        if (!served && model.isPresent()) {
+            cold.add(model.get());
+        }
+        long readyMillis = model.map(name -> keeper.readyMillis(spec.models().get(name), engines.values(), nowMillis))
+                .orElse(nowMillis);
+        long allowedWaitMillis = Math.round((wish.deadlineMillis() - each.sinceMillis()) * LONGEST_WAIT_SHARE);
+        if (readyMillis + LEAST_SERVICE_MILLIS > wish.deadlineMillis()) {
+            refuse(wish, "not-loaded-in-time", Math.max(RETURN_MILLIS, readyMillis - nowMillis));
+        } else if (readyMillis <= nowMillis && nowMillis - each.sinceMillis() > allowedWaitMillis) {
+            refuse(wish, "targets-full", RETURN_MILLIS);
+        }
+    }
+
+    private void take(Wish wish, EngineChooser.Choice choice, long nowMillis) {
+        EngineState engine = choice.engine();
+        if (!choice.adapterReady()) {
+            keeper.wantAdapter(engine, wish, nowMillis);
+            return;
+        }
+        waiting.remove(wish.key());
+        engine.running.put(wish.key(), new EngineState.Run(wish, nowMillis, choice.estimateMillis(), choice.tokens()));
+        placeOf.put(wish.key(), engine);
+        engine.prefillFreeMillis = Math.max(nowMillis, engine.prefillFreeMillis) + choice.prefillMillis();
+        wish.model().ifPresent(model -> {
+            engine.prompts.granted(EngineChooser.weights(wish), wish.traits().promptParts());
+            Residency held = engine.models.get(model);
+            held.running++;
+            held.lastUsedMillis = nowMillis;
+            wish.traits().adapter().map(held.adapters::get).ifPresent(use -> {
+                use.running++;
+                use.lastUsedMillis = nowMillis;
+            });
+        });
+        actions.grant(wish, engine.target);
+    }
+
+    private void refuse(Wish wish, String reason, long retryAfterMillis) {
+        waiting.remove(wish.key());
+        actions.refuse(wish, reason, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -0,0 +1,107 @@
+package org.poplarwharf.internal.dispatch;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.poplarwharf.internal.fleet.EngineSpec;
+
+/**
+ * Chooses the target with the earliest expected first event: prompt parts it need not read, prompts that it must read
+ * first, how slow it has been, and the way to it.
+ *
+ * <p>Stateless; confined to the thread of the states that it reads.
+ */
+final class EngineChooser {
+    /** Prompt tokens that an engine reads in a millisecond; the order of magnitude of today's engines. */
+    private static final double TOKENS_PER_MILLI = 38;
+
+    /** From sending to the first event of an empty prompt at an idle engine. */
+    private static final double BASE_MILLIS = 50;
+
+    /** What each running request adds to the first event of another. */
+    private static final double MILLIS_PER_RUNNING = 1.5;
+
+    /** What it is worth to stay within a zone; bytes between zones are paid for. */
+    private static final double OTHER_ZONE_MILLIS = 40;
+
+    /** An adapter that must be loaded first; one more must make way where all places are taken. */
+    private static final double ADAPTER_LOAD_MILLIS = 20;
+
+    private static final double ADAPTER_SWAP_MILLIS = 45;
+
+    /** The share of an engine's memory for running requests that is filled before others wait. */
+    private static final double FILL = 0.9;
+
+    /** Most answers end long before their limit; one with a high limit is counted with this many tokens. */
+    private static final long COUNTED_OUTPUT_TOKENS = 400;
+
+    /** A place for a request. */
+    record Choice(
+            EngineState engine,
+            boolean adapterReady,
+            long estimateMillis,
+            long prefillMillis,
+            long tokens,
+            double costMillis) {}
+
+    Optional<Choice> choose(Wish wish, Collection<EngineState> engines, EngineSpec spec, long nowMillis) {
+        Choice best = null;
+        for (EngineState engine : engines) {
+            if (!engine.takesWork(nowMillis) || wish.excluded().contains(engine.target.id())) {
+                continue;
+            }
+            Optional<Choice> choice = look(wish, engine, spec, nowMillis);
+            if (choice.isPresent() && (best == null || choice.get().costMillis() < best.costMillis())) {
+                best = choice.get();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static Optional<Choice> look(Wish wish, EngineState engine, EngineSpec spec, long nowMillis) {
+        Optional<Residency> held = wish.model().map(engine.models::get);
+        if (wish.model().isPresent() && (held.isEmpty() || !held.get().ready(nowMillis))) {
+            return Optional.empty();
+        }
+        long toRead = engine.prompts.tokensToRead(
+                weights(wish), wish.traits().promptParts(), wish.traits().promptTokens());
+        long tokens = toRead + Math.min(wish.traits().maxOutputTokens(), COUNTED_OUTPUT_TOKENS);
+        boolean idle = engine.running.isEmpty();
+        boolean room = engine.running.size() < spec.batchSlots()
+                && engine.committedTokens() + tokens <= spec.cacheTokens() * FILL;
+        if (!idle && !room) {
+            return Optional.empty();
+        }
+        double slowness = engine.slowness(nowMillis);
+        double prefillMillis = toRead / TOKENS_PER_MILLI * slowness;
+        double estimateMillis = Math.max(0, engine.prefillFreeMillis - nowMillis)
+                + prefillMillis
+                + (BASE_MILLIS + engine.running.size() * MILLIS_PER_RUNNING) * slowness;
+        double costMillis = estimateMillis + (engine.target.zone().equals(wish.zone()) ? 0 : OTHER_ZONE_MILLIS);
+        boolean adapterReady = true;
+        if (held.isPresent() && wish.traits().adapter().isPresent()) {
+            Residency.AdapterUse use =
+                    held.get().adapters.get(wish.traits().adapter().get());
+            adapterReady = use != null && use.readyAtMillis <= nowMillis;
+            if (use == null) {
+                costMillis += engine.adapterCount() < spec.adapterSlots() ? ADAPTER_LOAD_MILLIS : ADAPTER_SWAP_MILLIS;
+                costMillis += engine.models.values().stream()
+                        .mapToLong(model -> Math.max(0, model.readyAtMillis - nowMillis))
+                        .max()
+                        .orElse(0);
+            }
+        }
+        return Optional.of(new Choice(
+                engine,
+                adapterReady,
+                Math.round(estimateMillis / slowness),
+                Math.round(prefillMillis),
+                tokens,
+                costMillis));
+    }
+
+    /** Returns what prompt parts are kept for: the model, and the adapter where there is one. */
+    static String weights(Wish wish) {
+        return wish.model().orElse("")
+                + wish.traits().adapter().map(adapter -> "/" + adapter).orElse("");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -0,0 +1,210 @@
+package org.poplarwharf.internal.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.poplarwharf.internal.fleet.EngineSpec;
+import org.poplarwharf.internal.fleet.HeldModel;
+import org.poplarwharf.internal.fleet.ModelSpec;
+import org.poplarwharf.internal.fleet.Target;
+
+/**
+ * What the dispatcher believes of one incarnation of a target. Confined to one thread.
+ */
+final class EngineState {
+    /** Check-ins older than this, counted from the last order, may not show its effect yet. */
+    private static final long CHECK_IN_LAG_MILLIS = 3_500;
+
+    /** Reports asked for sooner than this after an order may not show its effect yet; several times their age. */
+    private static final long SETTLED_MILLIS = 1_200;
+
+    /** Share of a new observation in the estimate of how slow a target is. */
+    private static final double SLOWNESS_WEIGHT = 0.3;
+
+    private static final double LEAST_SLOWNESS = 0.5;
+    private static final double MOST_SLOWNESS = 30;
+
+    /** After this time without an answer half of a target's slowness is forgotten, so that it is tried again. */
+    private static final double SLOWNESS_FADE_MILLIS = 4_000;
+
+    private static final long FIRST_SUSPICION_MILLIS = 500;
+    private static final long LONGEST_SUSPICION_MILLIS = 4_000;
+
+    Target target;
+    final EngineSpec spec;
+    final Map<String, Residency> models = new HashMap<>();
+    final Set<String> inMemory = new HashSet<>();
+    final Set<String> onDisk = new HashSet<>();
+    final Map<String, Run> running = new HashMap<>();
+    final PromptCache prompts;
+    Optional<EngineOrder> orderUnderWay = Optional.empty();
+    OptionalLong ordersAccepted = OptionalLong.empty();
+    boolean reportAsked;
+    int conflictsInRow;
+    Optional<Residency> leaving = Optional.empty();
+    Optional<String> wantedModel = Optional.empty();
+    long nextOrderMillis;
+    long lastOrderMillis = Long.MIN_VALUE / 2;
+    long reportAskedMillis;
+    long prefillFreeMillis;
+    long suspectUntilMillis;
+    private int brokenInRow;
+    private double slowness = 1;
+    private long slownessMillis;
+
+    /** A request that was granted. */
+    record Run(Wish wish, long grantedMillis, long estimateMillis, long tokens) {}
+
+    EngineState(Target target, EngineSpec spec, long nowMillis) {
+        this.target = target;
+        this.spec = spec;
+        this.prompts = new PromptCache(spec.cacheTokens());
+        replaceModels(target.models(), nowMillis);
+        inMemory.addAll(target.inMemory());
+        onDisk.addAll(target.onDisk());
+    }
+
+    /** Takes a check-in of the same incarnation. Once orders are counted, only reports say what it holds. */
+    void checkedIn(Target latest, long nowMillis) {
+        target = latest;
+        if (ordersAccepted.isEmpty()) {
+            replaceModels(latest.models(), nowMillis);
+        }
+        if (nowMillis - lastOrderMillis > CHECK_IN_LAG_MILLIS) {
+            copies(latest.inMemory(), latest.onDisk());
+        }
+    }
+
+    /**
+     * Takes a report. What it lists and the orders it counts belong together: an order that is made for this state
+     * counts on just that number, so that it has no effect where the report was out of date.
+     */
+    void reported(EngineReport report, long nowMillis) {
+        boolean reborn = report.startedAtMillis() != target.startedAtMillis()
+                && report.startedAtMillis() != 0
+                && target.startedAtMillis() != 0;
+        boolean settled = reportAskedMillis - lastOrderMillis > SETTLED_MILLIS;
+        long known = ordersAccepted.orElse(-1);
+        if (report.ordersAccepted() > known || reborn || (report.ordersAccepted() < known && settled)) {
+            ordersAccepted = OptionalLong.of(report.ordersAccepted());
+            conflictsInRow = 0;
+            replaceModels(report.models(), nowMillis);
+            copies(report.inMemory(), report.onDisk());
+            return;
+        }
+        if (report.ordersAccepted() == known && !report.busy()) {
+            confirm(report.models(), nowMillis);
+        }
+    }
+
+    /** Nothing has been ordered since: loads that are listed are done, those that aren't, though due, have failed. */
+    private void confirm(List<HeldModel> held, long nowMillis) {
+        Set<String> names = new HashSet<>();
+        held.forEach(model -> names.add(model.name()));
+        for (Map.Entry<String, Residency> each : models.entrySet()) {
+            if (each.getValue().unconfirmed && names.contains(each.getKey())) {
+                each.getValue().unconfirmed = false;
+                each.getValue().readyAtMillis = nowMillis;
+            }
+        }
+        models.entrySet()
+                .removeIf(each -> orderUnderWay.isEmpty()
+                        && !names.contains(each.getKey())
+                        && reportAskedMillis - each.getValue().readyAtMillis > SETTLED_MILLIS
+                        && reportAskedMillis - lastOrderMillis > SETTLED_MILLIS);
+    }
+
+    private void copies(Set<String> memory, Set<String> disk) {
+        if (memory.isEmpty() && disk.isEmpty()) {
+            return;
+        }
+        inMemory.clear();
+        inMemory.addAll(memory);
+        onDisk.clear();
+        onDisk.addAll(disk);
+    }
+
+    private void replaceModels(List<HeldModel> held, long nowMillis) {
+        Set<String> names = new HashSet<>();
+        for (HeldModel model : held) {
+            names.add(model.name());
+            Residency residency = models.computeIfAbsent(model.name(), name -> new Residency(nowMillis, Set.of()));
+            residency.unconfirmed = false;
+            residency.readyAtMillis = Math.min(residency.readyAtMillis, nowMillis);
+            residency.adapters.keySet().retainAll(model.adapters());
+            model.adapters()
+                    .forEach(name -> residency.adapters.computeIfAbsent(name, key -> new Residency.AdapterUse()));
+        }
+        models.keySet().removeIf(name -> {
+            boolean gone = !names.contains(name);
+            if (gone) {
+                prompts.unloaded(name);
+            }
+            return gone;
+        });
+    }
+
+    double freeMb() {
+        double used = 0;
+        for (Map.Entry<String, Residency> held : models.entrySet()) {
+            ModelSpec model = spec.models().get(held.getKey());
+            if (model == null) {
+                return 0;
+            }
+            used += model.sizeMb() + held.getValue().adapters.size() * model.adapterSizeMb();
+        }
+        return spec.memoryMb() - used;
+    }
+
+    int adapterCount() {
+        return models.values().stream().mapToInt(held -> held.adapters.size()).sum();
+    }
+
+    /** Returns the time that a load of the model would take here, by the nearest copy. */
+    long loadMillis(ModelSpec model) {
+        if (inMemory.contains(model.name())) {
+            return model.memoryLoadMillis();
+        }
+        return onDisk.contains(model.name()) ? model.diskLoadMillis() : model.storeLoadMillis();
+    }
+
+    boolean hasCopy(String model) {
+        return models.containsKey(model) || inMemory.contains(model) || onDisk.contains(model);
+    }
+
+    /** Tells whether a load is under way, during which a target takes no other order. */
+    boolean loading(long nowMillis) {
+        return models.values().stream().anyMatch(held -> !held.ready(nowMillis));
+    }
+
+    boolean takesWork(long nowMillis) {
+        return !target.leaving() && suspectUntilMillis <= nowMillis;
+    }
+
+    long committedTokens() {
+        return running.values().stream().mapToLong(Run::tokens).sum();
+    }
+
+    double slowness(long nowMillis) {
+        double fade = Math.exp(-(nowMillis - slownessMillis) / SLOWNESS_FADE_MILLIS);
+        return 1 + (slowness - 1) * fade;
+    }
+
+    void answered(long estimateMillis, long firstEventMillis, long nowMillis) {
+        brokenInRow = 0;
+        double observed =
+                Math.clamp(firstEventMillis / (double) Math.max(1, estimateMillis), LEAST_SLOWNESS, MOST_SLOWNESS);
+        slowness = slowness(nowMillis) * (1 - SLOWNESS_WEIGHT) + observed * SLOWNESS_WEIGHT;
+        slownessMillis = nowMillis;
+    }
+
+    void broke(long nowMillis) {
+        suspectUntilMillis =
+                nowMillis + Math.min(LONGEST_SUSPICION_MILLIS, FIRST_SUSPICION_MILLIS << Math.min(brokenInRow, 4));
+        brokenInRow++;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -0,0 +1,120 @@
+package org.poplarwharf.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.poplarwharf.internal.fleet.ModelSpec;
+
+/**
+ * Picks the target that loads a model, and the models that make way for it, by the time that this costs all callers.
+ *
+ * <p>Stateless; confined to the thread of the states that it reads.
+ */
+final class LoadPlanner {
+    /** Demand is looked ahead this far when the loss of a model is weighed: about the time until it is back. */
+    private static final double HORIZON_SECONDS = 10;
+
+    /** A model that others hold too is missed less: its requests go there. */
+    private static final double REPLICATED_WEIGHT = 0.15;
+
+    /** Each running request slows a load's first requests a little; a tie-breaker. */
+    private static final double MILLIS_PER_RUNNING = 4;
+
+    /** The time of one order to make way. */
+    private static final double MILLIS_PER_UNLOAD = 30;
+
+    /** A model used this recently is in use, whatever its rate: its callers come back within this time. */
+    private static final long RECENT_MILLIS = 1_000;
+
+    private final Demand demand;
+
+    LoadPlanner(Demand demand) {
+        this.demand = demand;
+    }
+
+    /** A way to load a model. */
+    record Plan(EngineState engine, List<String> victims, long loadMillis, boolean fromStore, double costMillis) {}
+
+    /** Returns the cheapest way to load a model; empty where no target can take it now. */
+    Optional<Plan> plan(ModelSpec model, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+        Plan best = null;
+        for (EngineState engine : engines) {
+            if (!engine.takesWork(nowMillis)
+                    || engine.wantedModel.isPresent()
+                    || engine.models.containsKey(model.name())
+                    || engine.loading(nowMillis)) {
+                continue;
+            }
+            Optional<Plan> plan = plan(model, engine, engines, wanted, nowMillis);
+            if (plan.isPresent() && (best == null || plan.get().costMillis() < best.costMillis())) {
+                best = plan.get();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Optional<Plan> plan(
+            ModelSpec model, EngineState engine, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+        Optional<List<String>> victims = victims(model, engine, engines, wanted, nowMillis);
+        if (victims.isEmpty()) {
+            return Optional.empty();
+        }
+        long loadMillis = engine.loadMillis(model);
+        double costMillis = loadMillis
+                + engine.running.size() * MILLIS_PER_RUNNING
+                + victims.get().size() * MILLIS_PER_UNLOAD;
+        for (String victim : victims.get()) {
+            costMillis += loss(victim, engine, engines, nowMillis);
+        }
+        boolean fromStore = loadMillis >= model.storeLoadMillis();
+        return Optional.of(new Plan(engine, victims.get(), loadMillis, fromStore, costMillis));
+    }
+
+    /** Returns the models whose going makes room at the least loss; empty where those that may go don't suffice. */
+    Optional<List<String>> victims(
+            ModelSpec model, EngineState engine, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+        List<Map.Entry<String, Residency>> idle = new ArrayList<>();
+        for (Map.Entry<String, Residency> held : engine.models.entrySet()) {
+            Residency residency = held.getValue();
+            boolean inUse = residency.running > 0
+                    || !residency.ready(nowMillis)
+                    || wanted.contains(held.getKey())
+                    || (nowMillis - residency.lastUsedMillis < RECENT_MILLIS && residency.lastUsedMillis > 0);
+            if (!inUse && engine.spec.models().containsKey(held.getKey())) {
+                idle.add(held);
+            }
+        }
+        idle.sort(Comparator.comparingDouble(
+                        (Map.Entry<String, Residency> held) -> loss(held.getKey(), engine, engines, nowMillis)
+                                / engine.spec.models().get(held.getKey()).sizeMb())
+                .thenComparingLong(held -> held.getValue().lastUsedMillis));
+        List<String> victims = new ArrayList<>();
+        double freeMb = engine.freeMb() - engine.spec.adapterSlots() * model.adapterSizeMb();
+        for (Map.Entry<String, Residency> held : idle) {
+            if (freeMb >= model.sizeMb()) {
+                break;
+            }
+            victims.add(held.getKey());
+            freeMb += engine.spec.models().get(held.getKey()).sizeMb();
+        }
+        return freeMb >= model.sizeMb() ? Optional.of(victims) : Optional.empty();
+    }
+
+    /** Returns the milliseconds that callers would wait, in sum, for the model to come back. */
+    private double loss(String model, EngineState engine, Collection<EngineState> engines, long nowMillis) {
+        ModelSpec spec = engine.spec.models().get(model);
+        long others = engines.stream()
+                .filter(other -> other != engine && other.models.containsKey(model))
+                .count();
+        double weight = others > 0 ? REPLICATED_WEIGHT : 1;
+        boolean copied = engine.inMemory.contains(model) || engine.onDisk.contains(model);
+        long reloadMillis = copied ? spec.diskLoadMillis() : spec.storeLoadMillis();
+        // A rare model that was never asked for still counts for something, so that unasked ones tie by last use.
+        double rate = Math.max(0.01, demand.perSecond(model, nowMillis));
+        return rate * HORIZON_SECONDS * weight * reloadMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/Drain.java
@@ -0,0 +1,54 @@
+package org.poplarwharf.internal.gateway;
+
+import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.topic.TopicFollower;
+
+/**
+ * Ends a node in order: it says at once that it takes no callers, goes on taking those that still come, then closes idle
+ * connections and waits for what is under way.
+ *
+ * <p>Confined to the event loop.
+ */
+final class Drain {
+    /** The balancer asks once a second and sends callers until the second miss. */
+    private static final long CALLERS_STILL_COME_MILLIS = 2_400;
+
+    private static final long LOOK_MILLIS = 50;
+
+    /** Left before the process would be killed. */
+    private static final long KILL_MARGIN_MILLIS = 400;
+
+    private final FrontServer front;
+    private final TopicFollower.Timer timer;
+    private final DecisionLog log;
+    private final long graceMillis;
+
+    Drain(FrontServer front, TopicFollower.Timer timer, DecisionLog log, long graceMillis) {
+        this.front = front;
+        this.timer = timer;
+        this.log = log;
+        this.graceMillis = graceMillis;
+    }
+
+    /** Begins; runs the action once nothing is under way, or the time is over. */
+    void begin(long nowMillis, MonotonicClock clock, Runnable ended) {
+        log.log("node-draining", "underWay", front.underWay());
+        front.startDraining();
+        timer.after(CALLERS_STILL_COME_MILLIS, () -> {
+            front.closeIdle();
+            look(nowMillis, clock, ended);
+        });
+    }
+
+    private void look(long startMillis, MonotonicClock clock, Runnable ended) {
+        int underWay = front.underWay();
+        boolean over = clock.nowMillis() - startMillis > graceMillis - KILL_MARGIN_MILLIS;
+        if (underWay == 0 || over) {
+            log.log("node-drained", "underWay", underWay);
+            ended.run();
+            return;
+        }
+        timer.after(LOOK_MILLIS, () -> look(startMillis, clock, ended));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/Places.java
@@ -0,0 +1,29 @@
+package org.poplarwharf.internal.gateway;
+
+import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.Wish;
+import org.poplarwharf.internal.fleet.Target;
+
+/** Finds the target for a request. Confined to the event loop. */
+public interface Places {
+    /** Looks for a target; exactly one of the asker's methods is called, now or later, unless withdrawn before. */
+    void seek(Wish wish, Asker asker);
+
+    /** Gives up a search that has not ended. */
+    void withdraw(String key);
+
+    /** Tells how a placed request went: once at its first event, if there is one. */
+    void outcome(String key, RunOutcome outcome);
+
+    /** The placed request has ended in order. */
+    void ended(String key);
+
+    /** Who looks for a target. */
+    interface Asker {
+        /** The request may go to the target. */
+        void placed(Target target, String by);
+
+        /** There is no target in time; the caller does best to return after the given time. */
+        void refused(String reason, long retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/PlanRegister.java
@@ -0,0 +1,65 @@
+package org.poplarwharf.internal.gateway;
+
+import java.util.function.Function;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.fleet.FleetPlan;
+import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.topic.TopicFollower;
+
+/**
+ * Puts the operator's plan in force as it stands on the platform's log.
+ *
+ * <p>Invariant: a document that can't be read changes nothing. Confined to the event loop.
+ */
+public final class PlanRegister implements TopicFollower.Listener {
+    private static final String KEY = "config";
+
+    private final FleetView view;
+    private final Function<byte[], FleetPlan> decoder;
+    private final DecisionLog log;
+
+    public PlanRegister(FleetView view, Function<byte[], FleetPlan> decoder, DecisionLog log) {
+        this.view = view;
+        this.decoder = decoder;
+        this.log = log;
+    }
+
+    @Override
+    public void put(String key, byte[] value) {
+        if (!key.equals(KEY)) {
+            return;
+        }
+        FleetPlan plan;
+        try {
+            plan = decoder.apply(value);
+        } catch (PoplarWharfException e) {
+            log.log("plan-unusable", "reason", e.getMessage(), "bytes", value.length);
+            return;
+        }
+        long before = view.plan().map(FleetPlan::version).orElse(-1L);
+        boolean applied = view.apply(plan);
+        log.log(
+                applied ? "plan-in-force" : "plan-passed-over",
+                "version",
+                plan.version(),
+                "versionBefore",
+                before,
+                "routes",
+                plan.routes().size());
+    }
+
+    @Override
+    public void drop(String key) {
+        log.log("plan-entry-dropped", "key", key);
+    }
+
+    @Override
+    public void caughtUp() {
+        // A topic without a plan leaves the node without one; it is not ready until a plan comes.
+    }
+
+    @Override
+    public void reachable(boolean reachable, String reason) {
+        log.log(reachable ? "log-regained" : "log-lost", "topic", "plan", "reason", reason);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudget.java
@@ -0,0 +1,69 @@
+package org.poplarwharf.internal.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * This node's part of the second sends that all nodes together may make to a service.
+ *
+ * <p>Invariant: over any window, second sends stay below the ratio of this node's own requests plus an even part of the
+ * slack, so that the sum over all nodes stays below the whole. Confined to one thread.
+ */
+final class RetryBudget {
+    /** Kept back for nodes that count more peers than there are, or fewer. */
+    private static final double SAFETY = 0.7;
+
+    private final double ratio;
+    private final int slack;
+    private final long windowMillis;
+    private final Map<String, Window> byService = new HashMap<>();
+    private int nodes;
+
+    private static final class Window {
+        private final Deque<Long> firstMillis = new ArrayDeque<>();
+        private final Deque<Long> secondMillis = new ArrayDeque<>();
+    }
+
+    RetryBudget(double ratio, int slack, long windowMillis, int nodes) {
+        this.ratio = ratio;
+        this.slack = slack;
+        this.windowMillis = windowMillis;
+        this.nodes = nodes;
+    }
+
+    /** Says among how many nodes the slack is shared. */
+    void nodes(int count) {
+        nodes = Math.max(1, count);
+    }
+
+    /** A request of a caller for the service. */
+    void requested(String service, long nowMillis) {
+        window(service, nowMillis).firstMillis.addLast(nowMillis);
+    }
+
+    /** Takes one second send; false where that would be too many. */
+    boolean take(String service, long nowMillis) {
+        Window window = window(service, nowMillis);
+        double allowed = SAFETY * (ratio * window.firstMillis.size() + Math.max(1, (double) slack / nodes));
+        if (window.secondMillis.size() + 1 > allowed) {
+            return false;
+        }
+        window.secondMillis.addLast(nowMillis);
+        return true;
+    }
+
+    private Window window(String service, long nowMillis) {
+        Window window = byService.computeIfAbsent(service, key -> new Window());
+        forget(window.firstMillis, nowMillis);
+        forget(window.secondMillis, nowMillis);
+        return window;
+    }
+
+    private void forget(Deque<Long> times, long nowMillis) {
+        while (!times.isEmpty() && times.peekFirst() <= nowMillis - windowMillis) {
+            times.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/platform/EngineCalls.java
@@ -0,0 +1,119 @@
+package org.poplarwharf.internal.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.dispatch.EngineOrder;
+import org.poplarwharf.internal.dispatch.EngineReport;
+import org.poplarwharf.internal.dispatch.OrderAnswer;
+import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.holder.EngineControl;
+import org.poplarwharf.internal.http.CallOutcome;
+import org.poplarwharf.internal.http.HttpCaller;
+
+/**
+ * Orders and reports of engines.
+ *
+ * <p>Confined to the event loop of its caller.
+ */
+public final class EngineCalls implements EngineControl {
+    /** Orders are answered at once; one that isn't by now may be carried out much later. */
+    private static final long ORDER_TIMEOUT_MILLIS = 300;
+
+    private static final long REPORT_TIMEOUT_MILLIS = 400;
+    private static final String EXPECTED_TARGET = "X-Expect-Instance";
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int CONFLICT = 409;
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final HttpCaller caller;
+
+    public EngineCalls(HttpCaller caller) {
+        this.caller = caller;
+    }
+
+    @Override
+    public void order(EngineOrder order, String holder, long fencingNumber, Consumer<OrderAnswer> answer) {
+        ObjectNode body = JsonFields.JSON.createObjectNode();
+        body.put("opKind", order.kind().name().toLowerCase(Locale.ROOT));
+        body.put("model", order.model());
+        order.adapter().ifPresent(adapter -> body.put("adapter", adapter));
+        body.put("precondition", order.ordersAccepted());
+        body.put("holder", holder);
+        body.put("fence", fencingNumber);
+        HttpCaller.Call call = new HttpCaller.Call(
+                order.target().address(),
+                HttpMethod.POST,
+                "/order",
+                Map.of(
+                        "Content-Type",
+                        "application/json",
+                        EXPECTED_TARGET,
+                        order.target().id()),
+                bytes(body),
+                ORDER_TIMEOUT_MILLIS);
+        caller.call(
+                call,
+                outcome -> answer.accept(
+                        switch (outcome) {
+                            case CallOutcome.Answered answered ->
+                                switch (answered.status()) {
+                                    case OK -> OrderAnswer.HOLDS;
+                                    case ACCEPTED -> OrderAnswer.ACCEPTED;
+                                    case CONFLICT -> OrderAnswer.CONFLICT;
+                                    default -> OrderAnswer.REFUSED;
+                                };
+                            case CallOutcome.NotSent notSent -> OrderAnswer.REFUSED;
+                            case CallOutcome.Unanswered unanswered -> OrderAnswer.UNKNOWN;
+                        }));
+    }
+
+    @Override
+    public void report(Target target, Consumer<Optional<EngineReport>> answer) {
+        HttpCaller.Call call = new HttpCaller.Call(
+                target.address(),
+                HttpMethod.GET,
+                "/report",
+                Map.of(EXPECTED_TARGET, target.id()),
+                NO_BODY,
+                REPORT_TIMEOUT_MILLIS);
+        caller.call(
+                call,
+                outcome -> answer.accept(
+                        outcome instanceof CallOutcome.Answered answered && answered.status() == OK
+                                ? decode(answered.body())
+                                : Optional.empty()));
+    }
+
+    private static Optional<EngineReport> decode(byte[] body) {
+        try {
+            JsonNode node = JsonFields.parse(body, "a target's report");
+            JsonNode copies = node.path("atHand");
+            return Optional.of(new EngineReport(
+                    JsonFields.number(node, "born").orElse(0),
+                    JsonFields.number(node, "seq").orElse(0),
+                    JsonFields.flag(node, "busy"),
+                    TargetEntries.models(node),
+                    JsonFields.texts(copies, "inMemory"),
+                    JsonFields.texts(copies, "onDisk")));
+        } catch (PoplarWharfException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static byte[] bytes(ObjectNode body) {
+        try {
+            return JsonFields.JSON.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw Reporter.malformedMessage("an order", e);
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/platform/HttpCalls.java
+++ b/src/main/java/org/poplarwharf/internal/protocol/HttpCalls.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.platform;
+package org.poplarwharf.internal.protocol;
 
 import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
--- a/src/main/java/org/poplarwharf/internal/platform/HttpEventLog.java
+++ b/src/main/java/org/poplarwharf/internal/protocol/HttpEventLog.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.platform;
+package org.poplarwharf.internal.protocol;
 
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
--- a/src/main/java/org/poplarwharf/internal/platform/Json.java
+++ b/src/main/java/org/poplarwharf/internal/protocol/Json.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.platform;
+package org.poplarwharf.internal.protocol;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformPlugin.java
+++ b/src/main/java/org/poplarwharf/internal/protocol/ProtocolPlugin.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.platform;
+package org.poplarwharf.internal.protocol;
 
 import org.poplarwharf.plugins.EngineDialect;
 import org.poplarwharf.plugins.EventLog;
@@ -9,7 +9,7 @@
 /**
  * Registers the adapters that speak HTTP. Stateless and thread-safe.
  */
-public final class PlatformPlugin implements Plugin {
+public final class ProtocolPlugin implements Plugin {
     private static final String PROTOCOL = "http";
     private static final String DIALECT = "openai";
 
--- a/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
+++ b/src/main/resources/META-INF/services/org.poplarwharf.internal.cli.Command
@@ -6,3 +6,4 @@
 org.poplarwharf.internal.cli.ProbeCommand
 org.poplarwharf.internal.cli.LoadCommand
 org.poplarwharf.internal.cli.ExperimentCommand
+org.poplarwharf.internal.cli.GatewayCommand
--- a/src/test/java/org/poplarwharf/internal/cell/CellRoleTest.java
+++ b/src/test/java/org/poplarwharf/internal/cell/CellRoleTest.java
@@ -26,7 +26,7 @@
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.kernel.NodeContext;
 import org.poplarwharf.internal.kernel.NodeSettings;
-import org.poplarwharf.internal.platform.PlatformPlugin;
+import org.poplarwharf.internal.protocol.ProtocolPlugin;
 import org.poplarwharf.internal.standin.EngineSettings;
 import org.poplarwharf.internal.standin.EngineStandin;
 import org.poplarwharf.internal.standin.LogSettings;
@@ -156,7 +156,7 @@
 
         Context(NodeSettings settings) {
             this.settings = settings;
-            new PlatformPlugin().registerWith(plugins);
+            new ProtocolPlugin().registerWith(plugins);
             new IdlePlugin().registerWith(plugins);
             offer(ConfigView.class, new FixedConfig());
         }
--- a/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -41,7 +41,7 @@
 import org.poplarwharf.internal.place.Place;
 import org.poplarwharf.internal.place.PlaceRequest;
 import org.poplarwharf.internal.place.PlaceSource;
-import org.poplarwharf.internal.platform.HttpEngineDialect;
+import org.poplarwharf.internal.protocol.HttpEngineDialect;
 import org.poplarwharf.internal.state.CellRecord;
 import org.poplarwharf.plugins.ArtifactId;
 import org.poplarwharf.plugins.EngineDialect;
--- a/src/test/java/org/poplarwharf/internal/platform/HttpEventLogTest.java
+++ b/src/test/java/org/poplarwharf/internal/protocol/HttpEventLogTest.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.platform;
+package org.poplarwharf.internal.protocol;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
--- a/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
+++ b/src/test/java/org/poplarwharf/internal/standin/EngineStandinTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.PoplarWharfException;
-import org.poplarwharf.internal.platform.HttpEngineDialect;
+import org.poplarwharf.internal.protocol.HttpEngineDialect;
 import org.poplarwharf.plugins.ArtifactId;
 import org.poplarwharf.plugins.EngineDialect;
 import org.poplarwharf.plugins.EngineDialect.ArtifactState;
