Wait for a fast copy of a model rather than load it from the store

Cause: with every target that had a copy on disk busy for half a second, a model was loaded from the weight store elsewhere; the six seconds of that load kept one more target from fast loads, until all were loading. At start the models that many targets held were the first to make way.

Ruled out: a full load budget (no line said so); wrong memory counts.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
@@ -27,6 +27,13 @@
         rate.atMillis = nowMillis;
     }
 
+    /** Counts a model as asked for this often of late, before any request has shown it. */
+    void expect(String model, double perSecond, long nowMillis) {
+        Rate rate = rates.computeIfAbsent(model, key -> new Rate());
+        rate.weight = Math.max(rate.weight * fade(rate, nowMillis), perSecond * FADE_MILLIS / MILLIS_PER_SECOND);
+        rate.atMillis = nowMillis;
+    }
+
     /** Returns requests a second. */
     double perSecond(String model, long nowMillis) {
         Rate rate = rates.get(model);
--- a/src/main/java/org/poplarwharf/internal/dispatch/DispatchActions.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/DispatchActions.java
@@ -13,6 +13,9 @@
     /** The order must be sent, and its answer given to {@link Dispatcher#ordered}. */
     void order(EngineOrder order);
 
+    /** Something was decided that is worth a line in the log: its name, then names and values in turn. */
+    void decided(String event, Object... fields);
+
     /** The target must be asked for a report, to be given to {@link Dispatcher#reported}. */
     void askReport(Target target);
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -28,14 +28,20 @@
 
     private static final long RETURN_MILLIS = 400;
 
+    /** The rate that a model's replica is taken to stand for at first; about what justifies a replica. */
+    private static final double EXPECTED_PER_SECOND = 0.5;
+
     private final Map<String, Waiting> waiting = new LinkedHashMap<>();
     private final Map<String, EngineState> engines = new LinkedHashMap<>();
     private final Map<String, EngineState> placeOf = new LinkedHashMap<>();
     private final Demand demand = new Demand();
     private final DispatchActions actions;
     private final EngineChooser chooser;
+    private final Orders orders;
+    private final AdapterKeeper adapters;
     private final ModelKeeper keeper;
     private EngineSpec spec;
+    private boolean demandExpected;
 
     private record Waiting(Wish wish, long sinceMillis) {}
 
@@ -43,7 +49,10 @@
         this.spec = spec;
         this.actions = actions;
         this.chooser = new EngineChooser();
-        this.keeper = new ModelKeeper(demand, limits, spec.storeLoadsPerSecond(), actions);
+        LoadBudget budget = new LoadBudget(spec.storeLoadsPerSecond(), limits.windowMillis(), limits.factor());
+        this.orders = new Orders(budget, actions);
+        this.adapters = new AdapterKeeper(orders);
+        this.keeper = new ModelKeeper(demand, budget, orders, actions);
     }
 
     /** How many loads from the weight store may begin within a window. */
@@ -62,9 +71,26 @@
             }
         }
         engines.keySet().retainAll(listed);
+        expectDemand(nowMillis);
         pump(nowMillis);
     }
 
+    /** What many targets held before this node decided was in demand. */
+    private void expectDemand(long nowMillis) {
+        if (demandExpected || engines.isEmpty()) {
+            return;
+        }
+        demandExpected = true;
+        for (String model : spec.models().keySet()) {
+            long replicas = engines.values().stream()
+                    .filter(engine -> engine.models.containsKey(model))
+                    .count();
+            if (replicas > 1) {
+                demand.expect(model, EXPECTED_PER_SECOND * replicas, nowMillis);
+            }
+        }
+    }
+
     /** Takes a request in. */
     public void wish(Wish wish, long nowMillis) {
         wish.model().ifPresent(model -> demand.asked(model, nowMillis));
@@ -89,7 +115,7 @@
                 engine.answered(run.estimateMillis(), answered.firstEventMillis(), nowMillis);
                 return;
             }
-            case RunOutcome.Declined declined -> keeper.declined(engine, run.wish(), nowMillis);
+            case RunOutcome.Declined declined -> orders.declined(engine, run.wish(), nowMillis);
             case RunOutcome.Broken broken -> engine.broke(nowMillis);
             case RunOutcome.Abandoned abandoned -> {
                 // Says nothing of the target.
@@ -113,7 +139,7 @@
     public void ordered(EngineOrder order, OrderAnswer answer, long nowMillis) {
         EngineState engine = engines.get(order.target().id());
         if (engine != null && engine.target.sameIncarnation(order.target())) {
-            keeper.ordered(engine, order, answer, nowMillis);
+            orders.ordered(engine, order, answer, nowMillis);
             pump(nowMillis);
         }
     }
@@ -135,7 +161,7 @@
 
     /** Says whether orders may be given, that is, whether the lease holds. */
     public void ordersAllowed(boolean allowed) {
-        keeper.ordersAllowed(allowed);
+        orders.allowed(allowed);
     }
 
     /** Looks at everything again, since time has passed. */
@@ -216,7 +242,7 @@
     private void take(Wish wish, EngineChooser.Choice choice, long nowMillis) {
         EngineState engine = choice.engine();
         if (!choice.adapterReady()) {
-            keeper.wantAdapter(engine, wish, nowMillis);
+            adapters.wantAdapter(engine, wish, nowMillis);
             return;
         }
         waiting.remove(wish.key());
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -181,6 +181,14 @@
         return models.values().stream().anyMatch(held -> !held.ready(nowMillis));
     }
 
+    /** Returns when the loads that are under way are done. */
+    long freeAtMillis(long nowMillis) {
+        return models.values().stream()
+                .mapToLong(held -> held.readyAtMillis)
+                .filter(millis -> millis < Residency.NOT_YET)
+                .reduce(nowMillis, Math::max);
+    }
+
     boolean takesWork(long nowMillis) {
         return !target.leaving() && suspectUntilMillis <= nowMillis;
     }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -30,6 +30,12 @@
     /** A model used this recently is in use, whatever its rate: its callers come back within this time. */
     private static final long RECENT_MILLIS = 1_000;
 
+    /** A target that has an order under way, or one due, is free again in about this time. */
+    private static final long LEAST_WAIT_MILLIS = 100;
+
+    /** A load from the weight store also keeps a target from all faster loads that others wait for meanwhile. */
+    private static final double STORE_WEIGHT = 1.5;
+
     private final Demand demand;
 
     LoadPlanner(Demand demand) {
@@ -37,16 +43,16 @@
     }
 
     /** A way to load a model. */
-    record Plan(EngineState engine, List<String> victims, long loadMillis, boolean fromStore, double costMillis) {}
+    record Plan(EngineState engine, List<String> victims, boolean now, boolean fromStore, double costMillis) {}
 
-    /** Returns the cheapest way to load a model; empty where no target can take it now. */
+    /**
+     * Returns the cheapest way to load a model, which may be to wait for a target that is busy with another load; empty
+     * where no target can take it.
+     */
     Optional<Plan> plan(ModelSpec model, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
         Plan best = null;
         for (EngineState engine : engines) {
-            if (!engine.takesWork(nowMillis)
-                    || engine.wantedModel.isPresent()
-                    || engine.models.containsKey(model.name())
-                    || engine.loading(nowMillis)) {
+            if (!engine.takesWork(nowMillis) || engine.models.containsKey(model.name())) {
                 continue;
             }
             Optional<Plan> plan = plan(model, engine, engines, wanted, nowMillis);
@@ -64,14 +70,17 @@
             return Optional.empty();
         }
         long loadMillis = engine.loadMillis(model);
-        double costMillis = loadMillis
+        boolean fromStore = loadMillis >= model.storeLoadMillis();
+        boolean now = engine.wantedModel.isEmpty() && !engine.loading(nowMillis);
+        long waitMillis = now ? 0 : Math.max(LEAST_WAIT_MILLIS, engine.freeAtMillis(nowMillis) - nowMillis);
+        double costMillis = loadMillis * (fromStore ? STORE_WEIGHT : 1)
+                + waitMillis
                 + engine.running.size() * MILLIS_PER_RUNNING
                 + victims.get().size() * MILLIS_PER_UNLOAD;
         for (String victim : victims.get()) {
             costMillis += loss(victim, engine, engines, nowMillis);
         }
-        boolean fromStore = loadMillis >= model.storeLoadMillis();
-        return Optional.of(new Plan(engine, victims.get(), loadMillis, fromStore, costMillis));
+        return Optional.of(new Plan(engine, victims.get(), now, fromStore, costMillis));
     }
 
     /** Returns the models whose going makes room at the least loss; empty where those that may go don't suffice. */
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -307,6 +307,11 @@
             origin.local().ifPresent(answers -> answers.refused(wish.key(), reason, retryAfterMillis));
         }
 
+        @Override
+        public void decided(String event, Object... fields) {
+            log.log(event, fields);
+        }
+
         @Override
         public void order(EngineOrder order) {
             Dispatcher dispatcher = dispatchers.get(service);
