Give no order for what a busy target lists; go on deciding when a term ends

A holder whose term ended in an outage of the log forgot what it knew though nobody else could claim. SIGHUP ended the process. A plan could be five seconds late behind a silent connection to the log.

--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -19,6 +19,9 @@
     /** Check-ins older than this, counted from the last order, may not show its effect yet. */
     private static final long CHECK_IN_LAG_MILLIS = 3_500;
 
+    /** A target that is busy with an order of another holder is asked again after this. */
+    private static final long BUSY_MILLIS = 250;
+
     /** Reports asked for sooner than this after an order may not show its effect yet; several times their age. */
     private static final long SETTLED_MILLIS = 1_200;
 
@@ -89,6 +92,11 @@
                 && target.startedAtMillis() != 0;
         boolean settled = reportAskedMillis - lastOrderMillis > SETTLED_MILLIS;
         long known = ordersAccepted.orElse(-1);
+        if (report.busy()) {
+            // What it lists lacks what is being loaded: an order made for it could overfill the target.
+            nextOrderMillis = nowMillis + BUSY_MILLIS;
+            return;
+        }
         if (report.ordersAccepted() > known || reborn || (report.ordersAccepted() < known && settled)) {
             ordersAccepted = OptionalLong.of(report.ordersAccepted());
             conflictsInRow = 0;
@@ -96,7 +104,7 @@
             copies(report.inMemory(), report.onDisk());
             return;
         }
-        if (report.ordersAccepted() == known && !report.busy()) {
+        if (report.ordersAccepted() == known) {
             confirm(report.models(), nowMillis);
         }
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayFront.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayFront.java
@@ -58,6 +58,13 @@
         parts.retries().nodes(count);
     }
 
+    /** Puts changed settings in force. */
+    public void reload(GatewaySettings latest) {
+        boolean changed = !latest.equals(parts.settings());
+        parts.log().log("settings-reloaded", "changed", changed);
+        parts.reload(latest);
+    }
+
     /** Ends the taking of callers; runs the action when nothing is under way. */
     public void drain(Runnable ended) {
         Drain drain = new Drain(
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayParts.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayParts.java
@@ -10,7 +10,7 @@
 
 /** What the exchanges of a node share. Confined to the event loop. */
 final class GatewayParts {
-    private final GatewaySettings settings;
+    private GatewaySettings settings;
     private final HeaderNames headerNames;
     private final EventLoop loop;
     private final DecisionLog log;
@@ -49,6 +49,11 @@
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
+    void reload(GatewaySettings latest) {
+        settings = latest;
+        retries.limits(latest.retryRatio(), latest.retrySlack(), latest.retryWindowMillis());
+    }
+
     void places(Places forPlainServices, Places forEngines) {
         plain = forPlainServices;
         engines = forEngines;
--- a/src/main/java/org/poplarwharf/internal/gateway/RetryBudget.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudget.java
@@ -15,9 +15,9 @@
     /** Kept back for nodes that count more peers than there are, or fewer. */
     private static final double SAFETY = 0.7;
 
-    private final double ratio;
-    private final int slack;
-    private final long windowMillis;
+    private double ratio;
+    private int slack;
+    private long windowMillis;
     private final Map<String, Window> byService = new HashMap<>();
     private int nodes;
 
@@ -27,10 +27,15 @@
     }
 
     RetryBudget(double ratio, int slack, long windowMillis, int nodes) {
-        this.ratio = ratio;
-        this.slack = slack;
-        this.windowMillis = windowMillis;
         this.nodes = nodes;
+        limits(ratio, slack, windowMillis);
+    }
+
+    /** Replaces what all nodes together may make. */
+    void limits(double perRequest, int besides, long overMillis) {
+        ratio = perRequest;
+        slack = besides;
+        windowMillis = overMillis;
     }
 
     /** Says among how many nodes the slack is shared. */
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -44,7 +44,7 @@
     private static final double TARGET_READ_SHARE = 0.5;
 
     /** How long the log may hold a read for a new plan back. */
-    private static final long PLAN_WAIT_MILLIS = 4_000;
+    private static final long PLAN_WAIT_MILLIS = 1_500;
 
     private static final long PLAN_GAP_MILLIS = 50;
     private static final long RETRY_MILLIS = 250;
@@ -138,6 +138,16 @@
         });
     }
 
+    /** Puts changed settings in force, as far as they concern a running node. */
+    public void reload(GatewaySettings latest) {
+        loop.execute(() -> front.reload(latest));
+    }
+
+    /** Logs that the settings could not be read again; those before stay in force. */
+    public void reloadFailed(String reason) {
+        log.log("settings-unusable", "reason", reason);
+    }
+
     /** Finishes what is under way, gives the lease up and stops. */
     public void drainAndStop() {
         loop.execute(() -> {
@@ -199,6 +209,11 @@
             holder.claimed(lease);
         }
 
+        @Override
+        public void expired() {
+            log.log("lease-expired", "fencingNumber", lease.fencingNumber());
+        }
+
         @Override
         public void lost(String why) {
             log.log("lease-lost", "why", why);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -90,11 +90,13 @@
         return Links.listen(group, address, this);
     }
 
-    /** This node holds the lease from now on. */
+    /** This node holds the lease from now on; where it decided before without a break, it goes on with what it knows. */
     public void claimed(LeaseKeeper held) {
+        if (lease.isEmpty()) {
+            dispatchers.clear();
+            origins.clear();
+        }
         lease = Optional.of(held);
-        dispatchers.clear();
-        origins.clear();
         viewChanged();
         links.forEach(this::sendBeat);
         if (!ticking) {
--- a/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
@@ -35,6 +35,7 @@
     private long endOffset;
     private long lastGoneMillis = Long.MIN_VALUE;
     private boolean holding;
+    private boolean expired;
     private long fencingNumber;
     private long sentSteadyMillis;
     private long sentWallMillis;
@@ -52,6 +53,9 @@
         /** This node holds the lease now. */
         void claimed(long fencingNumber);
 
+        /** The term is over and could not be renewed; nobody else is known to hold the lease. */
+        void expired();
+
         /** This node no longer holds the lease. */
         void lost(String why);
 
@@ -111,6 +115,9 @@
     /** Gives the lease up, so that another node need not wait for its term to end. */
     public void resign() {
         stopped = true;
+        if (expired) {
+            listener.lost("stopped");
+        }
         if (!holding) {
             return;
         }
@@ -127,7 +134,7 @@
             renewOrLose();
             return;
         }
-        if (listener.holderAnswers()) {
+        if (!expired && listener.holderAnswers()) {
             again(times.retryMillis());
             return;
         }
@@ -168,6 +175,10 @@
             return;
         }
         LeaseRecord holder = current.get();
+        if (expired && !holder.incarnation().equals(self.incarnation())) {
+            expired = false;
+            listener.lost("claimed by another node");
+        }
         if (holder.incarnation().equals(self.incarnation()) && !holder.resigned()) {
             // A claim of this process whose answer was lost; its term began when it was sent.
             take(holder.fencingNumber());
@@ -219,6 +230,7 @@
             claim();
             return;
         }
+        expired = false;
         listener.claimed(number);
         again(times.renewMillis());
     }
@@ -226,7 +238,8 @@
     private void renewOrLose() {
         if (!holds()) {
             holding = false;
-            listener.lost("term over");
+            expired = true;
+            listener.expired();
             again(0);
             return;
         }
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
@@ -1,8 +1,13 @@
 package org.poplarwharf.internal.platform;
 
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import org.jline.utils.Signals;
+import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.holder.GatewayNode;
 
@@ -17,10 +22,17 @@
 
     private static final String TARGET_TOPIC = "servers";
 
+    /** How often the settings file is looked at, for changes that no signal tells. */
+    private static final long LOOK_MILLIS = 5_000;
+
     private final GatewayNode node;
+    private final Path file;
+    private volatile FileTime changed;
 
-    private PlatformGateway(GatewayNode node) {
+    private PlatformGateway(GatewayNode node, Path file) {
         this.node = node;
+        this.file = file;
+        this.changed = changeTime();
     }
 
     /** Starts a gateway; raises the failure where an address can't be used. */
@@ -37,7 +49,43 @@
                 TARGET_TOPIC);
         GatewayNode node = new GatewayNode(settings, adapter, out);
         node.start();
-        return new PlatformGateway(node);
+        PlatformGateway gateway = new PlatformGateway(node, file);
+        Signals.register("HUP", gateway::reload);
+        Thread watch = new Thread(gateway::watch, "settings-watch");
+        watch.setDaemon(true);
+        watch.start();
+        return gateway;
+    }
+
+    private void watch() {
+        try {
+            while (true) {
+                Thread.sleep(LOOK_MILLIS);
+                if (!changeTime().equals(changed)) {
+                    reload();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void reload() {
+        changed = changeTime();
+        try {
+            node.reload(BootFile.read(file));
+        } catch (PoplarWharfException e) {
+            node.reloadFailed(e.getMessage());
+        }
+    }
+
+    /** Returns when the file was last changed; the epoch where that can't be told. */
+    private FileTime changeTime() {
+        try {
+            return Files.getLastModifiedTime(file);
+        } catch (IOException e) {
+            return FileTime.fromMillis(0);
+        }
     }
 
     /** Finishes what is under way and stops. Blocks. */
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformLog.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformLog.java
@@ -32,7 +32,7 @@
     private static final byte[] NO_BODY = new byte[0];
 
     /** Answers take a few milliseconds; one that takes longer than this is a slow log, and is waited for no more. */
-    private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
+    private static final long ANSWER_TIMEOUT_MILLIS = 700;
 
     private final HttpCaller caller;
     private final InetSocketAddress address;
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -0,0 +1,176 @@
+package org.poplarwharf.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+    private static final long LONG_MILLIS = 13_000;
+
+    @Test
+    void grants_a_request_at_once_where_its_model_is_held() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m2"));
+        fleet.target("t2", List.of("m2"), Set.of("m1", "m2"));
+        fleet.checkIn();
+
+        String key = fleet.ask("m2", LONG_MILLIS);
+
+        assertThat(fleet.granted).containsEntry(key, "t2");
+        assertThat(fleet.orders).isEmpty();
+    }
+
+    @Test
+    void refuses_at_once_what_cannot_be_loaded_in_time_and_says_when_to_come_back() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1"));
+        fleet.checkIn();
+
+        String key = fleet.ask("m2", 3_000);
+
+        assertThat(fleet.refused).containsEntry(key, "not-loaded-in-time");
+        assertThat(fleet.retryAfterMillis.get(key)).isEqualTo(FakeFleet.STORE_MILLIS);
+    }
+
+    @Test
+    void refuses_a_model_that_the_service_does_not_have() {
+        FakeFleet fleet = new FakeFleet("m1");
+        fleet.target("t1", List.of("m1"), Set.of("m1"));
+        fleet.checkIn();
+
+        String key = fleet.ask("other", LONG_MILLIS);
+
+        assertThat(fleet.refused).containsEntry(key, "no-such-model");
+    }
+
+    @Test
+    void swaps_a_model_in_from_disk_and_grants_when_it_is_loaded() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1", "m2"), Set.of("m1", "m2", "m3"));
+        fleet.checkIn();
+        String key = fleet.ask("m3", LONG_MILLIS);
+        fleet.report("t1", 4, "m1", "m2");
+
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.UNLOAD);
+        assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(4);
+        fleet.answer(OrderAnswer.ACCEPTED);
+        fleet.pass(60);
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.LOAD);
+        assertThat(fleet.lastOrder().model()).isEqualTo("m3");
+        assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(5);
+        fleet.answer(OrderAnswer.ACCEPTED);
+        assertThat(fleet.granted).isEmpty();
+        fleet.pass(FakeFleet.DISK_MILLIS + 1);
+
+        assertThat(fleet.granted).containsEntry(key, "t1");
+    }
+
+    @Test
+    void a_conflict_leaves_what_is_believed_as_it_was() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1", "m2"), Set.of("m1", "m2", "m3"));
+        fleet.checkIn();
+        fleet.ask("m3", LONG_MILLIS);
+        fleet.report("t1", 4, "m1", "m2");
+        fleet.answer(OrderAnswer.CONFLICT);
+        fleet.pass(60);
+
+        // Both models still count as held: room must be made again before anything is loaded.
+        assertThat(fleet.ordered(EngineOrder.Kind.LOAD)).isEmpty();
+        assertThat(fleet.ordered(EngineOrder.Kind.UNLOAD)).hasSize(2);
+        assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(4);
+    }
+
+    @Test
+    void a_report_from_before_the_last_order_changes_nothing() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1", "m2"), Set.of("m1", "m2", "m3"));
+        fleet.checkIn();
+        fleet.ask("m3", LONG_MILLIS);
+        fleet.report("t1", 4, "m1", "m2");
+        fleet.answer(OrderAnswer.ACCEPTED);
+        fleet.report("t1", 4, "m1", "m2");
+        fleet.pass(60);
+
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.LOAD);
+        assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(5);
+    }
+
+    @Test
+    void a_busy_target_gets_no_order_for_what_it_lists_meanwhile() {
+        // A new holder doesn't know what its predecessor's order is still loading.
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m2", "m3"));
+        fleet.checkIn();
+        fleet.ask("m3", LONG_MILLIS);
+        fleet.report("t1", 6, true, "m1");
+        fleet.pass(50);
+        assertThat(fleet.orders).isEmpty();
+
+        fleet.pass(300);
+        fleet.report("t1", 6, "m1", "m2");
+
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.UNLOAD);
+        assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(6);
+    }
+
+    @Test
+    void waits_for_a_target_with_a_copy_on_disk_rather_than_load_from_the_store_elsewhere() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3", "m4");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m2", "m3", "m4"));
+        fleet.target("t2", List.of("m4"), Set.of("m4"));
+        fleet.checkIn();
+        fleet.ask("m2", LONG_MILLIS);
+        fleet.report("t1", 0, "m1");
+        fleet.report("t2", 0, "m4");
+        fleet.answer(OrderAnswer.ACCEPTED);
+        assertThat(fleet.lastOrder().model()).isEqualTo("m2");
+
+        fleet.ask("m3", LONG_MILLIS);
+        fleet.pass(60);
+
+        assertThat(fleet.ordered(EngineOrder.Kind.LOAD)).containsExactly("m2");
+    }
+
+    @Test
+    void models_that_many_targets_hold_at_first_make_way_last() {
+        FakeFleet fleet = new FakeFleet("busy", "rare", "wanted");
+        fleet.target("t1", List.of("busy", "rare"), Set.of("busy", "rare", "wanted"));
+        fleet.target("t2", List.of("busy"), Set.of("busy"));
+        fleet.checkIn();
+        fleet.ask("wanted", LONG_MILLIS);
+        fleet.report("t1", 0, "busy", "rare");
+
+        assertThat(fleet.ordered(EngineOrder.Kind.UNLOAD)).containsExactly("rare");
+    }
+
+    @Test
+    void gives_no_order_while_the_lease_does_not_hold() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m2"));
+        fleet.checkIn();
+        fleet.dispatcher.ordersAllowed(false);
+        fleet.ask("m2", LONG_MILLIS);
+        fleet.report("t1", 0, "m1");
+        fleet.pass(100);
+
+        assertThat(fleet.orders).isEmpty();
+    }
+
+    @Test
+    void an_order_without_an_answer_is_given_again_for_the_same_state() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m2"));
+        fleet.checkIn();
+        fleet.ask("m2", LONG_MILLIS);
+        fleet.report("t1", 7, "m1");
+        fleet.answer(OrderAnswer.UNKNOWN);
+        fleet.pass(100);
+
+        assertThat(fleet.orders).hasSize(2);
+        assertThat(fleet.orders.get(1).ordersAccepted())
+                .isEqualTo(fleet.orders.get(0).ordersAccepted());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -0,0 +1,151 @@
+package org.poplarwharf.internal.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.poplarwharf.internal.fleet.EngineSpec;
+import org.poplarwharf.internal.fleet.HeldModel;
+import org.poplarwharf.internal.fleet.ModelSpec;
+import org.poplarwharf.internal.fleet.RequestTraits;
+import org.poplarwharf.internal.fleet.Target;
+
+/** Targets and callers of a dispatcher under test, with a clock that the test moves. */
+final class FakeFleet implements DispatchActions {
+    static final String SERVICE = "lm";
+    static final double MODEL_MB = 30;
+    static final double TARGET_MB = 62;
+    static final long STORE_MILLIS = 6_000;
+    static final long DISK_MILLIS = 400;
+
+    final List<EngineOrder> orders = new ArrayList<>();
+    final Map<String, String> granted = new LinkedHashMap<>();
+    final Map<String, String> refused = new LinkedHashMap<>();
+    final Map<String, Long> retryAfterMillis = new LinkedHashMap<>();
+    final List<String> reportsAsked = new ArrayList<>();
+    final Map<String, Target> targets = new LinkedHashMap<>();
+    final Dispatcher dispatcher;
+    long nowMillis = 1_000_000;
+    private int wishes;
+
+    FakeFleet(String... models) {
+        Map<String, ModelSpec> specs = new LinkedHashMap<>();
+        for (String model : models) {
+            specs.put(model, new ModelSpec(model, MODEL_MB, STORE_MILLIS, DISK_MILLIS, DISK_MILLIS, 4, 0.1));
+        }
+        EngineSpec spec = new EngineSpec(8, 100_000, TARGET_MB, 2, 1.6, specs);
+        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), this);
+        dispatcher.ordersAllowed(true);
+    }
+
+    /** Adds a target that holds these models, and has these copies on disk. */
+    void target(String id, List<String> held, Set<String> onDisk) {
+        List<HeldModel> models =
+                held.stream().map(name -> new HeldModel(name, Set.of())).toList();
+        targets.put(
+                id,
+                new Target(
+                        id,
+                        0,
+                        1,
+                        SERVICE,
+                        new InetSocketAddress("127.0.0.1", 1),
+                        "z1",
+                        8,
+                        false,
+                        OptionalLong.empty(),
+                        models,
+                        Set.of(),
+                        onDisk));
+    }
+
+    void checkIn() {
+        dispatcher.targets(targets.values(), nowMillis);
+    }
+
+    void pass(long millis) {
+        nowMillis += millis;
+        dispatcher.tick(nowMillis);
+    }
+
+    /** Asks for a model with this much time left; returns the key. */
+    String ask(String model, long millisLeft) {
+        wishes++;
+        String key = "r" + wishes;
+        RequestTraits traits = new RequestTraits(
+                key,
+                OptionalLong.empty(),
+                Optional.of(model),
+                Optional.empty(),
+                100,
+                50,
+                List.of(),
+                OptionalLong.empty());
+        dispatcher.wish(
+                new Wish(key, "z1", SERVICE, traits, 1, nowMillis + millisLeft, nowMillis + 2_000, Set.of()),
+                nowMillis);
+        return key;
+    }
+
+    /** Gives a report of a target that is not busy. */
+    void report(String id, long ordersAccepted, String... held) {
+        report(id, ordersAccepted, false, held);
+    }
+
+    void report(String id, long ordersAccepted, boolean busy, String... held) {
+        List<HeldModel> models = List.of(held).stream()
+                .map(name -> new HeldModel(name, Set.of()))
+                .toList();
+        dispatcher.reported(
+                targets.get(id),
+                Optional.of(new EngineReport(0, ordersAccepted, busy, models, Set.of(), Set.of())),
+                nowMillis);
+    }
+
+    /** Answers the latest order. */
+    void answer(OrderAnswer answer) {
+        dispatcher.ordered(orders.get(orders.size() - 1), answer, nowMillis);
+    }
+
+    EngineOrder lastOrder() {
+        return orders.get(orders.size() - 1);
+    }
+
+    Collection<String> ordered(EngineOrder.Kind kind) {
+        return orders.stream()
+                .filter(order -> order.kind() == kind)
+                .map(EngineOrder::model)
+                .toList();
+    }
+
+    @Override
+    public void grant(Wish wish, Target target) {
+        granted.put(wish.key(), target.id());
+    }
+
+    @Override
+    public void refuse(Wish wish, String reason, long retryMillis) {
+        refused.put(wish.key(), reason);
+        retryAfterMillis.put(wish.key(), retryMillis);
+    }
+
+    @Override
+    public void order(EngineOrder order) {
+        orders.add(order);
+    }
+
+    @Override
+    public void decided(String event, Object... fields) {
+        // The tests look at what is done, not at what is logged.
+    }
+
+    @Override
+    public void askReport(Target target) {
+        reportsAsked.add(target.id());
+    }
+}
