--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -59,7 +59,8 @@
 
     private static Optional<Choice> look(Wish wish, EngineState engine, EngineSpec spec, long nowMillis) {
         Optional<Residency> held = wish.model().map(engine.models::get);
-        if (wish.model().isPresent() && (held.isEmpty() || !held.get().ready(nowMillis))) {
+        if (wish.model().isPresent()
+                && (held.isEmpty() || held.get().retiring || !held.get().ready(nowMillis))) {
             return Optional.empty();
         }
         long toRead = engine.prompts.tokensToRead(
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -27,8 +27,8 @@
     /** The time of one order to make way. */
     private static final double MILLIS_PER_UNLOAD = 30;
 
-    /** A model used this recently is in use, whatever its rate: its callers come back within this time. */
-    private static final long RECENT_MILLIS = 1_000;
+    /** The time until the requests under way of a model that makes way have ended; answers take two seconds or so. */
+    private static final double DRAIN_MILLIS = 2_000;
 
     /** A target that has an order under way, or one due, is free again in about this time. */
     private static final long LEAST_WAIT_MILLIS = 100;
@@ -77,9 +77,12 @@
                 + waitMillis
                 + engine.running.size() * MILLIS_PER_RUNNING
                 + victims.get().size() * MILLIS_PER_UNLOAD;
+        boolean drains = false;
         for (String victim : victims.get()) {
             costMillis += loss(victim, engine, engines, nowMillis);
+            drains |= engine.models.get(victim).running > 0;
         }
+        costMillis += drains ? DRAIN_MILLIS : 0;
         return Optional.of(new Plan(engine, victims.get(), now, fromStore, costMillis));
     }
 
@@ -89,11 +92,10 @@
         List<Map.Entry<String, Residency>> idle = new ArrayList<>();
         for (Map.Entry<String, Residency> held : engine.models.entrySet()) {
             Residency residency = held.getValue();
-            boolean inUse = residency.running > 0
-                    || !residency.ready(nowMillis)
+            boolean spared = !residency.ready(nowMillis)
                     || wanted.contains(held.getKey())
-                    || (nowMillis - residency.lastUsedMillis < RECENT_MILLIS && residency.lastUsedMillis > 0);
-            if (!inUse && engine.spec.models().containsKey(held.getKey())) {
+                    || (residency.inUse(nowMillis) && !servedElsewhere(held.getKey(), engine, engines, nowMillis));
+            if (!spared && engine.spec.models().containsKey(held.getKey())) {
                 idle.add(held);
             }
         }
@@ -113,6 +115,14 @@
         return freeMb >= model.sizeMb() ? Optional.of(victims) : Optional.empty();
     }
 
+    private static boolean servedElsewhere(
+            String model, EngineState engine, Collection<EngineState> engines, long nowMillis) {
+        return engines.stream()
+                .filter(other -> other != engine && other.takesWork(nowMillis))
+                .map(other -> other.models.get(model))
+                .anyMatch(held -> held != null && !held.retiring && held.ready(nowMillis));
+    }
+
     /** Returns the milliseconds that callers would wait, in sum, for the model to come back. */
     private double loss(String model, EngineState engine, Collection<EngineState> engines, long nowMillis) {
         ModelSpec spec = engine.spec.models().get(model);
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -219,14 +219,19 @@
                 planner.victims(model, engine, engines, cold, nowMillis).map(list -> list);
         if (victims.isEmpty() || engine.models.containsKey(model.name())) {
             engine.wantedModel = Optional.empty();
+            engine.models.values().forEach(held -> held.retiring = false);
             return;
         }
+        victims.get().forEach(victim -> engine.models.get(victim).retiring = true);
         for (String victim : victims.get()) {
+            if (engine.models.get(victim).running > 0) {
+                continue;
+            }
             engine.leaving = Optional.of(engine.models.remove(victim));
             orders.order(engine, EngineOrder.Kind.UNLOAD, victim, Optional.empty(), nowMillis);
             return;
         }
-        if (Orders.fromStore(engine, model) && !budget.allows(nowMillis, 0)) {
+        if (victims.get().iterator().hasNext() || (Orders.fromStore(engine, model) && !budget.allows(nowMillis, 0))) {
             return;
         }
         engine.models.put(model.name(), new Residency(Residency.NOT_YET, Set.of()));
--- a/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
@@ -83,7 +83,7 @@
     private void seek() {
         sends++;
         placeKey = parts.nextKey();
-        notes.seeks(service, sends, deadlineMillis - parts.nowMillis());
+        notes.seeks(service, traits, sends, deadlineMillis - parts.nowMillis());
         places.seek(
                 new Wish(
                         placeKey,
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeNotes.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeNotes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.Target;
 
@@ -20,9 +21,11 @@
         this.arrivedMillis = arrivedMillis;
     }
 
-    void seeks(String service, int send, long millisLeft) {
+    void seeks(String service, RequestTraits traits, int send, long millisLeft) {
         parts.metrics().seeking();
-        log("request-seeks-target", "service", service, "send", send, "millisLeft", millisLeft);
+        String weights = traits.model().orElse("")
+                + traits.adapter().map(adapter -> "/" + adapter).orElse("");
+        log("request-seeks-target", "service", service, "weights", weights, "send", send, "millisLeft", millisLeft);
     }
 
     void sent(Target target, String by, long millisLeft) {
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -173,4 +173,31 @@
         assertThat(fleet.orders.get(1).ordersAccepted())
                 .isEqualTo(fleet.orders.get(0).ordersAccepted());
     }
+
+    @Test
+    void a_replica_in_use_makes_way_where_another_serves_its_model() {
+        FakeFleet fleet = new FakeFleet("busy", "a", "b", "wanted");
+        fleet.target("t1", List.of("busy", "a"), Set.of("busy", "a", "wanted"));
+        fleet.target("t2", List.of("busy", "b"), Set.of("busy", "b", "wanted"));
+        fleet.checkIn();
+        fleet.ask("a", LONG_MILLIS);
+        fleet.ask("b", LONG_MILLIS);
+        String first = fleet.ask("busy", LONG_MILLIS);
+        String second = fleet.ask("busy", LONG_MILLIS);
+        assertThat(fleet.granted.get(second)).isNotEqualTo(fleet.granted.get(first));
+
+        String wanted = fleet.ask("wanted", LONG_MILLIS);
+        fleet.report("t1", 0, "busy", "a");
+        fleet.report("t2", 0, "busy", "b");
+        assertThat(fleet.orders).isEmpty();
+        String third = fleet.ask("busy", LONG_MILLIS);
+        String spared = fleet.granted.get(third);
+        String ending = spared.equals(fleet.granted.get(first)) ? second : first;
+        fleet.dispatcher.ended(ending, fleet.nowMillis);
+
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.UNLOAD);
+        assertThat(fleet.lastOrder().model()).isEqualTo("busy");
+        assertThat(fleet.lastOrder().target().id()).isNotEqualTo(spared);
+        assertThat(fleet.refused).doesNotContainKey(wanted);
+    }
 }
