--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.poplarwharf.internal.fleet.EngineSpec;
+import org.poplarwharf.internal.fleet.ModelSpec;
 import org.poplarwharf.internal.fleet.Target;
 
 /**
@@ -24,7 +25,7 @@
     private static final long LEAST_SERVICE_MILLIS = 60;
 
     /** A wish that found all its targets full waits for this share of its time, then leaves time for a return. */
-    private static final double LONGEST_WAIT_SHARE = 0.4;
+    private static final double LONGEST_WAIT_SHARE = 0.6;
 
     private static final long RETURN_MILLIS = 400;
 
@@ -98,9 +99,10 @@
         pump(nowMillis);
     }
 
-    /** Takes a request back that waits; a granted one is to be finished instead. */
-    public void withdraw(String key) {
+    /** Takes a request back, also where its grant is on its way to a node that no longer wants it. */
+    public void withdraw(String key, long nowMillis) {
         waiting.remove(key);
+        ended(key, nowMillis);
     }
 
     /** A granted request has its first event, or has ended. */
@@ -221,21 +223,38 @@
             take(wish, choice.get(), nowMillis);
             return;
         }
-        boolean served = model.isPresent()
-                && engines.values().stream()
-                        .anyMatch(engine -> engine.models.containsKey(model.get())
-                                && engine.takesWork(nowMillis)
-                                && !wish.excluded().contains(engine.target.id()));
-        if (!served && model.isPresent()) {
-            cold.add(model.get());
-        }
-        long readyMillis = model.map(name -> keeper.readyMillis(spec.models().get(name), engines.values(), nowMillis))
+        model.filter(name -> !servedFor(wish, name, nowMillis)).ifPresent(cold::add);
+        refuseIfTooLate(each, nowMillis);
+    }
+
+    private List<EngineState> usableFor(Wish wish) {
+        return engines.values().stream()
+                .filter(engine -> !wish.excluded().contains(engine.target.id()))
+                .toList();
+    }
+
+    private boolean servedFor(Wish wish, String model, long nowMillis) {
+        return usableFor(wish).stream()
+                .anyMatch(engine -> engine.models.containsKey(model) && engine.takesWork(nowMillis));
+    }
+
+    private void refuseIfTooLate(Waiting each, long nowMillis) {
+        Wish wish = each.wish();
+        Optional<ModelSpec> model = wish.model().map(spec.models()::get);
+        long readyMillis = model.map(known -> keeper.readyMillis(known, usableFor(wish), nowMillis))
                 .orElse(nowMillis);
-        long allowedWaitMillis = Math.round((wish.deadlineMillis() - each.sinceMillis()) * LONGEST_WAIT_SHARE);
         if (readyMillis + LEAST_SERVICE_MILLIS > wish.deadlineMillis()) {
             refuse(wish, "not-loaded-in-time", Math.max(RETURN_MILLIS, readyMillis - nowMillis));
-        } else if (readyMillis <= nowMillis && nowMillis - each.sinceMillis() > allowedWaitMillis) {
+            return;
+        }
+        long allowedWaitMillis = Math.round((wish.deadlineMillis() - each.sinceMillis()) * LONGEST_WAIT_SHARE);
+        if (nowMillis - each.sinceMillis() <= allowedWaitMillis) {
+            return;
+        }
+        if (readyMillis <= nowMillis) {
             refuse(wish, "targets-full", RETURN_MILLIS);
+        } else if (model.isPresent() && !keeper.underWay(model.get().name(), engines.values(), nowMillis)) {
+            refuse(wish, "no-room-to-load", RETURN_MILLIS);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -23,6 +23,9 @@
     /** What it is worth to stay within a zone; bytes between zones are paid for. */
     private static final double OTHER_ZONE_MILLIS = 40;
 
+    /** A model that makes way gets requests only where no other target can take them. */
+    private static final double RETIRING_MILLIS = 5_000;
+
     /** An adapter that must be loaded first; one more must make way where all places are taken. */
     private static final double ADAPTER_LOAD_MILLIS = 20;
 
@@ -59,8 +62,7 @@
 
     private static Optional<Choice> look(Wish wish, EngineState engine, EngineSpec spec, long nowMillis) {
         Optional<Residency> held = wish.model().map(engine.models::get);
-        if (wish.model().isPresent()
-                && (held.isEmpty() || held.get().retiring || !held.get().ready(nowMillis))) {
+        if (wish.model().isPresent() && (held.isEmpty() || !held.get().ready(nowMillis))) {
             return Optional.empty();
         }
         long toRead = engine.prompts.tokensToRead(
@@ -79,17 +81,13 @@
                 + (BASE_MILLIS + engine.running.size() * MILLIS_PER_RUNNING) * slowness;
         double costMillis = estimateMillis + (engine.target.zone().equals(wish.zone()) ? 0 : OTHER_ZONE_MILLIS);
         boolean adapterReady = true;
-        if (held.isPresent() && wish.traits().adapter().isPresent()) {
-            Residency.AdapterUse use =
-                    held.get().adapters.get(wish.traits().adapter().get());
-            adapterReady = use != null && use.readyAtMillis <= nowMillis;
-            if (use == null) {
-                costMillis += engine.adapterCount() < spec.adapterSlots() ? ADAPTER_LOAD_MILLIS : ADAPTER_SWAP_MILLIS;
-                costMillis += engine.models.values().stream()
-                        .mapToLong(model -> Math.max(0, model.readyAtMillis - nowMillis))
-                        .max()
-                        .orElse(0);
-            }
+        if (held.isPresent()) {
+            Optional<Residency.AdapterUse> use = wish.traits().adapter().map(held.get().adapters::get);
+            boolean wantsAdapter = wish.traits().adapter().isPresent();
+            adapterReady = !wantsAdapter
+                    || use.filter(known -> known.readyAtMillis <= nowMillis).isPresent();
+            costMillis += held.get().retiring ? RETIRING_MILLIS : 0;
+            costMillis += wantsAdapter && use.isEmpty() ? adapterMillis(engine, spec, nowMillis) : 0;
         }
         return Optional.of(new Choice(
                 engine,
@@ -100,6 +98,16 @@
                 costMillis));
     }
 
+    /** Returns the time until an adapter that is not there yet is loaded; a target that loads a model takes no order. */
+    private static double adapterMillis(EngineState engine, EngineSpec spec, long nowMillis) {
+        boolean free = engine.adapterCount() < spec.adapterSlots();
+        long busyMillis = engine.models.values().stream()
+                .mapToLong(model -> Math.max(0, model.readyAtMillis - nowMillis))
+                .max()
+                .orElse(0);
+        return busyMillis + (free ? ADAPTER_LOAD_MILLIS : ADAPTER_SWAP_MILLIS);
+    }
+
     /** Returns what prompt parts are kept for: the model, and the adapter where there is one. */
     static String weights(Wish wish) {
         return wish.model().orElse("")
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -34,6 +34,9 @@
     /** After this time without an answer half of a target's slowness is forgotten, so that it is tried again. */
     private static final double SLOWNESS_FADE_MILLIS = 4_000;
 
+    /** The time until the requests under way of a model that makes way have ended; answers take two seconds or so. */
+    static final long DRAIN_MILLIS = 2_000;
+
     private static final long FIRST_SUSPICION_MILLIS = 500;
     private static final long LONGEST_SUSPICION_MILLIS = 4_000;
 
@@ -189,12 +192,18 @@
         return models.values().stream().anyMatch(held -> !held.ready(nowMillis));
     }
 
-    /** Returns when the loads that are under way are done. */
+    /** Returns when the loads that are under way, and the one that is next, are done. */
     long freeAtMillis(long nowMillis) {
-        return models.values().stream()
+        long freeMillis = models.values().stream()
                 .mapToLong(held -> held.readyAtMillis)
                 .filter(millis -> millis < Residency.NOT_YET)
                 .reduce(nowMillis, Math::max);
+        ModelSpec next = wantedModel.map(spec.models()::get).orElse(null);
+        if (next == null) {
+            return freeMillis;
+        }
+        boolean drains = models.values().stream().anyMatch(held -> held.retiring && held.running > 0);
+        return freeMillis + loadMillis(next) + (drains ? DRAIN_MILLIS : 0);
     }
 
     boolean takesWork(long nowMillis) {
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -27,15 +27,15 @@
     /** The time of one order to make way. */
     private static final double MILLIS_PER_UNLOAD = 30;
 
-    /** The time until the requests under way of a model that makes way have ended; answers take two seconds or so. */
-    private static final double DRAIN_MILLIS = 2_000;
-
     /** A target that has an order under way, or one due, is free again in about this time. */
     private static final long LEAST_WAIT_MILLIS = 100;
 
     /** A load from the weight store also keeps a target from all faster loads that others wait for meanwhile. */
     private static final double STORE_WEIGHT = 1.5;
 
+    /** Asked for this often, a model's only replica stays. */
+    static final double BUSY_PER_SECOND = 0.7;
+
     private final Demand demand;
 
     LoadPlanner(Demand demand) {
@@ -82,7 +82,7 @@
             costMillis += loss(victim, engine, engines, nowMillis);
             drains |= engine.models.get(victim).running > 0;
         }
-        costMillis += drains ? DRAIN_MILLIS : 0;
+        costMillis += drains ? EngineState.DRAIN_MILLIS : 0;
         return Optional.of(new Plan(engine, victims.get(), now, fromStore, costMillis));
     }
 
@@ -94,7 +94,8 @@
             Residency residency = held.getValue();
             boolean spared = !residency.ready(nowMillis)
                     || wanted.contains(held.getKey())
-                    || (residency.inUse(nowMillis) && !servedElsewhere(held.getKey(), engine, engines, nowMillis));
+                    || (demand.perSecond(held.getKey(), nowMillis) >= BUSY_PER_SECOND
+                            && !servedElsewhere(held.getKey(), engine, engines, nowMillis));
             if (!spared && engine.spec.models().containsKey(held.getKey())) {
                 idle.add(held);
             }
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,9 +17,10 @@
  * <p>Invariant: a model is ordered only where it fits beside all that the target may hold. Confined to one thread.
  */
 final class ModelKeeper {
-    /** Asked for this often, a model gets a second replica, so that the loss of a target leaves one. */
-    private static final double REPLICATE_PER_SECOND = 0.7;
+    /** A second replica is worth a fast load, not one that keeps a target from others for seconds. */
+    private static final String BUSY = "busy";
 
+    /** A busy model gets a second replica, so that the loss of a target leaves one. */
     private static final int REPLICAS_WHEN_BUSY = 2;
 
     /** Loads ahead of demand leave this many of a window's loads for requests. */
@@ -30,6 +32,8 @@
     /** One target in this many may load from the weight store at a time; the others stay free for fast loads. */
     private static final int STORE_LOADS_DIVISOR = 2;
 
+    private static final int MAX_HELD_CHARS = 700;
+
     /** The same reason is logged again after this. */
     private static final long SAME_LINE_MILLIS = 1_000;
 
@@ -99,7 +103,8 @@
         }
     }
 
-    private static boolean underWay(String model, Collection<EngineState> engines, long nowMillis) {
+    /** Tells whether some target holds the model, loads it, or is about to. */
+    boolean underWay(String model, Collection<EngineState> engines, long nowMillis) {
         return engines.stream()
                 .anyMatch(engine -> engine.takesWork(nowMillis)
                         && (engine.models.containsKey(model)
@@ -115,10 +120,10 @@
             long nowMillis) {
         Optional<LoadPlanner.Plan> plan = planner.plan(model, engines, wanted, nowMillis);
         if (plan.isEmpty() && !engines.isEmpty()) {
-            notLoaded(model, "no target has room that is not in use", nowMillis);
+            notLoaded(model, "no target has room that is not in use: " + held(engines, nowMillis), nowMillis);
             return false;
         }
-        if (plan.isEmpty() || !plan.get().now()) {
+        if (plan.isEmpty() || !plan.get().now() || (plan.get().fromStore() && why.equals(BUSY))) {
             return false;
         }
         if (plan.get().fromStore() && storeLoads(engines) >= Math.max(1, engines.size() / STORE_LOADS_DIVISOR)) {
@@ -148,6 +153,22 @@
         return true;
     }
 
+    /** Returns what targets hold, with the requests a second that each model gets; cut where there are many. */
+    private String held(Collection<EngineState> engines, long nowMillis) {
+        StringBuilder text = new StringBuilder();
+        for (EngineState engine : engines) {
+            if (text.length() > MAX_HELD_CHARS) {
+                return text.append("...").toString();
+            }
+            text.append(engine.target.id()).append(engine.takesWork(nowMillis) ? "[" : "(doubted)[");
+            engine.models.forEach((name, held) -> text.append(name)
+                    .append(held.ready(nowMillis) ? ":" : "(loading):")
+                    .append(String.format(Locale.ROOT, "%.2f ", demand.perSecond(name, nowMillis))));
+            text.append("] ");
+        }
+        return text.toString();
+    }
+
     private static long storeLoads(Collection<EngineState> engines) {
         return engines.stream()
                 .filter(engine -> engine.models.values().stream().anyMatch(held -> held.unconfirmed))
@@ -165,7 +186,7 @@
 
     private void replicate(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
         for (ModelSpec model : spec.models().values()) {
-            if (demand.perSecond(model.name(), nowMillis) < REPLICATE_PER_SECOND) {
+            if (demand.perSecond(model.name(), nowMillis) < LoadPlanner.BUSY_PER_SECOND) {
                 continue;
             }
             long replicas = engines.stream()
@@ -176,7 +197,7 @@
                                             .isPresent()))
                     .count();
             if (replicas < REPLICAS_WHEN_BUSY) {
-                start(model, engines, Set.of(), "busy", SPARE_LOADS, nowMillis);
+                start(model, engines, Set.of(), BUSY, SPARE_LOADS, nowMillis);
             }
         }
     }
@@ -202,7 +223,7 @@
     private Set<String> busy(EngineSpec spec, long nowMillis) {
         Set<String> busy = new HashSet<>();
         for (String model : spec.models().keySet()) {
-            if (demand.perSecond(model, nowMillis) >= REPLICATE_PER_SECOND) {
+            if (demand.perSecond(model, nowMillis) >= LoadPlanner.BUSY_PER_SECOND) {
                 busy.add(model);
             }
         }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Wish.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Wish.java
@@ -9,7 +9,7 @@
  *
  * @param key unique among all wishes under way
  * @param zone the availability zone of the node that took the request
- * @param deadlineMillis when the caller stops waiting, on the dispatcher's clock
+ * @param deadlineMillis when the caller stops waiting for its first event, on the dispatcher's clock
  * @param objectiveMillis when the first event should have come, on the dispatcher's clock
  * @param excluded targets that failed this request
  */
--- a/src/main/java/org/poplarwharf/internal/fleet/Route.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Route.java
@@ -8,6 +8,7 @@
  * @param pathPrefix begins and ends with a slash
  * @param timeoutMillis the longest time that a request may stay without its final answer
  * @param objectiveMillis the time to the answer, or to a stream's first event, that callers aim for
+ * @param gapMillis the longest pause between events of a timely stream
  * @param priority the rank among routes; zero comes first
  * @param destinations the services that take the requests, by weight; never empty
  * @param maxTargets how many targets may run one request
@@ -20,6 +21,7 @@
         RouteKind kind,
         long timeoutMillis,
         long objectiveMillis,
+        long gapMillis,
         int priority,
         List<Destination> destinations,
         int maxTargets,
@@ -28,6 +30,21 @@
     /** A service and its share of a route's requests. Immutable and thread-safe. */
     public record Destination(String service, double weight) {}
 
+    /** Callers leave a stream after the longest of this, four objectives and eight gaps without an event. */
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+    private static final int PATIENCE_OBJECTIVES = 4;
+    private static final int PATIENCE_GAPS = 8;
+
+    /** Returns how long a caller waits for an answer, or for a stream's first event. */
+    public long patienceMillis() {
+        if (!kind.isStream()) {
+            return timeoutMillis;
+        }
+        long patience = Math.max(PATIENCE_OBJECTIVES * objectiveMillis, PATIENCE_GAPS * gapMillis);
+        return Math.min(timeoutMillis, Math.max(LEAST_PATIENCE_MILLIS, patience));
+    }
+
     /** Returns the service for a request, so that the same request always gets the same one. */
     public String serviceFor(String requestId) {
         double total = destinations.stream().mapToDouble(Destination::weight).sum();
--- a/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
@@ -91,7 +91,7 @@
                         service,
                         traits,
                         route.priority(),
-                        deadlineMillis,
+                        Math.min(deadlineMillis, arrivedMillis + route.patienceMillis()),
                         arrivedMillis + route.objectiveMillis(),
                         Set.copyOf(excluded)),
                 this);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -131,7 +131,7 @@
         Origin origin = origins.remove(key);
         Dispatcher dispatcher = origin == null ? null : dispatchers.get(origin.service());
         if (dispatcher != null) {
-            dispatcher.withdraw(key);
+            dispatcher.withdraw(key, clock.nowMillis());
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
@@ -57,6 +57,7 @@
                 kind(node),
                 JsonFields.number(node, "timeoutMs").orElse(DEFAULT_TIMEOUT_MILLIS),
                 JsonFields.number(node, "targetLatencyMs").orElse(DEFAULT_OBJECTIVE_MILLIS),
+                JsonFields.number(node, "gapAimMs").orElse(0),
                 (int) JsonFields.number(node, "priority").orElse(LOWEST_PRIORITY),
                 destinations,
                 (int) Math.max(1, JsonFields.number(node, "maxAttempts").orElse(1)),
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -92,6 +92,13 @@
         return key;
     }
 
+    /** Asks for a model so often that it counts as busy, and ends all of these requests. */
+    void askOften(String model, long millisLeft) {
+        for (int i = 0; i < 15; i++) {
+            dispatcher.ended(ask(model, millisLeft), nowMillis);
+        }
+    }
+
     /** Gives a report of a target that is not busy. */
     void report(String id, long ordersAccepted, String... held) {
         report(id, ordersAccepted, false, held);
