--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -140,7 +140,7 @@
     /** Takes a target's answer to an order. */
     public void ordered(EngineOrder order, OrderAnswer answer, long nowMillis) {
         EngineState engine = engines.get(order.target().id());
-        if (engine != null && engine.target.sameIncarnation(order.target())) {
+        if (engine != null && order.target().sameIncarnation(engine.target)) {
             orders.ordered(engine, order, answer, nowMillis);
             pump(nowMillis);
         }
@@ -149,7 +149,7 @@
     /** Takes a target's report; empty where it gave none. */
     public void reported(Target target, Optional<EngineReport> report, long nowMillis) {
         EngineState engine = engines.get(target.id());
-        if (engine == null || !engine.target.sameIncarnation(target)) {
+        if (engine == null || !target.sameIncarnation(engine.target)) {
             return;
         }
         engine.reportAsked = false;
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.fleet.Target;
 
 class DispatcherTest {
     private static final long LONG_MILLIS = 13_000;
@@ -158,6 +160,25 @@
         }
     }
 
+    @Test
+    void an_answer_that_crosses_a_check_in_counts() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1", "m2"), Set.of("m1", "m2", "m3"));
+        fleet.checkIn();
+        fleet.ask("m3", LONG_MILLIS);
+        Target asked = fleet.targets.get("t1");
+        fleet.checkInAgain("t1");
+        fleet.dispatcher.reported(
+                asked,
+                Optional.of(new EngineReport(0, 4, false, fleet.held("m1", "m2"), Set.of(), Set.of())),
+                fleet.nowMillis);
+        fleet.checkInAgain("t1");
+        fleet.answer(OrderAnswer.ACCEPTED);
+        fleet.pass(60);
+
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.LOAD);
+    }
+
     @Test
     void gives_no_order_while_the_lease_does_not_hold() {
         FakeFleet fleet = new FakeFleet("m1", "m2");
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.HeldModel;
 import org.poplarwharf.internal.fleet.ModelSpec;
@@ -45,14 +46,27 @@
 
     /** Adds a target that holds these models, and has these copies on disk. */
     void target(String id, List<String> held, Set<String> onDisk) {
-        List<HeldModel> models =
-                held.stream().map(name -> new HeldModel(name, Set.of())).toList();
+        target(id, 1, held(held.toArray(String[]::new)), onDisk);
+    }
+
+    List<HeldModel> held(String... names) {
+        return Stream.of(names).map(name -> new HeldModel(name, Set.of())).toList();
+    }
+
+    /** The target checks in once more; nothing else has changed. */
+    void checkInAgain(String id) {
+        Target before = targets.get(id);
+        target(id, before.checkIns() + 1, before.models(), before.onDisk());
+        checkIn();
+    }
+
+    private void target(String id, long checkIns, List<HeldModel> models, Set<String> onDisk) {
         targets.put(
                 id,
                 new Target(
                         id,
                         0,
-                        1,
+                        checkIns,
                         SERVICE,
                         new InetSocketAddress("127.0.0.1", 1),
                         "z1",
@@ -105,12 +119,9 @@
     }
 
     void report(String id, long ordersAccepted, boolean busy, String... held) {
-        List<HeldModel> models = List.of(held).stream()
-                .map(name -> new HeldModel(name, Set.of()))
-                .toList();
         dispatcher.reported(
                 targets.get(id),
-                Optional.of(new EngineReport(0, ordersAccepted, busy, models, Set.of(), Set.of())),
+                Optional.of(new EngineReport(0, ordersAccepted, busy, held(held), Set.of(), Set.of())),
                 nowMillis);
     }
 
