Close a connection that was busy when the drain began after its answer

Ruled out: the grace running out (5.9 of 8 s used); a new connection after the listener closed.

Test: a_connection_that_was_busy_when_the_drain_began_is_closed_after_its_answer, red before, green after.

--- a/src/main/java/org/poplarwharf/internal/gateway/FrontConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FrontConnection.java
@@ -287,7 +287,8 @@
     private void ended(io.netty.channel.ChannelFuture written, boolean last) {
         exchange = null;
         current = null;
-        if (last) {
+        // A caller that was not told so by a head from before the drain would send its next request here.
+        if (last || server.draining()) {
             discarding = true;
             written.addListener(ChannelFutureListener.CLOSE);
             return;
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,9 @@
             + "{'slots':4,'kvCapacity':100000,'weightsMb':100.0,'adapterSlots':2,'loadsPerS':2.0,'models':"
             + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]}";
 
+    /** After this from the start of a drain, connections that were idle are closed. */
+    private static final long CLOSED_IDLE_MILLIS = 400;
+
     private final HttpClient caller = HttpClient.newHttpClient();
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private FakePlatform platform;
@@ -287,6 +291,33 @@
         drain.join();
     }
 
+    @Test
+    void a_connection_that_was_busy_when_the_drain_began_is_closed_after_its_answer() throws Exception {
+        ScriptedTarget target = serve("desk", "");
+        CountDownLatch draining = new CountDownLatch(1);
+        target.script = (request, out) -> {
+            ScriptedTarget.streamHead(out, request);
+            ScriptedTarget.event(out, 1);
+            draining.await();
+            ScriptedTarget.write(out, "0\r\n\r\n");
+        };
+        try (Socket socket = new Socket("127.0.0.1", frontPort)) {
+            ScriptedTarget.write(
+                    socket.getOutputStream(),
+                    "POST /stream/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: last\r\nContent-Length: 0\r\n\r\n");
+            Eventually.eventually("the target runs it", () -> target.ran.contains("last"));
+            Thread drain = Thread.startVirtualThread(gateway::drainAndStop);
+            Eventually.eventually("it drains", () -> status(readyPort, "/ready") == 503);
+            pause(CLOSED_IDLE_MILLIS);
+            draining.countDown();
+
+            // Reads the answer to its end and then the end of the connection, which a kept one would not have.
+            socket.setSoTimeout(500);
+            assertThat(new String(socket.getInputStream().readAllBytes())).endsWith("0\r\n\r\n");
+            drain.join();
+        }
+    }
+
     @Test
     void warm_traffic_goes_on_while_the_platforms_log_is_away() throws Exception {
         serve("desk", "");
