Gather long prompts and long answers at different targets

Cause: while a target reads a long prompt, the pauses between the events of its other streams grow past what callers take as timely; placement looked at the first event alone.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -267,7 +267,7 @@
         waiting.remove(wish.key());
         engine.running.put(wish.key(), new EngineState.Run(wish, nowMillis, choice.estimateMillis(), choice.tokens()));
         placeOf.put(wish.key(), engine);
-        engine.prefillFreeMillis = Math.max(nowMillis, engine.prefillFreeMillis) + choice.prefillMillis();
+        engine.reads(choice.prefillMillis(), nowMillis);
         wish.model().ifPresent(model -> {
             engine.prompts.granted(EngineChooser.weights(wish), wish.traits().promptParts());
             Residency held = engine.models.get(model);
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -23,6 +23,14 @@
     /** What it is worth to stay within a zone; bytes between zones are paid for. */
     private static final double OTHER_ZONE_MILLIS = 40;
 
+    /** What a millisecond of reading a prompt costs each stream at the same target. */
+    private static final double HARM_PER_RUNNING = 0.3;
+
+    /** What it costs a long answer to run where prompts are read all the time: about the pauses that this makes late. */
+    private static final double READING_TARGET_MILLIS = 400;
+
+    private static final double LONG_ANSWER_TOKENS = 200;
+
     /** A model that makes way gets requests only where no other target can take them. */
     private static final double RETIRING_MILLIS = 5_000;
 
@@ -79,7 +87,9 @@
         double estimateMillis = Math.max(0, engine.prefillFreeMillis - nowMillis)
                 + prefillMillis
                 + (BASE_MILLIS + engine.running.size() * MILLIS_PER_RUNNING) * slowness;
-        double costMillis = estimateMillis + (engine.target.zone().equals(wish.zone()) ? 0 : OTHER_ZONE_MILLIS);
+        double costMillis = estimateMillis
+                + harm(wish, engine, prefillMillis, nowMillis)
+                + (engine.target.zone().equals(wish.zone()) ? 0 : OTHER_ZONE_MILLIS);
         boolean adapterReady = true;
         if (held.isPresent()) {
             Optional<Residency.AdapterUse> use = wish.traits().adapter().map(held.get().adapters::get);
@@ -98,6 +108,16 @@
                 costMillis));
     }
 
+    /**
+     * Returns what a placement costs besides its own first event. While a target reads a prompt, the pauses between the
+     * events of its streams grow; so long prompts gather at some targets, and long answers at the others.
+     */
+    private static double harm(Wish wish, EngineState engine, double prefillMillis, long nowMillis) {
+        double harmToOthers = prefillMillis * HARM_PER_RUNNING * engine.running.size();
+        double answerShare = Math.min(1, wish.traits().maxOutputTokens() / LONG_ANSWER_TOKENS);
+        return harmToOthers + answerShare * engine.readShare(nowMillis) * READING_TARGET_MILLIS;
+    }
+
     /** Returns the time until an adapter that is not there yet is loaded; a target that loads a model takes no order. */
     private static double adapterMillis(EngineState engine, EngineSpec spec, long nowMillis) {
         boolean free = engine.adapterCount() < spec.adapterSlots();
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -37,6 +37,9 @@
     /** The time until the requests under way of a model that makes way have ended; answers take two seconds or so. */
     static final long DRAIN_MILLIS = 2_000;
 
+    /** Streams last two seconds or so; what was read before that harms none that start now. */
+    private static final double READ_FADE_MILLIS = 4_000;
+
     private static final long FIRST_SUSPICION_MILLIS = 500;
     private static final long LONGEST_SUSPICION_MILLIS = 4_000;
 
@@ -59,6 +62,8 @@
     long prefillFreeMillis;
     long suspectUntilMillis;
     private int brokenInRow;
+    private double readShare;
+    private long readShareMillis;
     private double slowness = 1;
     private long slownessMillis;
 
@@ -214,6 +219,18 @@
         return running.values().stream().mapToLong(Run::tokens).sum();
     }
 
+    /** Counts a prompt that the target reads for this long. */
+    void reads(long prefillMillis, long nowMillis) {
+        prefillFreeMillis = Math.max(nowMillis, prefillFreeMillis) + prefillMillis;
+        readShare = readShare(nowMillis) + prefillMillis / READ_FADE_MILLIS;
+        readShareMillis = nowMillis;
+    }
+
+    /** Returns the share of its time that the target has lately spent on reading prompts. */
+    double readShare(long nowMillis) {
+        return readShare * Math.exp(-(nowMillis - readShareMillis) / READ_FADE_MILLIS);
+    }
+
     double slowness(long nowMillis) {
         double fade = Math.exp(-(nowMillis - slownessMillis) / SLOWNESS_FADE_MILLIS);
         return 1 + (slowness - 1) * fade;
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -21,8 +21,8 @@
     /** A model that others hold too is missed less: its requests go there. */
     private static final double REPLICATED_WEIGHT = 0.15;
 
-    /** Each running request slows a load's first requests a little; a tie-breaker. */
-    private static final double MILLIS_PER_RUNNING = 4;
+    /** The prompts of the model that is loaded slow each running request a little. */
+    private static final double MILLIS_PER_RUNNING = 15;
 
     /** The time of one order to make way. */
     private static final double MILLIS_PER_UNLOAD = 30;
