--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -20,6 +20,9 @@
     /** A second replica is worth a fast load, not one that keeps a target from others for seconds. */
     private static final String BUSY = "busy";
 
+    /** What a second replica may cost: its own load, and hardly anything that others wait for. */
+    private static final double REPLICA_WORTH_MILLIS = 900;
+
     /** A busy model gets a second replica, so that the loss of a target leaves one. */
     private static final int REPLICAS_WHEN_BUSY = 2;
 
@@ -30,7 +33,7 @@
     private static final int FETCHES_AT_ONCE = 3;
 
     /** One target in this many may load from the weight store at a time; the others stay free for fast loads. */
-    private static final int STORE_LOADS_DIVISOR = 2;
+    private static final int STORE_LOADS_DIVISOR = 3;
 
     private static final int MAX_HELD_CHARS = 700;
 
@@ -123,7 +126,10 @@
             notLoaded(model, "no target has room that is not in use: " + held(engines, nowMillis), nowMillis);
             return false;
         }
-        if (plan.isEmpty() || !plan.get().now() || (plan.get().fromStore() && why.equals(BUSY))) {
+        if (plan.isEmpty() || !plan.get().now()) {
+            return false;
+        }
+        if (why.equals(BUSY) && (plan.get().fromStore() || plan.get().costMillis() > REPLICA_WORTH_MILLIS)) {
             return false;
         }
         if (plan.get().fromStore() && storeLoads(engines) >= Math.max(1, engines.size() / STORE_LOADS_DIVISOR)) {
