--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -12,6 +12,7 @@
  * @param peerAddress where other nodes connect
  * @param logAddress the platform's log
  * @param noticeMillis how soon a target's leaving must be acted on
+ * @param planMillis how soon a new plan must be in force
  * @param graceMillis the time from the signal to end until the process is killed
  * @param retryRatio second sends of all nodes per request of a service
  * @param retrySlack second sends of all nodes that are allowed besides
@@ -29,6 +30,7 @@
         InetSocketAddress peerAddress,
         InetSocketAddress logAddress,
         long noticeMillis,
+        long planMillis,
         long graceMillis,
         double retryRatio,
         int retrySlack,
@@ -42,6 +44,6 @@
 
     /** For what a deployment leaves out: the values of the users' first two sites. */
     public static final GatewaySettings DEFAULTS = new GatewaySettings(
-            "node", "zone", ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, 2_000, 8_000, 0.2, 50, 10_000, 3_000, 5_000, 1.1,
-            1_200);
+            "node", "zone", ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, 2_000, 2_000, 8_000, 0.2, 50, 10_000, 3_000, 5_000,
+            1.1, 1_200);
 }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -41,10 +41,7 @@
     private static final String LEASE_TOPIC = "poplarwharf-holder";
 
     /** Reads of targets' entries are this part of the time within which a leaving target must be left alone. */
-    private static final double TARGET_READ_SHARE = 0.5;
-
-    /** How long the log may hold a read for a new plan back. */
-    private static final long PLAN_WAIT_MILLIS = 1_500;
+    private static final double TARGET_READ_SHARE = 0.7;
 
     private static final long PLAN_GAP_MILLIS = 50;
     private static final long RETRY_MILLIS = 250;
@@ -113,7 +110,7 @@
         this.plans = new TopicFollower(
                 adapter.planTopic(),
                 platformLog,
-                new TopicFollower.Pace(PLAN_GAP_MILLIS, PLAN_WAIT_MILLIS, RETRY_MILLIS, MAX_RETRY_MILLIS),
+                new TopicFollower.Pace(PLAN_GAP_MILLIS, settings.planMillis(), RETRY_MILLIS, MAX_RETRY_MILLIS),
                 timer,
                 new PlanRegister(view, adapter.planDecoder(), log));
         this.targets = new TopicFollower(
--- a/src/main/java/org/poplarwharf/internal/platform/BootFile.java
+++ b/src/main/java/org/poplarwharf/internal/platform/BootFile.java
@@ -32,6 +32,7 @@
                 peerAddress(node, file),
                 address(node.path("platform"), "addr", file),
                 JsonFields.number(bounds, "drainMs").orElse(defaults.noticeMillis()),
+                JsonFields.number(bounds, "configMs").orElse(defaults.planMillis()),
                 JsonFields.number(bounds, "graceS").orElse(defaults.graceMillis() / 1_000) * 1_000,
                 JsonFields.decimal(bounds, "retryRatio", defaults.retryRatio()),
                 (int) JsonFields.number(bounds, "retrySlack").orElse(defaults.retrySlack()),
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
@@ -70,6 +70,7 @@
                 free.get(2),
                 address(platform.address()),
                 400,
+                400,
                 1_000,
                 1,
                 100,
