--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.ModelSpec;
 
@@ -37,6 +38,12 @@
 
     private static final int MAX_HELD_CHARS = 700;
 
+    /** A load that was not possible is tried again after this, however much happens meanwhile. */
+    private static final long TRY_GAP_MILLIS = 15;
+
+    /** Loads ahead of demand look at every model and target; this often is soon enough for them. */
+    private static final long AHEAD_GAP_MILLIS = 200;
+
     /** The same reason is logged again after this. */
     private static final long SAME_LINE_MILLIS = 1_000;
 
@@ -45,6 +52,8 @@
     private final LoadPlanner planner;
     private final DispatchActions actions;
     private final Orders orders;
+    private final Map<String, Long> triedAtMillis = new HashMap<>();
+    private long aheadMillis = Long.MIN_VALUE / 2;
     private final Map<String, Long> notLoadedMillis = new HashMap<>();
 
     ModelKeeper(Demand demand, LoadBudget budget, Orders orders, DispatchActions actions) {
@@ -83,11 +92,15 @@
             return;
         }
         for (String model : cold) {
-            if (!underWay(model, engines, nowMillis)) {
+            Long triedMillis = triedAtMillis.get(model);
+            boolean triedJustNow = triedMillis != null && nowMillis - triedMillis < TRY_GAP_MILLIS;
+            if (!triedJustNow && !underWay(model, engines, nowMillis)) {
+                triedAtMillis.put(model, nowMillis);
                 start(spec.models().get(model), engines, cold, "waited for", 0, nowMillis);
             }
         }
-        if (cold.isEmpty()) {
+        if (cold.isEmpty() && nowMillis - aheadMillis >= AHEAD_GAP_MILLIS) {
+            aheadMillis = nowMillis;
             replicate(spec, engines, nowMillis);
             fetchAhead(spec, engines, nowMillis);
         }
@@ -123,7 +136,7 @@
             long nowMillis) {
         Optional<LoadPlanner.Plan> plan = planner.plan(model, engines, wanted, nowMillis);
         if (plan.isEmpty() && !engines.isEmpty()) {
-            notLoaded(model, "no target has room that is not in use: " + held(engines, nowMillis), nowMillis);
+            notLoaded(model, () -> "no target has room that is not in use: " + held(engines, nowMillis), nowMillis);
             return false;
         }
         if (plan.isEmpty() || !plan.get().now()) {
@@ -133,11 +146,11 @@
             return false;
         }
         if (plan.get().fromStore() && storeLoads(engines) >= Math.max(1, engines.size() / STORE_LOADS_DIVISOR)) {
-            notLoaded(model, "enough targets load from the weight store", nowMillis);
+            notLoaded(model, () -> "enough targets load from the weight store", nowMillis);
             return false;
         }
         if (plan.get().fromStore() && !budget.allows(nowMillis, spareLoads)) {
-            notLoaded(model, "too many loads from the weight store", nowMillis);
+            notLoaded(model, () -> "too many loads from the weight store", nowMillis);
             return false;
         }
         EngineState engine = plan.get().engine();
@@ -181,10 +194,10 @@
                 .count();
     }
 
-    private void notLoaded(ModelSpec model, String why, long nowMillis) {
+    private void notLoaded(ModelSpec model, Supplier<String> why, long nowMillis) {
         Long before = notLoadedMillis.put(model.name(), nowMillis);
         if (before == null || nowMillis - before > SAME_LINE_MILLIS) {
-            actions.decided("load-not-possible", "model", model.name(), "why", why);
+            actions.decided("load-not-possible", "model", model.name(), "why", why.get());
         } else {
             notLoadedMillis.put(model.name(), before);
         }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -55,6 +55,7 @@
     private final Map<String, Origin> origins = new HashMap<>();
     private Optional<LeaseKeeper> lease = Optional.empty();
     private boolean ticking;
+    private boolean viewPending;
 
     /** Where a wish came from. */
     private record Origin(String service, Optional<Links.Link> link, Optional<Answers> local) {}
@@ -81,7 +82,7 @@
         this.clock = clock;
         this.timer = timer;
         this.log = log;
-        view.onChange(this::viewChanged);
+        view.onChange(this::viewChangedSoon);
     }
 
     /** Listens for other nodes. */
@@ -236,6 +237,17 @@
         dispatcher.wish(wish, clock.nowMillis());
     }
 
+    /** Entries come many at a time; they are looked at together. */
+    private void viewChangedSoon() {
+        if (!viewPending && lease.isPresent()) {
+            viewPending = true;
+            timer.after(0, () -> {
+                viewPending = false;
+                viewChanged();
+            });
+        }
+    }
+
     private void viewChanged() {
         if (lease.isEmpty()) {
             return;
