Let a holder decide for a grown site on a third of a core

Change: a new request is placed by itself, what waits is looked at at most each 10 ms or tick, times until models are ready are counted once a look, streams became loops, tokens under way a running sum.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +30,9 @@
 
     private static final long RETURN_MILLIS = 400;
 
+    /** Ends of runs come many at a time; what waits is looked at this often at the most for them. */
+    private static final long LEAST_PUMP_GAP_MILLIS = 10;
+
     /** The rate that a model's replica is taken to stand for at first; about what justifies a replica. */
     private static final double EXPECTED_PER_SECOND = 0.5;
 
@@ -42,6 +46,9 @@
     private final AdapterKeeper adapters;
     private final ModelKeeper keeper;
     private EngineSpec spec;
+    private final Set<String> cold = new HashSet<>();
+    private final Map<String, Long> readyMillisByModel = new HashMap<>();
+    private long pumpedMillis = Long.MIN_VALUE / 2;
     private boolean demandExpected;
 
     private record Waiting(Wish wish, long sinceMillis) {}
@@ -95,8 +102,13 @@
     /** Takes a request in. */
     public void wish(Wish wish, long nowMillis) {
         wish.model().ifPresent(model -> demand.asked(model, nowMillis));
-        waiting.put(wish.key(), new Waiting(wish, nowMillis));
-        pump(nowMillis);
+        Waiting each = new Waiting(wish, nowMillis);
+        waiting.put(wish.key(), each);
+        readyMillisByModel.clear();
+        place(each, nowMillis);
+        if (waiting.containsKey(wish.key())) {
+            keeper.keep(spec, engines.values(), cold, nowMillis);
+        }
     }
 
     /** Takes a request back, also where its grant is on its way to a node that no longer wants it. */
@@ -124,7 +136,7 @@
             }
         }
         ended(key, engine, run, nowMillis);
-        pump(nowMillis);
+        pumpSoon(nowMillis);
     }
 
     /** A granted request has ended in order. */
@@ -133,7 +145,7 @@
         EngineState.Run run = engine == null ? null : engine.running.get(key);
         if (run != null) {
             ended(key, engine, run, nowMillis);
-            pump(nowMillis);
+            pumpSoon(nowMillis);
         }
     }
 
@@ -185,7 +197,7 @@
     }
 
     private void ended(String key, EngineState engine, EngineState.Run run, long nowMillis) {
-        engine.running.remove(key);
+        engine.end(key);
         placeOf.remove(key);
         Residency held = run.wish().model().map(engine.models::get).orElse(null);
         if (held == null) {
@@ -199,19 +211,28 @@
         });
     }
 
+    /** Looks at all that waits, unless that was done a moment ago; the next tick then does it. */
+    private void pumpSoon(long nowMillis) {
+        if (!waiting.isEmpty() && nowMillis - pumpedMillis >= LEAST_PUMP_GAP_MILLIS) {
+            pump(nowMillis);
+        }
+    }
+
     private void pump(long nowMillis) {
         List<Waiting> ordered = new ArrayList<>(waiting.values());
         ordered.sort(Comparator.comparingInt((Waiting each) -> each.wish().priority())
                 .thenComparing(each -> each.wish().objectiveMillis() < nowMillis)
                 .thenComparingLong(each -> each.wish().deadlineMillis()));
-        Set<String> cold = new HashSet<>();
+        pumpedMillis = nowMillis;
+        cold.clear();
+        readyMillisByModel.clear();
         for (Waiting each : ordered) {
-            place(each, cold, nowMillis);
+            place(each, nowMillis);
         }
         keeper.keep(spec, engines.values(), cold, nowMillis);
     }
 
-    private void place(Waiting each, Set<String> cold, long nowMillis) {
+    private void place(Waiting each, long nowMillis) {
         Wish wish = each.wish();
         Optional<String> model = wish.model();
         if (model.isPresent() && !spec.models().containsKey(model.get())) {
@@ -227,22 +248,34 @@
         refuseIfTooLate(each, nowMillis);
     }
 
-    private List<EngineState> usableFor(Wish wish) {
-        return engines.values().stream()
+    /** Returns when the model can serve; the same for all requests that have not been to a target. */
+    private long readyMillis(ModelSpec model, Wish wish, long nowMillis) {
+        if (wish.excluded().isEmpty()) {
+            return readyMillisByModel.computeIfAbsent(
+                    model.name(), name -> keeper.readyMillis(model, engines.values(), nowMillis));
+        }
+        List<EngineState> usable = engines.values().stream()
                 .filter(engine -> !wish.excluded().contains(engine.target.id()))
                 .toList();
+        return keeper.readyMillis(model, usable, nowMillis);
     }
 
     private boolean servedFor(Wish wish, String model, long nowMillis) {
-        return usableFor(wish).stream()
-                .anyMatch(engine -> engine.models.containsKey(model) && engine.takesWork(nowMillis));
+        for (EngineState engine : engines.values()) {
+            if (engine.models.containsKey(model)
+                    && engine.takesWork(nowMillis)
+                    && !wish.excluded().contains(engine.target.id())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void refuseIfTooLate(Waiting each, long nowMillis) {
         Wish wish = each.wish();
         Optional<ModelSpec> model = wish.model().map(spec.models()::get);
-        long readyMillis = model.map(known -> keeper.readyMillis(known, usableFor(wish), nowMillis))
-                .orElse(nowMillis);
+        long readyMillis =
+                model.map(known -> readyMillis(known, wish, nowMillis)).orElse(nowMillis);
         if (readyMillis + LEAST_SERVICE_MILLIS > wish.deadlineMillis()) {
             refuse(wish, "not-loaded-in-time", Math.max(RETURN_MILLIS, readyMillis - nowMillis));
             return;
@@ -265,7 +298,7 @@
             return;
         }
         waiting.remove(wish.key());
-        engine.running.put(wish.key(), new EngineState.Run(wish, nowMillis, choice.estimateMillis(), choice.tokens()));
+        engine.start(new EngineState.Run(wish, nowMillis, choice.estimateMillis(), choice.tokens()));
         placeOf.put(wish.key(), engine);
         engine.reads(choice.prefillMillis(), nowMillis);
         wish.model().ifPresent(model -> {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -62,6 +62,7 @@
     long prefillFreeMillis;
     long suspectUntilMillis;
     private int brokenInRow;
+    private long committedTokens;
     private double readShare;
     private long readShareMillis;
     private double slowness = 1;
@@ -177,7 +178,11 @@
     }
 
     int adapterCount() {
-        return models.values().stream().mapToInt(held -> held.adapters.size()).sum();
+        int count = 0;
+        for (Residency held : models.values()) {
+            count += held.adapters.size();
+        }
+        return count;
     }
 
     /** Returns the time that a load of the model would take here, by the nearest copy. */
@@ -194,29 +199,59 @@
 
     /** Tells whether a load is under way, during which a target takes no other order. */
     boolean loading(long nowMillis) {
-        return models.values().stream().anyMatch(held -> !held.ready(nowMillis));
+        for (Residency held : models.values()) {
+            if (!held.ready(nowMillis)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether a load is done as far as can be told, and must be confirmed by a report. */
+    boolean unconfirmed(long nowMillis) {
+        for (Residency held : models.values()) {
+            if (held.unconfirmed && held.readyAtMillis <= nowMillis) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns when the loads that are under way, and the one that is next, are done. */
     long freeAtMillis(long nowMillis) {
-        long freeMillis = models.values().stream()
-                .mapToLong(held -> held.readyAtMillis)
-                .filter(millis -> millis < Residency.NOT_YET)
-                .reduce(nowMillis, Math::max);
-        ModelSpec next = wantedModel.map(spec.models()::get).orElse(null);
-        if (next == null) {
+        long freeMillis = nowMillis;
+        boolean drains = false;
+        for (Residency held : models.values()) {
+            if (held.readyAtMillis < Residency.NOT_YET) {
+                freeMillis = Math.max(freeMillis, held.readyAtMillis);
+            }
+            drains |= held.retiring && held.running > 0;
+        }
+        if (wantedModel.isEmpty()) {
             return freeMillis;
         }
-        boolean drains = models.values().stream().anyMatch(held -> held.retiring && held.running > 0);
-        return freeMillis + loadMillis(next) + (drains ? DRAIN_MILLIS : 0);
+        ModelSpec next = spec.models().get(wantedModel.get());
+        return freeMillis + (next == null ? 0 : loadMillis(next)) + (drains ? DRAIN_MILLIS : 0);
     }
 
     boolean takesWork(long nowMillis) {
         return !target.leaving() && suspectUntilMillis <= nowMillis;
     }
 
+    /** Takes a run in and counts its tokens. */
+    void start(Run run) {
+        Run before = running.put(run.wish().key(), run);
+        committedTokens += run.tokens() - (before == null ? 0 : before.tokens());
+    }
+
+    /** Ends a run. */
+    void end(String key) {
+        Run run = running.remove(key);
+        committedTokens -= run == null ? 0 : run.tokens();
+    }
+
     long committedTokens() {
-        return running.values().stream().mapToLong(Run::tokens).sum();
+        return committedTokens;
     }
 
     /** Counts a prompt that the target reads for this long. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -111,9 +111,7 @@
 
     private void confirm(Collection<EngineState> engines, long nowMillis) {
         for (EngineState engine : engines) {
-            boolean due = engine.models.values().stream()
-                    .anyMatch(held -> held.unconfirmed && held.readyAtMillis <= nowMillis);
-            if (due && nowMillis - engine.reportAskedMillis >= Orders.REPORT_GAP_MILLIS) {
+            if (engine.unconfirmed(nowMillis) && nowMillis - engine.reportAskedMillis >= Orders.REPORT_GAP_MILLIS) {
                 orders.askReport(engine, nowMillis);
             }
         }
@@ -121,10 +119,14 @@
 
     /** Tells whether some target holds the model, loads it, or is about to. */
     boolean underWay(String model, Collection<EngineState> engines, long nowMillis) {
-        return engines.stream()
-                .anyMatch(engine -> engine.takesWork(nowMillis)
-                        && (engine.models.containsKey(model)
-                                || engine.wantedModel.filter(model::equals).isPresent()));
+        for (EngineState engine : engines) {
+            boolean wanted =
+                    engine.wantedModel.isPresent() && engine.wantedModel.get().equals(model);
+            if ((wanted || engine.models.containsKey(model)) && engine.takesWork(nowMillis)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean start(
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -227,6 +227,7 @@
         String spared = fleet.granted.get(third);
         String ending = spared.equals(fleet.granted.get(first)) ? second : first;
         fleet.dispatcher.ended(ending, fleet.nowMillis);
+        fleet.pass(20);
 
         assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.UNLOAD);
         assertThat(fleet.lastOrder().model()).isEqualTo("busy");
