Let a stream that can't be repeated go on from a copy of its memory

Change: short ones have their memory copied to another target that holds the model; when the connection breaks, the stream goes on there as the same run.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -311,7 +311,10 @@
                 use.lastUsedMillis = nowMillis;
             });
         });
-        actions.grant(wish, engine.target);
+        Optional<Target> backup = wish.wantsBackup() && spec.backups()
+                ? chooser.backup(wish, engine, engines.values(), nowMillis)
+                : Optional.empty();
+        actions.grant(wish, engine.target, backup);
     }
 
     private void refuse(Wish wish, String reason, long retryAfterMillis) {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import org.poplarwharf.internal.fleet.EngineSpec;
+import org.poplarwharf.internal.fleet.Target;
 
 /**
  * Chooses the target with the earliest expected first event: prompt parts it need not read, prompts that it must read
@@ -68,6 +69,31 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns another target that could go on with the run, since it holds the same weights; the least loaded one. */
+    Optional<Target> backup(Wish wish, EngineState chosen, Collection<EngineState> engines, long nowMillis) {
+        EngineState best = null;
+        for (EngineState engine : engines) {
+            Residency held = wish.model().map(engine.models::get).orElse(null);
+            boolean usable = engine != chosen && engine.takesWork(nowMillis) && held != null && held.ready(nowMillis);
+            if (!usable || held.retiring || !holdsAdapter(wish, held, nowMillis)) {
+                continue;
+            }
+            if (best == null || engine.running.size() < best.running.size()) {
+                best = engine;
+            }
+        }
+        return Optional.ofNullable(best).map(engine -> engine.target);
+    }
+
+    private static boolean holdsAdapter(Wish wish, Residency held, long nowMillis) {
+        Optional<String> adapter = wish.traits().adapter();
+        if (adapter.isEmpty()) {
+            return true;
+        }
+        Residency.AdapterUse use = held.adapters.get(adapter.get());
+        return use != null && use.readyAtMillis <= nowMillis;
+    }
+
     private static Optional<Choice> look(Wish wish, EngineState engine, EngineSpec spec, long nowMillis) {
         Optional<Residency> held = wish.model().map(engine.models::get);
         if (wish.model().isPresent() && (held.isEmpty() || !held.get().ready(nowMillis))) {
--- a/src/main/java/org/poplarwharf/internal/dispatch/Wish.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Wish.java
@@ -11,6 +11,7 @@
  * @param zone the availability zone of the node that took the request
  * @param deadlineMillis when the caller stops waiting for its first event, on the dispatcher's clock
  * @param objectiveMillis when the first event should have come, on the dispatcher's clock
+ * @param wantsBackup whether a second target should keep a copy of the run's memory, so that it can go on there
  * @param excluded targets that failed this request
  */
 public record Wish(
@@ -21,6 +22,7 @@
         int priority,
         long deadlineMillis,
         long objectiveMillis,
+        boolean wantsBackup,
         Set<String> excluded) {
 
     Optional<String> model() {
--- a/src/main/java/org/poplarwharf/internal/fleet/EngineSpec.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/EngineSpec.java
@@ -10,6 +10,7 @@
  * @param memoryMb memory for weights and adapters
  * @param adapterSlots adapters that fit at once
  * @param storeLoadsPerSecond loads that the weight store allows over all targets
+ * @param backups whether a target can send the memory of a run to another one as it grows
  */
 public record EngineSpec(
         int batchSlots,
@@ -17,4 +18,5 @@
         double memoryMb,
         int adapterSlots,
         double storeLoadsPerSecond,
+        boolean backups,
         Map<String, ModelSpec> models) {}
--- a/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
@@ -1,15 +1,14 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -52,6 +51,7 @@
     private String placeKey = "";
     private SentRequest sent;
     private Target target;
+    private Optional<Target> backup = Optional.empty();
     private long sentMillis;
     private boolean eventSeen;
     private int targetsRun;
@@ -93,15 +93,21 @@
                         route.priority(),
                         Math.min(deadlineMillis, arrivedMillis + route.patienceMillis()),
                         arrivedMillis + route.objectiveMillis(),
+                        parts.policy().wantsBackup(route, traits),
                         Set.copyOf(excluded)),
                 this);
     }
 
     @Override
-    public void placed(Target where, String by) {
-        if (done) {
-            return;
+    public void placed(Target where, Optional<Target> copyKeeper, String by) {
+        if (!done) {
+            backup = copyKeeper;
+            send(where, Optional.empty(), by);
         }
+    }
+
+    /** Sends the request, or what is left of its stream to the target that keeps a copy of its memory. */
+    private void send(Target where, Optional<InetSocketAddress> copyAt, String by) {
         target = where;
         sentMillis = parts.nowMillis();
         eventSeen = false;
@@ -111,34 +117,22 @@
             return;
         }
         notes.sent(target, by, millisLeft);
-        OptionalLong lastEventId = route.kind().isStream() ? answer.lastEventId() : OptionalLong.empty();
-        ForwardingTraits forwarding =
-                new ForwardingTraits(target.id(), millisLeft, lastEventId, OptionalInt.of(route.priority()));
+        ForwardingTraits forwarding = new ForwardingTraits(
+                target.id(),
+                millisLeft,
+                route.kind().isStream() ? answer.lastEventId() : OptionalLong.empty(),
+                copyAt.isEmpty() ? backup.map(Target::address) : Optional.empty(),
+                copyAt,
+                OptionalInt.of(route.priority()));
         TargetConnections.Opening opening = new TargetConnections.Opening(
                 target.id(),
                 target.address(),
                 parts.policy().connectTimeoutMillis(millisLeft),
                 parts.policy().maxIdleMillis(route.kind()));
-        sent = parts.connections().send(opening, forwarded(forwarding), this);
+        sent = parts.connections().send(opening, Headers.forwarded(request, parts.headerNames(), forwarding), this);
         waitForProgress(parts.policy().patienceMillis(route, targetsRun + 1));
     }
 
-    private FullHttpRequest forwarded(ForwardingTraits forwarding) {
-        HttpHeaders headers = Headers.endToEnd(request.headers());
-        parts.headerNames().forward(headers, forwarding);
-        int length = request.content().readableBytes();
-        if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-        }
-        return new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method(),
-                request.uri(),
-                request.content().retainedDuplicate(),
-                headers,
-                new DefaultHttpHeaders());
-    }
-
     @Override
     public void refused(String reason, long retryAfterMillis) {
         if (!done) {
@@ -260,11 +254,32 @@
         waitForProgress(OptionalLong.empty());
         if (mayRepeat()) {
             repeat(reason);
+        } else if (mayGoOnFromCopy()) {
+            goOnFromCopy(reason);
         } else {
             breakOff(reason);
         }
     }
 
+    /** Tells whether another target keeps the memory of a run that has begun: going on there is the same run. */
+    private boolean mayGoOnFromCopy() {
+        return backup.isPresent()
+                && answer.begun()
+                && answer.lastEventId().isPresent()
+                && deadlineMillis - parts.nowMillis() > LEAST_RUN_MILLIS
+                && parts.retries().take(service, parts.nowMillis());
+    }
+
+    private void goOnFromCopy(String reason) {
+        Target keeper = backup.orElseThrow();
+        backup = Optional.empty();
+        places.outcome(placeKey, new RunOutcome.Broken());
+        notes.broken(target, true, reason, targetsRun, answer.events());
+        answer.drop();
+        placeKey = parts.nextKey();
+        send(keeper, Optional.of(keeper.address()), "copy");
+    }
+
     /** The target sends what is no answer, or nothing. */
     private void discard(String reason) {
         cancelSent();
--- a/src/main/java/org/poplarwharf/internal/gateway/ForwardPolicy.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ForwardPolicy.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.OptionalLong;
+import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.RouteKind;
 
@@ -31,6 +32,9 @@
     /** Targets that were full or unreachable are so for moments; a caller returns after one. */
     private static final long RETRY_AFTER_MILLIS = 300;
 
+    /** A copy of a longer prompt costs more than the few streams that targets take with them. */
+    private static final long BACKED_UP_TOKENS = 2_500;
+
     private static final int MAX_SENDS = 6;
 
     /** From this send on, an engine that declined is left out; before, it may just not have been ready. */
@@ -63,6 +67,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Tells whether the memory of a run is to be kept at a second target: where it can't be run again, and is small. */
+    boolean wantsBackup(Route route, RequestTraits traits) {
+        return route.kind() == RouteKind.STREAM && traits.promptTokens() <= BACKED_UP_TOKENS;
+    }
+
     /** Tells whether a target's own failure is worth another target. */
     boolean repeatsFailures(Route route) {
         return route.kind() == RouteKind.REPEATABLE;
--- a/src/main/java/org/poplarwharf/internal/gateway/Headers.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Headers.java
@@ -4,8 +4,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -46,6 +50,23 @@
         return copy;
     }
 
+    /** Returns a caller's request as a target gets it; shares the body. */
+    static FullHttpRequest forwarded(FullHttpRequest request, HeaderNames names, ForwardingTraits forwarding) {
+        HttpHeaders headers = endToEnd(request.headers());
+        names.forward(headers, forwarding);
+        int length = request.content().readableBytes();
+        if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                request.content().retainedDuplicate(),
+                headers,
+                new DefaultHttpHeaders());
+    }
+
     /** Adds the headers of an answer of the node's own and returns its body. */
     static ByteBuf problem(HttpHeaders headers, FailureCode code, String reason, long retryAfterMillis) {
         headers.set(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE);
--- a/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.dispatch.Wish;
 import org.poplarwharf.internal.fleet.Target;
@@ -80,7 +81,7 @@
         Seen seen = seenByTarget.computeIfAbsent(best.id(), id -> new Seen());
         seen.underWay++;
         runs.put(wish.key(), new Run(best.id(), nowMillis));
-        asker.placed(best, "nearest");
+        asker.placed(best, Optional.empty(), "nearest");
     }
 
     private double cost(Target target, Wish wish, long nowMillis) {
--- a/src/main/java/org/poplarwharf/internal/gateway/Places.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Places.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.gateway;
 
+import java.util.Optional;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.dispatch.Wish;
 import org.poplarwharf.internal.fleet.Target;
@@ -20,8 +21,8 @@
 
     /** Who looks for a target. */
     interface Asker {
-        /** The request may go to the target. */
-        void placed(Target target, String by);
+        /** The request may go to the target, with a copy of its memory kept at the other one. */
+        void placed(Target target, Optional<Target> backup, String by);
 
         /** There is no target in time; the caller does best to return after the given time. */
         void refused(String reason, long retryAfterMillis);
--- a/src/main/java/org/poplarwharf/internal/holder/EnginePlaces.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EnginePlaces.java
@@ -158,21 +158,11 @@
         }
         switch (run.way()) {
             case LOCAL -> local.outcome(key, outcome);
-            case LINK -> send(message(key, outcome));
+            case LINK -> send(LinkMessage.outcome(key, outcome));
             case NONE -> suspect(run, outcome);
         }
     }
 
-    private static LinkMessage message(String key, RunOutcome outcome) {
-        return switch (outcome) {
-            case RunOutcome.Answered answered ->
-                new LinkMessage.Outcome(key, LinkMessage.Kind.ANSWERED, answered.firstEventMillis());
-            case RunOutcome.Declined declined -> new LinkMessage.Outcome(key, LinkMessage.Kind.DECLINED, 0);
-            case RunOutcome.Broken broken -> new LinkMessage.Outcome(key, LinkMessage.Kind.BROKEN, 0);
-            case RunOutcome.Abandoned abandoned -> new LinkMessage.Outcome(key, LinkMessage.Kind.ABANDONED, 0);
-        };
-    }
-
     @Override
     public void ended(String key) {
         Run run = runs.remove(key);
@@ -224,6 +214,7 @@
                 wish.priority(),
                 wish.deadlineMillis() - nowMillis,
                 wish.objectiveMillis() - nowMillis,
+                wish.wantsBackup(),
                 List.copyOf(wish.excluded()));
     }
 
@@ -250,7 +241,7 @@
         if (best != null) {
             pending.remove(wish.key());
             runs.put(wish.key(), new Run(Way.NONE, best.id()));
-            waiting.asker.placed(best, "own-view");
+            waiting.asker.placed(best, Optional.empty(), "own-view");
         }
     }
 
@@ -265,7 +256,7 @@
     }
 
     @Override
-    public void granted(String key, String targetId) {
+    public void granted(String key, String targetId, String backupId) {
         Pending waiting = pending.remove(key);
         Optional<Target> target = view.target(targetId);
         if (waiting == null) {
@@ -279,7 +270,8 @@
             pending.put(key, waiting);
             return;
         }
-        waiting.asker.placed(target.get(), waiting.way == Way.LOCAL ? "holder" : "remote-holder");
+        Optional<Target> backup = view.target(backupId).filter(other -> !other.leaving());
+        waiting.asker.placed(target.get(), backup, waiting.way == Way.LOCAL ? "holder" : "remote-holder");
     }
 
     @Override
@@ -304,7 +296,7 @@
         heardMillis = clock.nowMillis();
         switch (message) {
             case LinkMessage.Beat beat -> beat(beat);
-            case LinkMessage.Granted grant -> granted(grant.key(), grant.targetId());
+            case LinkMessage.Granted grant -> granted(grant.key(), grant.targetId(), grant.backupId());
             case LinkMessage.Refused refusal -> refused(refusal.key(), refusal.reason(), refusal.retryAfterMillis());
             case LinkMessage.Ask ask -> misdirected(from);
             case LinkMessage.Withdraw withdraw -> misdirected(from);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -62,7 +62,7 @@
 
     /** Takes what is decided for this node's own wishes. */
     public interface Answers {
-        void granted(String key, String targetId);
+        void granted(String key, String targetId, String backupId);
 
         void refused(String key, String reason, long retryAfterMillis);
     }
@@ -222,6 +222,7 @@
                 ask.priority(),
                 nowMillis + ask.millisLeft(),
                 nowMillis + ask.objectiveMillisLeft(),
+                ask.wantsBackup(),
                 Set.copyOf(ask.excluded()));
     }
 
@@ -302,13 +303,14 @@
         }
 
         @Override
-        public void grant(Wish wish, Target target) {
+        public void grant(Wish wish, Target target, Optional<Target> backup) {
             Origin origin = origins.get(wish.key());
             if (origin == null) {
                 return;
             }
-            origin.link().ifPresent(link -> link.send(new LinkMessage.Granted(wish.key(), target.id())));
-            origin.local().ifPresent(answers -> answers.granted(wish.key(), target.id()));
+            String backupId = backup.map(Target::id).orElse("");
+            origin.link().ifPresent(link -> link.send(new LinkMessage.Granted(wish.key(), target.id(), backupId)));
+            origin.local().ifPresent(answers -> answers.granted(wish.key(), target.id(), backupId));
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/LinkMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/LinkMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 
 /**
@@ -39,6 +40,7 @@
             int priority,
             long millisLeft,
             long objectiveMillisLeft,
+            boolean wantsBackup,
             List<String> excluded)
             implements LinkMessage {}
 
@@ -54,9 +56,9 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Ended(String key) implements LinkMessage {}
 
-    /** A request may go to a target. */
+    /** A request may go to a target; {@code backupId} is empty where no other target keeps a copy of its memory. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Granted(String key, String targetId) implements LinkMessage {}
+    record Granted(String key, String targetId, String backupId) implements LinkMessage {}
 
     /** A request has no place. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -79,4 +81,15 @@
         }
         return parts;
     }
+
+    /** Returns what tells a holder how a run went. */
+    static LinkMessage outcome(String key, RunOutcome outcome) {
+        return switch (outcome) {
+            case RunOutcome.Answered answered ->
+                new LinkMessage.Outcome(key, LinkMessage.Kind.ANSWERED, answered.firstEventMillis());
+            case RunOutcome.Declined declined -> new LinkMessage.Outcome(key, LinkMessage.Kind.DECLINED, 0);
+            case RunOutcome.Broken broken -> new LinkMessage.Outcome(key, LinkMessage.Kind.BROKEN, 0);
+            case RunOutcome.Abandoned abandoned -> new LinkMessage.Outcome(key, LinkMessage.Kind.ABANDONED, 0);
+        };
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
@@ -104,6 +104,7 @@
                 JsonFields.decimal(node, "weightsMb", 0),
                 (int) JsonFields.number(node, "adapterSlots").orElse(0),
                 JsonFields.decimal(node, "loadsPerS", 1),
+                JsonFields.flag(node, "backups"),
                 models);
     }
 
--- a/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
+++ b/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
@@ -22,12 +22,17 @@
     private static final String EXPECTED_TARGET = "X-Expect-Instance";
     private static final String LAST_EVENT = "Last-Event-Id";
     private static final String RANK = "X-Request-Priority";
+    private static final String BACKUP = "X-Kv-Backup";
+
+    /** An address and the id of the run whose memory is kept there. */
+    private static final String COPY = "Kv-From";
+
     private static final String ANSWER_DIGEST = "X-Response-Seal";
     private static final String NOT_RUN = "X-Not-Executed";
 
     /** Headers between nodes and targets; a caller's own are dropped. */
-    private static final List<String> RESERVED = List.of(
-            EXPECTED_TARGET, RANK, "X-Expect-Version", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch");
+    private static final List<String> RESERVED =
+            List.of(EXPECTED_TARGET, RANK, "X-Expect-Version", "X-Hold", "X-Pin-Ms", BACKUP, COPY, "Kv-Fetch");
 
     /** Ranks run from zero to nine; a request that bears none has the middle one. */
     private static final int HIGHEST_RANK = 9;
@@ -64,6 +69,9 @@
         if (traits.lastEventId().isPresent()) {
             headers.set(LAST_EVENT, traits.lastEventId().getAsLong());
         }
+        traits.backup().ifPresent(address -> headers.set(BACKUP, HostPort.format(address)));
+        traits.copyAt()
+                .ifPresent(address -> headers.set(COPY, HostPort.format(address) + "/" + headers.get(REQUEST_ID, "")));
         if (traits.rank().isPresent()) {
             headers.set(RANK, Math.clamp(traits.rank().getAsInt(), 0, HIGHEST_RANK));
         }
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -179,6 +179,21 @@
         assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.LOAD);
     }
 
+    @Test
+    void another_target_that_holds_the_model_keeps_a_copy_of_the_run() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1"));
+        fleet.target("t2", List.of("m1"), Set.of("m1"));
+        fleet.target("t3", List.of("m2"), Set.of("m2"));
+        fleet.checkIn();
+
+        String twice = fleet.ask("m1", LONG_MILLIS);
+        String once = fleet.ask("m2", LONG_MILLIS);
+
+        assertThat(fleet.backups.get(twice)).isIn("t1", "t2").isNotEqualTo(fleet.granted.get(twice));
+        assertThat(fleet.backups).doesNotContainKey(once);
+    }
+
     @Test
     void gives_no_order_while_the_lease_does_not_hold() {
         FakeFleet fleet = new FakeFleet("m1", "m2");
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -26,6 +26,7 @@
 
     final List<EngineOrder> orders = new ArrayList<>();
     final Map<String, String> granted = new LinkedHashMap<>();
+    final Map<String, String> backups = new LinkedHashMap<>();
     final Map<String, String> refused = new LinkedHashMap<>();
     final Map<String, Long> retryAfterMillis = new LinkedHashMap<>();
     final List<String> reportsAsked = new ArrayList<>();
@@ -39,7 +40,7 @@
         for (String model : models) {
             specs.put(model, new ModelSpec(model, MODEL_MB, STORE_MILLIS, DISK_MILLIS, DISK_MILLIS, 4, 0.1));
         }
-        EngineSpec spec = new EngineSpec(8, 100_000, TARGET_MB, 2, 1.6, specs);
+        EngineSpec spec = new EngineSpec(8, 100_000, TARGET_MB, 2, 1.6, true, specs);
         dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), this);
         dispatcher.ordersAllowed(true);
     }
@@ -101,7 +102,7 @@
                 List.of(),
                 OptionalLong.empty());
         dispatcher.wish(
-                new Wish(key, "z1", SERVICE, traits, 1, nowMillis + millisLeft, nowMillis + 2_000, Set.of()),
+                new Wish(key, "z1", SERVICE, traits, 1, nowMillis + millisLeft, nowMillis + 2_000, true, Set.of()),
                 nowMillis);
         return key;
     }
@@ -142,8 +143,9 @@
     }
 
     @Override
-    public void grant(Wish wish, Target target) {
+    public void grant(Wish wish, Target target, Optional<Target> backup) {
         granted.put(wish.key(), target.id());
+        backup.ifPresent(other -> backups.put(wish.key(), other.id()));
     }
 
     @Override
--- a/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -119,7 +120,16 @@
                 .set("X-Expect-Instance", "other")
                 .set("X-Other", "kept");
 
-        new WireHeaders().forward(headers, new ForwardingTraits("i-1", 40, OptionalLong.empty(), OptionalInt.of(2)));
+        new WireHeaders()
+                .forward(
+                        headers,
+                        new ForwardingTraits(
+                                "i-1",
+                                40,
+                                OptionalLong.empty(),
+                                Optional.empty(),
+                                Optional.empty(),
+                                OptionalInt.of(2)));
 
         assertThat(headers.contains("X-Hold")).isFalse();
         assertThat(headers.contains("X-Pin-Ms")).isFalse();
