Give very busy models a second replica at some cost to others

Cause: as in the commit before: with one replica a model's crash takes all of its streams, and their copies have nowhere to go.

--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -24,6 +24,9 @@
     /** What a second replica may cost: its own load, and hardly anything that others wait for. */
     private static final double REPLICA_WORTH_MILLIS = 900;
 
+    /** What each request a second adds to that: so many lose their streams with the only replica. */
+    private static final double WORTH_MILLIS_PER_REQUEST = 500;
+
     /** A busy model gets a second replica, so that the loss of a target leaves one. */
     private static final int REPLICAS_WHEN_BUSY = 2;
 
@@ -144,7 +147,8 @@
         if (plan.isEmpty() || !plan.get().now()) {
             return false;
         }
-        if (why.equals(BUSY) && (plan.get().fromStore() || plan.get().costMillis() > REPLICA_WORTH_MILLIS)) {
+        if (why.equals(BUSY)
+                && (plan.get().fromStore() || plan.get().costMillis() > replicaWorthMillis(model, nowMillis))) {
             return false;
         }
         if (plan.get().fromStore() && storeLoads(engines) >= Math.max(1, engines.size() / STORE_LOADS_DIVISOR)) {
@@ -223,6 +227,10 @@
         }
     }
 
+    private double replicaWorthMillis(ModelSpec model, long nowMillis) {
+        return REPLICA_WORTH_MILLIS + WORTH_MILLIS_PER_REQUEST * demand.perSecond(model.name(), nowMillis);
+    }
+
     /** Brings models that no target has a copy of to some target's disk, from where they load fast. */
     private void fetchAhead(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
         long fetching = engines.stream()
