Try another target when one takes no order; hold loads back while the weight store is slow

Tests: a_target_that_takes_no_order_is_left_for_another and an_overdue_load_from_the_store_lets_others_wait, both red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -234,6 +234,12 @@
         return freeMillis + (next == null ? 0 : loadMillis(next)) + (drains ? DRAIN_MILLIS : 0);
     }
 
+    /** Forgets the load that was next, and what was to make way for it. */
+    void giveUpLoad() {
+        wantedModel = Optional.empty();
+        models.values().forEach(held -> held.retiring = false);
+    }
+
     boolean takesWork(long nowMillis) {
         return !target.leaving() && suspectUntilMillis <= nowMillis;
     }
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -41,6 +41,15 @@
 
     private static final int MAX_HELD_CHARS = 700;
 
+    /** Few stores serve more than this at full speed. */
+    private static final int MOST_STORE_LOADS = 4;
+
+    /** A load this much over its time shows that the store is shared by too many. */
+    private static final double OVERDUE_SHARE = 0.3;
+
+    /** After this the store is tried with more loads at once again. */
+    private static final long SLOW_STORE_MILLIS = 60_000;
+
     /** A load that was not possible is tried again after this, however much happens meanwhile. */
     private static final long TRY_GAP_MILLIS = 15;
 
@@ -56,6 +65,7 @@
     private final DispatchActions actions;
     private final Orders orders;
     private final Map<String, Long> triedAtMillis = new HashMap<>();
+    private long slowStoreUntilMillis = Long.MIN_VALUE;
     private long aheadMillis = Long.MIN_VALUE / 2;
     private final Map<String, Long> notLoadedMillis = new HashMap<>();
 
@@ -151,7 +161,7 @@
                 && (plan.get().fromStore() || plan.get().costMillis() > replicaWorthMillis(model, nowMillis))) {
             return false;
         }
-        if (plan.get().fromStore() && storeLoads(engines) >= Math.max(1, engines.size() / STORE_LOADS_DIVISOR)) {
+        if (plan.get().fromStore() && storeLoads(engines) >= storeLoadLimit(model, engines, nowMillis)) {
             notLoaded(model, () -> "enough targets load from the weight store", nowMillis);
             return false;
         }
@@ -194,6 +204,24 @@
         return text.toString();
     }
 
+    /**
+     * Returns how many loads from the weight store may run at once. A store that is shared by more than it can serve at
+     * full speed takes longer for each; once a load is overdue they go one by one.
+     */
+    private long storeLoadLimit(ModelSpec model, Collection<EngineState> engines, long nowMillis) {
+        for (EngineState engine : engines) {
+            for (Residency held : engine.models.values()) {
+                if (held.unconfirmed && nowMillis - held.readyAtMillis > model.storeLoadMillis() * OVERDUE_SHARE) {
+                    slowStoreUntilMillis = nowMillis + SLOW_STORE_MILLIS;
+                }
+            }
+        }
+        if (nowMillis < slowStoreUntilMillis) {
+            return 1;
+        }
+        return Math.clamp(engines.size() / STORE_LOADS_DIVISOR, 1, MOST_STORE_LOADS);
+    }
+
     private static long storeLoads(Collection<EngineState> engines) {
         return engines.stream()
                 .filter(engine -> engine.models.values().stream().anyMatch(held -> held.unconfirmed))
@@ -268,8 +296,7 @@
         Optional<Iterable<String>> victims =
                 planner.victims(model, engine, engines, cold, nowMillis).map(list -> list);
         if (victims.isEmpty() || engine.models.containsKey(model.name())) {
-            engine.wantedModel = Optional.empty();
-            engine.models.values().forEach(held -> held.retiring = false);
+            engine.giveUpLoad();
             return;
         }
         victims.get().forEach(victim -> engine.models.get(victim).retiring = true);
--- a/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
@@ -82,7 +82,12 @@
                     askReport(engine, nowMillis);
                 }
             }
-            case UNKNOWN, REFUSED -> {
+            case REFUSED -> {
+                undo(engine, order, held);
+                engine.broke(nowMillis);
+                engine.giveUpLoad();
+            }
+            case UNKNOWN -> {
                 count(engine, order, nowMillis);
                 undo(engine, order, held);
                 engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -194,6 +194,47 @@
         assertThat(fleet.backups).doesNotContainKey(once);
     }
 
+    @Test
+    void a_target_that_takes_no_order_is_left_for_another() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.target("t1", List.of("m1"), Set.of("m1", "m3"));
+        fleet.target("t2", List.of("m2"), Set.of("m2", "m3"));
+        fleet.checkIn();
+        fleet.ask("m3", LONG_MILLIS);
+        fleet.report("t1", 0, "m1");
+        fleet.report("t2", 0, "m2");
+        String first = fleet.lastOrder().target().id();
+        fleet.answer(OrderAnswer.REFUSED);
+        fleet.pass(60);
+        fleet.report("t1", 0, "m1");
+        fleet.report("t2", 0, "m2");
+        fleet.pass(60);
+
+        assertThat(fleet.lastOrder().target().id()).isNotEqualTo(first);
+    }
+
+    @Test
+    void an_overdue_load_from_the_store_lets_others_wait() {
+        FakeFleet fleet = new FakeFleet("a", "b", "c", "d", "e", "f", "g", "h");
+        for (String model : List.of("a", "b", "c", "d", "e", "f", "h")) {
+            fleet.target("t-" + model, List.of(model), Set.of(model));
+        }
+        fleet.checkIn();
+        fleet.ask("g", 60_000);
+        fleet.targets
+                .keySet()
+                .forEach(id -> fleet.report(
+                        id, 0, fleet.targets.get(id).models().get(0).name()));
+        fleet.answer(OrderAnswer.ACCEPTED);
+        fleet.pass(FakeFleet.STORE_MILLIS * 2);
+        fleet.targets.remove("t-h");
+        fleet.checkIn();
+        fleet.ask("h", 60_000);
+        fleet.pass(60);
+
+        assertThat(fleet.ordered(EngineOrder.Kind.LOAD)).containsExactly("g");
+    }
+
     @Test
     void gives_no_order_while_the_lease_does_not_hold() {
         FakeFleet fleet = new FakeFleet("m1", "m2");
