--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -194,6 +194,7 @@
     /** Takes a new description of the service's engines. */
     public void spec(EngineSpec latest) {
         spec = latest;
+        engines.values().forEach(engine -> engine.spec = latest);
     }
 
     private void ended(String key, EngineState engine, EngineState.Run run, long nowMillis) {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -44,7 +44,7 @@
     private static final long LONGEST_SUSPICION_MILLIS = 4_000;
 
     Target target;
-    final EngineSpec spec;
+    EngineSpec spec;
     final Map<String, Residency> models = new HashMap<>();
     final Set<String> inMemory = new HashSet<>();
     final Set<String> onDisk = new HashSet<>();
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -293,8 +294,8 @@
             return;
         }
         ModelSpec model = engine.spec.models().get(engine.wantedModel.get());
-        Optional<Iterable<String>> victims =
-                planner.victims(model, engine, engines, cold, nowMillis).map(list -> list);
+        Optional<List<String>> victims =
+                model == null ? Optional.empty() : planner.victims(model, engine, engines, cold, nowMillis);
         if (victims.isEmpty() || engine.models.containsKey(model.name())) {
             engine.giveUpLoad();
             return;
@@ -308,7 +309,7 @@
             orders.order(engine, EngineOrder.Kind.UNLOAD, victim, Optional.empty(), nowMillis);
             return;
         }
-        if (victims.get().iterator().hasNext() || (Orders.fromStore(engine, model) && !budget.allows(nowMillis, 0))) {
+        if (!victims.get().isEmpty() || (Orders.fromStore(engine, model) && !budget.allows(nowMillis, 0))) {
             return;
         }
         engine.models.put(model.name(), new Residency(Residency.NOT_YET, Set.of()));
--- a/src/main/java/org/poplarwharf/internal/dispatch/PromptCache.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/PromptCache.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.poplarwharf.internal.fleet.RequestTraits.PromptPart;
 
 /**
@@ -53,15 +52,7 @@
         });
     }
 
-    int size() {
-        return parts.size();
-    }
-
     private static String key(String weights, PromptPart part) {
         return weights + "|" + part.id();
     }
-
-    Map<String, Long> kept() {
-        return parts;
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -35,17 +35,8 @@
                 .update(Math.max(0, millis));
     }
 
-    /** Counts something that happened. */
-    public void count(String name) {
-        registry.counter(MetricRegistry.name("gateway", name)).inc();
-    }
-
     /** Shows a value that is read when asked for. */
     public void gauge(String name, LongSupplier value) {
         registry.gauge(MetricRegistry.name("gateway", name), () -> (Gauge<Long>) value::getAsLong);
     }
-
-    public MetricRegistry registry() {
-        return registry;
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -171,10 +171,22 @@
     }
 
     private void after(long delayMillis, Runnable task) {
+        Runnable logged = () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                log.log(
+                        "unexpected-exception",
+                        "exception",
+                        e,
+                        "at",
+                        e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0]);
+            }
+        };
         if (delayMillis <= 0) {
-            loop.execute(task);
+            loop.execute(logged);
         } else {
-            loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+            loop.schedule(logged, delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -277,12 +277,15 @@
             return;
         }
         boolean busy = false;
-        for (Dispatcher dispatcher : List.copyOf(dispatchers.values())) {
-            dispatcher.ordersAllowed(lease.isPresent() && lease.get().mayOrder());
-            dispatcher.tick(clock.nowMillis());
-            busy |= dispatcher.hasWork();
+        try {
+            for (Dispatcher dispatcher : List.copyOf(dispatchers.values())) {
+                dispatcher.ordersAllowed(lease.isPresent() && lease.get().mayOrder());
+                dispatcher.tick(clock.nowMillis());
+                busy |= dispatcher.hasWork();
+            }
+        } finally {
+            timer.after(busy ? BUSY_TICK_MILLIS : IDLE_TICK_MILLIS, this::tick);
         }
-        timer.after(busy ? BUSY_TICK_MILLIS : IDLE_TICK_MILLIS, this::tick);
     }
 
     private void beat() {
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -128,11 +128,15 @@
 
     private void take(KeyedLog.Records records) {
         answered();
-        records.records().forEach(this::apply);
         next = Optional.of(records.nextOffset());
         boolean more =
                 records.nextOffset() < records.endOffset() && !records.records().isEmpty();
-        timer.after(more ? 0 : pace.gapMillis(), this::start);
+        try {
+            records.records().forEach(this::apply);
+        } finally {
+            // A listener that fails on one record must not end the reading of all that follow.
+            timer.after(more ? 0 : pace.gapMillis(), this::start);
+        }
     }
 
     private void apply(KeyedLog.KeyedRecord record) {
--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.topic;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -80,6 +81,18 @@
         assertThat(seen).isEmpty();
     }
 
+    @Test
+    void a_listener_that_fails_on_one_record_hears_the_next() {
+        log.pages.add(new KeyedLog.Page(List.of(), false, 0));
+        log.reads.add(new KeyedLog.Records(List.of(record(0, "bad", "1")), 1, 1));
+        log.reads.add(new KeyedLog.Records(List.of(record(1, "a", "2")), 2, 2));
+        follower.start();
+        assertThatThrownBy(this::step).isInstanceOf(IllegalStateException.class);
+        step();
+
+        assertThat(seen).containsEntry("a", "2");
+    }
+
     private void step() {
         tasks.remove().run();
     }
@@ -91,6 +104,9 @@
     private final class Recorder implements TopicFollower.Listener {
         @Override
         public void put(String key, byte[] value) {
+            if (key.equals("bad")) {
+                throw new IllegalStateException("a fault of the listener");
+            }
             seen.put(key, new String(value));
         }
 
