Begin a lease's term with the record that landed, not with the attempt

Cause, found by reading: a claim noted the time of its attempt as the start of the term. After a term was over, a claim that the log refused (503) left that time behind; the next look found this node's own last renewal as the newest record, took it for the claim and held for a whole new term, while others had counted the old one to its end and could order.

Ruled out: renewals, whose time is noted on their answer only.

Change: a term is one value, noted when the record that begins it is known to stand; a claim is taken for landed only by its own number, and counts from its first sending.

Test: a_claim_that_did_not_land_does_not_begin_a_new_term, red before.

--- a/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
@@ -39,10 +39,18 @@
     private boolean expired;
     private long fencingNumber;
     private long ordersFromMillis;
-    private long sentSteadyMillis;
-    private long sentWallMillis;
+    private Term term = Term.OVER;
+    private Optional<Claim> claimSent = Optional.empty();
     private boolean stopped;
 
+    /** When the record was sent that began, or last renewed, what this node holds. */
+    private record Term(long steadyMillis, long wallMillis) {
+        private static final Term OVER = new Term(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
+    }
+
+    /** A claim that was sent and may stand on the log, now or later. */
+    private record Claim(long number, Term term) {}
+
     /** The steady clock and the time of day. */
     public interface Clocks {
         long steadyMillis();
@@ -93,8 +101,8 @@
     /** Tells whether this node holds the lease at this moment. */
     public boolean holds() {
         return holding
-                && clocks.steadyMillis() - sentSteadyMillis < times.termMillis()
-                && clocks.wallMillis() - sentWallMillis < times.termMillis();
+                && clocks.steadyMillis() - term.steadyMillis() < times.termMillis()
+                && clocks.wallMillis() - term.wallMillis() < times.termMillis();
     }
 
     /** Tells whether this node may give orders at this moment. */
@@ -187,8 +195,9 @@
             listener.lost("claimed by another node");
         }
         if (holder.incarnation().equals(self.incarnation()) && !holder.resigned()) {
-            // A claim of this process whose answer was lost; its term began when it was sent.
-            take(holder.fencingNumber());
+            // Either a claim whose answer was lost, or a record whose term is over.
+            Optional<Claim> landed = claimSent.filter(claim -> claim.number() == holder.fencingNumber());
+            landed.ifPresentOrElse(this::take, this::claim);
             return;
         }
         if (holder.resigned()) {
@@ -210,40 +219,50 @@
 
     private void claim() {
         long number = endOffset + 1;
-        sentSteadyMillis = clocks.steadyMillis();
-        sentWallMillis = clocks.wallMillis();
+        // Sent again for the same end, either of the two may land: the term counts from the first.
+        Claim claim = claimSent.filter(before -> before.number() == number).orElseGet(() -> new Claim(number, now()));
+        claimSent = Optional.of(claim);
         append(record(number, false), answer -> {
             switch (answer) {
                 case KeyedLog.Appended appended -> {
                     current = Optional.of(record(number, false));
                     currentOffset = appended.offset();
                     endOffset = appended.offset() + 1;
-                    take(number);
+                    take(claim);
                 }
                 case KeyedLog.EndMoved moved -> again(0);
                 case KeyedLog.OutcomeUnknown unknown -> again(times.retryMillis());
-                case KeyedLog.Unavailable unavailable -> again(times.retryMillis());
+                case KeyedLog.Unavailable unavailable -> {
+                    // Not appended, and never will be.
+                    claimSent = Optional.empty();
+                    again(times.retryMillis());
+                }
             }
         });
     }
 
-    private void take(long number) {
+    private void take(Claim claim) {
         if (stopped) {
             return;
         }
-        fencingNumber = number;
+        fencingNumber = claim.number();
+        term = claim.term();
+        claimSent = Optional.empty();
         holding = true;
         if (!holds()) {
-            // The term of a claim whose answer was lost may be over; a renewal tells.
             holding = false;
             claim();
             return;
         }
         expired = false;
-        listener.claimed(number);
+        listener.claimed(claim.number());
         again(times.renewMillis());
     }
 
+    private Term now() {
+        return new Term(clocks.steadyMillis(), clocks.wallMillis());
+    }
+
     private void renewOrLose() {
         if (!holds()) {
             holding = false;
@@ -252,8 +271,7 @@
             again(0);
             return;
         }
-        long steadyMillis = clocks.steadyMillis();
-        long wallMillis = clocks.wallMillis();
+        Term renewal = now();
         append(record(fencingNumber, false), answer -> {
             if (!holding) {
                 again(times.retryMillis());
@@ -261,7 +279,9 @@
             }
             switch (answer) {
                 case KeyedLog.Appended appended -> {
-                    renewed(appended.offset(), steadyMillis, wallMillis);
+                    currentOffset = appended.offset();
+                    endOffset = appended.offset() + 1;
+                    term = renewal;
                     again(times.renewMillis());
                 }
                 case KeyedLog.EndMoved moved -> findOwnRecord();
@@ -271,13 +291,6 @@
         });
     }
 
-    private void renewed(long offset, long steadyMillis, long wallMillis) {
-        currentOffset = offset;
-        endOffset = offset + 1;
-        sentSteadyMillis = steadyMillis;
-        sentWallMillis = wallMillis;
-    }
-
     /** The end moved: by a renewal of this node whose answer was lost, or by another node's claim. */
     private void findOwnRecord() {
         log.newest(topic, Optional.empty(), answer -> {
--- a/src/test/java/org/poplarwharf/internal/lease/FakeKeyedLog.java
+++ b/src/test/java/org/poplarwharf/internal/lease/FakeKeyedLog.java
@@ -11,6 +11,7 @@
 /** One keyed topic in memory, which a test takes away or whose answers it loses. */
 final class FakeKeyedLog implements KeyedLog {
     boolean away;
+    boolean refusesAppends;
     boolean loseNextAnswer;
     private final List<KeyedRecord> records = new ArrayList<>();
 
@@ -37,7 +38,7 @@
 
     @Override
     public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendAnswer> answer) {
-        if (away) {
+        if (away || refusesAppends) {
             answer.accept(new Unavailable("away"));
             return;
         }
--- a/src/test/java/org/poplarwharf/internal/lease/LeaseKeeperTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseKeeperTest.java
@@ -118,6 +118,18 @@
         assertThat(first.keeper.mayOrder()).isTrue();
     }
 
+    @Test
+    void a_claim_that_did_not_land_does_not_begin_a_new_term() {
+        first.start();
+        pass(1_000);
+        log.refusesAppends = true;
+        pass(TERM_MILLIS + 2_000);
+
+        // The log still shows this node's last renewal as the newest record; that term is over all the same.
+        assertThat(first.keeper.mayOrder()).isFalse();
+        assertThat(first.claims).isEqualTo(1);
+    }
+
     @Test
     void a_lost_answer_to_a_claim_is_settled_by_reading_on() {
         log.loseNextAnswer = true;
