Ask each question of an engine, a wish and a clock in one place

- EngineState answers whether a load comes from the store, whether a target holds or is to load a model, and whether a load from the store is under way: asked in three places each, in the same words.
- HolderRole finds a key's dispatcher in one way; LinkMessage has both translations of a run's outcome.
- The lease's steady clock is the node's, the expected target's header stands once, Drain reads its own clock and uses the gateway's timer.
- Dead: an accessor of the lease, start times of runs, a test that was always true in Orders.undo. fetchAhead stops before it looks at demand.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -187,8 +187,7 @@
     public boolean hasWork() {
         return !waiting.isEmpty()
                 || engines.values().stream()
-                        .anyMatch(engine -> engine.wantedModel.isPresent()
-                                || engine.models.values().stream().anyMatch(held -> held.unconfirmed));
+                        .anyMatch(engine -> engine.wantedModel.isPresent() || engine.loadingFromStore());
     }
 
     /** Takes a new description of the service's engines. */
@@ -299,7 +298,7 @@
             return;
         }
         waiting.remove(wish.key());
-        engine.start(new EngineState.Run(wish, nowMillis, choice.estimateMillis(), choice.tokens()));
+        engine.start(new EngineState.Run(wish, choice.estimateMillis(), choice.tokens()));
         placeOf.put(wish.key(), engine);
         engine.reads(choice.prefillMillis(), nowMillis);
         wish.model().ifPresent(model -> {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -69,7 +69,7 @@
     private long slownessMillis;
 
     /** A request that was granted. */
-    record Run(Wish wish, long grantedMillis, long estimateMillis, long tokens) {}
+    record Run(Wish wish, long estimateMillis, long tokens) {}
 
     EngineState(Target target, EngineSpec spec, long nowMillis) {
         this.target = target;
@@ -193,6 +193,27 @@
         return onDisk.contains(model.name()) ? model.diskLoadMillis() : model.storeLoadMillis();
     }
 
+    /** Tells whether the nearest copy of the model is in the weight store. */
+    boolean loadsFromStore(ModelSpec model) {
+        return loadMillis(model) >= model.storeLoadMillis();
+    }
+
+    /** Tells whether the target holds the model, loads it, or is to load it next. */
+    boolean holdsOrWants(String model) {
+        return models.containsKey(model)
+                || (wantedModel.isPresent() && wantedModel.get().equals(model));
+    }
+
+    /** Tells whether a load from the weight store is under way. */
+    boolean loadingFromStore() {
+        for (Residency held : models.values()) {
+            if (held.unconfirmed) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean hasCopy(String model) {
         return models.containsKey(model) || inMemory.contains(model) || onDisk.contains(model);
     }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -69,11 +69,10 @@
         if (victims.isEmpty()) {
             return Optional.empty();
         }
-        long loadMillis = engine.loadMillis(model);
-        boolean fromStore = loadMillis >= model.storeLoadMillis();
+        boolean fromStore = engine.loadsFromStore(model);
         boolean now = engine.wantedModel.isEmpty() && !engine.loading(nowMillis);
         long waitMillis = now ? 0 : Math.max(LEAST_WAIT_MILLIS, engine.freeAtMillis(nowMillis) - nowMillis);
-        double costMillis = loadMillis * (fromStore ? STORE_WEIGHT : 1)
+        double costMillis = engine.loadMillis(model) * (fromStore ? STORE_WEIGHT : 1)
                 + waitMillis
                 + engine.running.size() * MILLIS_PER_RUNNING
                 + victims.get().size() * MILLIS_PER_UNLOAD;
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -134,9 +134,7 @@
     /** Tells whether some target holds the model, loads it, or is about to. */
     boolean underWay(String model, Collection<EngineState> engines, long nowMillis) {
         for (EngineState engine : engines) {
-            boolean wanted =
-                    engine.wantedModel.isPresent() && engine.wantedModel.get().equals(model);
-            if ((wanted || engine.models.containsKey(model)) && engine.takesWork(nowMillis)) {
+            if (engine.holdsOrWants(model) && engine.takesWork(nowMillis)) {
                 return true;
             }
         }
@@ -224,17 +222,14 @@
     }
 
     private static long storeLoads(Collection<EngineState> engines) {
-        return engines.stream()
-                .filter(engine -> engine.models.values().stream().anyMatch(held -> held.unconfirmed))
-                .count();
+        return engines.stream().filter(EngineState::loadingFromStore).count();
     }
 
     private void notLoaded(ModelSpec model, Supplier<String> why, long nowMillis) {
-        Long before = notLoadedMillis.put(model.name(), nowMillis);
+        Long before = notLoadedMillis.get(model.name());
         if (before == null || nowMillis - before > SAME_LINE_MILLIS) {
+            notLoadedMillis.put(model.name(), nowMillis);
             actions.decided("load-not-possible", "model", model.name(), "why", why.get());
-        } else {
-            notLoadedMillis.put(model.name(), before);
         }
     }
 
@@ -244,11 +239,7 @@
                 continue;
             }
             long replicas = engines.stream()
-                    .filter(engine -> engine.takesWork(nowMillis)
-                            && (engine.models.containsKey(model.name())
-                                    || engine.wantedModel
-                                            .filter(model.name()::equals)
-                                            .isPresent()))
+                    .filter(engine -> engine.takesWork(nowMillis) && engine.holdsOrWants(model.name()))
                     .count();
             if (replicas < REPLICAS_WHEN_BUSY) {
                 start(model, engines, Set.of(), BUSY, SPARE_LOADS, nowMillis);
@@ -263,16 +254,19 @@
     /** Brings models that no target has a copy of to some target's disk, from where they load fast. */
     private void fetchAhead(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
         long fetching = engines.stream()
-                .filter(engine -> engine.wantedModel.isPresent()
-                        || engine.models.values().stream().anyMatch(held -> held.unconfirmed))
+                .filter(engine -> engine.wantedModel.isPresent() || engine.loadingFromStore())
                 .count();
+        if (fetching >= FETCHES_AT_ONCE) {
+            return;
+        }
+        Set<String> busy = busy(spec, nowMillis);
         for (ModelSpec model : spec.models().values()) {
             if (fetching >= FETCHES_AT_ONCE) {
                 return;
             }
             if (engines.stream().noneMatch(engine -> engine.hasCopy(model.name()))
                     && !underWay(model.name(), engines, nowMillis)
-                    && start(model, engines, busy(spec, nowMillis), "no copy", SPARE_LOADS, nowMillis)) {
+                    && start(model, engines, busy, "no copy", SPARE_LOADS, nowMillis)) {
                 fetching++;
             }
         }
@@ -309,7 +303,7 @@
             orders.order(engine, EngineOrder.Kind.UNLOAD, victim, Optional.empty(), nowMillis);
             return;
         }
-        if (!victims.get().isEmpty() || (Orders.fromStore(engine, model) && !budget.allows(nowMillis, 0))) {
+        if (!victims.get().isEmpty() || (engine.loadsFromStore(model) && !budget.allows(nowMillis, 0))) {
             return;
         }
         engine.models.put(model.name(), new Residency(Residency.NOT_YET, Set.of()));
--- a/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
@@ -99,15 +99,11 @@
     /** Counts a load that has begun, or may begin. */
     private void count(EngineState engine, EngineOrder order, long nowMillis) {
         boolean load = order.kind() == EngineOrder.Kind.LOAD && order.adapter().isEmpty();
-        if (load && fromStore(engine, engine.spec.models().get(order.model()))) {
+        if (load && engine.loadsFromStore(engine.spec.models().get(order.model()))) {
             budget.begin(nowMillis);
         }
     }
 
-    static boolean fromStore(EngineState engine, ModelSpec model) {
-        return engine.loadMillis(model) >= model.storeLoadMillis();
-    }
-
     private void settled(EngineState engine, EngineOrder order, Residency held, long nowMillis) {
         if (order.adapter().isPresent()) {
             if (order.kind() == EngineOrder.Kind.LOAD && held != null) {
@@ -126,9 +122,8 @@
         engine.wantedModel = Optional.empty();
         if (held != null) {
             ModelSpec spec = engine.spec.models().get(order.model());
-            long loadMillis = engine.loadMillis(spec);
-            held.readyAtMillis = nowMillis + loadMillis;
-            held.unconfirmed = loadMillis >= spec.storeLoadMillis();
+            held.readyAtMillis = nowMillis + engine.loadMillis(spec);
+            held.unconfirmed = engine.loadsFromStore(spec);
             held.lastUsedMillis = nowMillis;
         }
         engine.inMemory.add(order.model());
@@ -148,7 +143,7 @@
             }
             return;
         }
-        if (order.kind() == EngineOrder.Kind.LOAD && held != null) {
+        if (held != null) {
             if (order.adapter().isPresent()) {
                 held.adapters.remove(order.adapter().get());
             } else {
--- a/src/main/java/org/poplarwharf/internal/gateway/Drain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Drain.java
@@ -32,12 +32,13 @@
     }
 
     /** Begins; runs the action once nothing is under way, or the time is over. */
-    void begin(long nowMillis, MonotonicClock clock, Runnable ended) {
+    void begin(MonotonicClock clock, Runnable ended) {
+        long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", front.underWay());
         front.startDraining();
         timer.after(Math.round(graceMillis * CALLERS_STILL_COME_SHARE), () -> {
             front.closeIdle();
-            look(nowMillis, clock, ended);
+            look(startMillis, clock, ended);
         });
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayFront.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayFront.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
@@ -18,7 +17,6 @@
     private final GatewayParts parts;
     private final FrontServer server;
     private final ReadyServer questions;
-    private final EventLoop loop;
     private boolean wasReady;
 
     public GatewayFront(
@@ -30,7 +28,6 @@
             FleetView view,
             MonotonicClock clock,
             Supplier<byte[]> metricsText) {
-        this.loop = loop;
         this.parts = new GatewayParts(settings, headerNames, loop, log, metrics, view, clock);
         this.server = new FrontServer(parts);
         this.questions = new ReadyServer(this::ready, metricsText);
@@ -67,12 +64,9 @@
 
     /** Ends the taking of callers; runs the action when nothing is under way. */
     public void drain(Runnable ended) {
-        Drain drain = new Drain(
-                server,
-                (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS),
-                parts.log(),
-                parts.settings().graceMillis());
-        drain.begin(parts.nowMillis(), parts::nowMillis, ended);
+        Drain drain =
+                new Drain(server, parts::after, parts.log(), parts.settings().graceMillis());
+        drain.begin(parts::nowMillis, ended);
     }
 
     private boolean ready() {
--- a/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
@@ -39,7 +39,7 @@
     private final Map<String, Seen> seenByTarget = new HashMap<>();
     private final Map<String, Run> runs = new HashMap<>();
 
-    private record Run(String targetId, long sinceMillis) {}
+    private record Run(String targetId) {}
 
     private static final class Seen {
         private double extraMillis;
@@ -80,7 +80,7 @@
         }
         Seen seen = seenByTarget.computeIfAbsent(best.id(), id -> new Seen());
         seen.underWay++;
-        runs.put(wish.key(), new Run(best.id(), nowMillis));
+        runs.put(wish.key(), new Run(best.id()));
         asker.placed(best, Optional.empty(), "nearest");
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -197,12 +197,10 @@
         }
     }
 
-    private static final class SystemClocks implements LeaseKeeper.Clocks {
-        private static final long NANOS_PER_MILLI = 1_000_000;
-
+    private final class SystemClocks implements LeaseKeeper.Clocks {
         @Override
         public long steadyMillis() {
-            return System.nanoTime() / NANOS_PER_MILLI;
+            return clock.nowMillis();
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.poplarwharf.internal.dispatch.DispatchActions;
 import org.poplarwharf.internal.dispatch.Dispatcher;
@@ -129,30 +130,20 @@
     }
 
     public void withdraw(String key) {
-        Origin origin = origins.remove(key);
-        Dispatcher dispatcher = origin == null ? null : dispatchers.get(origin.service());
-        if (dispatcher != null) {
-            dispatcher.withdraw(key, clock.nowMillis());
-        }
+        decider(key).ifPresent(dispatcher -> dispatcher.withdraw(key, clock.nowMillis()));
+        origins.remove(key);
     }
 
     public void outcome(String key, RunOutcome outcome) {
-        Origin origin = origins.get(key);
-        Dispatcher dispatcher = origin == null ? null : dispatchers.get(origin.service());
-        if (dispatcher != null) {
-            dispatcher.finished(key, outcome, clock.nowMillis());
-        }
+        decider(key).ifPresent(dispatcher -> dispatcher.finished(key, outcome, clock.nowMillis()));
         if (!(outcome instanceof RunOutcome.Answered)) {
             origins.remove(key);
         }
     }
 
     public void ended(String key) {
-        Origin origin = origins.remove(key);
-        Dispatcher dispatcher = origin == null ? null : dispatchers.get(origin.service());
-        if (dispatcher != null) {
-            dispatcher.ended(key, clock.nowMillis());
-        }
+        decider(key).ifPresent(dispatcher -> dispatcher.ended(key, clock.nowMillis()));
+        origins.remove(key);
     }
 
     @Override
@@ -181,7 +172,7 @@
         switch (message) {
             case LinkMessage.Ask ask -> wish(wish(ask), new Origin(ask.service(), Optional.of(link), Optional.empty()));
             case LinkMessage.Withdraw withdrawn -> withdraw(withdrawn.key());
-            case LinkMessage.Outcome end -> outcome(end.key(), outcome(end.kind(), end.firstEventMillis()));
+            case LinkMessage.Outcome end -> outcome(end.key(), LinkMessage.outcome(end));
             case LinkMessage.Ended end -> ended(end.key());
             case LinkMessage.Beat beat -> misdirected(link);
             case LinkMessage.Granted granted -> misdirected(link);
@@ -194,26 +185,22 @@
         from.close();
     }
 
-    private static RunOutcome outcome(LinkMessage.Kind kind, long millis) {
-        return switch (kind) {
-            case ANSWERED -> new RunOutcome.Answered(millis);
-            case DECLINED -> new RunOutcome.Declined();
-            case BROKEN -> new RunOutcome.Broken();
-            case ABANDONED -> new RunOutcome.Abandoned();
-        };
+    /** Returns who decides on a wish that this node took in. */
+    private Optional<Dispatcher> decider(String key) {
+        return Optional.ofNullable(origins.get(key)).map(origin -> dispatchers.get(origin.service()));
     }
 
     private Wish wish(LinkMessage.Ask ask) {
         long nowMillis = clock.nowMillis();
         RequestTraits traits = new RequestTraits(
                 "",
-                java.util.OptionalLong.empty(),
+                OptionalLong.empty(),
                 Optional.of(ask.model()).filter(model -> !model.isEmpty()),
                 Optional.of(ask.adapter()).filter(adapter -> !adapter.isEmpty()),
                 ask.promptTokens(),
                 ask.maxOutputTokens(),
                 LinkMessage.parts(ask),
-                java.util.OptionalLong.empty());
+                OptionalLong.empty());
         return new Wish(
                 ask.key(),
                 ask.zone(),
--- a/src/main/java/org/poplarwharf/internal/holder/LinkMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/LinkMessage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.ArrayList;
 import java.util.List;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -74,7 +75,7 @@
 
     /** Returns the parts of a prompt. */
     static List<RequestTraits.PromptPart> parts(Ask ask) {
-        List<RequestTraits.PromptPart> parts = new java.util.ArrayList<>();
+        List<RequestTraits.PromptPart> parts = new ArrayList<>();
         for (int i = 0; i < Math.min(ask.partIds().size(), ask.partTokens().size()); i++) {
             parts.add(new RequestTraits.PromptPart(
                     ask.partIds().get(i), ask.partTokens().get(i)));
@@ -92,4 +93,14 @@
             case RunOutcome.Abandoned abandoned -> new LinkMessage.Outcome(key, LinkMessage.Kind.ABANDONED, 0);
         };
     }
+
+    /** Returns how a run went, as a node told it. */
+    static RunOutcome outcome(Outcome told) {
+        return switch (told.kind()) {
+            case ANSWERED -> new RunOutcome.Answered(told.firstEventMillis());
+            case DECLINED -> new RunOutcome.Declined();
+            case BROKEN -> new RunOutcome.Broken();
+            case ABANDONED -> new RunOutcome.Abandoned();
+        };
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/lease/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.topic.KeyedLog;
 import org.poplarwharf.internal.topic.TopicFollower;
@@ -114,10 +115,6 @@
         return fencingNumber;
     }
 
-    public Optional<LeaseRecord> current() {
-        return current;
-    }
-
     /** The holder is known to give no more orders: its process has ended, or another one runs in its place. */
     public void holderGone(String incarnation) {
         if (lastGoneMillis == Long.MIN_VALUE
@@ -313,7 +310,7 @@
         return new LeaseRecord(self.holder(), self.incarnation(), self.address(), number, quietMillis, resigned);
     }
 
-    private void append(LeaseRecord record, java.util.function.Consumer<KeyedLog.AppendAnswer> answer) {
+    private void append(LeaseRecord record, Consumer<KeyedLog.AppendAnswer> answer) {
         try {
             log.appendAt(topic, endOffset, KEY, JSON.writeValueAsBytes(record), answer);
         } catch (JsonProcessingException e) {
--- a/src/main/java/org/poplarwharf/internal/platform/EngineCalls.java
+++ b/src/main/java/org/poplarwharf/internal/platform/EngineCalls.java
@@ -28,7 +28,6 @@
     private static final long ORDER_TIMEOUT_MILLIS = 300;
 
     private static final long REPORT_TIMEOUT_MILLIS = 400;
-    private static final String EXPECTED_TARGET = "X-Expect-Instance";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
@@ -56,7 +55,7 @@
                 Map.of(
                         "Content-Type",
                         "application/json",
-                        EXPECTED_TARGET,
+                        WireHeaders.EXPECTED_TARGET,
                         order.target().id()),
                 bytes(body),
                 ORDER_TIMEOUT_MILLIS);
@@ -82,7 +81,7 @@
                 target.address(),
                 HttpMethod.GET,
                 "/report",
-                Map.of(EXPECTED_TARGET, target.id()),
+                Map.of(WireHeaders.EXPECTED_TARGET, target.id()),
                 NO_BODY,
                 REPORT_TIMEOUT_MILLIS);
         caller.call(
--- a/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
+++ b/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
@@ -19,7 +19,9 @@
     private static final String MODEL = "X-Model";
     private static final String TOKEN_COUNTS = "X-Token-Counts";
     private static final String PROMPT_PARTS = "X-Prompt-Prefix";
-    private static final String EXPECTED_TARGET = "X-Expect-Instance";
+    /** Names the only target that may take a request or an order. */
+    static final String EXPECTED_TARGET = "X-Expect-Instance";
+
     private static final String LAST_EVENT = "Last-Event-Id";
     private static final String RANK = "X-Request-Priority";
     private static final String BACKUP = "X-Kv-Backup";
