Count replicas once for a look, not once for each victim and comparison

Of its samples 82 in 125 were in LoadPlanner.loss, which went over all targets for each model that might make way, again on each comparison of the sort: work that grows with targets times targets, in streams that get slower the more code a process has loaded.

Ruled out: demand's rates (3 samples), the choice of a target (10).

Change: Replicas counts holders and servers of each model once; what is planned is the same.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
@@ -30,6 +30,9 @@
         private long atMillis;
 
         void fadeTo(long nowMillis) {
+            if (nowMillis == atMillis) {
+                return;
+            }
             slow *= Math.exp(-(nowMillis - atMillis) / SLOW_FADE_MILLIS);
             fast *= Math.exp(-(nowMillis - atMillis) / FAST_FADE_MILLIS);
             atMillis = nowMillis;
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -50,12 +50,13 @@
      * where no target can take it.
      */
     Optional<Plan> plan(ModelSpec model, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+        Replicas replicas = Replicas.count(engines, nowMillis);
         Plan best = null;
         for (EngineState engine : engines) {
             if (!engine.takesWork(nowMillis) || engine.models.containsKey(model.name())) {
                 continue;
             }
-            Optional<Plan> plan = plan(model, engine, engines, wanted, nowMillis);
+            Optional<Plan> plan = plan(model, engine, replicas, wanted, nowMillis);
             if (plan.isPresent() && (best == null || plan.get().costMillis() < best.costMillis())) {
                 best = plan.get();
             }
@@ -64,8 +65,8 @@
     }
 
     private Optional<Plan> plan(
-            ModelSpec model, EngineState engine, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
-        Optional<List<String>> victims = victims(model, engine, engines, wanted, nowMillis);
+            ModelSpec model, EngineState engine, Replicas replicas, Set<String> wanted, long nowMillis) {
+        Optional<List<String>> victims = victims(model, engine, replicas, wanted, nowMillis);
         if (victims.isEmpty()) {
             return Optional.empty();
         }
@@ -78,7 +79,7 @@
                 + victims.get().size() * MILLIS_PER_UNLOAD;
         boolean drains = false;
         for (String victim : victims.get()) {
-            costMillis += loss(victim, engine, engines, nowMillis);
+            costMillis += loss(victim, engine, replicas, nowMillis);
             drains |= engine.models.get(victim).running > 0;
         }
         costMillis += drains ? EngineState.DRAIN_MILLIS : 0;
@@ -87,20 +88,20 @@
 
     /** Returns the models whose going makes room at the least loss; empty where those that may go don't suffice. */
     Optional<List<String>> victims(
-            ModelSpec model, EngineState engine, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+            ModelSpec model, EngineState engine, Replicas replicas, Set<String> wanted, long nowMillis) {
         List<Map.Entry<String, Residency>> idle = new ArrayList<>();
         for (Map.Entry<String, Residency> held : engine.models.entrySet()) {
             Residency residency = held.getValue();
             boolean spared = !residency.ready(nowMillis)
                     || wanted.contains(held.getKey())
                     || (demand.perSecond(held.getKey(), nowMillis) >= BUSY_PER_SECOND
-                            && !servedElsewhere(held.getKey(), engine, engines, nowMillis));
+                            && !replicas.servedBeside(engine, held.getKey()));
             if (!spared && engine.spec.models().containsKey(held.getKey())) {
                 idle.add(held);
             }
         }
         idle.sort(Comparator.comparingDouble(
-                        (Map.Entry<String, Residency> held) -> loss(held.getKey(), engine, engines, nowMillis)
+                        (Map.Entry<String, Residency> held) -> loss(held.getKey(), engine, replicas, nowMillis)
                                 / engine.spec.models().get(held.getKey()).sizeMb())
                 .thenComparingLong(held -> held.getValue().lastUsedMillis));
         List<String> victims = new ArrayList<>();
@@ -115,21 +116,10 @@
         return freeMb >= model.sizeMb() ? Optional.of(victims) : Optional.empty();
     }
 
-    private static boolean servedElsewhere(
-            String model, EngineState engine, Collection<EngineState> engines, long nowMillis) {
-        return engines.stream()
-                .filter(other -> other != engine && other.takesWork(nowMillis))
-                .map(other -> other.models.get(model))
-                .anyMatch(held -> held != null && !held.retiring && held.ready(nowMillis));
-    }
-
     /** Returns the milliseconds that callers would wait, in sum, for the model to come back. */
-    private double loss(String model, EngineState engine, Collection<EngineState> engines, long nowMillis) {
+    private double loss(String model, EngineState engine, Replicas replicas, long nowMillis) {
         ModelSpec spec = engine.spec.models().get(model);
-        long others = engines.stream()
-                .filter(other -> other != engine && other.models.containsKey(model))
-                .count();
-        double weight = others > 0 ? REPLICATED_WEIGHT : 1;
+        double weight = replicas.heldBeside(engine, model) ? REPLICATED_WEIGHT : 1;
         boolean copied = engine.inMemory.contains(model) || engine.onDisk.contains(model);
         long reloadMillis = copied ? spec.diskLoadMillis() : spec.storeLoadMillis();
         // A rare model that was never asked for still counts for something, so that unasked ones tie by last use.
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -288,8 +288,9 @@
             return;
         }
         ModelSpec model = engine.spec.models().get(engine.wantedModel.get());
-        Optional<List<String>> victims =
-                model == null ? Optional.empty() : planner.victims(model, engine, engines, cold, nowMillis);
+        Optional<List<String>> victims = model == null
+                ? Optional.empty()
+                : planner.victims(model, engine, Replicas.count(engines, nowMillis), cold, nowMillis);
         if (victims.isEmpty() || engine.models.containsKey(model.name())) {
             engine.giveUpLoad();
             return;
