Keep what a report showed when an older answer comes after it

Cause, from the gateways' logs: an adapter's load got no answer and was carried out; the same order, sent again, was under way when a report of the later state came; its conflict then took the adapter out of what that report had shown, and so did the next order without an answer. The place counted as free. Ruled out: two holders (one fencing number), a stale report (its count was right). An answer to an order that counted on an older state than the one now believed changes nothing any more.

Test: DispatcherTest.an_answer_that_a_report_has_overtaken_takes_nothing_back, red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Orders.java
@@ -64,6 +64,10 @@
 
     void ordered(EngineState engine, EngineOrder order, OrderAnswer answer, long nowMillis) {
         engine.orderUnderWay = Optional.empty();
+        if (engine.ordersAccepted.orElse(-1) != order.ordersAccepted()) {
+            overtaken(engine, order, answer, nowMillis);
+            return;
+        }
         Residency held = engine.models.get(order.model());
         switch (answer) {
             case ACCEPTED, HOLDS -> {
@@ -96,6 +100,24 @@
         }
     }
 
+    /**
+     * A report of a later state came before the answer. It shows the order's effect, or the order has none any more, since
+     * it counted on a state that is over: what is believed stays as the report had it.
+     */
+    private void overtaken(EngineState engine, EngineOrder order, OrderAnswer answer, long nowMillis) {
+        engine.leaving = Optional.empty();
+        engine.giveUpLoad();
+        switch (answer) {
+            case ACCEPTED, HOLDS -> count(engine, order, nowMillis);
+            case CONFLICT -> engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
+            case REFUSED -> engine.broke(nowMillis);
+            case UNKNOWN -> {
+                count(engine, order, nowMillis);
+                askReport(engine, nowMillis);
+            }
+        }
+    }
+
     /** Counts a load that has begun, or may begin. */
     private void count(EngineState engine, EngineOrder order, long nowMillis) {
         boolean load = order.kind() == EngineOrder.Kind.LOAD && order.adapter().isEmpty();
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.fleet.HeldModel;
 import org.poplarwharf.internal.fleet.Target;
 
 class DispatcherTest {
@@ -85,6 +86,35 @@
         assertThat(fleet.lastOrder().ordersAccepted()).isEqualTo(4);
     }
 
+    @Test
+    void an_answer_that_a_report_has_overtaken_takes_nothing_back() {
+        FakeFleet fleet = new FakeFleet("m1");
+        fleet.target("t1", List.of("m1"), Set.of("m1"));
+        fleet.checkIn();
+        String first = fleet.ask("m1", Optional.of("a1"), LONG_MILLIS);
+        fleet.report("t1", 4, "m1");
+        // The first order has no answer and is carried out; the second one comes too late for it.
+        fleet.answer(OrderAnswer.UNKNOWN);
+        fleet.pass(60);
+        assertThat(fleet.orders).hasSize(2);
+        fleet.report("t1", 5, false, List.of(new HeldModel("m1", Set.of("a1"))));
+        fleet.answer(OrderAnswer.CONFLICT);
+        fleet.pass(60);
+
+        String second = fleet.ask("m1", Optional.of("a2"), LONG_MILLIS);
+        fleet.pass(60);
+        fleet.answer(OrderAnswer.ACCEPTED);
+        fleet.pass(60);
+        fleet.dispatcher.ended(first, fleet.nowMillis);
+        fleet.dispatcher.ended(second, fleet.nowMillis);
+        fleet.pass(2_000);
+        fleet.ask("m1", Optional.of("a3"), LONG_MILLIS);
+        fleet.pass(60);
+
+        // Two places are taken: one must be given up before a third adapter comes.
+        assertThat(fleet.lastOrder().kind()).isEqualTo(EngineOrder.Kind.UNLOAD);
+    }
+
     @Test
     void a_report_from_before_the_last_order_changes_nothing() {
         FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -90,17 +90,15 @@
 
     /** Asks for a model with this much time left; returns the key. */
     String ask(String model, long millisLeft) {
+        return ask(model, Optional.empty(), millisLeft);
+    }
+
+    /** Asks for an adapter of a model. */
+    String ask(String model, Optional<String> adapter, long millisLeft) {
         wishes++;
         String key = "r" + wishes;
         RequestTraits traits = new RequestTraits(
-                key,
-                OptionalLong.empty(),
-                Optional.of(model),
-                Optional.empty(),
-                100,
-                50,
-                List.of(),
-                OptionalLong.empty());
+                key, OptionalLong.empty(), Optional.of(model), adapter, 100, 50, List.of(), OptionalLong.empty());
         dispatcher.wish(
                 new Wish(key, "z1", SERVICE, traits, 1, nowMillis + millisLeft, nowMillis + 2_000, true, Set.of()),
                 nowMillis);
@@ -120,9 +118,14 @@
     }
 
     void report(String id, long ordersAccepted, boolean busy, String... held) {
+        report(id, ordersAccepted, busy, held(held));
+    }
+
+    /** Gives a report of models with their adapters. */
+    void report(String id, long ordersAccepted, boolean busy, List<HeldModel> held) {
         dispatcher.reported(
                 targets.get(id),
-                Optional.of(new EngineReport(0, ordersAccepted, busy, held(held), Set.of(), Set.of())),
+                Optional.of(new EngineReport(0, ordersAccepted, busy, held, Set.of(), Set.of())),
                 nowMillis);
     }
 
