Place models for full targets, out of each other's way, and by what the store can bring

Now: a model whose targets are all full gets one more where that costs others less than the wait; a busy model that is in the way of another's only copy is loaded elsewhere first, and stays there for a while; a closed store leaves the plans from copies; models without a copy are fetched by demand, one at a time until loads in time show that the store serves more (StoreGauge). Load it answers: more models than fit, each asked for about once a second, with a burst on one of them, a store that serves one load at a time.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -47,6 +47,7 @@
     private final ModelKeeper keeper;
     private EngineSpec spec;
     private final Set<String> cold = new HashSet<>();
+    private final Map<String, Integer> crowded = new HashMap<>();
     private final Map<String, Long> readyMillisByModel = new HashMap<>();
     private long pumpedMillis = Long.MIN_VALUE / 2;
     private boolean demandExpected;
@@ -107,7 +108,7 @@
         readyMillisByModel.clear();
         place(each, nowMillis);
         if (waiting.containsKey(wish.key())) {
-            keeper.keep(spec, engines.values(), cold, nowMillis);
+            keeper.keep(spec, engines.values(), cold, crowded, nowMillis);
         }
     }
 
@@ -225,11 +226,12 @@
                 .thenComparingLong(each -> each.wish().deadlineMillis()));
         pumpedMillis = nowMillis;
         cold.clear();
+        crowded.clear();
         readyMillisByModel.clear();
         for (Waiting each : ordered) {
             place(each, nowMillis);
         }
-        keeper.keep(spec, engines.values(), cold, nowMillis);
+        keeper.keep(spec, engines.values(), cold, crowded, nowMillis);
     }
 
     private void place(Waiting each, long nowMillis) {
@@ -244,7 +246,13 @@
             take(wish, choice.get(), nowMillis);
             return;
         }
-        model.filter(name -> !servedFor(wish, name, nowMillis)).ifPresent(cold::add);
+        model.ifPresent(name -> {
+            if (servedFor(wish, name, nowMillis)) {
+                crowded.merge(name, 1, Integer::sum);
+            } else {
+                cold.add(name);
+            }
+        });
         refuseIfTooLate(each, nowMillis);
     }
 
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -56,6 +56,10 @@
     int conflictsInRow;
     Optional<Residency> leaving = Optional.empty();
     Optional<String> wantedModel = Optional.empty();
+
+    /** Whether the model that is next has been loaded elsewhere until now, where it is to make way. */
+    boolean wantedIsMoved;
+
     long nextOrderMillis;
     long lastOrderMillis = Long.MIN_VALUE / 2;
     long reportAskedMillis;
@@ -214,6 +218,11 @@
         return false;
     }
 
+    /** Tells whether the load that is next comes from the weight store. */
+    boolean startsFromStore() {
+        return wantedModel.map(spec.models()::get).filter(this::loadsFromStore).isPresent();
+    }
+
     boolean hasCopy(String model) {
         return models.containsKey(model) || inMemory.contains(model) || onDisk.contains(model);
     }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -47,13 +47,15 @@
 
     /**
      * Returns the cheapest way to load a model, which may be to wait for a target that is busy with another load; empty
-     * where no target can take it.
+     * where no target can take it. Loads from the weight store count only where it is open for one more.
      */
-    Optional<Plan> plan(ModelSpec model, Collection<EngineState> engines, Set<String> wanted, long nowMillis) {
+    Optional<Plan> plan(
+            ModelSpec model, Collection<EngineState> engines, Set<String> wanted, boolean storeOpen, long nowMillis) {
         Replicas replicas = Replicas.count(engines, nowMillis);
         Plan best = null;
         for (EngineState engine : engines) {
-            if (!engine.takesWork(nowMillis) || engine.models.containsKey(model.name())) {
+            boolean usable = engine.takesWork(nowMillis) && !engine.models.containsKey(model.name());
+            if (!usable || (!storeOpen && engine.loadsFromStore(model))) {
                 continue;
             }
             Optional<Plan> plan = plan(model, engine, replicas, wanted, nowMillis);
@@ -93,6 +95,7 @@
         for (Map.Entry<String, Residency> held : engine.models.entrySet()) {
             Residency residency = held.getValue();
             boolean spared = !residency.ready(nowMillis)
+                    || residency.staysUntilMillis > nowMillis
                     || wanted.contains(held.getKey())
                     || (demand.perSecond(held.getKey(), nowMillis) >= BUSY_PER_SECOND
                             && !replicas.servedBeside(engine, held.getKey()));
@@ -116,6 +119,20 @@
         return freeMb >= model.sizeMb() ? Optional.of(victims) : Optional.empty();
     }
 
+    /**
+     * Returns a busy model that no other target serves and that alone keeps a model from being loaded here: the one that
+     * is asked for least. Held elsewhere as well, it could make way.
+     */
+    Optional<String> inTheWay(ModelSpec model, EngineState engine, long nowMillis) {
+        double needMb = model.sizeMb() + engine.spec.adapterSlots() * model.adapterSizeMb() - engine.freeMb();
+        return engine.models.entrySet().stream()
+                .filter(held -> held.getValue().ready(nowMillis) && !held.getValue().retiring)
+                .map(Map.Entry::getKey)
+                .filter(name -> engine.spec.models().containsKey(name)
+                        && engine.spec.models().get(name).sizeMb() >= needMb)
+                .min(Comparator.comparingDouble(name -> demand.perSecond(name, nowMillis)));
+    }
+
     /** Returns the milliseconds that callers would wait, in sum, for the model to come back. */
     private double loss(String model, EngineState engine, Replicas replicas, long nowMillis) {
         ModelSpec spec = engine.spec.models().get(model);
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.dispatch;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.ModelSpec;
 
@@ -19,38 +19,32 @@
  * <p>Invariant: a model is ordered only where it fits beside all that the target may hold. Confined to one thread.
  */
 final class ModelKeeper {
-    /** A second replica is worth a fast load, not one that keeps a target from others for seconds. */
+    private static final String WAITED_FOR = "waited for";
+    private static final String NO_COPY = "no copy";
     private static final String BUSY = "busy";
+    private static final String CROWDED = "targets full";
+    private static final String MOVED = "in the way of another";
 
-    /** What a second replica may cost: its own load, and hardly anything that others wait for. */
+    /** What one more replica may cost: its own load, and hardly anything that others wait for. */
     private static final double REPLICA_WORTH_MILLIS = 900;
 
     /** What each request a second adds to that: so many lose their streams with the only replica. */
     private static final double WORTH_MILLIS_PER_REQUEST = 500;
 
+    /** Each request that waits for a place would wait this much longer; answers take a second or two. */
+    private static final double WORTH_MILLIS_PER_WAITING = 1_000;
+
     /** A busy model gets a second replica, so that the loss of a target leaves one. */
     private static final int REPLICAS_WHEN_BUSY = 2;
 
     /** Loads ahead of demand leave this many of a window's loads for requests. */
     private static final int SPARE_LOADS = 3;
 
-    /** At most this many models are fetched ahead of demand at once, so that loads for requests stay fast. */
-    private static final int FETCHES_AT_ONCE = 3;
-
-    /** One target in this many may load from the weight store at a time; the others stay free for fast loads. */
-    private static final int STORE_LOADS_DIVISOR = 3;
+    /** A model that was moved makes way where it was before within this: its load, and the end of its streams. */
+    private static final long MOVED_STAYS_MILLIS = 4_000;
 
     private static final int MAX_HELD_CHARS = 700;
 
-    /** Few stores serve more than this at full speed. */
-    private static final int MOST_STORE_LOADS = 4;
-
-    /** A load this much over its time shows that the store is shared by too many. */
-    private static final double OVERDUE_SHARE = 0.3;
-
-    /** After this the store is tried with more loads at once again. */
-    private static final long SLOW_STORE_MILLIS = 60_000;
-
     /** A load that was not possible is tried again after this, however much happens meanwhile. */
     private static final long TRY_GAP_MILLIS = 15;
 
@@ -65,11 +59,20 @@
     private final LoadPlanner planner;
     private final DispatchActions actions;
     private final Orders orders;
-    private final Map<String, Long> triedAtMillis = new HashMap<>();
-    private long slowStoreUntilMillis = Long.MIN_VALUE;
+    private final StoreGauge store = new StoreGauge();
+    private final Map<String, Tried> tried = new HashMap<>();
     private long aheadMillis = Long.MIN_VALUE / 2;
     private final Map<String, Long> notLoadedMillis = new HashMap<>();
 
+    /** What came of the wish to load a model. */
+    private enum Outcome {
+        BEGUN,
+        WAITS_FOR_TARGET,
+        NOT_POSSIBLE
+    }
+
+    private record Tried(long atMillis, Outcome outcome) {}
+
     ModelKeeper(Demand demand, LoadBudget budget, Orders orders, DispatchActions actions) {
         this.demand = demand;
         this.budget = budget;
@@ -99,23 +102,35 @@
         return best == Long.MAX_VALUE ? nowMillis + nearestLoadMillis : best;
     }
 
-    /** Gives the orders that are due. */
-    void keep(EngineSpec spec, Collection<EngineState> engines, Set<String> cold, long nowMillis) {
+    /**
+     * Gives the orders that are due.
+     *
+     * @param cold models that are waited for and that no target serves
+     * @param crowded models whose targets are all full, with the number of requests that wait
+     */
+    void keep(
+            EngineSpec spec,
+            Collection<EngineState> engines,
+            Set<String> cold,
+            Map<String, Integer> crowded,
+            long nowMillis) {
         confirm(engines, nowMillis);
         if (!orders.allowed()) {
             return;
         }
+        store.look(engines, nowMillis);
+        boolean waits = false;
         for (String model : cold) {
-            Long triedMillis = triedAtMillis.get(model);
-            boolean triedJustNow = triedMillis != null && nowMillis - triedMillis < TRY_GAP_MILLIS;
-            if (!triedJustNow && !underWay(model, engines, nowMillis)) {
-                triedAtMillis.put(model, nowMillis);
-                start(spec.models().get(model), engines, cold, "waited for", 0, nowMillis);
+            if (!underWay(model, engines, nowMillis)) {
+                waits |= bring(spec.models().get(model), engines, cold, nowMillis) == Outcome.WAITS_FOR_TARGET;
             }
         }
-        if (cold.isEmpty() && nowMillis - aheadMillis >= AHEAD_GAP_MILLIS) {
+        if (!waits && nowMillis - aheadMillis >= AHEAD_GAP_MILLIS) {
             aheadMillis = nowMillis;
-            replicate(spec, engines, nowMillis);
+            relieve(spec, engines, cold, crowded, nowMillis);
+            if (cold.isEmpty()) {
+                replicate(spec, engines, nowMillis);
+            }
             fetchAhead(spec, engines, nowMillis);
         }
         for (EngineState engine : engines) {
@@ -123,6 +138,86 @@
         }
     }
 
+    /** Loads a model that is waited for; where only a busy model is in its way, that one is loaded elsewhere first. */
+    private Outcome bring(ModelSpec model, Collection<EngineState> engines, Set<String> cold, long nowMillis) {
+        Tried before = tried.get(model.name());
+        if (before != null && nowMillis - before.atMillis() < TRY_GAP_MILLIS) {
+            return before.outcome();
+        }
+        Optional<LoadPlanner.Plan> plan =
+                planner.plan(model, engines, cold, storeOpen(engines, 0, nowMillis), nowMillis);
+        boolean dear = plan.isEmpty() || plan.get().fromStore();
+        Outcome outcome = dear && clearTheWay(model, engines, cold, nowMillis)
+                ? Outcome.WAITS_FOR_TARGET
+                : begin(model, plan, WAITED_FOR, nowMillis);
+        if (outcome == Outcome.NOT_POSSIBLE && !engines.isEmpty()) {
+            notLoaded(model, engines, nowMillis);
+        }
+        tried.put(model.name(), new Tried(nowMillis, outcome));
+        return outcome;
+    }
+
+    private boolean storeOpen(Collection<EngineState> engines, int spareLoads, long nowMillis) {
+        return store.open(engines.size()) && budget.allows(nowMillis, spareLoads);
+    }
+
+    /**
+     * Loads the busy model that alone keeps another from being loaded from a copy at some other target; tells whether that
+     * is under way.
+     */
+    private boolean clearTheWay(ModelSpec model, Collection<EngineState> engines, Set<String> cold, long nowMillis) {
+        for (EngineState engine : engines) {
+            boolean usable = engine.takesWork(nowMillis) && engine.wantedModel.isEmpty() && !engine.loading(nowMillis);
+            if (!usable || engine.loadsFromStore(model)) {
+                continue;
+            }
+            Optional<String> blocking = planner.inTheWay(model, engine, nowMillis);
+            if (blocking.isEmpty()) {
+                continue;
+            }
+            List<EngineState> others =
+                    engines.stream().filter(other -> other != engine).toList();
+            ModelSpec moved = engine.spec.models().get(blocking.get());
+            if (coming(moved.name(), others, nowMillis)
+                    || begin(moved, planner.plan(moved, others, cold, false, nowMillis), MOVED, nowMillis)
+                            == Outcome.BEGUN) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether some target loads the model, or is about to. */
+    private static boolean coming(String model, Collection<EngineState> engines, long nowMillis) {
+        for (EngineState engine : engines) {
+            Residency held = engine.models.get(model);
+            boolean loading = held != null && !held.ready(nowMillis);
+            if (engine.takesWork(nowMillis)
+                    && (loading || engine.wantedModel.filter(model::equals).isPresent())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Gives models whose targets are all full one more, where that costs others less than the wait. */
+    private void relieve(
+            EngineSpec spec,
+            Collection<EngineState> engines,
+            Set<String> cold,
+            Map<String, Integer> crowded,
+            long nowMillis) {
+        crowded.forEach((name, waiting) -> {
+            ModelSpec model = spec.models().get(name);
+            if (!coming(name, engines, nowMillis)) {
+                double worthMillis = REPLICA_WORTH_MILLIS + waiting * WORTH_MILLIS_PER_WAITING;
+                planner.plan(model, engines, cold, false, nowMillis)
+                        .filter(plan -> plan.costMillis() <= worthMillis)
+                        .ifPresent(plan -> begin(model, Optional.of(plan), CROWDED, nowMillis));
+            }
+        });
+    }
+
     private void confirm(Collection<EngineState> engines, long nowMillis) {
         for (EngineState engine : engines) {
             if (engine.unconfirmed(nowMillis) && nowMillis - engine.reportAskedMillis >= Orders.REPORT_GAP_MILLIS) {
@@ -141,35 +236,17 @@
         return false;
     }
 
-    private boolean start(
-            ModelSpec model,
-            Collection<EngineState> engines,
-            Set<String> wanted,
-            String why,
-            int spareLoads,
-            long nowMillis) {
-        Optional<LoadPlanner.Plan> plan = planner.plan(model, engines, wanted, nowMillis);
-        if (plan.isEmpty() && !engines.isEmpty()) {
-            notLoaded(model, () -> "no target has room that is not in use: " + held(engines, nowMillis), nowMillis);
-            return false;
-        }
-        if (plan.isEmpty() || !plan.get().now()) {
-            return false;
-        }
-        if (why.equals(BUSY)
-                && (plan.get().fromStore() || plan.get().costMillis() > replicaWorthMillis(model, nowMillis))) {
-            return false;
+    /** Begins a load that is planned, where its target is free. */
+    private Outcome begin(ModelSpec model, Optional<LoadPlanner.Plan> plan, String why, long nowMillis) {
+        if (plan.isEmpty()) {
+            return Outcome.NOT_POSSIBLE;
         }
-        if (plan.get().fromStore() && storeLoads(engines) >= storeLoadLimit(model, engines, nowMillis)) {
-            notLoaded(model, () -> "enough targets load from the weight store", nowMillis);
-            return false;
-        }
-        if (plan.get().fromStore() && !budget.allows(nowMillis, spareLoads)) {
-            notLoaded(model, () -> "too many loads from the weight store", nowMillis);
-            return false;
+        if (!plan.get().now()) {
+            return Outcome.WAITS_FOR_TARGET;
         }
         EngineState engine = plan.get().engine();
         engine.wantedModel = Optional.of(model.name());
+        engine.wantedIsMoved = why.equals(MOVED);
         actions.decided(
                 "load-planned",
                 "model",
@@ -184,7 +261,7 @@
                 String.join(",", plan.get().victims()),
                 "costMillis",
                 Math.round(plan.get().costMillis()));
-        return true;
+        return Outcome.BEGUN;
     }
 
     /** Returns what targets hold, with the requests a second that each model gets; cut where there are many. */
@@ -203,33 +280,18 @@
         return text.toString();
     }
 
-    /**
-     * Returns how many loads from the weight store may run at once. A store that is shared by more than it can serve at
-     * full speed takes longer for each; once a load is overdue they go one by one.
-     */
-    private long storeLoadLimit(ModelSpec model, Collection<EngineState> engines, long nowMillis) {
-        for (EngineState engine : engines) {
-            for (Residency held : engine.models.values()) {
-                if (held.unconfirmed && nowMillis - held.readyAtMillis > model.storeLoadMillis() * OVERDUE_SHARE) {
-                    slowStoreUntilMillis = nowMillis + SLOW_STORE_MILLIS;
-                }
-            }
-        }
-        if (nowMillis < slowStoreUntilMillis) {
-            return 1;
-        }
-        return Math.clamp(engines.size() / STORE_LOADS_DIVISOR, 1, MOST_STORE_LOADS);
-    }
-
-    private static long storeLoads(Collection<EngineState> engines) {
-        return engines.stream().filter(EngineState::loadingFromStore).count();
-    }
-
-    private void notLoaded(ModelSpec model, Supplier<String> why, long nowMillis) {
+    private void notLoaded(ModelSpec model, Collection<EngineState> engines, long nowMillis) {
         Long before = notLoadedMillis.get(model.name());
         if (before == null || nowMillis - before > SAME_LINE_MILLIS) {
             notLoadedMillis.put(model.name(), nowMillis);
-            actions.decided("load-not-possible", "model", model.name(), "why", why.get());
+            actions.decided(
+                    "load-not-possible",
+                    "model",
+                    model.name(),
+                    "storeOpen",
+                    storeOpen(engines, 0, nowMillis),
+                    "held",
+                    held(engines, nowMillis));
         }
     }
 
@@ -242,7 +304,9 @@
                     .filter(engine -> engine.takesWork(nowMillis) && engine.holdsOrWants(model.name()))
                     .count();
             if (replicas < REPLICAS_WHEN_BUSY) {
-                start(model, engines, Set.of(), BUSY, SPARE_LOADS, nowMillis);
+                planner.plan(model, engines, Set.of(), false, nowMillis)
+                        .filter(plan -> plan.costMillis() <= replicaWorthMillis(model, nowMillis))
+                        .ifPresent(plan -> begin(model, Optional.of(plan), BUSY, nowMillis));
             }
         }
     }
@@ -253,23 +317,17 @@
 
     /** Brings models that no target has a copy of to some target's disk, from where they load fast. */
     private void fetchAhead(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
-        long fetching = engines.stream()
-                .filter(engine -> engine.wantedModel.isPresent() || engine.loadingFromStore())
-                .count();
-        if (fetching >= FETCHES_AT_ONCE) {
+        if (!storeOpen(engines, SPARE_LOADS, nowMillis) || engines.stream().anyMatch(EngineState::startsFromStore)) {
             return;
         }
         Set<String> busy = busy(spec, nowMillis);
-        for (ModelSpec model : spec.models().values()) {
-            if (fetching >= FETCHES_AT_ONCE) {
-                return;
-            }
-            if (engines.stream().noneMatch(engine -> engine.hasCopy(model.name()))
-                    && !underWay(model.name(), engines, nowMillis)
-                    && start(model, engines, busy, "no copy", SPARE_LOADS, nowMillis)) {
-                fetching++;
-            }
-        }
+        spec.models().values().stream()
+                .filter(model -> engines.stream()
+                        .noneMatch(engine -> engine.takesWork(nowMillis) && engine.hasCopy(model.name())))
+                .filter(model -> !underWay(model.name(), engines, nowMillis))
+                .max(Comparator.comparingDouble(model -> demand.perSecond(model.name(), nowMillis)))
+                .ifPresent(
+                        model -> begin(model, planner.plan(model, engines, busy, true, nowMillis), NO_COPY, nowMillis));
     }
 
     private Set<String> busy(EngineSpec spec, long nowMillis) {
@@ -307,7 +365,9 @@
         if (!victims.get().isEmpty() || (engine.loadsFromStore(model) && !budget.allows(nowMillis, 0))) {
             return;
         }
-        engine.models.put(model.name(), new Residency(Residency.NOT_YET, Set.of()));
+        Residency coming = new Residency(Residency.NOT_YET, Set.of());
+        coming.staysUntilMillis = engine.wantedIsMoved ? nowMillis + MOVED_STAYS_MILLIS : 0;
+        engine.models.put(model.name(), coming);
         orders.order(engine, EngineOrder.Kind.LOAD, model.name(), Optional.empty(), nowMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Residency.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Residency.java
@@ -23,6 +23,9 @@
     /** Whether it takes no more requests, so that it can make way once those under way have ended. */
     boolean retiring;
 
+    /** Until then the model doesn't make way, since a replica elsewhere is about to. */
+    long staysUntilMillis;
+
     int running;
     long lastUsedMillis;
     final Map<String, AdapterUse> adapters = new HashMap<>();
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTest.java
@@ -320,4 +320,68 @@
         assertThat(fleet.lastOrder().target().id()).isNotEqualTo(spared);
         assertThat(fleet.refused).doesNotContainKey(wanted);
     }
+
+    @Test
+    void a_busy_model_is_loaded_elsewhere_where_it_is_in_the_way_of_the_only_copy_of_another() {
+        FakeFleet fleet = new FakeFleet("busy", "lively", "idle", "rare", "wanted");
+        fleet.target("t1", List.of("busy", "lively"), Set.of("busy", "lively", "wanted"));
+        fleet.target("t2", List.of("idle", "rare"), Set.of("idle", "rare", "busy", "lively"));
+        fleet.checkIn();
+        fleet.askOften("busy", LONG_MILLIS);
+        fleet.askOften("lively", LONG_MILLIS);
+        String wanted = fleet.ask("wanted", LONG_MILLIS);
+        fleet.carryOutOrders(3_000);
+
+        assertThat(fleet.granted).containsEntry(wanted, "t1");
+        assertThat(fleet.holds("t2")).containsAnyOf("busy", "lively");
+    }
+
+    @Test
+    void a_model_whose_targets_are_full_is_loaded_at_another() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.target("t1", List.of("m1"), Set.of("m1"));
+        fleet.target("t2", List.of("m1"), Set.of("m1"));
+        fleet.target("t3", List.of("m2"), Set.of("m1", "m2"));
+        fleet.checkIn();
+        for (int i = 0; i < 3 * FakeFleet.SLOTS; i++) {
+            fleet.ask("m1", LONG_MILLIS);
+        }
+        fleet.carryOutOrders(2_000);
+
+        assertThat(fleet.granted).hasSize(3 * FakeFleet.SLOTS).containsValue("t3");
+    }
+
+    @Test
+    void a_dear_load_from_disk_is_taken_while_the_weight_store_is_busy() {
+        FakeFleet fleet = new FakeFleet("held", "second", "fetched", "wanted", "rest");
+        fleet.target("t1", List.of("held", "second"), Set.of("wanted"));
+        fleet.target("t2", List.of("rest"), Set.of("rest"));
+        fleet.checkIn();
+        for (int i = 0; i < 5; i++) {
+            fleet.dispatcher.ended(fleet.ask("held", LONG_MILLIS), fleet.nowMillis);
+            fleet.dispatcher.ended(fleet.ask("second", LONG_MILLIS), fleet.nowMillis);
+        }
+        fleet.ask("fetched", LONG_MILLIS);
+        fleet.carryOutOrders(200);
+        String wanted = fleet.ask("wanted", LONG_MILLIS);
+        fleet.carryOutOrders(3_000);
+
+        assertThat(fleet.granted).containsEntry(wanted, "t1");
+    }
+
+    @Test
+    void models_without_a_copy_are_fetched_in_the_order_of_their_demand() {
+        FakeFleet fleet = new FakeFleet("held", "a", "b", "c");
+        fleet.target("t1", List.of("held"), Set.of("held"));
+        fleet.dispatcher.ordersAllowed(false);
+        fleet.checkIn();
+        fleet.ask("c", 1_000);
+        fleet.ask("c", 1_000);
+        fleet.ask("b", 1_000);
+        fleet.dispatcher.ordersAllowed(true);
+        fleet.pass(300);
+        fleet.report("t1", 0, "held");
+
+        assertThat(fleet.ordered(EngineOrder.Kind.LOAD)).containsExactly("c");
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +24,8 @@
     static final double TARGET_MB = 62;
     static final long STORE_MILLIS = 6_000;
     static final long DISK_MILLIS = 400;
+    static final int SLOTS = 8;
+    private static final long STEP_MILLIS = 20;
 
     final List<EngineOrder> orders = new ArrayList<>();
     final Map<String, String> granted = new LinkedHashMap<>();
@@ -33,6 +36,10 @@
     final Map<String, Target> targets = new LinkedHashMap<>();
     final Dispatcher dispatcher;
     long nowMillis = 1_000_000;
+    private final Map<String, Set<String>> holding = new LinkedHashMap<>();
+    private final Map<String, Long> accepted = new LinkedHashMap<>();
+    private final Map<String, Long> busyUntilMillis = new LinkedHashMap<>();
+    private int answered;
     private int wishes;
 
     FakeFleet(String... models) {
@@ -40,7 +47,7 @@
         for (String model : models) {
             specs.put(model, new ModelSpec(model, MODEL_MB, STORE_MILLIS, DISK_MILLIS, DISK_MILLIS, 4, 0.1));
         }
-        EngineSpec spec = new EngineSpec(8, 100_000, TARGET_MB, 2, 1.6, true, specs);
+        EngineSpec spec = new EngineSpec(SLOTS, 100_000, TARGET_MB, 2, 1.6, true, specs);
         dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), this);
         dispatcher.ordersAllowed(true);
     }
@@ -134,6 +141,52 @@
         dispatcher.ordered(orders.get(orders.size() - 1), answer, nowMillis);
     }
 
+    /** Lets time pass while targets answer with reports and carry out orders at once, each load in its time. */
+    void carryOutOrders(long millis) {
+        for (long endMillis = nowMillis + millis; nowMillis < endMillis; pass(STEP_MILLIS)) {
+            List<String> asked = List.copyOf(reportsAsked);
+            reportsAsked.clear();
+            asked.forEach(id -> report(id, accepted.getOrDefault(id, 0L), loading(id), holds(id)));
+            while (answered < orders.size()) {
+                carryOut(orders.get(answered++));
+            }
+        }
+    }
+
+    private boolean loading(String id) {
+        return busyUntilMillis.getOrDefault(id, 0L) > nowMillis;
+    }
+
+    private void carryOut(EngineOrder order) {
+        String id = order.target().id();
+        boolean due = order.ordersAccepted() == accepted.getOrDefault(id, 0L) && !loading(id);
+        if (!due) {
+            dispatcher.ordered(order, OrderAnswer.CONFLICT, nowMillis);
+            return;
+        }
+        accepted.merge(id, 1L, Long::sum);
+        Set<String> models = new LinkedHashSet<>(List.of(holds(id)));
+        if (order.kind() == EngineOrder.Kind.UNLOAD) {
+            models.remove(order.model());
+        } else {
+            models.add(order.model());
+            boolean copied = targets.get(id).onDisk().contains(order.model());
+            busyUntilMillis.put(id, nowMillis + (copied ? DISK_MILLIS : STORE_MILLIS));
+        }
+        holding.put(id, models);
+        dispatcher.ordered(order, OrderAnswer.ACCEPTED, nowMillis);
+    }
+
+    /** Returns the models that a target holds after the orders that it has carried out. */
+    String[] holds(String id) {
+        return holding.computeIfAbsent(id, unused -> {
+                    Set<String> names = new LinkedHashSet<>();
+                    targets.get(id).models().forEach(model -> names.add(model.name()));
+                    return names;
+                })
+                .toArray(String[]::new);
+    }
+
     EngineOrder lastOrder() {
         return orders.get(orders.size() - 1);
     }
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Gateways keep their promises through faults at random, a few at a time and overlapping.
@@ -42,6 +44,18 @@
         assertThat(soak(1)).isEmpty();
     }
 
+    /**
+     * Seeds that failed once.
+     *
+     * <p>104: an answer to an order, overtaken by a report, took an adapter out of what the report had shown, and the target
+     * was ordered beyond its places.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {104})
+    void promises_hold_through_seeds_that_failed_before(long seed) throws Exception {
+        assertThat(soak(seed)).isEmpty();
+    }
+
     @Test
     @Tag("long")
     void promises_hold_through_many_seeds() throws Exception {
