--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/gateway/RegistersTest.java
@@ -0,0 +1,72 @@
+package org.poplarwharf.internal.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.fleet.FleetPlan;
+import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.platform.PlanDocument;
+import org.poplarwharf.internal.platform.TargetEntries;
+
+/** What the registers of plans and targets believe of entries that can't be used, and what they log. */
+class RegistersTest {
+    private static final String TARGET =
+            "{'service':'desk','addr':'127.0.0.1:1','zone':'z1','slots':4,'state':'ready','seq':1}";
+
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final DecisionLog log = new DecisionLog("n1", "z1", new PrintStream(output, true, StandardCharsets.UTF_8));
+    private final FleetView view = new FleetView();
+    private final TargetRegister targets =
+            new TargetRegister(view, TargetEntries::decode, () -> 0, (delayMillis, task) -> {}, log);
+    private final PlanRegister plans = new PlanRegister(view, PlanDocument::decode, log);
+
+    @Test
+    void an_entry_that_names_no_target_is_logged_and_the_others_hold() {
+        targets.put("i-1", bytes(TARGET));
+        targets.put("x-1", bytes("not json"));
+        targets.put("x-2", bytes("{'service':7,'addr':[],'state':'ready'}"));
+        targets.put("x-3", bytes(TARGET.replace("ready", "resting")));
+
+        assertThat(view.target("i-1")).isPresent();
+        assertThat(view.targetsOf("desk")).hasSize(1);
+        assertThat(logged("target-entry-unusable")).isEqualTo(3);
+        assertThat(text()).contains("\"target\":\"x-1\"", "\"target\":\"x-2\"", "\"target\":\"x-3\"");
+    }
+
+    @Test
+    void a_plan_that_cannot_be_read_is_logged_and_the_one_before_holds() {
+        plans.put("config", bytes("{'version':4,'routes':[],'services':[]}"));
+        plans.put("config", bytes("not a plan"));
+        plans.put("config", bytes("{'routes':[]}"));
+
+        assertThat(view.plan().map(FleetPlan::version)).contains(4L);
+        assertThat(logged("plan-unusable")).isEqualTo(2);
+    }
+
+    @Test
+    void an_older_plan_is_passed_over_and_logged() {
+        plans.put("config", bytes("{'version':4,'routes':[],'services':[]}"));
+        plans.put("config", bytes("{'version':3,'routes':[],'services':[]}"));
+
+        assertThat(view.plan().map(FleetPlan::version)).contains(4L);
+        assertThat(logged("plan-passed-over")).isEqualTo(1);
+    }
+
+    private long logged(String event) {
+        return text().lines()
+                .filter(line -> line.contains("\"event\":\"" + event + "\""))
+                .count();
+    }
+
+    private String text() {
+        log.flush();
+        return output.toString(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] bytes(String json) {
+        return json.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    }
+}
