Let a flush of the decision log wait for the lines that are being written

Seen: RegistersTest failed once in a run of the unit tests, with 0 of 3 lines. Cause, by reading: the writer takes lines out of the queue before it prints them, and flush waited for an empty queue only, so it could return while lines were on their way; the last lines of a node that stops could be lost in the same way. Ruled out: that the registers had not logged (the lines come a moment later). The log now counts the lines that are not on the stream yet, and flush waits for them, for 200 ms at most as before.

Test: DecisionLogTest.a_flush_waits_for_a_line_that_is_being_written, red before; RegistersTest and it green after.

--- a/src/main/java/org/poplarwharf/internal/kernel/DecisionLog.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/DecisionLog.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -27,6 +28,9 @@
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
     private final AtomicLong dropped = new AtomicLong();
 
+    /** Lines that were taken and are not on the stream yet; one that is being written is no longer in the queue. */
+    private final AtomicInteger unwritten = new AtomicInteger();
+
     public DecisionLog(String nodeId, String zone, PrintStream stream) {
         this.nodeId = nodeId;
         this.zone = zone;
@@ -57,13 +61,15 @@
     /** Waits, for a moment at most, until all lines are out. */
     public void flush() {
         long limitNanos = System.nanoTime() + 200_000_000L;
-        while (!waiting.isEmpty() && System.nanoTime() < limitNanos) {
+        while (unwritten.get() > 0 && System.nanoTime() < limitNanos) {
             Thread.onSpinWait();
         }
     }
 
     private void offer(String line) {
+        unwritten.incrementAndGet();
         if (!waiting.offer(line)) {
+            unwritten.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -101,11 +107,14 @@
         try {
             while (true) {
                 StringBuilder lines = new StringBuilder(waiting.take());
+                int count = 1;
                 for (String next = waiting.poll(); next != null; next = waiting.poll()) {
                     lines.append(next);
+                    count++;
                 }
                 stream.print(lines);
                 stream.flush();
+                unwritten.addAndGet(-count);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
