Call one piece of code where the gateway's rooms had two

Read-through of the whole change; behaviour stays as it is. - RequestTraits.weights: EngineChooser and ExchangeNotes both put model and adapter together. - dispatch.Suspicion: EngineState and NearestPlaces both doubled a time up to a limit. Their caps on doublings (4 and 3) lay beyond the limits and had no effect. - dispatch.RecentTimes: LoadBudget and RetryBudget both kept a sliding window of times. - Demand.busy, EngineState.wants, ModelKeeper.addReplica, HolderRole.mayOrder and logOrder, Exchange.mayRunAgain, timeLeft and takesRetry: conditions and log fields written twice or thrice in one class. - Sockets.incoming: three servers set the same options; the one for questions now names TCP_NODELAY, which Netty sets by default. - gateway.Digits: EventSplitter and WireHeaders both read digits. - Soak: a fault's kind says what it strikes, in place of a second list of all kinds; ScriptedTarget.decline. Dead code goes: Residency.inUse, FleetView.targets, Links.Link.open, ServiceSpec.healthPath (read, never used), the soak targets' answers to health questions that no gateway asks.

Tests keep their assertions.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Demand.java
@@ -19,6 +19,9 @@
     /** A model that has fallen silent counts as one of the rare ones. */
     private static final double RARE_PER_SECOND = 0.1;
 
+    /** Asked for this often, a model is busy: its only replica stays, and it is worth a second one. */
+    private static final double BUSY_PER_SECOND = 0.7;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<String, Rate> rates = new HashMap<>();
@@ -63,6 +66,10 @@
         return Math.min(slow, Math.max(fast, RARE_PER_SECOND));
     }
 
+    boolean busy(String model, long nowMillis) {
+        return perSecond(model, nowMillis) >= BUSY_PER_SECOND;
+    }
+
     private Rate rate(String model, long nowMillis) {
         Rate rate = rates.computeIfAbsent(model, key -> new Rate());
         rate.fadeTo(nowMillis);
--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -310,7 +310,7 @@
         placeOf.put(wish.key(), engine);
         engine.reads(choice.prefillMillis(), nowMillis);
         wish.model().ifPresent(model -> {
-            engine.prompts.granted(EngineChooser.weights(wish), wish.traits().promptParts());
+            engine.prompts.granted(wish.traits().weights(), wish.traits().promptParts());
             Residency held = engine.models.get(model);
             held.running++;
             held.lastUsedMillis = nowMillis;
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineChooser.java
@@ -100,7 +100,9 @@
             return Optional.empty();
         }
         long toRead = engine.prompts.tokensToRead(
-                weights(wish), wish.traits().promptParts(), wish.traits().promptTokens());
+                wish.traits().weights(),
+                wish.traits().promptParts(),
+                wish.traits().promptTokens());
         long tokens = toRead + Math.min(wish.traits().maxOutputTokens(), COUNTED_OUTPUT_TOKENS);
         boolean idle = engine.running.isEmpty();
         boolean room = engine.running.size() < spec.batchSlots()
@@ -153,10 +155,4 @@
                 .orElse(0);
         return busyMillis + (free ? ADAPTER_LOAD_MILLIS : ADAPTER_SWAP_MILLIS);
     }
-
-    /** Returns what prompt parts are kept for: the model, and the adapter where there is one. */
-    static String weights(Wish wish) {
-        return wish.model().orElse("")
-                + wish.traits().adapter().map(adapter -> "/" + adapter).orElse("");
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -64,8 +64,7 @@
     long lastOrderMillis = Long.MIN_VALUE / 2;
     long reportAskedMillis;
     long prefillFreeMillis;
-    long suspectUntilMillis;
-    private int brokenInRow;
+    private final Suspicion suspicion = new Suspicion(FIRST_SUSPICION_MILLIS, LONGEST_SUSPICION_MILLIS);
     private long committedTokens;
     private double readShare;
     private long readShareMillis;
@@ -204,8 +203,12 @@
 
     /** Tells whether the target holds the model, loads it, or is to load it next. */
     boolean holdsOrWants(String model) {
-        return models.containsKey(model)
-                || (wantedModel.isPresent() && wantedModel.get().equals(model));
+        return models.containsKey(model) || wants(model);
+    }
+
+    /** Tells whether the model is to be loaded next. */
+    boolean wants(String model) {
+        return wantedModel.isPresent() && wantedModel.get().equals(model);
     }
 
     /** Tells whether a load from the weight store is under way. */
@@ -271,7 +274,7 @@
     }
 
     boolean takesWork(long nowMillis) {
-        return !target.leaving() && suspectUntilMillis <= nowMillis;
+        return !target.leaving() && suspicion.leftMillis(nowMillis) == 0;
     }
 
     /** Takes a run in and counts its tokens. */
@@ -308,7 +311,7 @@
     }
 
     void answered(long estimateMillis, long firstEventMillis, long nowMillis) {
-        brokenInRow = 0;
+        suspicion.answered();
         double observed =
                 Math.clamp(firstEventMillis / (double) Math.max(1, estimateMillis), LEAST_SLOWNESS, MOST_SLOWNESS);
         slowness = slowness(nowMillis) * (1 - SLOWNESS_WEIGHT) + observed * SLOWNESS_WEIGHT;
@@ -316,8 +319,6 @@
     }
 
     void broke(long nowMillis) {
-        suspectUntilMillis =
-                nowMillis + Math.min(LONGEST_SUSPICION_MILLIS, FIRST_SUSPICION_MILLIS << Math.min(brokenInRow, 4));
-        brokenInRow++;
+        suspicion.broke(nowMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadBudget.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadBudget.java
@@ -1,8 +1,5 @@
 package org.poplarwharf.internal.dispatch;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-
 /**
  * Bounds the loads from the weight store that begin within a sliding window, over all targets.
  *
@@ -13,7 +10,7 @@
     private final double perSecond;
     private final long windowMillis;
     private final double factor;
-    private final Deque<Long> begunMillis = new ArrayDeque<>();
+    private final RecentTimes begun = new RecentTimes();
 
     LoadBudget(double perSecond, long windowMillis, double factor) {
         this.perSecond = perSecond;
@@ -23,13 +20,10 @@
 
     /** Tells whether a load may begin now and still leave the given number for others. */
     boolean allows(long nowMillis, int spare) {
-        while (!begunMillis.isEmpty() && begunMillis.peekFirst() <= nowMillis - windowMillis) {
-            begunMillis.removeFirst();
-        }
-        return begunMillis.size() + 1 + spare <= perSecond * windowMillis / 1_000 * factor;
+        return begun.count(nowMillis, windowMillis) + 1 + spare <= perSecond * windowMillis / 1_000 * factor;
     }
 
     void begin(long nowMillis) {
-        begunMillis.addLast(nowMillis);
+        begun.add(nowMillis, windowMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -33,9 +33,6 @@
     /** A load from the weight store also keeps a target from all faster loads that others wait for meanwhile. */
     private static final double STORE_WEIGHT = 1.5;
 
-    /** Asked for this often, a model's only replica stays. */
-    static final double BUSY_PER_SECOND = 0.7;
-
     private final Demand demand;
 
     LoadPlanner(Demand demand) {
@@ -97,8 +94,7 @@
             boolean spared = !residency.ready(nowMillis)
                     || residency.staysUntilMillis > nowMillis
                     || wanted.contains(held.getKey())
-                    || (demand.perSecond(held.getKey(), nowMillis) >= BUSY_PER_SECOND
-                            && !replicas.servedBeside(engine, held.getKey()));
+                    || (demand.busy(held.getKey(), nowMillis) && !replicas.servedBeside(engine, held.getKey()));
             if (!spared && engine.spec.models().containsKey(held.getKey())) {
                 idle.add(held);
             }
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelKeeper.java
@@ -195,8 +195,7 @@
         for (EngineState engine : engines) {
             Residency held = engine.models.get(model);
             boolean loading = held != null && !held.ready(nowMillis);
-            if (engine.takesWork(nowMillis)
-                    && (loading || engine.wantedModel.filter(model::equals).isPresent())) {
+            if (engine.takesWork(nowMillis) && (loading || engine.wants(model))) {
                 return true;
             }
         }
@@ -214,9 +213,7 @@
             ModelSpec model = spec.models().get(name);
             if (!coming(name, engines, nowMillis)) {
                 double worthMillis = REPLICA_WORTH_MILLIS + waiting * WORTH_MILLIS_PER_WAITING;
-                planner.plan(model, engines, cold, false, nowMillis)
-                        .filter(plan -> plan.costMillis() <= worthMillis)
-                        .ifPresent(plan -> begin(model, Optional.of(plan), CROWDED, nowMillis));
+                addReplica(model, engines, cold, CROWDED, worthMillis, nowMillis);
             }
         });
     }
@@ -300,20 +297,31 @@
 
     private void replicate(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
         for (ModelSpec model : spec.models().values()) {
-            if (demand.perSecond(model.name(), nowMillis) < LoadPlanner.BUSY_PER_SECOND) {
+            if (!demand.busy(model.name(), nowMillis)) {
                 continue;
             }
             long replicas = engines.stream()
                     .filter(engine -> engine.takesWork(nowMillis) && engine.holdsOrWants(model.name()))
                     .count();
             if (replicas < REPLICAS_WHEN_BUSY) {
-                planner.plan(model, engines, Set.of(), false, nowMillis)
-                        .filter(plan -> plan.costMillis() <= replicaWorthMillis(model, nowMillis))
-                        .ifPresent(plan -> begin(model, Optional.of(plan), BUSY, nowMillis));
+                addReplica(model, engines, Set.of(), BUSY, replicaWorthMillis(model, nowMillis), nowMillis);
             }
         }
     }
 
+    /** Loads a model at one more target, from a copy there, where that costs no more than it is worth. */
+    private void addReplica(
+            ModelSpec model,
+            Collection<EngineState> engines,
+            Set<String> wanted,
+            String why,
+            double worthMillis,
+            long nowMillis) {
+        Optional<LoadPlanner.Plan> plan = planner.plan(model, engines, wanted, false, nowMillis)
+                .filter(affordable -> affordable.costMillis() <= worthMillis);
+        begin(model, plan, why, nowMillis);
+    }
+
     private double replicaWorthMillis(ModelSpec model, long nowMillis) {
         return REPLICA_WORTH_MILLIS + WORTH_MILLIS_PER_REQUEST * demand.perSecond(model.name(), nowMillis);
     }
@@ -336,7 +344,7 @@
     private Set<String> busy(EngineSpec spec, long nowMillis) {
         Set<String> busy = new HashSet<>();
         for (String model : spec.models().keySet()) {
-            if (demand.perSecond(model, nowMillis) >= LoadPlanner.BUSY_PER_SECOND) {
+            if (demand.busy(model, nowMillis)) {
                 busy.add(model);
             }
         }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Residency.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Residency.java
@@ -11,9 +11,6 @@
     /** Stands for a time that isn't known until an order is answered. */
     static final long NOT_YET = Long.MAX_VALUE / 2;
 
-    /** A model used this recently is in use: its callers come back within this time. */
-    private static final long RECENT_MILLIS = 1_000;
-
     /** When requests may be sent; later than now while it is being loaded. */
     long readyAtMillis;
 
@@ -42,11 +39,6 @@
         heldAdapters.forEach(name -> adapters.put(name, new AdapterUse()));
     }
 
-    /** Tells whether requests are under way, or were a moment ago. */
-    boolean inUse(long nowMillis) {
-        return running > 0 || (lastUsedMillis > 0 && nowMillis - lastUsedMillis < RECENT_MILLIS);
-    }
-
     boolean ready(long nowMillis) {
         return !unconfirmed && readyAtMillis <= nowMillis;
     }
--- a/src/main/java/org/poplarwharf/internal/fleet/RequestTraits.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/RequestTraits.java
@@ -23,6 +23,11 @@
         List<PromptPart> promptParts,
         OptionalLong lastEventId) {
 
+    /** Returns the name of the weights that the request runs on: its model, with its adapter where it asks for one. */
+    public String weights() {
+        return model.orElse("") + adapter.map(name -> "/" + name).orElse("");
+    }
+
     /** A part of a prompt that requests may share. Immutable and thread-safe. */
     public record PromptPart(String id, long tokens) {}
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -88,15 +88,14 @@
             if (!line.startsWith(ID_FIELD)) {
                 continue;
             }
-            String text = line.substring(ID_FIELD.length()).strip();
-            if (text.isEmpty() || text.length() > 15 || !text.chars().allMatch(Character::isDigit)) {
+            OptionalLong id = Digits.parse(line.substring(ID_FIELD.length()).strip());
+            if (id.isEmpty()) {
                 return true;
             }
-            long id = Long.parseLong(text);
-            if (lastId.isPresent() && id <= lastId.getAsLong()) {
+            if (lastId.isPresent() && id.getAsLong() <= lastId.getAsLong()) {
                 return false;
             }
-            lastId = OptionalLong.of(id);
+            lastId = id;
             return true;
         }
         return true;
--- a/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Exchange.java
@@ -238,10 +238,8 @@
 
     /** The last target did not run the request: another one may. */
     private void seekElsewhere(String reason) {
-        boolean timeLeft = deadlineMillis - parts.nowMillis() > LEAST_RUN_MILLIS
-                && sends < parts.policy().maxSends();
-        boolean allowed = targetsRun == 0 || (route.kind().mayRunAgain() && (!answer.begun() || resumable()));
-        if (timeLeft && allowed && parts.retries().take(service, parts.nowMillis())) {
+        boolean allowed = targetsRun == 0 || mayRunAgain();
+        if (allowed && timeLeft() && sends < parts.policy().maxSends() && takesRetry()) {
             seek();
         } else {
             giveUp(reason, parts.policy().retryAfterDeclinedMillis());
@@ -263,11 +261,7 @@
 
     /** Tells whether another target keeps the memory of a run that has begun: going on there is the same run. */
     private boolean mayGoOnFromCopy() {
-        return backup.isPresent()
-                && answer.begun()
-                && answer.lastEventId().isPresent()
-                && deadlineMillis - parts.nowMillis() > LEAST_RUN_MILLIS
-                && parts.retries().take(service, parts.nowMillis());
+        return backup.isPresent() && answer.begun() && answer.lastEventId().isPresent() && timeLeft() && takesRetry();
     }
 
     private void goOnFromCopy(String reason) {
@@ -294,11 +288,20 @@
 
     /** Tells whether a request that may have run may go to one more target, and takes that from the budget. */
     private boolean mayRepeat() {
-        return route.kind().mayRunAgain()
-                && targetsRun < route.maxTargets()
-                && deadlineMillis - parts.nowMillis() > LEAST_RUN_MILLIS
-                && (!answer.begun() || resumable())
-                && parts.retries().take(service, parts.nowMillis());
+        return mayRunAgain() && targetsRun < route.maxTargets() && timeLeft() && takesRetry();
+    }
+
+    /** Tells whether a second run is allowed, and could go on with the answer as far as the caller has it. */
+    private boolean mayRunAgain() {
+        return route.kind().mayRunAgain() && (!answer.begun() || resumable());
+    }
+
+    private boolean takesRetry() {
+        return parts.retries().take(service, parts.nowMillis());
+    }
+
+    private boolean timeLeft() {
+        return deadlineMillis - parts.nowMillis() > LEAST_RUN_MILLIS;
     }
 
     private void repeat(String reason) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeNotes.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeNotes.java
@@ -23,9 +23,16 @@
 
     void seeks(String service, RequestTraits traits, int send, long millisLeft) {
         parts.metrics().seeking();
-        String weights = traits.model().orElse("")
-                + traits.adapter().map(adapter -> "/" + adapter).orElse("");
-        log("request-seeks-target", "service", service, "weights", weights, "send", send, "millisLeft", millisLeft);
+        log(
+                "request-seeks-target",
+                "service",
+                service,
+                "weights",
+                traits.weights(),
+                "send",
+                send,
+                "millisLeft",
+                millisLeft);
     }
 
     void sent(Target target, String by, long millisLeft) {
--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -1,7 +1,6 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,10 +72,6 @@
         return plan;
     }
 
-    public Collection<Target> targets() {
-        return targets.values();
-    }
-
     public Optional<Target> target(String id) {
         return Optional.ofNullable(targets.get(id));
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/FrontServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FrontServer.java
@@ -1,18 +1,17 @@
 package org.poplarwharf.internal.gateway;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.poplarwharf.internal.http.Sockets;
 
 /**
  * Takes callers' connections.
@@ -39,12 +38,8 @@
     }
 
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
+        ChannelFuture bound = Sockets.incoming(group)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NearestPlaces.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.Suspicion;
 import org.poplarwharf.internal.dispatch.Wish;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.kernel.MonotonicClock;
@@ -37,16 +38,13 @@
     private final FleetView view;
     private final MonotonicClock clock;
     private final Map<String, Seen> seenByTarget = new HashMap<>();
-    private final Map<String, Run> runs = new HashMap<>();
-
-    private record Run(String targetId) {}
+    private final Map<String, String> targetIdByKey = new HashMap<>();
 
     private static final class Seen {
         private double extraMillis;
         private long atMillis;
         private int underWay;
-        private int brokenInRow;
-        private long suspectUntilMillis;
+        private final Suspicion suspicion = new Suspicion(FIRST_SUSPICION_MILLIS, LONGEST_SUSPICION_MILLIS);
 
         double extraMillis(long nowMillis) {
             return extraMillis * Math.exp(-(nowMillis - atMillis) / FADE_MILLIS);
@@ -80,7 +78,7 @@
         }
         Seen seen = seenByTarget.computeIfAbsent(best.id(), id -> new Seen());
         seen.underWay++;
-        runs.put(wish.key(), new Run(best.id()));
+        targetIdByKey.put(wish.key(), best.id());
         asker.placed(best, Optional.empty(), "nearest");
     }
 
@@ -93,8 +91,9 @@
             return cost;
         }
         cost += seen.extraMillis(nowMillis) + seen.underWay * FIRST_GUESS_MILLIS / Math.max(1, target.slots() / 2);
-        if (seen.suspectUntilMillis > nowMillis) {
-            cost += 1_000 + seen.suspectUntilMillis - nowMillis;
+        long suspectMillis = seen.suspicion.leftMillis(nowMillis);
+        if (suspectMillis > 0) {
+            cost += 1_000 + suspectMillis;
         }
         return cost;
     }
@@ -106,25 +105,22 @@
 
     @Override
     public void outcome(String key, RunOutcome outcome) {
-        Run run = runs.get(key);
-        Seen seen = run == null ? null : seenByTarget.get(run.targetId());
+        Seen seen = seenByTarget.get(targetIdByKey.get(key));
         if (seen == null) {
-            runs.remove(key);
+            targetIdByKey.remove(key);
             return;
         }
         long nowMillis = clock.nowMillis();
         switch (outcome) {
             case RunOutcome.Answered answered -> {
-                seen.brokenInRow = 0;
+                seen.suspicion.answered();
                 observe(seen, Math.max(0, answered.firstEventMillis() - FIRST_GUESS_MILLIS), nowMillis);
                 return;
             }
             case RunOutcome.Declined declined -> observe(seen, MILLIS_PER_FAILURE, nowMillis);
             case RunOutcome.Broken broken -> {
                 observe(seen, MILLIS_PER_FAILURE, nowMillis);
-                seen.suspectUntilMillis = nowMillis
-                        + Math.min(LONGEST_SUSPICION_MILLIS, FIRST_SUSPICION_MILLIS << Math.min(seen.brokenInRow, 3));
-                seen.brokenInRow++;
+                seen.suspicion.broke(nowMillis);
             }
             case RunOutcome.Abandoned abandoned -> {
                 // Says nothing of the target.
@@ -135,8 +131,7 @@
 
     @Override
     public void ended(String key) {
-        Run run = runs.remove(key);
-        Seen seen = run == null ? null : seenByTarget.get(run.targetId());
+        Seen seen = seenByTarget.get(targetIdByKey.remove(key));
         if (seen != null) {
             seen.underWay--;
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/ReadyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ReadyServer.java
@@ -1,16 +1,13 @@
 package org.poplarwharf.internal.gateway;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.poplarwharf.internal.http.Sockets;
 
 /**
  * Answers whether this node takes callers, and shows its metrics. Confined to the event loop.
@@ -41,10 +39,7 @@
     }
 
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        return new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
+        return Sockets.incoming(group)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/org/poplarwharf/internal/gateway/RetryBudget.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudget.java
@@ -1,9 +1,8 @@
 package org.poplarwharf.internal.gateway;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.poplarwharf.internal.dispatch.RecentTimes;
 
 /**
  * This node's part of the second sends that all nodes together may make to a service.
@@ -22,8 +21,8 @@
     private int nodes;
 
     private static final class Window {
-        private final Deque<Long> firstMillis = new ArrayDeque<>();
-        private final Deque<Long> secondMillis = new ArrayDeque<>();
+        private final RecentTimes firsts = new RecentTimes();
+        private final RecentTimes seconds = new RecentTimes();
     }
 
     RetryBudget(double ratio, int slack, long windowMillis, int nodes) {
@@ -45,30 +44,22 @@
 
     /** A request of a caller for the service. */
     void requested(String service, long nowMillis) {
-        window(service, nowMillis).firstMillis.addLast(nowMillis);
+        window(service).firsts.add(nowMillis, windowMillis);
     }
 
     /** Takes one second send; false where that would be too many. */
     boolean take(String service, long nowMillis) {
-        Window window = window(service, nowMillis);
-        double allowed = SAFETY * (ratio * window.firstMillis.size() + Math.max(1, (double) slack / nodes));
-        if (window.secondMillis.size() + 1 > allowed) {
+        Window window = window(service);
+        double allowed =
+                SAFETY * (ratio * window.firsts.count(nowMillis, windowMillis) + Math.max(1, (double) slack / nodes));
+        if (window.seconds.count(nowMillis, windowMillis) + 1 > allowed) {
             return false;
         }
-        window.secondMillis.addLast(nowMillis);
+        window.seconds.add(nowMillis, windowMillis);
         return true;
     }
 
-    private Window window(String service, long nowMillis) {
-        Window window = byService.computeIfAbsent(service, key -> new Window());
-        forget(window.firstMillis, nowMillis);
-        forget(window.secondMillis, nowMillis);
-        return window;
-    }
-
-    private void forget(Deque<Long> times, long nowMillis) {
-        while (!times.isEmpty() && times.peekFirst() <= nowMillis - windowMillis) {
-            times.removeFirst();
-        }
+    private Window window(String service) {
+        return byService.computeIfAbsent(service, key -> new Window());
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -3,6 +3,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -120,6 +122,10 @@
         return lease.isPresent();
     }
 
+    private boolean mayOrder() {
+        return lease.isPresent() && lease.get().mayOrder();
+    }
+
     public int nodes() {
         return links.size() + 1;
     }
@@ -221,7 +227,7 @@
             return;
         }
         origins.put(wish.key(), origin);
-        dispatcher.ordersAllowed(lease.get().mayOrder());
+        dispatcher.ordersAllowed(mayOrder());
         dispatcher.wish(wish, clock.nowMillis());
     }
 
@@ -253,7 +259,7 @@
             return new Dispatcher(spec, limits, new Actions(name));
         });
         dispatcher.spec(spec);
-        dispatcher.ordersAllowed(lease.isPresent() && lease.get().mayOrder());
+        dispatcher.ordersAllowed(mayOrder());
         List<Target> targets = view.targetsOf(service);
         dispatcher.targets(targets, clock.nowMillis());
     }
@@ -266,7 +272,7 @@
         boolean busy = false;
         try {
             for (Dispatcher dispatcher : List.copyOf(dispatchers.values())) {
-                dispatcher.ordersAllowed(lease.isPresent() && lease.get().mayOrder());
+                dispatcher.ordersAllowed(mayOrder());
                 dispatcher.tick(clock.nowMillis());
                 busy |= dispatcher.hasWork();
             }
@@ -321,46 +327,30 @@
         @Override
         public void order(EngineOrder order) {
             Dispatcher dispatcher = dispatchers.get(service);
-            if (lease.isEmpty() || !lease.get().mayOrder()) {
+            if (!mayOrder()) {
                 timer.after(0, () -> answer(dispatcher, order, OrderAnswer.REFUSED));
                 return;
             }
             long fencingNumber = lease.get().fencingNumber();
-            log.log(
-                    "order-sent",
-                    "target",
-                    order.target().id(),
-                    "kind",
-                    order.kind(),
-                    "model",
-                    order.model(),
-                    "adapter",
-                    order.adapter().orElse(""),
-                    "ordersAccepted",
-                    order.ordersAccepted(),
-                    "fencingNumber",
-                    fencingNumber);
+            logOrder("order-sent", order, "ordersAccepted", order.ordersAccepted(), "fencingNumber", fencingNumber);
             engines.order(order, settings.nodeId(), fencingNumber, answer -> answer(dispatcher, order, answer));
         }
 
         private void answer(Dispatcher dispatcher, EngineOrder order, OrderAnswer answer) {
-            log.log(
-                    "order-answered",
-                    "target",
-                    order.target().id(),
-                    "kind",
-                    order.kind(),
-                    "model",
-                    order.model(),
-                    "adapter",
-                    order.adapter().orElse(""),
-                    "answer",
-                    answer);
+            logOrder("order-answered", order, "answer", answer);
             if (dispatchers.get(service) == dispatcher) {
                 dispatcher.ordered(order, answer, clock.nowMillis());
             }
         }
 
+        private void logOrder(String event, EngineOrder order, Object... more) {
+            List<Object> fields = new ArrayList<>();
+            Collections.addAll(fields, "target", order.target().id(), "kind", order.kind(), "model", order.model());
+            Collections.addAll(fields, "adapter", order.adapter().orElse(""));
+            Collections.addAll(fields, more);
+            log.log(event, fields.toArray());
+        }
+
         @Override
         public void askReport(Target target) {
             Dispatcher dispatcher = dispatchers.get(service);
--- a/src/main/java/org/poplarwharf/internal/holder/Links.java
+++ b/src/main/java/org/poplarwharf/internal/holder/Links.java
@@ -1,6 +1,5 @@
 package org.poplarwharf.internal.holder;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -8,11 +7,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
@@ -53,20 +50,10 @@
         void close() {
             channel.close();
         }
-
-        boolean open() {
-            return channel.isActive();
-        }
     }
 
     static ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Handler handler) {
-        return new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(pipeline(handler))
-                .bind(address);
+        return Sockets.incoming(group).childHandler(pipeline(handler)).bind(address);
     }
 
     static ChannelFuture connect(EventLoop loop, InetSocketAddress address, Handler handler) {
--- a/src/main/java/org/poplarwharf/internal/http/Sockets.java
+++ b/src/main/java/org/poplarwharf/internal/http/Sockets.java
@@ -1,9 +1,12 @@
 package org.poplarwharf.internal.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import jdk.net.ExtendedSocketOptions;
 
@@ -17,6 +20,15 @@
 
     private Sockets() {}
 
+    /** Returns a bootstrap that takes connections. */
+    public static ServerBootstrap incoming(EventLoopGroup group) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true);
+    }
+
     /** Returns a bootstrap for outgoing connections. */
     public static Bootstrap outgoing(EventLoop loop, int connectTimeoutMillis) {
         return new Bootstrap()
--- a/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlanDocument.java
@@ -87,10 +87,7 @@
 
     private static ServiceSpec service(String name, JsonNode node) {
         JsonNode engine = node.path("engine");
-        return new ServiceSpec(
-                name,
-                JsonFields.text(node, "healthPath").orElse("/"),
-                engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
+        return new ServiceSpec(name, engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
     }
 
     private static EngineSpec engine(JsonNode node) {
--- a/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
+++ b/src/main/java/org/poplarwharf/internal/platform/WireHeaders.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.gateway.AnswerTraits;
+import org.poplarwharf.internal.gateway.Digits;
 import org.poplarwharf.internal.gateway.ForwardingTraits;
 import org.poplarwharf.internal.gateway.HeaderNames;
 
@@ -87,13 +88,7 @@
     }
 
     private static OptionalLong number(String text) {
-        if (text == null
-                || text.isEmpty()
-                || text.length() > 15
-                || !text.chars().allMatch(Character::isDigit)) {
-            return OptionalLong.empty();
-        }
-        return OptionalLong.of(Long.parseLong(text));
+        return text == null ? OptionalLong.empty() : Digits.parse(text);
     }
 
     /** Reads prompt tokens and the most output tokens; zero where they aren't told. */
--- a/src/test/java/org/poplarwharf/soak/FaultLog.java
+++ b/src/test/java/org/poplarwharf/soak/FaultLog.java
@@ -48,7 +48,7 @@
         return all.stream().noneMatch(struck -> wanted.contains(struck.part) && overlaps(struck, fromMillis, toMillis));
     }
 
-    /** Returns a part's last fault that had ended by then. */
+    /** Returns when the last fault ended that had ended by then. */
     synchronized Optional<Long> lastEnd(long beforeMillis) {
         return all.stream()
                 .map(struck -> struck.endMillis)
--- a/src/test/java/org/poplarwharf/soak/ModelEngine.java
+++ b/src/test/java/org/poplarwharf/soak/ModelEngine.java
@@ -208,10 +208,6 @@
     }
 
     private void request(Request request, OutputStream out) throws IOException, InterruptedException {
-        if (request.line().startsWith("GET /health")) {
-            ScriptedTarget.answer(out, request, "200 OK", "");
-            return;
-        }
         String lifetime = lifetime();
         Held held = admit(request, out);
         if (held == null) {
@@ -251,10 +247,7 @@
                 return held;
             }
         }
-        ScriptedTarget.write(
-                out,
-                "HTTP/1.1 " + refusal + "\r\nX-Not-Executed: 1\r\nX-Request-Id: " + request.id()
-                        + "\r\nContent-Length: 0\r\n\r\n");
+        ScriptedTarget.decline(out, request, refusal);
         return null;
     }
 
--- a/src/test/java/org/poplarwharf/soak/SoakFaults.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFaults.java
@@ -32,34 +32,50 @@
     private final Set<String> busy = new HashSet<>();
     private final List<Running> running = new ArrayList<>();
 
-    private enum Kind {
-        GATEWAY_KILLED,
-        GATEWAY_TERMINATED,
-        GATEWAY_PAUSED,
-        GATEWAY_PAUSED_LONG,
-        GATEWAY_CUT_FROM_LOG,
-        GATEWAY_REFUSED_BY_LOG,
-        GATEWAY_CUT_ONE_WAY,
-        SETTINGS_CHANGED,
-        POWER_LOST,
-        LOG_AWAY,
-        LOG_SLOW,
-        LOG_LOSES_ANSWERS,
-        LOG_LATE,
-        LOG_FORGETS,
-        PLAN_CHANGED,
+    /** What a fault strikes; two at one time never strike the same. */
+    private enum Part {
+        GATEWAY,
+        ALL_GATEWAYS,
+        LOG,
+        PLAN,
         STRANGE_ENTRY,
-        TARGET_CRASHES,
-        TARGET_LEAVES,
-        TARGET_BREAKS_OFF,
-        TARGET_REFUSES,
-        TARGET_SLOW,
-        TARGET_LINK_SILENT,
-        TARGET_LINK_ONE_WAY,
-        TARGET_LINK_FROZEN,
-        TARGET_LINK_SLOW,
-        TARGET_LINK_RESET,
-        ORDERS_LATE
+        TARGET
+    }
+
+    private enum Kind {
+        GATEWAY_KILLED(Part.GATEWAY),
+        GATEWAY_TERMINATED(Part.GATEWAY),
+        GATEWAY_PAUSED(Part.GATEWAY),
+        GATEWAY_PAUSED_LONG(Part.GATEWAY),
+        GATEWAY_CUT_FROM_LOG(Part.GATEWAY),
+        GATEWAY_REFUSED_BY_LOG(Part.GATEWAY),
+        GATEWAY_CUT_ONE_WAY(Part.GATEWAY),
+        SETTINGS_CHANGED(Part.GATEWAY),
+        POWER_LOST(Part.ALL_GATEWAYS),
+        LOG_AWAY(Part.LOG),
+        LOG_SLOW(Part.LOG),
+        LOG_LOSES_ANSWERS(Part.LOG),
+        LOG_LATE(Part.LOG),
+        LOG_FORGETS(Part.LOG),
+        PLAN_CHANGED(Part.PLAN),
+        STRANGE_ENTRY(Part.STRANGE_ENTRY),
+        TARGET_CRASHES(Part.TARGET),
+        TARGET_LEAVES(Part.TARGET),
+        TARGET_BREAKS_OFF(Part.TARGET),
+        TARGET_REFUSES(Part.TARGET),
+        TARGET_SLOW(Part.TARGET),
+        TARGET_LINK_SILENT(Part.TARGET),
+        TARGET_LINK_ONE_WAY(Part.TARGET),
+        TARGET_LINK_FROZEN(Part.TARGET),
+        TARGET_LINK_SLOW(Part.TARGET),
+        TARGET_LINK_RESET(Part.TARGET),
+        ORDERS_LATE(Part.TARGET);
+
+        private final Part part;
+
+        Kind(Part part) {
+            this.part = part;
+        }
     }
 
     private record Running(FaultLog.Struck struck, long dueMillis, Runnable end) {}
@@ -135,34 +151,17 @@
     }
 
     private Set<String> parts(Kind kind, SoakGateway gateway, SoakTarget target) {
-        return switch (kind) {
-            case GATEWAY_KILLED,
-                    GATEWAY_TERMINATED,
-                    GATEWAY_PAUSED,
-                    GATEWAY_PAUSED_LONG,
-                    GATEWAY_CUT_FROM_LOG,
-                    GATEWAY_REFUSED_BY_LOG,
-                    GATEWAY_CUT_ONE_WAY,
-                    SETTINGS_CHANGED -> Set.of(gateway.name);
-            case POWER_LOST -> {
+        return switch (kind.part) {
+            case GATEWAY -> Set.of(gateway.name);
+            case ALL_GATEWAYS -> {
                 Set<String> all = new HashSet<>();
                 fleet.gateways().forEach(each -> all.add(each.name));
                 yield all;
             }
-            case LOG_AWAY, LOG_SLOW, LOG_LOSES_ANSWERS, LOG_LATE, LOG_FORGETS -> Set.of("log");
-            case PLAN_CHANGED -> Set.of("plan");
+            case LOG -> Set.of("log");
+            case PLAN -> Set.of("plan");
             case STRANGE_ENTRY -> Set.of("strange");
-            case TARGET_CRASHES,
-                    TARGET_LEAVES,
-                    TARGET_BREAKS_OFF,
-                    TARGET_REFUSES,
-                    TARGET_SLOW,
-                    TARGET_LINK_SILENT,
-                    TARGET_LINK_ONE_WAY,
-                    TARGET_LINK_FROZEN,
-                    TARGET_LINK_SLOW,
-                    TARGET_LINK_RESET,
-                    ORDERS_LATE -> Set.of(target.name);
+            case TARGET -> Set.of(target.name);
         };
     }
 
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -67,15 +67,8 @@
     }
 
     private void answer(Request request, OutputStream out) throws IOException {
-        if (request.line().startsWith("GET /health")) {
-            ScriptedTarget.answer(out, request, "200 OK", "");
-            return;
-        }
         if (refuses) {
-            ScriptedTarget.write(
-                    out,
-                    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + request.id()
-                            + "\r\nContent-Length: 0\r\n\r\n");
+            ScriptedTarget.decline(out, request, "503 Service Unavailable");
             return;
         }
         runs.add(new Runs.Run(request.id(), server.id, clock.getAsLong(), request.line(), request.body(), 0));
--- a/src/test/java/org/poplarwharf/support/ScriptedTarget.java
+++ b/src/test/java/org/poplarwharf/support/ScriptedTarget.java
@@ -86,6 +86,14 @@
                         + "\r\nX-Response-Seal: s\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
+    /** Answers that the request was not run. */
+    public static void decline(OutputStream out, Request request, String status) throws IOException {
+        write(
+                out,
+                "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nX-Request-Id: " + request.id()
+                        + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
     /** Writes the head of an event stream that ends with its connection's chunks. */
     public static void streamHead(OutputStream out, Request request) throws IOException {
         write(
