--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Recognizes requests that crash the targets that run them. */
+package org.poplarwharf.internal.crash;
--- a/src/main/java/org/poplarwharf/internal/entry/RequestParser.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RequestParser.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -10,6 +11,7 @@
 import org.poplarwharf.internal.config.FleetConfig.ClassSpec;
 import org.poplarwharf.internal.config.FleetConfig.ServiceSpec;
 import org.poplarwharf.internal.config.FleetConfig.TenantSpec;
+import org.poplarwharf.internal.crash.RequestFingerprint;
 import org.poplarwharf.internal.failure.CallerReporter;
 import org.poplarwharf.plugins.ArtifactId;
 
@@ -85,7 +87,7 @@
                 request.contentType().orElse(""),
                 body,
                 completion && json.path("stream").asBoolean(),
-                RequestHashes.fingerprint(tenant, artifact, method, path, body),
+                RequestFingerprint.of(List.of(tenant, artifact.toString(), method, path), body),
                 completion ? RequestHashes.prefixHash(body) : 0,
                 key,
                 key.isPresent() || isNonRepeatableCall(config, artifact, method, path));
--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -28,11 +29,14 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.crash.RequestFingerprint;
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -193,10 +197,16 @@
             sendProblem(request, traits, FailureCode.UNKNOWN_PATH, "no route", 0);
             return;
         }
-        exchange = new ProxyExchange(gateway, this, request, route.get(), traits);
+        exchange = new ProxyExchange(gateway, this, request, route.get(), traits, fingerprint(request));
         exchange.start();
     }
 
+    private String fingerprint(FullHttpRequest request) {
+        String caller = channel.remoteAddress() instanceof InetSocketAddress address ? address.getHostString() : "";
+        return RequestFingerprint.of(
+                List.of(caller, request.method().name(), request.uri()), ByteBufUtil.getBytes(request.content()));
+    }
+
     private void sendProblem(
             FullHttpRequest request, RequestTraits traits, FailureCode code, String reason, long retryMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -21,7 +21,7 @@
         this.arrivedMillis = arrivedMillis;
     }
 
-    void recordSelection(String service, RequestTraits traits, int attempt, long millisLeft) {
+    void recordSelection(String service, RequestTraits traits, String fingerprint, int attempt, long millisLeft) {
         context.metrics().countAttempt();
         log(
                 "request-seeks-target",
@@ -29,6 +29,8 @@
                 service,
                 "weights",
                 traits.weightsName(),
+                "fingerprint",
+                fingerprint,
                 "send",
                 attempt,
                 "millisLeft",
@@ -56,6 +58,21 @@
         log(event, "target", target.id(), "reason", reason, "targetsRun", possibleRuns, "events", events);
     }
 
+    /** Records whether the retry budget allowed another target, and the state of the budget after that. */
+    void recordRetryDecision(String service, boolean granted, RetryBudgetShare.Usage usage) {
+        context.metrics().countRetryDecision(granted);
+        log(
+                granted ? "retry-granted" : "retry-denied",
+                "service",
+                service,
+                "retriesInWindow",
+                usage.retryCount(),
+                "allowedInWindow",
+                usage.allowedCount(),
+                "nodes",
+                usage.nodeCount());
+    }
+
     void recordEnd(String event, Object... fields) {
         log(event, fields);
         context.metrics().recordEnd(route, event, context.nowMillis() - arrivedMillis);
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -25,6 +25,12 @@
         registry.counter("gateway.sends").inc();
     }
 
+    /** Counts a request for a retry from the shared budget by its result. */
+    void countRetryDecision(boolean granted) {
+        registry.counter(MetricRegistry.name("gateway", granted ? "retries_granted" : "retries_denied"))
+                .inc();
+    }
+
     /** Records the end of a request under the name of its final log event. */
     void recordEnd(Route route, String event, long millis) {
         registry.counter(MetricRegistry.name("gateway.ended", event)).inc();
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -31,21 +31,20 @@
  * request. A response that breaks off never looks complete. Confined to the event loop.
  */
 final class ProxyExchange implements ResponseListener, TargetSelector.Callback {
-    /** A request is not sent with less time left, because no target could produce a useful result. */
-    private static final long MIN_RUN_MILLIS = 15;
-
     private final GatewayContext context;
     private final ResponseSink sink;
     private final FullHttpRequest request;
     private final RequestTraits traits;
     private final Route route;
     private final String service;
+    private final String fingerprint;
     private final TargetSelector selector;
     private final long arrivedMillis;
     private final long deadlineMillis;
     private final Set<String> excluded = new HashSet<>();
     private final ResponseRelay relay;
     private final ExchangeRecorder recorder;
+    private final AttemptLimits limits;
     private final Future<?> deadlineTimer;
     private Future<?> progressTimer;
     private String selectionKey = "";
@@ -54,17 +53,21 @@
     private Optional<Target> backup = Optional.empty();
     private long sentMillis;
     private boolean firstEventReported;
-    private int possibleRunCount;
-    private int attemptCount;
     private boolean done;
 
     ProxyExchange(
-            GatewayContext context, ResponseSink sink, FullHttpRequest request, Route route, RequestTraits traits) {
+            GatewayContext context,
+            ResponseSink sink,
+            FullHttpRequest request,
+            Route route,
+            RequestTraits traits,
+            String fingerprint) {
         this.context = context;
         this.sink = sink;
         this.request = request;
         this.route = route;
         this.traits = traits;
+        this.fingerprint = fingerprint;
         this.service = route.serviceFor(traits.requestId());
         this.selector = context.selectorFor(service);
         this.arrivedMillis = context.nowMillis();
@@ -73,6 +76,7 @@
         this.relay = new ResponseRelay(
                 context.headerCodec(), sink, traits.requestId(), route.kind().isStream(), traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
+        this.limits = new AttemptLimits(context, recorder, route, service, deadlineMillis);
         this.deadlineTimer = context.schedule(deadlineMillis - arrivedMillis, this::expire);
     }
 
@@ -82,9 +86,10 @@
     }
 
     private void selectTarget() {
-        attemptCount++;
+        limits.recordAttempt();
         selectionKey = context.nextKey();
-        recorder.recordSelection(service, traits, attemptCount, deadlineMillis - context.nowMillis());
+        recorder.recordSelection(
+                service, traits, fingerprint, limits.attemptCount(), deadlineMillis - context.nowMillis());
         selector.select(
                 new DispatchRequest(
                         selectionKey,
@@ -113,7 +118,7 @@
         sentMillis = context.nowMillis();
         firstEventReported = false;
         long millisLeft = deadlineMillis - sentMillis;
-        if (millisLeft < MIN_RUN_MILLIS) {
+        if (!limits.hasTimeLeft()) {
             expire();
             return;
         }
@@ -132,7 +137,7 @@
                 context.policy().maxIdleMillis(route.kind()));
         inFlight = context.connections()
                 .send(spec, HttpMessages.forTarget(request, context.headerCodec(), forwarding), this);
-        restartProgressTimer(context.policy().progressTimeoutMillis(route, possibleRunCount + 1));
+        restartProgressTimer(context.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
     }
 
     @Override
@@ -144,7 +149,7 @@
 
     @Override
     public void onSending() {
-        possibleRunCount++;
+        limits.recordPossibleRun();
     }
 
     @Override
@@ -169,7 +174,7 @@
             firstEventReported = true;
             selector.reportOutcome(selectionKey, new RunOutcome.FirstEventReceived(context.nowMillis() - sentMillis));
         }
-        restartProgressTimer(context.policy().eventGapTimeoutMillis(route, possibleRunCount + 1));
+        restartProgressTimer(context.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
         if (!sink.isWritable() && inFlight != null) {
             inFlight.setReading(false);
         }
@@ -204,7 +209,7 @@
             return true;
         }
         boolean serverError = relay.status() >= 500 && !relay.started();
-        if (serverError && context.policy().retriesServerErrors(route) && tryReserveRerun()) {
+        if (serverError && context.policy().retriesServerErrors(route) && limits.tryReserveRerun(isRerunAllowed())) {
             rerun("failed by target");
             return true;
         }
@@ -219,10 +224,10 @@
 
     private void retryDeclined() {
         recorder.recordDeclined(target, relay.status());
-        possibleRunCount--;
+        limits.recordNotRun();
         selector.reportOutcome(selectionKey, new RunOutcome.Declined());
         relay.discardUnsent();
-        if (context.policy().excludesDeclined(route, attemptCount)) {
+        if (context.policy().excludesDeclined(route, limits.attemptCount())) {
             excluded.add(target.id());
         }
         retryOrGiveUp("declined by target");
@@ -240,8 +245,7 @@
 
     /** Tries another target after one that did not run the request, if limits allow it. */
     private void retryOrGiveUp(String reason) {
-        boolean allowed = possibleRunCount == 0 || isRerunAllowed();
-        if (allowed && hasTimeLeft() && attemptCount < context.policy().maxAttemptCount() && takeRetry()) {
+        if (limits.tryReserveAttempt(isRerunAllowed())) {
             selectTarget();
         } else {
             giveUp(reason, context.policy().retryAfterDeclinedMillis());
@@ -252,7 +256,7 @@
     public void onBroken(String reason) {
         inFlight = null;
         restartProgressTimer(OptionalLong.empty());
-        if (tryReserveRerun()) {
+        if (limits.tryReserveRerun(isRerunAllowed())) {
             rerun(reason);
         } else if (canContinueFromBackup()) {
             continueFromBackup(reason);
@@ -263,14 +267,14 @@
 
     /** Returns whether a started run can resume at its backup as the same run. Takes a retry from the budget. */
     private boolean canContinueFromBackup() {
-        return backup.isPresent() && relay.started() && relay.lastEventId().isPresent() && hasTimeLeft() && takeRetry();
+        return backup.isPresent() && relay.started() && relay.lastEventId().isPresent() && limits.tryReserveRetry();
     }
 
     private void continueFromBackup(String reason) {
         Target backupTarget = backup.orElseThrow();
         backup = Optional.empty();
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
-        recorder.recordBroken(target, true, reason, possibleRunCount, relay.eventCount());
+        recorder.recordBroken(target, true, reason, limits.possibleRunCount(), relay.eventCount());
         relay.discardUnsent();
         selectionKey = context.nextKey();
         send(backupTarget, Optional.of(backupTarget.address()), "copy");
@@ -288,27 +292,14 @@
         }
     }
 
-    /** Returns whether a request that may have run can be sent to one more target. Takes a retry from the budget. */
-    private boolean tryReserveRerun() {
-        return isRerunAllowed() && possibleRunCount < route.maxTargets() && hasTimeLeft() && takeRetry();
-    }
-
     /** Returns whether the route allows another run that can continue the response from where the caller has it. */
     private boolean isRerunAllowed() {
         return route.kind().isRetryable() && (!relay.started() || isResumable());
     }
 
-    private boolean takeRetry() {
-        return context.retryBudget().tryAcquire(service, context.nowMillis());
-    }
-
-    private boolean hasTimeLeft() {
-        return deadlineMillis - context.nowMillis() > MIN_RUN_MILLIS;
-    }
-
     private void rerun(String reason) {
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
-        recorder.recordBroken(target, true, reason, possibleRunCount, relay.eventCount());
+        recorder.recordBroken(target, true, reason, limits.possibleRunCount(), relay.eventCount());
         relay.discardUnsent();
         excluded.add(target.id());
         selectTarget();
@@ -316,7 +307,7 @@
 
     private void failAfterBreak(String reason) {
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
-        recorder.recordBroken(target, false, reason, possibleRunCount, relay.eventCount());
+        recorder.recordBroken(target, false, reason, limits.possibleRunCount(), relay.eventCount());
         if (relay.started()) {
             sink.abortResponse();
             close("request-cut", "reason", reason);
@@ -333,7 +324,7 @@
         if (relay.started()) {
             sink.abortResponse();
             close("request-cut", "reason", reason);
-        } else if (possibleRunCount > 0) {
+        } else if (limits.mayHaveRun()) {
             fail(FailureCode.TARGET_FAILED, reason, 0);
         } else {
             fail(FailureCode.OVERLOADED, reason, retryAfterMillis);
@@ -343,7 +334,7 @@
     private void expire() {
         if (!done) {
             releaseTarget();
-            if (possibleRunCount > 0 && !relay.started()) {
+            if (limits.mayHaveRun() && !relay.started()) {
                 fail(FailureCode.DEADLINE_EXCEEDED_RUNNING, "deadline", 0);
             } else {
                 giveUp("deadline", 0);
--- a/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
@@ -20,6 +20,9 @@
     private final Map<String, Window> byService = new HashMap<>();
     private int nodeCount;
 
+    /** The retries of this node in the current window, and the limit that its share of the budget sets. */
+    record Usage(int retryCount, double allowedCount, int nodeCount) {}
+
     private static final class Window {
         private final SlidingWindowCounter requests = new SlidingWindowCounter();
         private final SlidingWindowCounter retries = new SlidingWindowCounter();
@@ -49,17 +52,23 @@
 
     /** Takes one retry from the budget, or returns false if the budget is exhausted. */
     boolean tryAcquire(String service, long nowMillis) {
-        Window window = window(service);
-        double allowed = SAFETY_RATIO
-                * (ratio * window.requests.count(nowMillis, windowMillis)
-                        + Math.max(1, (double) minRetryCount / nodeCount));
-        if (window.retries.count(nowMillis, windowMillis) + 1 > allowed) {
+        Usage usage = usage(service, nowMillis);
+        if (usage.retryCount() + 1 > usage.allowedCount()) {
             return false;
         }
-        window.retries.add(nowMillis, windowMillis);
+        window(service).retries.add(nowMillis, windowMillis);
         return true;
     }
 
+    /** Returns the use of this node's share in the window that ends now. */
+    Usage usage(String service, long nowMillis) {
+        Window window = window(service);
+        double allowedCount = SAFETY_RATIO
+                * (ratio * window.requests.count(nowMillis, windowMillis)
+                        + Math.max(1, (double) minRetryCount / nodeCount));
+        return new Usage(window.retries.count(nowMillis, windowMillis), allowedCount, nodeCount);
+    }
+
     private Window window(String service) {
         return byService.computeIfAbsent(service, key -> new Window());
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
@@ -58,7 +58,18 @@
             return;
         }
         Target target = latest.get();
-        if (previous.isEmpty() || !previous.get().isSameIncarnation(target)) {
+        if (previous.isPresent() && !previous.get().isSameIncarnation(target)) {
+            log.log(
+                    "target-restarted",
+                    "target",
+                    key,
+                    "service",
+                    target.service(),
+                    "startedAtBefore",
+                    previous.get().startedAtMillis(),
+                    "startedAt",
+                    target.startedAtMillis());
+        } else if (previous.isEmpty()) {
             log.log("target-found", "target", key, "service", target.service(), "startedAt", target.startedAtMillis());
         } else if (target.leaving() && !previous.get().leaving()) {
             log.log(
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -39,12 +39,13 @@
             Map.entry("idle", List.of("failure")),
             Map.entry("target", List.of("failure", "kernel")),
             Map.entry("protocol", List.of("codec", "failure", "kernel")),
+            Map.entry("crash", List.of()),
             Map.entry("fleet", List.of()),
             Map.entry("http", List.of()),
             Map.entry("topic", List.of()),
             Map.entry("lease", List.of("failure", "topic")),
             Map.entry("dispatch", List.of("fleet")),
-            Map.entry("gateway", List.of("dispatch", "failure", "fleet", "http", "kernel", "topic")),
+            Map.entry("gateway", List.of("crash", "dispatch", "failure", "fleet", "http", "kernel", "topic")),
             Map.entry(
                     "holder",
                     List.of(
@@ -76,6 +77,7 @@
         packageOf("cli"),
         packageOf("codec"),
         packageOf("config"),
+        packageOf("crash"),
         packageOf("dispatch"),
         packageOf("entry"),
         packageOf("failure"),
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -0,0 +1,158 @@
+package org.poplarwharf.internal.holder;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.poplarwharf.internal.gateway.GatewaySettings;
+import org.poplarwharf.internal.platform.PlatformGateway;
+import org.poplarwharf.process.FreePorts;
+import org.poplarwharf.support.Eventually;
+import org.poplarwharf.support.FakePlatformLog;
+import org.poplarwharf.support.ScriptedTarget;
+
+/**
+ * Gateway nodes in this process with a fake platform, scripted targets and an HTTP caller.
+ *
+ * <p>Not thread-safe.
+ */
+final class GatewayCluster implements AutoCloseable {
+    private static final String PLAN = "{'version':1,'routes':["
+            + "{'name':'safe','host':'127.0.0.1','pathPrefix':'/safe/','kind':'safe','timeoutMs':2000,'targetLatencyMs':100,"
+            + "'priority':0,'service':'desk','maxAttempts':2},"
+            + "{'name':'once','host':'127.0.0.1','pathPrefix':'/once/','kind':'unsafe','timeoutMs':2000,"
+            + "'targetLatencyMs':100,'priority':0,'service':'desk','maxAttempts':1},"
+            + "{'name':'stream','host':'127.0.0.1','pathPrefix':'/stream/','kind':'streaming','timeoutMs':5000,"
+            + "'targetLatencyMs':500,'gapAimMs':400,'priority':0,'service':'desk','maxAttempts':1},"
+            + "{'name':'resume','host':'127.0.0.1','pathPrefix':'/resume/','kind':'streaming','resumable':true,"
+            + "'timeoutMs':5000,'targetLatencyMs':500,'gapAimMs':400,'priority':0,'service':'desk','maxAttempts':2},"
+            + "{'name':'lm','host':'127.0.0.1','pathPrefix':'/lm/','kind':'streaming','timeoutMs':5000,'targetLatencyMs':500,"
+            + "'gapAimMs':400,'priority':0,'service':'lm','maxAttempts':1,'sticky':true}],"
+            + "'services':[{'name':'desk','healthPath':'/health'},{'name':'lm','healthPath':'/health','engine':"
+            + "{'slots':4,'kvCapacity':100000,'weightsMb':100.0,'adapterSlots':2,'loadsPerS':2.0,'models':"
+            + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]}";
+
+    final FakePlatformLog platform = new FakePlatformLog();
+    final List<ScriptedTarget> targets = new ArrayList<>();
+    final List<Node> nodes = new ArrayList<>();
+    private final HttpClient caller = HttpClient.newHttpClient();
+
+    /** A running gateway node and what it has logged. */
+    record Node(
+            PlatformGateway gateway,
+            GatewaySettings settings,
+            int frontPort,
+            int readyPort,
+            ByteArrayOutputStream logOutput) {
+        String log() {
+            return logOutput.toString();
+        }
+    }
+
+    GatewayCluster() throws IOException {}
+
+    /** Starts another node. */
+    Node startNode() throws IOException {
+        List<InetSocketAddress> freeAddresses =
+                FreePorts.addresses(3).stream().map(GatewayCluster::address).toList();
+        GatewaySettings defaults = GatewaySettings.DEFAULTS;
+        GatewaySettings settings = new GatewaySettings(
+                "n" + (nodes.size() + 1),
+                "z1",
+                freeAddresses.get(0),
+                freeAddresses.get(1),
+                freeAddresses.get(2),
+                address(platform.address()),
+                400,
+                400,
+                1_000,
+                1,
+                100,
+                defaults.retryWindowMillis(),
+                defaults.orderGapMillis(),
+                defaults.loadWindowMillis(),
+                defaults.loadWindowFactor(),
+                defaults.heartbeatIntervalMillis());
+        ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+        PlatformGateway gateway =
+                PlatformGateway.start(Path.of("no-such-file"), settings, new PrintStream(logOutput, true));
+        Node node = new Node(
+                gateway,
+                settings,
+                freeAddresses.get(0).getPort(),
+                freeAddresses.get(1).getPort(),
+                logOutput);
+        nodes.add(node);
+        return node;
+    }
+
+    /** Adds a target and waits until all nodes know the target and the plan. */
+    ScriptedTarget addTarget(String service, String extraFields) throws IOException {
+        ScriptedTarget target = new ScriptedTarget("i-" + targets.size());
+        targets.add(target);
+        platform.put("servers", target.id, target.topicEntry(service, extraFields));
+        platform.put("op", "config", PLAN);
+        for (Node node : nodes) {
+            Eventually.eventually("the node is ready", () -> status(node.readyPort(), "/ready") == 200);
+        }
+        // Waits for one more periodic read of the entries, so that a second target is known as well.
+        pause(500);
+        return target;
+    }
+
+    HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
+        return send(request(port, path).GET());
+    }
+
+    HttpResponse<String> post(int port, String path) throws IOException, InterruptedException {
+        return send(request(port, path).POST(HttpRequest.BodyPublishers.ofString("body")));
+    }
+
+    HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return caller.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    int status(int port, String path) {
+        try {
+            return get(port, path).statusCode();
+        } catch (IOException | InterruptedException e) {
+            return -1;
+        }
+    }
+
+    static HttpRequest.Builder request(int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(10))
+                .header("X-Request-Id", "r" + System.nanoTime());
+    }
+
+    @Override
+    public void close() throws IOException {
+        nodes.forEach(node -> node.gateway().drainAndStop());
+        platform.close();
+        for (ScriptedTarget target : targets) {
+            target.close();
+        }
+    }
+
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.indexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
@@ -6,99 +6,45 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.platform.PlatformGateway;
-import org.poplarwharf.process.FreePorts;
 import org.poplarwharf.support.Eventually;
-import org.poplarwharf.support.FakePlatformLog;
 import org.poplarwharf.support.ScriptedTarget;
 
 /** Tests a gateway node over sockets with a fake platform, scripted targets and HTTP callers. */
 @Timeout(30)
 class GatewayNodeTest {
-    private static final String PLAN = "{'version':1,'routes':["
-            + "{'name':'safe','host':'127.0.0.1','pathPrefix':'/safe/','kind':'safe','timeoutMs':2000,'targetLatencyMs':100,"
-            + "'priority':0,'service':'desk','maxAttempts':2},"
-            + "{'name':'once','host':'127.0.0.1','pathPrefix':'/once/','kind':'unsafe','timeoutMs':2000,"
-            + "'targetLatencyMs':100,'priority':0,'service':'desk','maxAttempts':1},"
-            + "{'name':'stream','host':'127.0.0.1','pathPrefix':'/stream/','kind':'streaming','timeoutMs':5000,"
-            + "'targetLatencyMs':500,'gapAimMs':400,'priority':0,'service':'desk','maxAttempts':1},"
-            + "{'name':'resume','host':'127.0.0.1','pathPrefix':'/resume/','kind':'streaming','resumable':true,"
-            + "'timeoutMs':5000,'targetLatencyMs':500,'gapAimMs':400,'priority':0,'service':'desk','maxAttempts':2},"
-            + "{'name':'lm','host':'127.0.0.1','pathPrefix':'/lm/','kind':'streaming','timeoutMs':5000,'targetLatencyMs':500,"
-            + "'gapAimMs':400,'priority':0,'service':'lm','maxAttempts':1,'sticky':true}],"
-            + "'services':[{'name':'desk','healthPath':'/health'},{'name':'lm','healthPath':'/health','engine':"
-            + "{'slots':4,'kvCapacity':100000,'weightsMb':100.0,'adapterSlots':2,'loadsPerS':2.0,'models':"
-            + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]}";
-
     /** Idle connections are closed within this time after the start of a drain. */
     private static final long IDLE_CLOSE_MILLIS = 400;
 
-    private final HttpClient caller = HttpClient.newHttpClient();
-    private final List<ScriptedTarget> targets = new ArrayList<>();
-    private FakePlatformLog platform;
-    private PlatformGateway gateway;
-    private GatewaySettings settings;
-    private int frontPort;
-    private int readyPort;
+    private GatewayCluster cluster;
+    private GatewayCluster.Node node;
 
     @BeforeEach
     void start() throws IOException {
-        platform = new FakePlatformLog();
-        List<InetSocketAddress> freeAddresses =
-                FreePorts.addresses(3).stream().map(GatewayNodeTest::address).toList();
-        frontPort = freeAddresses.get(0).getPort();
-        readyPort = freeAddresses.get(1).getPort();
-        GatewaySettings defaults = GatewaySettings.DEFAULTS;
-        settings = new GatewaySettings(
-                "n1",
-                "z1",
-                freeAddresses.get(0),
-                freeAddresses.get(1),
-                freeAddresses.get(2),
-                address(platform.address()),
-                400,
-                400,
-                1_000,
-                1,
-                100,
-                defaults.retryWindowMillis(),
-                defaults.orderGapMillis(),
-                defaults.loadWindowMillis(),
-                defaults.loadWindowFactor(),
-                defaults.heartbeatIntervalMillis());
-        gateway = PlatformGateway.start(
-                Path.of("no-such-file"), settings, new PrintStream(OutputStream.nullOutputStream()));
+        cluster = new GatewayCluster();
+        node = cluster.startNode();
     }
 
     @AfterEach
     void stop() throws IOException {
-        gateway.drainAndStop();
-        platform.close();
-        for (ScriptedTarget target : targets) {
-            target.close();
-        }
+        cluster.close();
     }
 
     @Test
     void node_without_a_plan_reports_not_ready_and_refuses_requests_with_retry_after() throws Exception {
-        assertThat(get(readyPort, "/ready").statusCode()).isEqualTo(503);
-        HttpResponse<String> response = get(frontPort, "/safe/x");
+        assertThat(get(node.readyPort(), "/ready").statusCode()).isEqualTo(503);
+        HttpResponse<String> response = get(node.frontPort(), "/safe/x");
 
         assertThat(response.statusCode()).isEqualTo(503);
         assertThat(response.headers().firstValue("Retry-After")).isPresent();
@@ -108,13 +54,13 @@
     void responses_are_forwarded_unchanged_and_unknown_paths_are_refused() throws Exception {
         ScriptedTarget target = addTarget("desk", "");
 
-        HttpResponse<String> response = get(frontPort, "/safe/x?q=1");
+        HttpResponse<String> response = get(node.frontPort(), "/safe/x?q=1");
 
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.body()).isEqualTo("whole");
         assertThat(response.headers().firstValue("X-Response-Seal")).contains("s");
         assertThat(target.executedRequestIds).hasSize(1);
-        assertThat(get(frontPort, "/nowhere/").statusCode()).isEqualTo(404);
+        assertThat(get(node.frontPort(), "/nowhere/").statusCode()).isEqualTo(404);
     }
 
     @Test
@@ -163,11 +109,11 @@
         ScriptedTarget first = addTarget("desk", "");
         ScriptedTarget second = addTarget("desk", "");
         first.script = (request, out) -> request.connection().close();
-        assertThat(get(frontPort, "/safe/x").body()).isEqualTo("whole");
+        assertThat(get(node.frontPort(), "/safe/x").body()).isEqualTo("whole");
         first.script = (request, out) -> ScriptedTarget.writeResponse(out, request, "500 Oops", "");
         second.script = (request, out) -> ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
 
-        assertThat(get(frontPort, "/safe/x").body()).isEqualTo("whole");
+        assertThat(get(node.frontPort(), "/safe/x").body()).isEqualTo("whole");
     }
 
     @Test
@@ -259,7 +205,7 @@
             }
             target.closedByPeerCount.incrementAndGet();
         };
-        try (Socket socket = new Socket("127.0.0.1", frontPort)) {
+        try (Socket socket = new Socket("127.0.0.1", node.frontPort())) {
             ScriptedTarget.write(
                     socket.getOutputStream(),
                     "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: gone\r\nContent-Length: 0\r\n\r\n");
@@ -272,13 +218,10 @@
     @Test
     void model_is_loaded_for_a_request_that_needs_it() throws Exception {
         ScriptedTarget target = addTarget("lm", ",'models':[],'atHand':{'inMemory':[],'onDisk':['m1']}");
-        HttpResponse<String> response = caller.send(
-                request(frontPort, "/lm/x")
-                        .header("X-Model", "m1")
-                        .header("X-Token-Counts", "10,10")
-                        .POST(HttpRequest.BodyPublishers.ofString("prompt"))
-                        .build(),
-                HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> response = cluster.send(GatewayCluster.request(node.frontPort(), "/lm/x")
+                .header("X-Model", "m1")
+                .header("X-Token-Counts", "10,10")
+                .POST(HttpRequest.BodyPublishers.ofString("prompt")));
 
         assertThat(response.body()).isEqualTo("whole");
         assertThat(target.receivedOrders).hasSize(1);
@@ -288,16 +231,17 @@
     @Test
     void start_with_an_address_in_use_fails_with_the_address_in_the_message() {
         assertThatThrownBy(() -> PlatformGateway.start(
-                        Path.of("no-such-file"), settings, new PrintStream(OutputStream.nullOutputStream())))
-                .hasMessageContaining(":" + readyPort);
+                        Path.of("no-such-file"), node.settings(), new PrintStream(OutputStream.nullOutputStream())))
+                .hasMessageContaining(":" + node.readyPort());
     }
 
     @Test
     void draining_node_is_not_ready_but_still_serves_requests() throws Exception {
         addTarget("desk", "");
-        Thread drain = Thread.startVirtualThread(gateway::drainAndStop);
-        Eventually.eventually("the node is not ready while it drains", () -> status(readyPort, "/ready") == 503);
-        HttpResponse<String> response = get(frontPort, "/safe/x");
+        Thread drain = Thread.startVirtualThread(node.gateway()::drainAndStop);
+        Eventually.eventually(
+                "the node is not ready while it drains", () -> cluster.status(node.readyPort(), "/ready") == 503);
+        HttpResponse<String> response = get(node.frontPort(), "/safe/x");
 
         assertThat(response.body()).isEqualTo("whole");
         drain.join();
@@ -313,14 +257,15 @@
             draining.await();
             ScriptedTarget.write(out, "0\r\n\r\n");
         };
-        try (Socket socket = new Socket("127.0.0.1", frontPort)) {
+        try (Socket socket = new Socket("127.0.0.1", node.frontPort())) {
             ScriptedTarget.write(
                     socket.getOutputStream(),
                     "POST /stream/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: last\r\nContent-Length: 0\r\n\r\n");
             Eventually.eventually("the target receives the request", () -> target.executedRequestIds.contains("last"));
-            Thread drain = Thread.startVirtualThread(gateway::drainAndStop);
-            Eventually.eventually("the node is not ready while it drains", () -> status(readyPort, "/ready") == 503);
-            pause(IDLE_CLOSE_MILLIS);
+            Thread drain = Thread.startVirtualThread(node.gateway()::drainAndStop);
+            Eventually.eventually(
+                    "the node is not ready while it drains", () -> cluster.status(node.readyPort(), "/ready") == 503);
+            GatewayCluster.pause(IDLE_CLOSE_MILLIS);
             draining.countDown();
 
             // Reads the response and then the end of the connection, which a connection that stays open would not send.
@@ -333,61 +278,44 @@
     @Test
     void requests_to_known_targets_succeed_while_the_platforms_log_is_unavailable() throws Exception {
         addTarget("desk", "");
-        platform.unavailable = true;
+        cluster.platform.unavailable = true;
         Thread.sleep(1_000);
 
-        assertThat(get(frontPort, "/safe/x").body()).isEqualTo("whole");
-        assertThat(status(readyPort, "/ready")).isEqualTo(200);
-    }
-
-    /** Adds a target and waits until the node knows the target and the plan. */
-    private ScriptedTarget addTarget(String service, String extraFields) throws IOException {
-        ScriptedTarget target = new ScriptedTarget("i-" + targets.size());
-        targets.add(target);
-        platform.put("servers", target.id, target.topicEntry(service, extraFields));
-        platform.put("op", "config", PLAN);
-        Eventually.eventually("the node is ready", () -> status(readyPort, "/ready") == 200);
-        // Waits for one more periodic read of the entries, so that a second target is known as well.
-        pause(500);
-        return target;
-    }
-
-    private HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
-        return caller.send(request(port, path).GET().build(), HttpResponse.BodyHandlers.ofString());
+        assertThat(get(node.frontPort(), "/safe/x").body()).isEqualTo("whole");
+        assertThat(cluster.status(node.readyPort(), "/ready")).isEqualTo(200);
     }
 
-    private HttpResponse<String> post(String path) throws IOException, InterruptedException {
-        return caller.send(
-                request(frontPort, path)
-                        .POST(HttpRequest.BodyPublishers.ofString("body"))
-                        .build(),
-                HttpResponse.BodyHandlers.ofString());
+    @Test
+    void log_identifies_a_request_that_its_caller_sends_again_by_its_fingerprint() throws Exception {
+        addTarget("desk", "");
+        post("/safe/again");
+        post("/safe/again");
+        post("/safe/other");
+
+        Eventually.eventually(
+                "three requests are logged", () -> loggedFingerprints().size() == 3);
+        assertThat(loggedFingerprints().get(1))
+                .isEqualTo(loggedFingerprints().get(0))
+                .isNotEqualTo(loggedFingerprints().get(2));
     }
 
-    private int status(int port, String path) {
-        try {
-            return get(port, path).statusCode();
-        } catch (IOException | InterruptedException e) {
-            return -1;
-        }
+    private List<String> loggedFingerprints() {
+        return Pattern.compile("\"fingerprint\":\"(\\w+)\"")
+                .matcher(node.log())
+                .results()
+                .map(match -> match.group(1))
+                .toList();
     }
 
-    private static HttpRequest.Builder request(int port, String path) {
-        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
-                .timeout(Duration.ofSeconds(10))
-                .header("X-Request-Id", "r" + System.nanoTime());
+    private ScriptedTarget addTarget(String service, String extraFields) throws IOException {
+        return cluster.addTarget(service, extraFields);
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.indexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    private HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
+        return cluster.get(port, path);
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private HttpResponse<String> post(String path) throws IOException, InterruptedException {
+        return cluster.post(node.frontPort(), path);
     }
 }
