--- a/src/main/java/org/poplarwharf/FailureCode.java
+++ b/src/main/java/org/poplarwharf/FailureCode.java
@@ -19,6 +19,7 @@
     REQUEST_CONDEMNED("request-condemned", 422, Ran.NO),
     QUEUE_FULL("queue-full", 429, Ran.NO),
     OVERLOADED("overloaded", 503, Ran.NO),
+    CRASH_SUSPECTED("crash-suspected", 503, Ran.NO),
     DEADLINE_UNREACHABLE("deadline-unreachable", 503, Ran.NO),
     DEADLINE_EXCEEDED("deadline-exceeded", 504, Ran.NO),
     DEADLINE_EXCEEDED_RUNNING("deadline-exceeded-running", 504, Ran.UNKNOWN),
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
@@ -0,0 +1,38 @@
+package org.poplarwharf.internal.crash;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.Optional;
+
+/**
+ * A request that was in flight at a target when the target crashed. Immutable and thread-safe.
+ *
+ * @param fingerprint the request, see {@link RequestFingerprint}
+ * @param targetStartedAtMillis start of the target's incarnation by its latest entry, in Unix milliseconds, or zero if
+ *     not known
+ * @param ordinal number of earlier crashes by this request at that incarnation; a target may crash again before the
+ *     entry of its restart is read
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record TargetCrash(String fingerprint, String targetId, long targetStartedAtMillis, int ordinal) {
+    private static final String SEPARATOR = "/";
+    private static final int PART_COUNT = 4;
+
+    /** Returns the key under which this crash is recorded on the log. */
+    String toKey() {
+        return fingerprint + SEPARATOR + targetStartedAtMillis + SEPARATOR + ordinal + SEPARATOR + targetId;
+    }
+
+    /** Parses a key; the result is empty if another writer has written it. */
+    static Optional<TargetCrash> fromKey(String key) {
+        String[] parts = key.split(SEPARATOR, PART_COUNT);
+        if (parts.length < PART_COUNT) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new TargetCrash(parts[0], parts[3], Long.parseLong(parts[1]), Integer.parseInt(parts[2])));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -1,12 +1,13 @@
 package org.poplarwharf.internal.gateway;
 
+import java.util.OptionalLong;
 import org.poplarwharf.internal.fleet.Route;
 
 /**
  * Counts the attempts of one exchange and decides whether another target may be tried.
  *
  * <p>Invariant: another target is tried only with time left and a retry taken from the budget, and after a possible run
- * only as often as the route allows. Confined to the event loop.
+ * only as often as the route allows. A request that has crashed targets is not sent again. Confined to the event loop.
  */
 final class AttemptLimits {
     /** A request is not sent with less time left, because no target could produce a useful result. */
@@ -16,15 +17,23 @@
     private final ExchangeRecorder recorder;
     private final Route route;
     private final String service;
+    private final String fingerprint;
     private final long deadlineMillis;
     private int attemptCount;
     private int possibleRunCount;
 
-    AttemptLimits(GatewayContext context, ExchangeRecorder recorder, Route route, String service, long deadlineMillis) {
+    AttemptLimits(
+            GatewayContext context,
+            ExchangeRecorder recorder,
+            Route route,
+            String service,
+            String fingerprint,
+            long deadlineMillis) {
         this.context = context;
         this.recorder = recorder;
         this.route = route;
         this.service = service;
+        this.fingerprint = fingerprint;
         this.deadlineMillis = deadlineMillis;
     }
 
@@ -73,9 +82,14 @@
         return rerunAllowed && possibleRunCount < route.maxTargets() && tryReserveRetry();
     }
 
-    /** Takes a retry from the budget, or returns false if there is none or no time left. */
+    /** Returns how much longer the request is refused since it has crashed targets, or empty if it may run. */
+    OptionalLong refusalMillis() {
+        return context.refusalMillis(fingerprint);
+    }
+
+    /** Takes a retry from the budget, or returns false if there is none, no time left or the request is refused. */
     boolean tryReserveRetry() {
-        if (!hasTimeLeft()) {
+        if (!hasTimeLeft() || refusalMillis().isPresent()) {
             return false;
         }
         long nowMillis = context.nowMillis();
--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -180,7 +180,8 @@
         RequestTraits traits = gateway.headerCodec().readRequest(request.headers());
         if (!gateway.view().isComplete()) {
             gateway.log().log("request-refused", "requestId", traits.requestId(), "reason", "no plan or targets yet");
-            sendProblem(request, traits, FailureCode.NOT_READY, "not ready", NOT_READY_RETRY_AFTER_MILLIS);
+            request.release();
+            sendProblem(traits.requestId(), FailureCode.NOT_READY, "not ready", NOT_READY_RETRY_AFTER_MILLIS);
             return;
         }
         FleetPlan plan = gateway.view().plan().orElseThrow();
@@ -194,7 +195,8 @@
                     "no route",
                     "planVersion",
                     plan.version());
-            sendProblem(request, traits, FailureCode.UNKNOWN_PATH, "no route", 0);
+            request.release();
+            sendProblem(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
             return;
         }
         exchange = new ProxyExchange(gateway, this, request, route.get(), traits, fingerprint(request));
@@ -207,12 +209,11 @@
                 List.of(caller, request.method().name(), request.uri()), ByteBufUtil.getBytes(request.content()));
     }
 
-    private void sendProblem(
-            FullHttpRequest request, RequestTraits traits, FailureCode code, String reason, long retryMillis) {
+    @Override
+    public void sendProblem(String requestId, FailureCode code, String reason, long retryAfterMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        gateway.headerCodec().addRequestId(headers, traits.requestId());
-        ByteBuf body = HttpMessages.writeProblem(headers, code, reason, retryMillis);
-        request.release();
+        gateway.headerCodec().addRequestId(headers, requestId);
+        ByteBuf body = HttpMessages.writeProblem(headers, code, reason, retryAfterMillis);
         sendResponse(code.httpStatus(), headers, body);
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.poplarwharf.internal.crash.CrashDetector;
+import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.http.TargetConnectionPool;
 import org.poplarwharf.internal.kernel.DecisionLog;
@@ -19,6 +22,8 @@
     private final MonotonicClock clock;
     private final TargetConnectionPool connections;
     private final RetryBudgetShare retryBudget;
+    private final CrashHistory crashHistory;
+    private final CrashDetector crashDetector;
     private final ForwardingPolicy policy = new ForwardingPolicy();
     private final String keyPrefix;
     private TargetSelector plainSelector;
@@ -35,7 +40,9 @@
             DecisionLog log,
             GatewayMetrics metrics,
             FleetView view,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            CrashHistory crashHistory,
+            CrashDetector crashDetector) {
         this.settings = settings;
         this.headerCodec = headerCodec;
         this.loop = loop;
@@ -43,6 +50,8 @@
         this.metrics = metrics;
         this.view = view;
         this.clock = clock;
+        this.crashHistory = crashHistory;
+        this.crashDetector = crashDetector;
         this.connections = new TargetConnectionPool(loop);
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), ASSUMED_NODE_COUNT);
@@ -114,6 +123,15 @@
         return retryBudget;
     }
 
+    CrashDetector crashDetector() {
+        return crashDetector;
+    }
+
+    /** Returns how much longer a request is refused since it has crashed targets, or empty if it may run. */
+    OptionalLong refusalMillis(String fingerprint) {
+        return crashHistory.refusalMillis(fingerprint, nowMillis());
+    }
+
     ForwardingPolicy policy() {
         return policy;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.function.Supplier;
+import org.poplarwharf.internal.crash.CrashDetector;
+import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 
@@ -27,12 +29,16 @@
             GatewayMetrics metrics,
             FleetView view,
             MonotonicClock clock,
+            CrashHistory crashHistory,
+            CrashDetector crashDetector,
             Supplier<byte[]> metricsText) {
-        this.context = new GatewayContext(settings, headerCodec, loop, log, metrics, view, clock);
+        this.context =
+                new GatewayContext(settings, headerCodec, loop, log, metrics, view, clock, crashHistory, crashDetector);
         this.server = new ProxyServer(context);
         this.readinessServer = new ReadinessServer(this::isReady, metricsText);
         metrics.registerGauge("log_lines_dropped", log::droppedLineCount);
         view.onRemoval(target -> context.connections().closeIdle(target.id()));
+        view.onRemoval(crashDetector::targetRemoved);
     }
 
     /** Sets the selector for targets that run engines. */
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -1,9 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -46,7 +44,7 @@
     private final ExchangeRecorder recorder;
     private final AttemptLimits limits;
     private final Future<?> deadlineTimer;
-    private Future<?> progressTimer;
+    private final ProgressTimer progressTimer;
     private String selectionKey = "";
     private InFlightRequest inFlight;
     private Target target;
@@ -76,7 +74,8 @@
         this.relay = new ResponseRelay(
                 context.headerCodec(), sink, traits.requestId(), route.kind().isStream(), traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
-        this.limits = new AttemptLimits(context, recorder, route, service, deadlineMillis);
+        this.limits = new AttemptLimits(context, recorder, route, service, fingerprint, deadlineMillis);
+        this.progressTimer = new ProgressTimer(context, this::handleNoProgress);
         this.deadlineTimer = context.schedule(deadlineMillis - arrivedMillis, this::expire);
     }
 
@@ -86,6 +85,9 @@
     }
 
     private void selectTarget() {
+        if (refuseIfCrashing()) {
+            return;
+        }
         limits.recordAttempt();
         selectionKey = context.nextKey();
         recorder.recordSelection(
@@ -106,7 +108,7 @@
 
     @Override
     public void onSelected(Target selected, Optional<Target> backupTarget, String by) {
-        if (!done) {
+        if (!done && !refuseIfCrashing()) {
             backup = backupTarget;
             send(selected, Optional.empty(), by);
         }
@@ -137,7 +139,7 @@
                 context.policy().maxIdleMillis(route.kind()));
         inFlight = context.connections()
                 .send(spec, HttpMessages.forTarget(request, context.headerCodec(), forwarding), this);
-        restartProgressTimer(context.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
+        progressTimer.restart(context.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
     }
 
     @Override
@@ -174,7 +176,7 @@
             firstEventReported = true;
             selector.reportOutcome(selectionKey, new RunOutcome.FirstEventReceived(context.nowMillis() - sentMillis));
         }
-        restartProgressTimer(context.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
+        progressTimer.restart(context.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
         if (!sink.isWritable() && inFlight != null) {
             inFlight.setReading(false);
         }
@@ -203,7 +205,7 @@
             return true;
         }
         inFlight = null;
-        restartProgressTimer(OptionalLong.empty());
+        progressTimer.stop();
         if (relay.reportsNotRun()) {
             retryDeclined();
             return true;
@@ -236,7 +238,7 @@
     @Override
     public void onNotSent(String reason) {
         inFlight = null;
-        restartProgressTimer(OptionalLong.empty());
+        progressTimer.stop();
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
         excluded.add(target.id());
         recorder.recordUnreachable(target, reason);
@@ -254,8 +256,13 @@
 
     @Override
     public void onBroken(String reason) {
+        context.crashDetector().recordClosedRun(target, fingerprint, sentMillis);
+        handleBreak(reason);
+    }
+
+    private void handleBreak(String reason) {
         inFlight = null;
-        restartProgressTimer(OptionalLong.empty());
+        progressTimer.stop();
         if (limits.tryReserveRerun(isRerunAllowed())) {
             rerun(reason);
         } else if (canContinueFromBackup()) {
@@ -283,18 +290,21 @@
     /** Gives up on an attempt whose target sends an invalid response or makes no progress. */
     private void abandonAttempt(String reason) {
         cancelInFlight();
-        onBroken(reason);
+        handleBreak(reason);
     }
 
     private void handleNoProgress() {
         if (!done && inFlight != null) {
+            context.crashDetector().recordAbandonedRun(target, fingerprint, sentMillis);
             abandonAttempt("no progress");
         }
     }
 
     /** Returns whether the route allows another run that can continue the response from where the caller has it. */
     private boolean isRerunAllowed() {
-        return route.kind().isRetryable() && (!relay.started() || isResumable());
+        boolean isResumable = route.kind() == RouteKind.RESUMABLE_STREAM
+                && relay.lastEventId().isPresent();
+        return route.kind().isRetryable() && (!relay.started() || isResumable);
     }
 
     private void rerun(String reason) {
@@ -308,16 +318,7 @@
     private void failAfterBreak(String reason) {
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
         recorder.recordBroken(target, false, reason, limits.possibleRunCount(), relay.eventCount());
-        if (relay.started()) {
-            sink.abortResponse();
-            close("request-cut", "reason", reason);
-        } else {
-            fail(FailureCode.TARGET_FAILED, reason, 0);
-        }
-    }
-
-    private boolean isResumable() {
-        return route.kind() == RouteKind.RESUMABLE_STREAM && relay.lastEventId().isPresent();
+        giveUp(reason, 0);
     }
 
     private void giveUp(String reason, long retryAfterMillis) {
@@ -331,6 +332,21 @@
         }
     }
 
+    /** Refuses a request that has crashed targets, and returns whether it did. */
+    private boolean refuseIfCrashing() {
+        OptionalLong refusalMillis = limits.refusalMillis();
+        if (refusalMillis.isEmpty()) {
+            return false;
+        }
+        releaseTarget();
+        if (limits.mayHaveRun()) {
+            giveUp("request crashes targets", 0);
+        } else {
+            fail(FailureCode.CRASH_SUSPECTED, "request crashes targets", refusalMillis.getAsLong());
+        }
+        return true;
+    }
+
     private void expire() {
         if (!done) {
             releaseTarget();
@@ -350,23 +366,23 @@
     }
 
     private void releaseTarget() {
+        if (inFlight != null && limits.mayHaveRun()) {
+            context.crashDetector().recordAbandonedRun(target, fingerprint, sentMillis);
+        }
         cancelInFlight();
         selector.cancel(selectionKey);
         selector.reportOutcome(selectionKey, new RunOutcome.Abandoned());
     }
 
     private void fail(FailureCode code, String reason, long retryAfterMillis) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        context.headerCodec().addRequestId(headers, traits.requestId());
-        ByteBuf body = HttpMessages.writeProblem(headers, code, reason, retryAfterMillis);
-        sink.sendResponse(code.httpStatus(), headers, body);
+        sink.sendProblem(traits.requestId(), code, reason, retryAfterMillis);
         close("request-failed", "code", code.text(), "reason", reason, "retryAfterMillis", retryAfterMillis);
     }
 
     private void close(String event, Object... fields) {
         done = true;
         deadlineTimer.cancel(false);
-        restartProgressTimer(OptionalLong.empty());
+        progressTimer.stop();
         recorder.recordEnd(event, fields);
         relay.release();
         request.release();
@@ -378,14 +394,4 @@
             inFlight = null;
         }
     }
-
-    private void restartProgressTimer(OptionalLong millis) {
-        if (progressTimer != null) {
-            progressTimer.cancel(false);
-            progressTimer = null;
-        }
-        if (millis.isPresent()) {
-            progressTimer = context.schedule(millis.getAsLong(), this::handleNoProgress);
-        }
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -2,19 +2,20 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.TargetSelector;
+import org.poplarwharf.internal.http.RefusalProbe;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.topic.TopicFollower;
@@ -91,6 +92,9 @@
 
         /** Called with the number of nodes that the holder reports. */
         void nodeCountReported(int nodeCount);
+
+        /** Called with requests that have crashed targets, which another node has detected. */
+        void crashesReported(List<TargetCrash> crashes);
     }
 
     public EngineTargetSelector(
@@ -194,35 +198,13 @@
             localHolder.submit(pendingRequest.request, this);
         } else if (isRemoteHolderResponding()) {
             pendingRequest.decider = Decider.REMOTE_HOLDER;
-            send(submitMessage(pendingRequest.request));
+            send(HolderMessage.submitMessage(pendingRequest.request, clock.nowMillis()));
         } else {
             pendingRequest.decider = Decider.NO_HOLDER;
             selectFromOwnView(pendingRequest);
         }
     }
 
-    private HolderMessage submitMessage(DispatchRequest request) {
-        RequestTraits traits = request.traits();
-        long nowMillis = clock.nowMillis();
-        return new HolderMessage.Submit(
-                request.key(),
-                request.zone(),
-                request.service(),
-                traits.model().orElse(""),
-                traits.adapter().orElse(""),
-                traits.promptTokens(),
-                traits.maxOutputTokens(),
-                traits.promptParts().stream().map(RequestTraits.PromptPart::id).toList(),
-                traits.promptParts().stream()
-                        .map(RequestTraits.PromptPart::tokens)
-                        .toList(),
-                request.priority(),
-                request.deadlineMillis() - nowMillis,
-                request.objectiveMillis() - nowMillis,
-                request.wantsBackup(),
-                List.copyOf(request.excluded()));
-    }
-
     /** Selects the target with the fewest requests of this node among those that have the model and adapter loaded. */
     private void selectFromOwnView(PendingRequest pendingRequest) {
         DispatchRequest request = pendingRequest.request;
@@ -304,6 +286,7 @@
             case HolderMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat);
             case HolderMessage.Granted grant -> granted(grant.key(), grant.targetId(), grant.backupId());
             case HolderMessage.Refused refusal -> refused(refusal.key(), refusal.reason(), refusal.retryAfterMillis());
+            case HolderMessage.TargetCrashes report -> listener.crashesReported(report.crashes());
             case HolderMessage.Submit submit -> closeUnexpected(sender);
             case HolderMessage.Withdraw withdraw -> closeUnexpected(sender);
             case HolderMessage.Outcome outcome -> closeUnexpected(sender);
@@ -354,8 +337,7 @@
                 return;
             }
             connecting = false;
-            if (result.cause() instanceof ConnectException
-                    && String.valueOf(result.cause().getMessage()).contains("refused")) {
+            if (RefusalProbe.isRefused(result.cause())) {
                 listener.holderEnded(expectedIncarnation);
             }
             timer.schedule(RECONNECT_DELAY_MILLIS, this::connect);
@@ -393,6 +375,13 @@
         timer.schedule(CHECK_INTERVAL_MILLIS, this::checkPending);
     }
 
+    /** Reports requests that have crashed targets to the holder, which informs the other nodes. */
+    public void reportCrashes(List<TargetCrash> crashes) {
+        if (!crashes.isEmpty()) {
+            send(new HolderMessage.TargetCrashes(crashes));
+        }
+    }
+
     private void send(HolderMessage message) {
         connection.ifPresent(open -> open.send(message));
     }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -7,12 +7,17 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.poplarwharf.internal.admin.PrometheusText;
+import org.poplarwharf.internal.crash.CrashDetector;
+import org.poplarwharf.internal.crash.CrashHistory;
+import org.poplarwharf.internal.crash.CrashTopic;
+import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.Target;
@@ -24,6 +29,7 @@
 import org.poplarwharf.internal.gateway.PlanTopicListener;
 import org.poplarwharf.internal.gateway.TargetTopicListener;
 import org.poplarwharf.internal.http.PooledHttpClient;
+import org.poplarwharf.internal.http.RefusalProbe;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.lease.HolderLease;
@@ -47,6 +53,17 @@
      */
     private static final double TARGET_READ_INTERVAL_RATIO = 0.7;
 
+    private static final String CRASH_TOPIC = "poplarwharf-crashes";
+
+    /** A target's entry is removed after this many missed heartbeats. */
+    private static final int MISSED_HEARTBEATS_COUNT = 3;
+
+    /** The time that the platform and this node need, in addition, to notice that an entry was removed. */
+    private static final long ENTRY_DELAY_MILLIS = 1_000;
+
+    private static final long CRASH_READ_GAP_MILLIS = 500;
+    private static final long CRASH_EXPIRY_INTERVAL_MILLIS = 60_000;
+
     private static final long PLAN_READ_GAP_MILLIS = 50;
     private static final long RETRY_MILLIS = 250;
     private static final long MAX_RETRY_MILLIS = 800;
@@ -57,6 +74,9 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final MonotonicClock clock = MonotonicClock.system();
+    private final FleetView view = new FleetView();
+    private final TopicFollower.Timer timer = this::schedule;
+    private final KeyedLog platformLog;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final GatewayServer front;
     private final HolderRole holderRole;
@@ -64,6 +84,8 @@
     private final HolderLease lease;
     private final TopicFollower planFollower;
     private final TopicFollower targetFollower;
+    private final TopicFollower crashFollower;
+    private final CrashExchange crashExchange;
 
     /** The platform-specific functions that a node needs. */
     public record PlatformAdapter(
@@ -82,11 +104,13 @@
         this.adapter = adapter;
         this.log = new DecisionLog(settings.nodeId(), settings.zone(), out);
         MetricRegistry registry = new MetricRegistry();
-        FleetView view = new FleetView();
         PooledHttpClient httpCaller = new PooledHttpClient(loop);
-        KeyedLog platformLog = adapter.logFactory().apply(httpCaller);
+        this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
-        TopicFollower.Timer timer = this::schedule;
+        CrashHistory crashHistory = new CrashHistory();
+        CrashTopic crashTopic =
+                new CrashTopic(CRASH_TOPIC, platformLog, timer, log, settings.nodeId(), this::crashesRead);
+        this.crashExchange = new CrashExchange(crashHistory, crashTopic, clock::nowMillis, log, new CrashPeers());
         this.front = new GatewayServer(
                 settings,
                 adapter.headerNames(),
@@ -95,9 +119,18 @@
                 new GatewayMetrics(registry),
                 view,
                 clock,
+                crashHistory,
+                newCrashDetector(crashHistory),
                 () -> PrometheusText.of(registry));
         this.holderRole = new HolderRole(
-                settings, incarnation, view, adapter.engineClientFactory().apply(httpCaller), clock, timer, log);
+                settings,
+                incarnation,
+                view,
+                adapter.engineClientFactory().apply(httpCaller),
+                clock,
+                timer,
+                log,
+                crashExchange);
         this.engineTargets =
                 new EngineTargetSelector(holderRole, view, loop, clock, timer, log, new HolderConnectionListener());
         front.setEngineSelector(engineTargets);
@@ -111,15 +144,37 @@
                 timer,
                 new SystemClocks(),
                 new LeaseListener());
-        long targetReadGapMillis = Math.round(settings.targetRemovalMillis() * TARGET_READ_INTERVAL_RATIO);
-        this.planFollower = new TopicFollower(
+        this.planFollower = newPlanFollower();
+        this.targetFollower = newTargetFollower();
+        this.crashFollower = newCrashFollower(crashTopic);
+    }
+
+    private CrashDetector newCrashDetector(CrashHistory crashHistory) {
+        long entryRemovalMillis = MISSED_HEARTBEATS_COUNT * settings.heartbeatIntervalMillis()
+                + settings.targetRemovalMillis()
+                + ENTRY_DELAY_MILLIS;
+        return new CrashDetector(
+                crashHistory,
+                view::target,
+                new RefusalProbe(loop)::connect,
+                clock::nowMillis,
+                entryRemovalMillis,
+                crashExchange::crashesDetected);
+    }
+
+    private TopicFollower newPlanFollower() {
+        return new TopicFollower(
                 adapter.planTopic(),
                 platformLog,
                 new TopicFollower.PollTimings(
                         PLAN_READ_GAP_MILLIS, settings.planUpdateMillis(), RETRY_MILLIS, MAX_RETRY_MILLIS),
                 timer,
                 new PlanTopicListener(view, adapter.planDecoder(), log));
-        this.targetFollower = new TopicFollower(
+    }
+
+    private TopicFollower newTargetFollower() {
+        long targetReadGapMillis = Math.round(settings.targetRemovalMillis() * TARGET_READ_INTERVAL_RATIO);
+        return new TopicFollower(
                 adapter.targetTopic(),
                 platformLog,
                 new TopicFollower.PollTimings(targetReadGapMillis, 0, RETRY_MILLIS, MAX_RETRY_MILLIS),
@@ -127,6 +182,31 @@
                 new TargetTopicListener(view, adapter.targetDecoder(), clock, timer, log));
     }
 
+    private TopicFollower newCrashFollower(CrashTopic crashTopic) {
+        return new TopicFollower(
+                CRASH_TOPIC,
+                platformLog,
+                new TopicFollower.PollTimings(
+                        CRASH_READ_GAP_MILLIS, settings.planUpdateMillis(), RETRY_MILLIS, MAX_RETRY_MILLIS),
+                timer,
+                crashTopic,
+                this::readsCrashes);
+    }
+
+    private void crashesRead(List<TargetCrash> crashes) {
+        crashExchange.crashesRead(crashes);
+    }
+
+    /** Without a responding holder, each node reads the crashes itself. */
+    private boolean readsCrashes() {
+        return holderRole.isHolding() || !engineTargets.isHolderResponding();
+    }
+
+    private void removeExpiredCrashes() {
+        crashExchange.removeExpired();
+        schedule(CRASH_EXPIRY_INTERVAL_MILLIS, this::removeExpiredCrashes);
+    }
+
     /** Starts the node and returns once it accepts connections. */
     public void start() {
         awaitBinding(settings.readinessAddress(), front.listenForReadiness(group));
@@ -136,6 +216,8 @@
             log.log("node-started", "front", settings.callerAddress(), "log", settings.logAddress());
             planFollower.start();
             targetFollower.start();
+            crashFollower.start();
+            removeExpiredCrashes();
             engineTargets.start();
             lease.start();
         });
@@ -254,5 +336,27 @@
         public void nodeCountReported(int nodeCount) {
             front.setNodeCount(nodeCount);
         }
+
+        @Override
+        public void crashesReported(List<TargetCrash> crashes) {
+            crashExchange.crashesReported(crashes);
+        }
+    }
+
+    private final class CrashPeers implements CrashExchange.Peers {
+        @Override
+        public boolean isHolding() {
+            return holderRole.isHolding();
+        }
+
+        @Override
+        public void broadcast(List<TargetCrash> crashes) {
+            holderRole.broadcastCrashes(crashes);
+        }
+
+        @Override
+        public void reportToHolder(List<TargetCrash> crashes) {
+            engineTargets.reportCrashes(crashes);
+        }
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -5,6 +5,11 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 
@@ -21,6 +26,7 @@
     @JsonSubTypes.Type(value = HolderMessage.Ended.class, name = "e"),
     @JsonSubTypes.Type(value = HolderMessage.Granted.class, name = "g"),
     @JsonSubTypes.Type(value = HolderMessage.Refused.class, name = "r"),
+    @JsonSubTypes.Type(value = HolderMessage.TargetCrashes.class, name = "c"),
 })
 public sealed interface HolderMessage {
     /**
@@ -69,6 +75,10 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Refused(String key, String reason, long retryAfterMillis) implements HolderMessage {}
 
+    /** Reports requests that were in flight at targets that crashed; sent in both directions. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record TargetCrashes(List<TargetCrash> crashes) implements HolderMessage {}
+
     /** The kinds of run outcomes. */
     enum OutcomeKind {
         ANSWERED,
@@ -89,6 +99,51 @@
         return parts;
     }
 
+    /** Returns the message that asks the holder for a target for a request. */
+    static Submit submitMessage(DispatchRequest request, long nowMillis) {
+        RequestTraits traits = request.traits();
+        return new Submit(
+                request.key(),
+                request.zone(),
+                request.service(),
+                traits.model().orElse(""),
+                traits.adapter().orElse(""),
+                traits.promptTokens(),
+                traits.maxOutputTokens(),
+                traits.promptParts().stream().map(RequestTraits.PromptPart::id).toList(),
+                traits.promptParts().stream()
+                        .map(RequestTraits.PromptPart::tokens)
+                        .toList(),
+                request.priority(),
+                request.deadlineMillis() - nowMillis,
+                request.objectiveMillis() - nowMillis,
+                request.wantsBackup(),
+                List.copyOf(request.excluded()));
+    }
+
+    /** Returns the request that a node has submitted. */
+    static DispatchRequest dispatchRequest(Submit submit, long nowMillis) {
+        RequestTraits traits = new RequestTraits(
+                "",
+                OptionalLong.empty(),
+                Optional.of(submit.model()).filter(model -> !model.isEmpty()),
+                Optional.of(submit.adapter()).filter(adapter -> !adapter.isEmpty()),
+                submit.promptTokens(),
+                submit.maxOutputTokens(),
+                promptParts(submit),
+                OptionalLong.empty());
+        return new DispatchRequest(
+                submit.key(),
+                submit.zone(),
+                submit.service(),
+                traits,
+                submit.priority(),
+                nowMillis + submit.millisLeft(),
+                nowMillis + submit.objectiveMillisLeft(),
+                submit.wantsBackup(),
+                Set.copyOf(submit.excluded()));
+    }
+
     /** Returns the message that reports the outcome of a run to the holder. */
     static HolderMessage outcomeMessage(String key, RunOutcome outcome) {
         return switch (outcome) {
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -12,8 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
+import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchActions;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.Dispatcher;
@@ -22,7 +22,6 @@
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.FleetPlan;
-import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.RoutedService;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
@@ -46,6 +45,9 @@
 
     private static final long IDLE_TICK_INTERVAL_MILLIS = 250;
 
+    /** Keeps messages well below the maximum size of a frame. */
+    private static final int MAX_CRASHES_PER_MESSAGE = 500;
+
     private final GatewaySettings settings;
     private final String incarnation;
     private final FleetView view;
@@ -53,6 +55,7 @@
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
+    private final CrashListener crashListener;
     private final Set<HolderConnections.Connection> connections = new LinkedHashSet<>();
     private final Map<String, Dispatcher> dispatchers = new LinkedHashMap<>();
     private final Map<String, RequestSource> sources = new HashMap<>();
@@ -71,6 +74,15 @@
         void refused(String key, String reason, long retryAfterMillis);
     }
 
+    /** Exchanges requests that have crashed targets with the connected nodes. */
+    public interface CrashListener {
+        /** Called with crashes that a node has detected. */
+        void crashesReported(List<TargetCrash> crashes);
+
+        /** Returns the crashes to send to a node that has just connected. */
+        List<TargetCrash> knownCrashes();
+    }
+
     public HolderRole(
             GatewaySettings settings,
             String incarnation,
@@ -78,7 +90,8 @@
             EngineClient engines,
             MonotonicClock clock,
             TopicFollower.Timer timer,
-            DecisionLog log) {
+            DecisionLog log,
+            CrashListener crashListener) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.view = view;
@@ -86,6 +99,7 @@
         this.clock = clock;
         this.timer = timer;
         this.log = log;
+        this.crashListener = crashListener;
         view.onChange(this::scheduleViewUpdate);
     }
 
@@ -160,6 +174,19 @@
     public void opened(HolderConnections.Connection connection) {
         connections.add(connection);
         sendHeartbeat(connection);
+        sendCrashes(connection, crashListener.knownCrashes());
+    }
+
+    /** Sends requests that have crashed targets to all other nodes that are connected. */
+    public void broadcastCrashes(List<TargetCrash> crashes) {
+        connections.forEach(connection -> sendCrashes(connection, crashes));
+    }
+
+    private static void sendCrashes(HolderConnections.Connection connection, List<TargetCrash> crashes) {
+        for (int from = 0; from < crashes.size(); from += MAX_CRASHES_PER_MESSAGE) {
+            int to = Math.min(crashes.size(), from + MAX_CRASHES_PER_MESSAGE);
+            connection.send(new HolderMessage.TargetCrashes(crashes.subList(from, to)));
+        }
     }
 
     @Override
@@ -182,11 +209,12 @@
         switch (message) {
             case HolderMessage.Submit submit ->
                 dispatch(
-                        toDispatchRequest(submit),
+                        HolderMessage.dispatchRequest(submit, clock.nowMillis()),
                         new RequestSource(submit.service(), Optional.of(connection), Optional.empty()));
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
             case HolderMessage.Outcome outcome -> recordOutcome(outcome.key(), HolderMessage.runOutcome(outcome));
             case HolderMessage.Ended ended -> recordEnd(ended.key());
+            case HolderMessage.TargetCrashes report -> crashListener.crashesReported(report.crashes());
             case HolderMessage.Heartbeat heartbeat -> closeUnexpected(connection);
             case HolderMessage.Granted granted -> closeUnexpected(connection);
             case HolderMessage.Refused refused -> closeUnexpected(connection);
@@ -203,29 +231,6 @@
         return Optional.ofNullable(sources.get(key)).map(source -> dispatchers.get(source.service()));
     }
 
-    private DispatchRequest toDispatchRequest(HolderMessage.Submit submit) {
-        long nowMillis = clock.nowMillis();
-        RequestTraits traits = new RequestTraits(
-                "",
-                OptionalLong.empty(),
-                Optional.of(submit.model()).filter(model -> !model.isEmpty()),
-                Optional.of(submit.adapter()).filter(adapter -> !adapter.isEmpty()),
-                submit.promptTokens(),
-                submit.maxOutputTokens(),
-                HolderMessage.promptParts(submit),
-                OptionalLong.empty());
-        return new DispatchRequest(
-                submit.key(),
-                submit.zone(),
-                submit.service(),
-                traits,
-                submit.priority(),
-                nowMillis + submit.millisLeft(),
-                nowMillis + submit.objectiveMillisLeft(),
-                submit.wantsBackup(),
-                Set.copyOf(submit.excluded()));
-    }
-
     private void dispatch(DispatchRequest request, RequestSource source) {
         Dispatcher dispatcher = dispatchers.get(request.service());
         if (lease.isEmpty() || dispatcher == null) {
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.http.HttpCallResult;
 import org.poplarwharf.internal.http.PooledHttpClient;
@@ -83,19 +85,27 @@
 
     @Override
     public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
-        byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
-        ByteBuffer body = ByteBuffer.allocate(Integer.BYTES + 1 + keyBytes.length + value.length);
-        body.putInt(1 + keyBytes.length + value.length)
-                .put((byte) keyBytes.length)
-                .put(keyBytes)
-                .put(value);
-        String uri = "/log-append?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0&at=" + endOffset;
+        append(topic, "&at=" + endOffset, List.of(new Entry(key, value)), body -> new Appended(endOffset), callback);
+    }
+
+    @Override
+    public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
+        append(topic, "", entries, PlatformKeyedLog::decodeAppended, callback);
+    }
+
+    private void append(
+            String topic,
+            String condition,
+            List<Entry> entries,
+            Function<byte[], AppendResult> responseDecoder,
+            Consumer<AppendResult> callback) {
+        String uri = "/log-append?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0" + condition;
         PooledHttpClient.Call call = new PooledHttpClient.Call(
                 address,
                 HttpMethod.POST,
                 uri,
                 Map.of("Content-Type", "application/octet-stream"),
-                body.array(),
+                encodeRecords(entries),
                 RESPONSE_TIMEOUT_MILLIS);
         httpClient.send(
                 call,
@@ -103,7 +113,7 @@
                         switch (result) {
                             case HttpCallResult.Response response ->
                                 switch (response.status()) {
-                                    case OK -> new Appended(endOffset);
+                                    case OK -> responseDecoder.apply(response.body());
                                     case END_MOVED -> new EndMoved();
                                     default -> unexpectedStatus(response);
                                 };
@@ -112,6 +122,28 @@
                         }));
     }
 
+    private static byte[] encodeRecords(List<Entry> entries) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (Entry entry : entries) {
+            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
+            int length = 1 + key.length + entry.value().length;
+            body.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(length).array());
+            body.write(key.length);
+            body.writeBytes(key);
+            body.writeBytes(entry.value());
+        }
+        return body.toByteArray();
+    }
+
+    private static AppendResult decodeAppended(byte[] body) {
+        try {
+            JsonNode response = JsonFields.parse(body, "the response to an append");
+            return new Appended(response.path("offset").asLong(-1));
+        } catch (PoplarWharfException e) {
+            return new OutcomeUnknown(e.getMessage());
+        }
+    }
+
     private static Unavailable unexpectedStatus(HttpCallResult.Response response) {
         return new Unavailable("status " + response.status());
     }
--- a/src/main/java/org/poplarwharf/internal/topic/KeyedLog.java
+++ b/src/main/java/org/poplarwharf/internal/topic/KeyedLog.java
@@ -23,6 +23,12 @@
     /** Appends a record only if the topic ends at the given offset. */
     void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback);
 
+    /** Appends records, all or none, wherever the topic ends. */
+    void append(String topic, List<Entry> entries, Consumer<AppendResult> callback);
+
+    /** A key and its value to append; an empty value deletes the key. */
+    record Entry(String key, byte[] value) {}
+
     /** A record of a topic. */
     record KeyedRecord(long offset, String key, byte[] value) {
         /** Returns whether the record deletes its key. */
@@ -37,7 +43,7 @@
     /** The result of {@link #read}. */
     sealed interface ReadResult permits Records, Trimmed, Unavailable {}
 
-    /** The result of {@link #appendAt}. */
+    /** The result of {@link #appendAt} and {@link #append}. */
     sealed interface AppendResult permits Appended, EndMoved, OutcomeUnknown, Unavailable {}
 
     /** A page of latest records; the topic ended at {@code endOffset} when the page was read. */
@@ -52,7 +58,7 @@
     /** The log no longer retains all records from the requested offset on. */
     record Trimmed() implements ReadResult {}
 
-    /** The record was appended at this offset. */
+    /** The record was appended at this offset; of several records, the first one. */
     record Appended(long offset) implements AppendResult {}
 
     /** The topic ends at another offset; nothing was appended. */
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Reads a snapshot of a topic and then its new records, and passes the latest record of each key to a listener.
@@ -20,6 +21,7 @@
     private final PollTimings timings;
     private final Timer timer;
     private final Listener listener;
+    private final BooleanSupplier enabled;
     private final Map<String, Long> offsets = new HashMap<>();
     private final List<KeyedLog.KeyedRecord> snapshotRecords = new ArrayList<>();
     private Optional<Long> nextOffset = Optional.empty();
@@ -60,18 +62,31 @@
     }
 
     public TopicFollower(String topic, KeyedLog log, PollTimings timings, Timer timer, Listener listener) {
+        this(topic, log, timings, timer, listener, () -> true);
+    }
+
+    /**
+     * Creates a follower that pauses.
+     *
+     * @param enabled whether to read new records; the first snapshot is read in any case
+     */
+    public TopicFollower(
+            String topic, KeyedLog log, PollTimings timings, Timer timer, Listener listener, BooleanSupplier enabled) {
         this.topic = topic;
         this.log = log;
         this.timings = timings;
         this.timer = timer;
         this.listener = listener;
+        this.enabled = enabled;
     }
 
     /**
      * Reads the next records, or a snapshot if none has been read, and schedules the next read. Reading never stops.
      */
     public void start() {
-        if (nextOffset.isPresent()) {
+        if (nextOffset.isPresent() && !enabled.getAsBoolean()) {
+            timer.schedule(timings.pollDelayMillis(), this::start);
+        } else if (nextOffset.isPresent()) {
             readRecords(nextOffset.get());
         } else {
             snapshotRecords.clear();
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -39,7 +39,7 @@
             Map.entry("idle", List.of("failure")),
             Map.entry("target", List.of("failure", "kernel")),
             Map.entry("protocol", List.of("codec", "failure", "kernel")),
-            Map.entry("crash", List.of()),
+            Map.entry("crash", List.of("fleet", "kernel", "topic")),
             Map.entry("fleet", List.of()),
             Map.entry("http", List.of()),
             Map.entry("topic", List.of()),
@@ -51,6 +51,7 @@
                     List.of(
                             "admin",
                             "codec",
+                            "crash",
                             "dispatch",
                             "failure",
                             "fleet",
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
@@ -0,0 +1,128 @@
+package org.poplarwharf.internal.holder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.poplarwharf.support.Eventually;
+import org.poplarwharf.support.ScriptedTarget;
+
+/** Sends a request that crashes each target that runs it to the nodes in turn; it may take down two targets at most. */
+@Timeout(60)
+class CrashingRequestGatewayTest {
+    private static final int MAX_CRASH_COUNT = 2;
+    private static final int TARGET_COUNT = 6;
+    private static final int NODE_COUNT = 3;
+    private static final int REPEAT_COUNT = 12;
+
+    /** A crashed target is back in less time than the platform needs to remove its entry. */
+    private static final long RESTART_MILLIS = 150;
+
+    private static final long REPEAT_INTERVAL_MILLIS = 200;
+    private static final String CRASHING_BODY = "crashes its target";
+    private static final String MODELS = ",'models':[{'name':'m1','version':1,'adapters':[]}],'atHand':{}";
+
+    private final AtomicInteger crashCount = new AtomicInteger();
+    private GatewayCluster cluster;
+
+    private void start(String service, String extraFields) throws IOException {
+        cluster = new GatewayCluster();
+        for (int i = 0; i < NODE_COUNT; i++) {
+            cluster.startNode();
+        }
+        for (int i = 0; i < TARGET_COUNT; i++) {
+            addCrashingTarget(service, extraFields);
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        cluster.close();
+    }
+
+    @Test
+    void request_that_crashed_two_plain_targets_is_refused_at_every_node() throws Exception {
+        start("desk", "");
+        HttpResponse<String> last = sendRepeatedly("/once/x");
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+        assertThat(send(0, "/once/x", "harmless").body()).isEqualTo("whole");
+    }
+
+    @Test
+    void request_that_crashed_two_engines_is_refused_at_every_node() throws Exception {
+        start("lm", MODELS);
+        HttpResponse<String> last = sendRepeatedly("/lm/x");
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+        assertThat(send(0, "/lm/x", "harmless").body()).isEqualTo("whole");
+    }
+
+    @Test
+    void retryable_request_that_crashed_two_targets_in_one_attempt_is_refused_at_every_node() throws Exception {
+        start("desk", "");
+        HttpResponse<String> last = sendRepeatedly("/safe/x");
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+    }
+
+    @Test
+    void nodes_that_start_later_refuse_a_request_that_crashed_two_targets_before() throws Exception {
+        start("desk", "");
+        sendRepeatedly("/once/x");
+        cluster.nodes.forEach(node -> node.gateway().drainAndStop());
+        cluster.nodes.clear();
+        for (int i = 0; i < NODE_COUNT; i++) {
+            GatewayCluster.Node node = cluster.startNode();
+            Eventually.eventually("the node is ready", () -> cluster.status(node.readyPort(), "/ready") == 200);
+        }
+        HttpResponse<String> last = sendRepeatedly("/once/x");
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+    }
+
+    /** Sends the crashing request to the nodes in turn and returns the last response. */
+    private HttpResponse<String> sendRepeatedly(String path) throws IOException, InterruptedException {
+        HttpResponse<String> last = null;
+        for (int i = 0; i < REPEAT_COUNT; i++) {
+            last = send(i % NODE_COUNT, path, CRASHING_BODY);
+            GatewayCluster.pause(REPEAT_INTERVAL_MILLIS);
+        }
+        return last;
+    }
+
+    private HttpResponse<String> send(int node, String path, String body) throws IOException, InterruptedException {
+        return cluster.send(GatewayCluster.request(cluster.nodes.get(node).frontPort(), path)
+                .header("X-Model", "m1")
+                .header("X-Token-Counts", "10,10")
+                .POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    private void addCrashingTarget(String service, String extraFields) throws IOException {
+        long firstStartMillis = System.currentTimeMillis();
+        ScriptedTarget target = cluster.addTarget(service, ",'born':" + firstStartMillis + extraFields);
+        AtomicInteger restartCount = new AtomicInteger();
+        target.script = (request, out) -> {
+            if (!request.body().equals(CRASHING_BODY)) {
+                ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+                return;
+            }
+            crashCount.incrementAndGet();
+            target.crash();
+            Thread.sleep(RESTART_MILLIS);
+            target.restart();
+            long startMillis = firstStartMillis + restartCount.incrementAndGet();
+            cluster.platform.put(
+                    "servers", target.id, target.topicEntry(service, ",'born':" + startMillis + extraFields));
+        };
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/lease/FakeKeyedLog.java
+++ b/src/test/java/org/poplarwharf/internal/lease/FakeKeyedLog.java
@@ -36,6 +36,11 @@
         callback.accept(new Records(List.copyOf(remaining), records.size(), records.size()));
     }
 
+    @Override
+    public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
+        throw new UnsupportedOperationException("a lease appends at a known end only");
+    }
+
     @Override
     public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
         if (unavailable || rejectAppends) {
--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -151,6 +151,11 @@
             }
         }
 
+        @Override
+        public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
+            throw new UnsupportedOperationException("a follower does not append");
+        }
+
         @Override
         public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
             throw new UnsupportedOperationException("a follower never appends");
--- a/src/test/java/org/poplarwharf/support/FakePlatformLog.java
+++ b/src/test/java/org/poplarwharf/support/FakePlatformLog.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -110,7 +111,8 @@
         switch (exchange.getRequestURI().getPath()) {
             case "/log-newest" -> send(exchange, 200, latestRecords(topic));
             case "/log-read" -> read(exchange, query);
-            default -> append(exchange, topic, Integer.parseInt(query.get("at")), body);
+            default ->
+                append(exchange, topic, Optional.ofNullable(query.get("at")).map(Integer::valueOf), body);
         }
     }
 
@@ -164,29 +166,31 @@
         return bytes.toByteArray();
     }
 
-    private void append(HttpExchange exchange, String topic, int expectedOffset, byte[] body)
+    private void append(HttpExchange exchange, String topic, Optional<Integer> expectedEnd, byte[] body)
             throws IOException, InterruptedException {
         if (appendDelayMillis > 0) {
             Thread.sleep(appendDelayMillis);
-            append(topic, expectedOffset, body);
+            append(topic, expectedEnd, body);
             exchange.close();
             return;
         }
-        int status = append(topic, expectedOffset, body) ? 200 : 412;
+        int status = append(topic, expectedEnd, body) ? 200 : 412;
         send(exchange, status, "{}".getBytes(StandardCharsets.UTF_8));
     }
 
-    private synchronized boolean append(String name, int expectedOffset, byte[] body) {
+    private synchronized boolean append(String name, Optional<Integer> expectedEnd, byte[] body) {
         Topic topic = topic(name);
-        if (topic.records.size() != expectedOffset) {
+        if (expectedEnd.filter(end -> end != topic.records.size()).isPresent()) {
             return false;
         }
         ByteBuffer buffer = ByteBuffer.wrap(body);
-        byte[] record = new byte[buffer.getInt()];
-        buffer.get(record);
-        int keyLength = record[0];
-        byte[] value = Arrays.copyOfRange(record, 1 + keyLength, record.length);
-        topic.records.add(new LogRecord(new String(record, 1, keyLength, StandardCharsets.UTF_8), value));
+        while (buffer.hasRemaining()) {
+            byte[] record = new byte[buffer.getInt()];
+            buffer.get(record);
+            int keyLength = Byte.toUnsignedInt(record[0]);
+            byte[] value = Arrays.copyOfRange(record, 1 + keyLength, record.length);
+            topic.records.add(new LogRecord(new String(record, 1, keyLength, StandardCharsets.UTF_8), value));
+        }
         notifyAll();
         return true;
     }
--- a/src/test/java/org/poplarwharf/support/ScriptedTarget.java
+++ b/src/test/java/org/poplarwharf/support/ScriptedTarget.java
@@ -33,7 +33,8 @@
     public volatile Script controlScript = this::acceptAllOrders;
 
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    private final ServerSocket socket;
+    private final int port;
+    private volatile ServerSocket socket;
 
     /** Writes a response; a thrown exception closes the connection. */
     public interface Script {
@@ -65,16 +66,32 @@
 
     public ScriptedTarget(String id) throws IOException {
         this.id = id;
-        socket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        listen(0);
+        port = socket.getLocalPort();
+    }
+
+    private void listen(int requestedPort) throws IOException {
+        socket = new ServerSocket(requestedPort, 200, InetAddress.getLoopbackAddress());
         Thread.startVirtualThread(this::accept);
     }
 
     public int port() {
-        return socket.getLocalPort();
+        return port;
+    }
+
+    /** Ends as a crashed process does: resets all connections and refuses new ones. */
+    public void crash() throws IOException {
+        socket.close();
+        resetConnections();
+    }
+
+    /** Listens again at the same address. */
+    public void restart() throws IOException {
+        listen(port);
     }
 
     public String topicEntry(String service, String extraFields) {
-        return "{'service':'" + service + "','addr':'127.0.0.1:" + socket.getLocalPort()
+        return "{'service':'" + service + "','addr':'127.0.0.1:" + port
                 + "','zone':'z1','version':'v1','slots':4,'state':'ready','seq':1" + extraFields + "}";
     }
 
@@ -130,13 +147,14 @@
     }
 
     private void accept() {
+        ServerSocket listener = socket;
         try {
             while (true) {
-                Socket connection = socket.accept();
+                Socket connection = listener.accept();
                 Thread.startVirtualThread(() -> serve(connection));
             }
         } catch (IOException e) {
-            // The test closed the target.
+            // The test closed or crashed the target.
         }
     }
 
