--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -28,6 +28,11 @@
 
     private static final int ALLOWED_EXTRA_LOAD_COUNT = 3;
 
+    /** Gateways must recognize a request that crashes targets by this many crashes and the recovery margin. */
+    private static final int TOLERATED_CRASH_COUNT = 3;
+
+    private static final int ALLOWED_LATE_CRASH_COUNT = 3;
+
     private final List<RecordedCall> calls;
     private final Map<String, List<TargetActivity.Run>> runs;
     private final TargetActivity activity;
@@ -48,6 +53,7 @@
         checkResponseTimes();
         checkOrders();
         checkStoreLoads();
+        checkCrashingRequest();
         violations.addAll(activity.violations());
         return violations;
     }
@@ -104,7 +110,7 @@
             for (TargetActivity.Run run : callRuns) {
                 boolean isMatching = call != null
                         && run.requestLine().equals("POST " + call.path() + " HTTP/1.1")
-                        && run.body().equals("body of " + id);
+                        && run.body().equals(SoakHttpConnection.body(id, call.path()));
                 if (!isMatching) {
                     violations.add("ran without a request or with changed content: " + run);
                 }
@@ -125,6 +131,30 @@
         }
     }
 
+    /** Checks that a request which has crashed some targets is no longer sent to others. */
+    private void checkCrashingRequest() {
+        Map<String, RecordedCall> crashingCalls = calls.stream()
+                .filter(call -> CrashingCaller.sendsCrashingBody(call.path()))
+                .collect(Collectors.toMap(RecordedCall::id, call -> call));
+        List<TargetActivity.Run> crashes = runs.values().stream()
+                .flatMap(List::stream)
+                .filter(run -> crashingCalls.containsKey(run.id()))
+                .sorted(Comparator.comparingLong(TargetActivity.Run::startMillis))
+                .toList();
+        if (crashes.size() < TOLERATED_CRASH_COUNT) {
+            return;
+        }
+        long boundMillis = crashes.get(TOLERATED_CRASH_COUNT - 1).startMillis() + FaultTimeline.RECOVERY_MARGIN_MILLIS;
+        List<TargetActivity.Run> late = crashes.stream()
+                .filter(run -> run.startMillis() > boundMillis)
+                .filter(run -> faults.hasNoFaultOn(
+                        run.startMillis(), run.startMillis(), gatewayName(crashingCalls.get(run.id())), "log"))
+                .toList();
+        if (late.size() > ALLOWED_LATE_CRASH_COUNT) {
+            violations.add("a request that crashes targets was still sent to targets: " + late);
+        }
+    }
+
     private static String gatewayName(RecordedCall call) {
         return call.gatewayIncarnation().substring(0, call.gatewayIncarnation().indexOf('/'));
     }
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -44,6 +44,7 @@
     private final ScriptedTarget target;
     private final TargetActivity activity;
     private final LongSupplier clock;
+    private final CrashAction crashAction;
     private final Map<String, ModelState> models = new LinkedHashMap<>();
     private final Set<String> onDisk = new LinkedHashSet<>();
     private long startedMillis = System.currentTimeMillis();
@@ -60,10 +61,16 @@
     /** The response to an order. */
     private record OrderResponse(String status, boolean loadsFromStore) {}
 
-    SoakEngine(ScriptedTarget target, TargetActivity activity, LongSupplier clock) {
+    /** Crashes the target. */
+    interface CrashAction {
+        void run() throws IOException;
+    }
+
+    SoakEngine(ScriptedTarget target, TargetActivity activity, LongSupplier clock, CrashAction crashAction) {
         this.target = target;
         this.activity = activity;
         this.clock = clock;
+        this.crashAction = crashAction;
         target.script = this::handleRequest;
         target.controlScript = this::handleControl;
     }
@@ -220,6 +227,9 @@
         activity.add(new TargetActivity.Run(
                 request.id(), target.id, clock.getAsLong(), request.line(), request.body(), lastEventId));
         try {
+            if (request.body().equals(CrashingCaller.BODY)) {
+                crashAction.run();
+            }
             stream(request, out, incarnation, lastEventId);
         } finally {
             synchronized (this) {
--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -36,6 +36,9 @@
     /** The platform removes the entry of a target without heartbeat for this long. */
     private static final long ENTRY_EXPIRY_MILLIS = 3 * HEARTBEAT_MILLIS;
 
+    /** How long a target is down after a request has crashed it. */
+    private static final long CRASH_RESTART_MILLIS = 1_000;
+
     private static final long REGISTRATION_INTERVAL_MILLIS = 100;
 
     /** One in this many requests for a model also names an adapter. */
@@ -59,7 +62,8 @@
             links.add(ProxyStandin.LinkSpec.loopback("g" + i + "-log", platform.address()));
         }
         for (int i = 0; i < PLAIN_TARGET_COUNT + ENGINE_COUNT; i++) {
-            SoakTarget target = new SoakTarget("t" + i, i >= PLAIN_TARGET_COUNT, activity, clock::nowMillis);
+            SoakTarget target =
+                    new SoakTarget("t" + i, i >= PLAIN_TARGET_COUNT, activity, clock::nowMillis, this::restartLater);
             targets.add(target);
             links.add(ProxyStandin.LinkSpec.loopback("any-t" + i, "127.0.0.1:" + target.server.port()));
         }
@@ -148,6 +152,23 @@
         }
     }
 
+    /** Restarts a target that a request has crashed, after a delay. */
+    private void restartLater(SoakTarget target) {
+        int startCount = target.startCount();
+        FaultTimeline.InjectedFault fault =
+                faultTimeline.recordStart("CRASHED_BY_REQUEST", target.name, false, nowMillis());
+        System.out.println("soak: CRASHED_BY_REQUEST " + target.name + ", at " + nowMillis());
+        Thread.startVirtualThread(() -> {
+            try {
+                Thread.sleep(CRASH_RESTART_MILLIS);
+                target.restartAfterRequest(startCount);
+                faultTimeline.recordEnd(fault, nowMillis());
+            } catch (IOException | InterruptedException e) {
+                activity.recordViolation("the test could not restart " + target.name + ": " + e);
+            }
+        });
+    }
+
     private String address(String link) {
         return proxyThread.call(() -> proxy.address(link));
     }
--- a/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
+++ b/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
@@ -84,8 +84,13 @@
         }
     }
 
+    /** Returns the body that a caller sends with a request. */
+    static String body(String id, String path) {
+        return CrashingCaller.sendsCrashingBody(path) ? CrashingCaller.BODY : "body of " + id;
+    }
+
     private static byte[] request(String id, CallKind kind, String path, String model) {
-        String body = "body of " + id;
+        String body = body(id, path);
         String modelHeaders = model.isEmpty()
                 ? ""
                 : "X-Model: " + model + "\r\nX-Token-Counts: 100,50\r\nX-Prompt-Prefix: aa:60," + id + ":40\r\n";
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -36,6 +36,9 @@
 
     private static final long RECOVERY_CHECK_MILLIS = 4_000;
 
+    /** One in this many seeds also has a request that crashes its targets. */
+    private static final int CRASHING_CALLER_SEED_INTERVAL = 3;
+
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     private Path directory;
 
@@ -44,6 +47,11 @@
         assertThat(runSoak(1)).isEmpty();
     }
 
+    @Test
+    void request_that_crashes_targets_is_contained_at_all_gateways() throws Exception {
+        assertThat(runSoak(3)).isEmpty();
+    }
+
     /**
      * Reruns seeds that failed before.
      *
@@ -77,6 +85,10 @@
             fleet.start();
             SoakCallers callers = new SoakCallers(fleet, seed);
             callers.start();
+            CrashingCaller crashingCaller = new CrashingCaller(fleet, seed);
+            if (seed % CRASHING_CALLER_SEED_INTERVAL == 0) {
+                crashingCaller.start();
+            }
             injectFaults(fleet, new FaultInjector(fleet, seed));
 
             Thread.sleep(RECOVERY_MILLIS);
@@ -89,6 +101,7 @@
             callers.stop();
 
             List<RecordedCall> calls = new ArrayList<>(callers.calls());
+            calls.addAll(crashingCaller.stop());
             List<String> violations = new ArrayList<>(unreadyGateways);
             for (SoakGateway gateway : fleet.gateways()) {
                 RecordedCall call = callNewestRoute(fleet, gateway);
@@ -100,6 +113,7 @@
             violations.addAll(new InvariantChecker(calls, fleet.activity, fleet.faultTimeline).violations());
             List<RecordedCall> callsAfterFaults = calls.stream()
                     .filter(call -> call.sentMillis() >= recoveredMillis)
+                    .filter(call -> !CrashingCaller.sendsCrashingBody(call.path()))
                     .toList();
             violations.addAll(InvariantChecker.findUnrecovered(
                     callsAfterFaults,
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.poplarwharf.support.ScriptedTarget;
 import org.poplarwharf.support.ScriptedTarget.Request;
@@ -25,13 +26,25 @@
     private final TargetActivity activity;
     private final LongSupplier clock;
     private int replacementCount;
+    private long startedMillis = System.currentTimeMillis();
+    private int startCount;
+    private final Consumer<SoakTarget> crashedByRequest;
 
-    SoakTarget(String name, boolean hasEngine, TargetActivity activity, LongSupplier clock) throws IOException {
+    SoakTarget(
+            String name,
+            boolean hasEngine,
+            TargetActivity activity,
+            LongSupplier clock,
+            Consumer<SoakTarget> crashedByRequest)
+            throws IOException {
         this.name = name;
         this.activity = activity;
         this.clock = clock;
+        this.crashedByRequest = crashedByRequest;
         server = new ScriptedTarget(name + "-0");
-        engine = hasEngine ? Optional.of(new SoakEngine(server, activity, clock)) : Optional.empty();
+        engine = hasEngine
+                ? Optional.of(new SoakEngine(server, activity, clock, this::crashByRequest))
+                : Optional.empty();
         if (!hasEngine) {
             server.script = this::handleRequest;
         }
@@ -45,25 +58,50 @@
     }
 
     /** Restarts under the same id. */
-    void restart() {
+    synchronized void restart() {
         engine.ifPresent(running -> running.restart(server.id));
+        recordStart();
+    }
+
+    private void recordStart() {
+        startedMillis = Math.max(startedMillis + 1, System.currentTimeMillis());
+        startCount++;
         alive = true;
     }
 
+    /** Crashes under a request, and refuses connections until {@link #restartAfterRequest}. */
+    private void crashByRequest() throws IOException {
+        crash();
+        server.crash();
+        crashedByRequest.accept(this);
+    }
+
+    synchronized int startCount() {
+        return startCount;
+    }
+
+    /** Restarts after a crash under a request, unless the target has been started or replaced since. */
+    synchronized void restartAfterRequest(int startCountBefore) throws IOException {
+        server.restart();
+        if (startCount == startCountBefore) {
+            restart();
+        }
+    }
+
     /** Starts a replacement at the same address under a new id. */
-    void replace() {
+    synchronized void replace() {
         server.id = name + "-" + ++replacementCount;
         engine.ifPresent(running -> running.restart(server.id));
         draining = false;
-        alive = true;
+        recordStart();
     }
 
     /** Returns the registry entry of this target as JSON with apostrophes for quotes. */
-    String registryEntry(String address) {
+    synchronized String registryEntry(String address) {
         return "{'service':'" + (engine.isPresent() ? "lm" : "desk") + "','addr':'" + address
                 + "','zone':'z1','version':'v1','slots':" + SoakEngine.SLOT_COUNT + ",'state':'"
                 + (draining ? "draining" : "ready") + "',"
-                + engine.map(SoakEngine::reportFields).orElse("'seq':0") + "}";
+                + engine.map(SoakEngine::reportFields).orElseGet(() -> "'born':" + startedMillis + ",'seq':0") + "}";
     }
 
     private void handleRequest(Request request, OutputStream out) throws IOException {
@@ -73,6 +111,9 @@
         }
         activity.add(
                 new TargetActivity.Run(request.id(), server.id, clock.getAsLong(), request.line(), request.body(), 0));
+        if (request.body().equals(CrashingCaller.BODY)) {
+            crashByRequest();
+        }
         if (request.closedByPeerWithin(PROCESSING_MILLIS) || !alive || abortsResponses) {
             throw new IOException("caller disconnected, or the target crashed or aborts responses");
         }
