--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -30,9 +30,6 @@
     private TargetSelector engineSelector;
     private long keyCount;
 
-    /** The node count that the retry budget assumes until the holder has reported it. More than a small site has. */
-    private static final int ASSUMED_NODE_COUNT = 12;
-
     GatewayContext(
             GatewaySettings settings,
             HeaderCodec headerCodec,
@@ -53,8 +50,8 @@
         this.crashHistory = crashHistory;
         this.crashDetector = crashDetector;
         this.connections = new TargetConnectionPool(loop);
-        this.retryBudget = new RetryBudgetShare(
-                settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), ASSUMED_NODE_COUNT);
+        this.retryBudget =
+                new RetryBudgetShare(settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis());
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -56,9 +56,9 @@
         return server.listen(group, context.settings().callerAddress());
     }
 
-    /** Sets the number of nodes that share the retry budget. */
-    public void setNodeCount(int count) {
-        context.retryBudget().setNodeCount(count);
+    /** Records the number of nodes that share the retry budget, as the lease holder reports it. */
+    public void recordNodeCount(int count) {
+        context.retryBudget().recordNodeCount(count, context.nowMillis());
     }
 
     /** Applies changed settings. */
--- a/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
@@ -8,17 +8,21 @@
  * This node's share of the retries that all nodes together may make to a service.
  *
  * <p>Invariant: in any window, retries stay below the retry ratio times this node's own requests plus an even share of
- * the minimum retry count, so that the sum over all nodes stays below the total limit. Confined to one thread.
+ * the minimum retry count, so that the sum over all nodes stays below the total limit. Until the number of nodes is
+ * known, only the ratio counts. Confined to one thread.
  */
 final class RetryBudgetShare {
     /** Only this part of the share is used, because nodes may disagree about the number of nodes. */
     private static final double SAFETY_RATIO = 0.7;
 
+    /** Nodes that are cut off from the holder keep their share, so the others' shares must not grow meanwhile. */
+    private static final int NODE_COUNT_HOLD_WINDOWS = 3;
+
     private double ratio;
     private int minRetryCount;
     private long windowMillis;
     private final Map<String, Window> byService = new HashMap<>();
-    private int nodeCount;
+    private final NodeCountEstimate nodeCount = new NodeCountEstimate();
 
     /** The retries of this node in the current window, and the limit that its share of the budget sets. */
     record Usage(int retryCount, double allowedCount, int nodeCount) {}
@@ -28,8 +32,7 @@
         private final SlidingWindowCounter retries = new SlidingWindowCounter();
     }
 
-    RetryBudgetShare(double ratio, int minRetryCount, long windowMillis, int nodeCount) {
-        this.nodeCount = nodeCount;
+    RetryBudgetShare(double ratio, int minRetryCount, long windowMillis) {
         setLimits(ratio, minRetryCount, windowMillis);
     }
 
@@ -40,9 +43,9 @@
         windowMillis = newWindowMillis;
     }
 
-    /** Sets the number of nodes that share the minimum retry count. */
-    void setNodeCount(int count) {
-        nodeCount = Math.max(1, count);
+    /** Records the number of nodes that share the minimum retry count, as the lease holder reports it. */
+    void recordNodeCount(int count, long nowMillis) {
+        nodeCount.recordReport(count, nowMillis, NODE_COUNT_HOLD_WINDOWS * windowMillis);
     }
 
     /** Records a first request from a caller for the service. */
@@ -63,10 +66,12 @@
     /** Returns the use of this node's share in the window that ends now. */
     Usage usage(String service, long nowMillis) {
         Window window = window(service);
-        double allowedCount = SAFETY_RATIO
-                * (ratio * window.requests.count(nowMillis, windowMillis)
-                        + Math.max(1, (double) minRetryCount / nodeCount));
-        return new Usage(window.retries.count(nowMillis, windowMillis), allowedCount, nodeCount);
+        double allowedCount = SAFETY_RATIO * (ratio * window.requests.count(nowMillis, windowMillis) + minRetryShare());
+        return new Usage(window.retries.count(nowMillis, windowMillis), allowedCount, nodeCount.count());
+    }
+
+    private double minRetryShare() {
+        return nodeCount.count() == 0 ? 0 : Math.max(1, (double) minRetryCount / nodeCount.count());
     }
 
     private Window window(String service) {
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -90,7 +90,7 @@
         /** Called when the holder's process has ended or another process runs at its address. */
         void holderEnded(String incarnation);
 
-        /** Called with the number of nodes that the holder reports. */
+        /** Called with the number of nodes that the holder, which may be this node, is connected to, itself included. */
         void nodeCountReported(int nodeCount);
 
         /** Called with requests that have crashed targets, which another node has detected. */
@@ -346,6 +346,9 @@
 
     private void checkPending() {
         long nowMillis = clock.nowMillis();
+        if (localHolder.isHolding()) {
+            listener.nodeCountReported(localHolder.nodeCount());
+        }
         boolean responding = isHolderResponding();
         if (responding != wasResponding) {
             log.log(
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -334,7 +334,7 @@
 
         @Override
         public void nodeCountReported(int nodeCount) {
-            front.setNodeCount(nodeCount);
+            front.recordNodeCount(nodeCount);
         }
 
         @Override
--- a/src/test/java/org/poplarwharf/internal/gateway/RetryBudgetShareTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/RetryBudgetShareTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 class RetryBudgetShareTest {
+    private static final int NODE_COUNT = 8;
     private static final String SERVICE = "s";
     private static final double RATIO = 0.2;
     private static final int MIN_RETRY_COUNT = 58;
@@ -17,7 +18,7 @@
         int retries = 0;
         int requests = 0;
         for (int i = 0; i < nodes; i++) {
-            budgets[i] = new RetryBudgetShare(RATIO, MIN_RETRY_COUNT, WINDOW_MILLIS, nodes);
+            budgets[i] = budget(MIN_RETRY_COUNT, nodes);
             for (int k = 0; k < 40; k++) {
                 budgets[i].recordRequest(SERVICE, k * 100L);
                 requests++;
@@ -32,7 +33,7 @@
 
     @Test
     void retries_are_available_again_after_the_window() {
-        RetryBudgetShare budget = new RetryBudgetShare(RATIO, 2, WINDOW_MILLIS, 1);
+        RetryBudgetShare budget = budget(2, 1);
         assertThat(budget.tryAcquire(SERVICE, 0)).isTrue();
         assertThat(budget.tryAcquire(SERVICE, 1)).isFalse();
 
@@ -41,9 +42,70 @@
 
     @Test
     void each_service_has_its_own_budget() {
-        RetryBudgetShare budget = new RetryBudgetShare(RATIO, 2, WINDOW_MILLIS, 1);
+        RetryBudgetShare budget = budget(2, 1);
         budget.tryAcquire(SERVICE, 0);
 
         assertThat(budget.tryAcquire("other", 0)).isTrue();
     }
+
+    @Test
+    void shares_stay_within_the_limit_while_the_nodes_reconnect_to_a_new_holder() {
+        int retries = 0;
+        for (int connectedNodes = 2; connectedNodes <= NODE_COUNT + 1; connectedNodes++) {
+            RetryBudgetShare budget = budget(MIN_RETRY_COUNT, NODE_COUNT);
+            budget.recordNodeCount(connectedNodes, 0);
+            retries += exhaust(budget, 0);
+        }
+
+        assertThat(retries).isPositive().isLessThanOrEqualTo(MIN_RETRY_COUNT);
+    }
+
+    @Test
+    void shares_stay_within_the_limit_while_some_nodes_are_cut_off_from_the_holder() {
+        RetryBudgetShare cutOff = budget(MIN_RETRY_COUNT, NODE_COUNT);
+        RetryBudgetShare connected = budget(MIN_RETRY_COUNT, NODE_COUNT);
+        for (long millis = 0; millis < WINDOW_MILLIS; millis += 500) {
+            connected.recordNodeCount(NODE_COUNT / 2, millis);
+        }
+
+        int retries = NODE_COUNT / 2 * (exhaust(cutOff, WINDOW_MILLIS) + exhaust(connected, WINDOW_MILLIS));
+        assertThat(retries).isPositive().isLessThanOrEqualTo(MIN_RETRY_COUNT);
+    }
+
+    @Test
+    void share_grows_after_nodes_were_removed_for_good() {
+        RetryBudgetShare budget = budget(MIN_RETRY_COUNT, NODE_COUNT);
+        int before = exhaust(budget, 0);
+        for (long millis = 0; millis <= 4 * WINDOW_MILLIS; millis += 500) {
+            budget.recordNodeCount(NODE_COUNT / 2, millis);
+        }
+
+        assertThat(exhaust(budget, 4 * WINDOW_MILLIS)).isGreaterThan(before);
+    }
+
+    @Test
+    void only_the_ratio_counts_until_the_number_of_nodes_is_known() {
+        RetryBudgetShare budget = new RetryBudgetShare(RATIO, MIN_RETRY_COUNT, WINDOW_MILLIS);
+        assertThat(exhaust(budget, 0)).isZero();
+        for (int i = 0; i < 100; i++) {
+            budget.recordRequest(SERVICE, 0);
+        }
+
+        assertThat(exhaust(budget, 0)).isPositive().isLessThanOrEqualTo(20);
+    }
+
+    /** Returns the share of a node that the holder has told the number of nodes. */
+    private static RetryBudgetShare budget(int minRetryCount, int nodeCount) {
+        RetryBudgetShare budget = new RetryBudgetShare(RATIO, minRetryCount, WINDOW_MILLIS);
+        budget.recordNodeCount(nodeCount, 0);
+        return budget;
+    }
+
+    private static int exhaust(RetryBudgetShare budget, long nowMillis) {
+        int retries = 0;
+        while (budget.tryAcquire(SERVICE, nowMillis)) {
+            retries++;
+        }
+        return retries;
+    }
 }
