--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -50,8 +50,8 @@
         this.crashHistory = crashHistory;
         this.crashDetector = crashDetector;
         this.connections = new TargetConnectionPool(loop);
-        this.retryBudget =
-                new RetryBudgetShare(settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis());
+        this.retryBudget = new RetryBudgetShare(
+                settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
@@ -1,23 +1,35 @@
 package org.poplarwharf.internal.gateway;
 
+import java.util.OptionalLong;
+
 /**
  * The number of nodes, from the counts that the lease holder reports. A holder counts the nodes that are connected to
  * it, which are too few while they reconnect after a change of the holder or while some are cut off from it.
  *
- * <p>Invariant: the estimate falls only after all counts have been lower for a hold time. Confined to one thread.
+ * <p>Invariants: the first estimate is the highest count of a settling time; it falls only after all counts have been
+ * lower for a hold time. Confined to one thread.
  */
 final class NodeCountEstimate {
+    /** All nodes reconnect to a new holder within this time. */
+    private static final long SETTLING_MILLIS = 2_000;
+
     private int count;
+    private OptionalLong firstReportMillis = OptionalLong.empty();
+    private boolean settled;
     private boolean falling;
     private long lowerSinceMillis;
     private int highestLowerCount;
 
-    /** Returns the estimate, or zero if no count has been reported yet. */
+    /** Returns the estimate, or zero if it is not known yet. */
     int count() {
-        return count;
+        return settled ? count : 0;
     }
 
     void recordReport(int reportedCount, long nowMillis, long holdMillis) {
+        if (firstReportMillis.isEmpty()) {
+            firstReportMillis = OptionalLong.of(nowMillis);
+        }
+        settled |= nowMillis - firstReportMillis.getAsLong() >= SETTLING_MILLIS;
         if (reportedCount >= count) {
             count = reportedCount;
             falling = false;
--- a/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RetryBudgetShare.java
@@ -9,7 +9,8 @@
  *
  * <p>Invariant: in any window, retries stay below the retry ratio times this node's own requests plus an even share of
  * the minimum retry count, so that the sum over all nodes stays below the total limit. Until the number of nodes is
- * known, only the ratio counts. Confined to one thread.
+ * known, only the ratio counts. In the first window after the start, only the rest of the share is used that an earlier
+ * process of this node has left. Confined to one thread.
  */
 final class RetryBudgetShare {
     /** Only this part of the share is used, because nodes may disagree about the number of nodes. */
@@ -21,6 +22,7 @@
     private double ratio;
     private int minRetryCount;
     private long windowMillis;
+    private final long startedMillis;
     private final Map<String, Window> byService = new HashMap<>();
     private final NodeCountEstimate nodeCount = new NodeCountEstimate();
 
@@ -32,7 +34,8 @@
         private final SlidingWindowCounter retries = new SlidingWindowCounter();
     }
 
-    RetryBudgetShare(double ratio, int minRetryCount, long windowMillis) {
+    RetryBudgetShare(double ratio, int minRetryCount, long windowMillis, long startedMillis) {
+        this.startedMillis = startedMillis;
         setLimits(ratio, minRetryCount, windowMillis);
     }
 
@@ -66,12 +69,17 @@
     /** Returns the use of this node's share in the window that ends now. */
     Usage usage(String service, long nowMillis) {
         Window window = window(service);
-        double allowedCount = SAFETY_RATIO * (ratio * window.requests.count(nowMillis, windowMillis) + minRetryShare());
+        double allowedCount =
+                SAFETY_RATIO * ratio * window.requests.count(nowMillis, windowMillis) + minRetryShare(nowMillis);
         return new Usage(window.retries.count(nowMillis, windowMillis), allowedCount, nodeCount.count());
     }
 
-    private double minRetryShare() {
-        return nodeCount.count() == 0 ? 0 : Math.max(1, (double) minRetryCount / nodeCount.count());
+    private double minRetryShare(long nowMillis) {
+        if (nodeCount.count() == 0) {
+            return 0;
+        }
+        double usedRatio = nowMillis - startedMillis >= windowMillis ? SAFETY_RATIO : 1 - SAFETY_RATIO;
+        return usedRatio * Math.max(1, (double) minRetryCount / nodeCount.count());
     }
 
     private Window window(String service) {
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -40,6 +40,9 @@
             + "{'slots':4,'kvCapacity':100000,'weightsMb':100.0,'adapterSlots':2,'loadsPerS':2.0,'models':"
             + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]}";
 
+    /** High enough that a single request may be retried. */
+    private static final double RETRY_RATIO = 2;
+
     final FakePlatformLog platform = new FakePlatformLog();
     final List<ScriptedTarget> targets = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
@@ -74,7 +77,7 @@
                 400,
                 400,
                 1_000,
-                1,
+                RETRY_RATIO,
                 100,
                 defaults.retryWindowMillis(),
                 defaults.orderGapMillis(),
