--- a/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
@@ -73,6 +73,16 @@
                 null);
     }
 
+    public static PoplarWharfException crashSuspected(String fingerprint, long retryAfterMillis) {
+        return Reporter.retryable(
+                FailureCode.CRASH_SUSPECTED,
+                "The request was rejected and not run (fingerprint " + fingerprint + ").",
+                "The connections to two targets were lost while they ran requests with this fingerprint.",
+                "Change the request, or try again after the given time.",
+                retryAfterMillis,
+                null);
+    }
+
     public static PoplarWharfException overloaded(String problem) {
         return retryable(FailureCode.OVERLOADED, problem, "More requests arrive than can be served.", null);
     }
--- a/src/main/java/org/poplarwharf/internal/place/CellAdmissionClient.java
+++ b/src/main/java/org/poplarwharf/internal/place/CellAdmissionClient.java
@@ -62,7 +62,7 @@
         this.cells = cells;
         this.peers = peers;
         this.nodeId = nodeId;
-        this.warmReplicas = new WarmReplicaFallback(cells, seed);
+        this.warmReplicas = new WarmReplicaFallback(cells, clock, seed);
         peers.addListener(this);
     }
 
@@ -92,7 +92,7 @@
     @Override
     public void release(Permit permit, GrantCompletion.Outcome outcome, long serviceMillis, long firstByteMillis) {
         if (permit.cell().isEmpty()) {
-            warmReplicas.release(permit.grant().target());
+            warmReplicas.release(permit.grant(), outcome);
             return;
         }
         String cell = permit.cell().get();
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -65,7 +65,7 @@
             Map.entry("state", List.of("codec", "failure", "log")),
             Map.entry("config", List.of("codec", "failure", "kernel", "log", "peer")),
             Map.entry("peer", List.of("admission", "codec", "config", "failure", "kernel")),
-            Map.entry("place", List.of("admission", "cell", "config", "failure", "kernel", "log", "peer")),
+            Map.entry("place", List.of("admission", "cell", "config", "crash", "failure", "kernel", "log", "peer")),
             Map.entry("standin", List.of("cli", "codec", "failure", "kernel")));
 
     private static final String[] KNOWN_PACKAGES = {
--- a/src/test/java/org/poplarwharf/internal/place/CellAdmissionClientTest.java
+++ b/src/test/java/org/poplarwharf/internal/place/CellAdmissionClientTest.java
@@ -17,6 +17,7 @@
 class CellAdmissionClientTest {
     private static final Grant GRANT = new Grant("g", "t", "127.0.0.1:1", 0, false);
     private static final long LOOP_RUN_MILLIS = 800;
+    private static final int MAX_LOOP_RUN_COUNT = 5;
 
     private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
     private final FakeCluster cluster = new FakeCluster();
@@ -89,11 +90,37 @@
                 .isEqualTo(FailureCode.OVERLOADED);
     }
 
+    @Test
+    void without_a_holder_a_request_that_lost_its_connections_to_two_replicas_is_refused() {
+        cluster.linked = false;
+        for (String target : List.of("t1", "t2", "t3")) {
+            cluster.warmReplicas.add(new ReplicaPool.Replica(target, "127.0.0.1:1", "z", 1, 0, 0));
+        }
+        for (int i = 0; i < 2; i++) {
+            Promise<Permit> permit = acquire("crashing");
+            runLoopUntilComplete(permit);
+            String target = permit.getResult().grant().target();
+            cluster.warmReplicas.removeIf(replica -> replica.target().equals(target));
+            client.release(permit.getResult(), GrantCompletion.Outcome.CONNECTION_LOST, 5, -1);
+        }
+        Promise<Permit> again = acquire("crashing");
+        runLoopUntilComplete(again);
+
+        assertThat(FakeCluster.failure(again, PoplarWharfException.class).code())
+                .isEqualTo(FailureCode.CRASH_SUSPECTED);
+    }
+
     private void runLoop() {
         loop.delay(LOOP_RUN_MILLIS, () -> {});
         loop.run();
     }
 
+    private void runLoopUntilComplete(Promise<Permit> permit) {
+        for (int i = 0; i < MAX_LOOP_RUN_COUNT && !permit.isComplete(); i++) {
+            runLoop();
+        }
+    }
+
     private Promise<Permit> acquire(String requestId) {
         return client.acquire(new PermitRequest(FakeCluster.admissionRequest(requestId), Long.MAX_VALUE, 0));
     }
