--- a/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
@@ -102,6 +102,7 @@
                     scheduleAppend(0);
                 }
                 case KeyedLog.EndMoved moved -> retry("end moved");
+                case KeyedLog.Restored restored -> retry("log restored");
                 case KeyedLog.OutcomeUnknown unknown -> retry(unknown.reason());
                 case KeyedLog.Unavailable unavailable -> retry(unavailable.reason());
             }
@@ -131,6 +132,11 @@
         // Requests are served before the history is known.
     }
 
+    @Override
+    public void onRestored() {
+        // The nodes that detected the lost crashes record them again.
+    }
+
     @Override
     public void onReachabilityChanged(boolean reachable, String reason) {
         log.log(reachable ? "log-regained" : "log-lost", "topic", "crashes", "reason", reason);
--- a/src/main/java/org/poplarwharf/internal/fleet/Target.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Target.java
@@ -33,12 +33,24 @@
         Set<String> onDisk) {
 
     /**
-     * Returns whether a later state belongs to the same incarnation of this target. A restart resets the heartbeat
-     * count, so a lower count indicates a new incarnation.
+     * Returns whether a later state belongs to the same incarnation of this target. If the target does not report its
+     * start time, a lower heartbeat count indicates a new incarnation, since a restart resets the count.
      */
     public boolean isSameIncarnation(Target later) {
         return id.equals(later.id)
                 && startedAtMillis == later.startedAtMillis
-                && heartbeatCount <= later.heartbeatCount;
+                && (startedAtMillis != 0 || heartbeatCount <= later.heartbeatCount);
+    }
+
+    /**
+     * Returns whether another state of this target is older than this one, by the start time and then by the heartbeat
+     * count. Without start times it cannot be told from a restart.
+     */
+    public boolean isNewerThan(Target other) {
+        if (startedAtMillis == 0 || other.startedAtMillis == 0) {
+            return false;
+        }
+        return startedAtMillis > other.startedAtMillis
+                || (startedAtMillis == other.startedAtMillis && heartbeatCount > other.heartbeatCount);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
@@ -58,6 +58,11 @@
         // If the topic has no plan, the node has none either and is not ready until one arrives.
     }
 
+    @Override
+    public void onRestored() {
+        // The view ignores plans that are older than the current one.
+    }
+
     @Override
     public void onReachabilityChanged(boolean reachable, String reason) {
         log.log(reachable ? "log-regained" : "log-lost", "topic", "plan", "reason", reason);
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
@@ -11,8 +11,8 @@
  * Updates the view of targets from their entries on the platform's log.
  *
  * <p>Invariant: a target whose entry expired during a log outage is kept for a short time, because a live target writes
- * its entry again within that time. A target that announced it was leaving is removed immediately. Confined to the
- * event loop.
+ * its entry again within that time. A target that announced it was leaving is removed immediately. An entry from before
+ * a restore of the log does not replace a newer one. Confined to the event loop.
  */
 public final class TargetTopicListener implements TopicFollower.Listener {
     /**
@@ -58,6 +58,10 @@
             return;
         }
         Target target = latest.get();
+        if (previous.filter(known -> isOlder(target, known)).isPresent()) {
+            log.log("target-entry-older", "target", key, "startedAt", target.startedAtMillis());
+            return;
+        }
         if (previous.isPresent() && !previous.get().isSameIncarnation(target)) {
             log.log(
                     "target-restarted",
@@ -82,13 +86,27 @@
         view.put(target);
     }
 
+    private boolean isOlder(Target target, Target known) {
+        boolean isCountLower = target.startedAtMillis() == 0 && target.heartbeatCount() < known.heartbeatCount();
+        return known.isNewerThan(target) || (isCountLower && wasRestoredRecently());
+    }
+
+    private boolean wasRestoredRecently() {
+        return clock.nowMillis() - logRestoredMillis < OUTAGE_EFFECT_MILLIS;
+    }
+
+    @Override
+    public void onRestored() {
+        logRestoredMillis = clock.nowMillis();
+    }
+
     @Override
     public void onRemoved(String key) {
         Optional<Target> previous = view.target(key);
         if (previous.isEmpty()) {
             return;
         }
-        boolean causedByOutage = logUnavailable || clock.nowMillis() - logRestoredMillis < OUTAGE_EFFECT_MILLIS;
+        boolean causedByOutage = logUnavailable || wasRestoredRecently();
         if (!causedByOutage || previous.get().leaving()) {
             removeTarget(key, "entry dropped");
             return;
--- a/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
@@ -1,6 +1,8 @@
 package org.poplarwharf.internal.holder;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.CrashTopic;
@@ -22,6 +24,7 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private final Peers peers;
+    private final Set<TargetCrash> detectedHere = new LinkedHashSet<>();
 
     /** The connections to other nodes. */
     interface Peers {
@@ -47,6 +50,7 @@
     void crashesDetected(List<TargetCrash> crashes) {
         List<TargetCrash> added = learn(crashes, "detected");
         topic.record(added);
+        detectedHere.addAll(added);
         if (!peers.isHolding()) {
             peers.reportToHolder(added);
         }
@@ -62,6 +66,11 @@
         learn(crashes, "other-node");
     }
 
+    /** Records the crashes that this node has detected again, after a restore of the log that may have lost them. */
+    void recordAgain() {
+        topic.record(detectedHere);
+    }
+
     @Override
     public List<TargetCrash> knownCrashes() {
         return history.crashes();
@@ -70,6 +79,7 @@
     /** Forgets crashes of long ago; at the holder, also deletes their records. */
     void removeExpired() {
         List<TargetCrash> expired = history.removeExpired(clock.getAsLong());
+        expired.forEach(detectedHere::remove);
         if (peers.isHolding()) {
             topic.delete(expired);
         }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -45,6 +45,7 @@
  * or stop the node block.
  */
 public final class GatewayNode {
+    private static final String LOG_RESTORES_COUNTER = "gateway.log_restores";
     private static final String LEASE_TOPIC = "poplarwharf-holder";
 
     /**
@@ -76,6 +77,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final FleetView view = new FleetView();
     private final TopicFollower.Timer timer = this::schedule;
+    private final MetricRegistry registry = new MetricRegistry();
     private final KeyedLog platformLog;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final GatewayServer front;
@@ -103,13 +105,13 @@
         this.settings = settings;
         this.adapter = adapter;
         this.log = new DecisionLog(settings.nodeId(), settings.zone(), out);
-        MetricRegistry registry = new MetricRegistry();
         PooledHttpClient httpCaller = new PooledHttpClient(loop);
         this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
         CrashHistory crashHistory = new CrashHistory();
         CrashTopic crashTopic =
                 new CrashTopic(CRASH_TOPIC, platformLog, timer, log, settings.nodeId(), this::crashesRead);
+        platformLog.onRestored(this::handleLogRestored);
         this.crashExchange = new CrashExchange(crashHistory, crashTopic, clock::nowMillis, log, new CrashPeers());
         this.front = new GatewayServer(
                 settings,
@@ -135,7 +137,13 @@
                 new EngineTargetSelector(holderRole, view, loop, clock, timer, log, new HolderConnectionListener());
         front.setEngineSelector(engineTargets);
         LeaseRecord self = new LeaseRecord(
-                settings.nodeId(), incarnation, adapter.addressFormatter().apply(settings.peerAddress()), 0, 0, false);
+                settings.nodeId(),
+                incarnation,
+                adapter.addressFormatter().apply(settings.peerAddress()),
+                0,
+                0,
+                0,
+                false);
         this.lease = new HolderLease(
                 LEASE_TOPIC,
                 self,
@@ -193,6 +201,12 @@
                 this::readsCrashes);
     }
 
+    private void handleLogRestored(long previousEra, long era) {
+        log.log("log-restored", "eraBefore", previousEra, "era", era);
+        registry.counter(LOG_RESTORES_COUNTER).inc();
+        crashExchange.recordAgain();
+    }
+
     private void crashesRead(List<TargetCrash> crashes) {
         crashExchange.crashesRead(crashes);
     }
--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -1,12 +1,7 @@
 package org.poplarwharf.internal.lease;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.topic.KeyedLog;
 import org.poplarwharf.internal.topic.TopicFollower;
 
@@ -19,12 +14,20 @@
  * known to have ended or its term is over, and the order gap has passed as well. The new holder's record states this
  * waiting time, so that later holders respect it. A holder counts its term from before it sent the record; other nodes
  * count from when they first read it. A holder holds the lease only while the term has expired on neither its monotonic
- * clock nor its wall clock, since the monotonic clock of a suspended VM stands still. Confined to one event loop.
+ * clock nor its wall clock, since the monotonic clock of a suspended VM stands still.
+ *
+ * <p>A restore of the log from an older copy may lose the records of the holder, so that other nodes see an earlier one or
+ * none. The holder keeps the lease and appends a new record. In an era in which no record has been appended yet, a new
+ * holder waits as if an unknown node had renewed its lease at the restore. Confined to one event loop.
  */
 public final class HolderLease {
     private static final String RECORD_KEY = "holder";
-    private static final ObjectMapper JSON =
-            new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+    /** A log that has been restored is in a later era. */
+    private static final long FIRST_ERA = 1;
+
+    /** Fencing numbers of an era are below those of the next one. */
+    private static final int FENCING_NUMBER_ERA_SHIFT = 32;
 
     private final String topic;
     private final LeaseRecord self;
@@ -36,7 +39,9 @@
     private Optional<LeaseRecord> currentRecord = Optional.empty();
     private long currentOffset = -1;
     private long recordReadMillis;
-    private long endOffset;
+    private KeyedLog.Position end = new KeyedLog.Position(0, 0);
+    private boolean hasReadLog;
+    private long eraSeenMillis;
     private long holderEndedMillis = Long.MIN_VALUE;
     private boolean holding;
     private boolean expired;
@@ -165,14 +170,17 @@
     }
 
     private void update(KeyedLog.Page page) {
-        endOffset = page.endOffset();
+        if (!hasReadLog || page.end().era() != end.era()) {
+            startEra();
+        }
+        end = page.end();
         for (KeyedLog.KeyedRecord record : page.records()) {
             if (!record.key().equals(RECORD_KEY) || record.offset() <= currentOffset) {
                 continue;
             }
             currentOffset = record.offset();
             recordReadMillis = clocks.steadyMillis();
-            decode(record.value()).ifPresent(latest -> {
+            LeaseRecord.decode(record.value()).ifPresent(latest -> {
                 boolean changed = currentRecord
                         .filter(previous -> previous.incarnation().equals(latest.incarnation())
                                 && previous.fencingNumber() == latest.fencingNumber())
@@ -185,7 +193,26 @@
         }
     }
 
+    /** Forgets what is known of the topic, because a restored log may hold an earlier record at any offset. */
+    private void startEra() {
+        hasReadLog = true;
+        eraSeenMillis = clocks.steadyMillis();
+        currentOffset = -1;
+        currentRecord = Optional.empty();
+        holderEndedMillis = Long.MIN_VALUE;
+        pendingClaim = Optional.empty();
+    }
+
+    /** Returns whether the record of the latest holder may be lost, because none has been appended in this era. */
+    private boolean mayHaveLostHolder() {
+        return currentRecord.map(record -> record.era() < end.era()).orElse(end.era() > FIRST_ERA);
+    }
+
     private void claimIfFree() {
+        if (mayHaveLostHolder() && clocks.steadyMillis() - eraSeenMillis <= timings.termMillis()) {
+            schedulePoll(timings.retryMillis());
+            return;
+        }
         if (currentRecord.isEmpty()) {
             claim();
             return;
@@ -221,7 +248,11 @@
     }
 
     private void claim() {
-        long newFencingNumber = endOffset + 1;
+        if (mayHaveLostHolder()) {
+            ordersAllowedFromMillis =
+                    Math.max(ordersAllowedFromMillis, eraSeenMillis + timings.termMillis() + timings.orderGapMillis());
+        }
+        long newFencingNumber = nextFencingNumber();
         // If a claim is retried at the same end of the log, either append may succeed: the term counts from the first.
         Claim claim = pendingClaim
                 .filter(sent -> sent.fencingNumber() == newFencingNumber)
@@ -231,11 +262,11 @@
             switch (response) {
                 case KeyedLog.Appended appended -> {
                     currentRecord = Optional.of(record(newFencingNumber, false));
-                    currentOffset = appended.offset();
-                    endOffset = appended.offset() + 1;
+                    recordAppended(appended);
                     acquire(claim);
                 }
                 case KeyedLog.EndMoved moved -> schedulePoll(0);
+                case KeyedLog.Restored restored -> schedulePoll(0);
                 case KeyedLog.OutcomeUnknown unknown -> schedulePoll(timings.retryMillis());
                 case KeyedLog.Unavailable unavailable -> {
                     // The log has not appended the claim and will not append it later.
@@ -277,38 +308,49 @@
             return;
         }
         TermStart renewalStart = currentTime();
-        append(record(fencingNumber, false), response -> {
+        long renewedFencingNumber = mayHaveLostHolder() ? nextFencingNumber() : fencingNumber;
+        append(record(renewedFencingNumber, false), response -> {
             if (!holding) {
                 schedulePoll(timings.retryMillis());
                 return;
             }
             switch (response) {
                 case KeyedLog.Appended appended -> {
-                    currentOffset = appended.offset();
-                    endOffset = appended.offset() + 1;
+                    recordAppended(appended);
+                    currentRecord = Optional.of(record(renewedFencingNumber, false));
+                    fencingNumber = renewedFencingNumber;
                     termStart = renewalStart;
                     schedulePoll(timings.renewIntervalMillis());
                 }
                 case KeyedLog.EndMoved moved -> checkOwnRecord();
+                case KeyedLog.Restored restored -> checkOwnRecord();
                 case KeyedLog.OutcomeUnknown unknown -> schedulePoll(timings.retryMillis());
                 case KeyedLog.Unavailable unavailable -> schedulePoll(timings.retryMillis());
             }
         });
     }
 
+    private void recordAppended(KeyedLog.Appended appended) {
+        currentOffset = appended.offset();
+        end = new KeyedLog.Position(end.era(), appended.offset() + 1);
+    }
+
+    private long nextFencingNumber() {
+        return (end.era() << FENCING_NUMBER_ERA_SHIFT) + end.offset() + 1;
+    }
+
     /**
-     * Checks whether this node still holds the lease after the end of the log has moved: either by a renewal of this
-     * node whose response was lost, or by a claim of another node.
+     * Checks whether this node still holds the lease after the end of the log has moved: by a renewal of this node whose
+     * response was lost, by a claim of another node, or by a restore that lost this node's records.
      */
     private void checkOwnRecord() {
         log.readLatest(topic, Optional.empty(), response -> {
             if (response instanceof KeyedLog.Page page && holding) {
                 update(page);
-                boolean stillHolder = currentRecord
-                        .filter(record -> record.incarnation().equals(self.incarnation())
-                                && record.fencingNumber() == fencingNumber)
-                        .isPresent();
-                if (!stillHolder) {
+                Optional<LeaseRecord> ownRecord = currentRecord.filter(
+                        record -> record.incarnation().equals(self.incarnation()) && record.era() == end.era());
+                ownRecord.ifPresent(record -> fencingNumber = Math.max(fencingNumber, record.fencingNumber()));
+                if (ownRecord.isEmpty() && !mayHaveLostHolder()) {
                     holding = false;
                     listener.lost("claimed by another node");
                 }
@@ -320,24 +362,17 @@
     private LeaseRecord record(long recordFencingNumber, boolean resigned) {
         long quietMillis = Math.max(0, ordersAllowedFromMillis - clocks.steadyMillis());
         return new LeaseRecord(
-                self.holder(), self.incarnation(), self.address(), recordFencingNumber, quietMillis, resigned);
+                self.holder(),
+                self.incarnation(),
+                self.address(),
+                end.era(),
+                recordFencingNumber,
+                quietMillis,
+                resigned);
     }
 
     private void append(LeaseRecord record, Consumer<KeyedLog.AppendResult> callback) {
-        try {
-            log.appendAt(topic, endOffset, RECORD_KEY, JSON.writeValueAsBytes(record), callback);
-        } catch (JsonProcessingException e) {
-            throw Reporter.malformedMessage("a lease record", e);
-        }
-    }
-
-    private static Optional<LeaseRecord> decode(byte[] value) {
-        try {
-            return Optional.of(JSON.readValue(value, LeaseRecord.class));
-        } catch (IOException e) {
-            // Written by an incompatible release. Its term is still respected, counted from when the record was read.
-            return Optional.empty();
-        }
+        log.appendAt(topic, end, RECORD_KEY, record.encode(), callback);
     }
 
     private void schedulePoll(long delayMillis) {
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
@@ -11,9 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.gateway.DecimalParser;
 import org.poplarwharf.internal.http.HttpCallResult;
 import org.poplarwharf.internal.http.PooledHttpClient;
 import org.poplarwharf.internal.topic.KeyedLog;
@@ -21,12 +22,17 @@
 /**
  * Reads and appends to keyed topics of the platform's log over HTTP.
  *
- * <p>Confined to the event loop of its HTTP client.
+ * <p>Invariant: a response of an earlier era than one that was received before is not used. Confined to the event loop of its HTTP client.
  */
 public final class PlatformKeyedLog implements KeyedLog {
     /** Topics with this prefix keep only the latest record of each key. */
     private static final String KEYED_TOPIC_PREFIX = "keyed.";
 
+    /** The number of the log's era, which rises by one each time the log comes back from an older copy. */
+    private static final String ERA = "Store-Era";
+
+    private static final String EARLIER_ERA = "response of an earlier era";
+
     private static final int OK = 200;
     private static final int OFFSET_TRIMMED = 410;
     private static final int END_MOVED = 412;
@@ -41,6 +47,8 @@
 
     private final PooledHttpClient httpClient;
     private final InetSocketAddress address;
+    private final List<RestoreListener> restoreListeners = new ArrayList<>();
+    private OptionalLong era = OptionalLong.empty();
 
     public PlatformKeyedLog(PooledHttpClient httpClient, InetSocketAddress address) {
         this.httpClient = httpClient;
@@ -56,50 +64,41 @@
                 0,
                 result -> callback.accept(
                         switch (result) {
-                            case HttpCallResult.Response response ->
-                                response.status() == OK ? decodePage(response.body()) : unexpectedStatus(response);
+                            case HttpCallResult.Response response -> readPage(response);
                             case HttpCallResult.NotSent notSent -> new Unavailable(notSent.reason());
                             case HttpCallResult.NoResponse noResponse -> new Unavailable(noResponse.reason());
                         }));
     }
 
     @Override
-    public void read(String topic, long fromOffset, long waitMillis, Consumer<ReadResult> callback) {
-        String uri = "/log-read?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0&from=" + fromOffset
+    public void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback) {
+        String uri = "/log-read?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0&from=" + from.offset()
                 + (waitMillis > 0 ? "&waitMs=" + waitMillis : "");
         get(
                 uri,
                 waitMillis,
                 result -> callback.accept(
                         switch (result) {
-                            case HttpCallResult.Response response ->
-                                switch (response.status()) {
-                                    case OK -> decodeRecords(response.body(), fromOffset);
-                                    case OFFSET_TRIMMED -> new Trimmed();
-                                    default -> unexpectedStatus(response);
-                                };
+                            case HttpCallResult.Response response -> readRecords(response, from);
                             case HttpCallResult.NotSent notSent -> new Unavailable(notSent.reason());
                             case HttpCallResult.NoResponse noResponse -> new Unavailable(noResponse.reason());
                         }));
     }
 
     @Override
-    public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
-        append(topic, "&at=" + endOffset, List.of(new Entry(key, value)), body -> new Appended(endOffset), callback);
+    public void appendAt(String topic, Position end, String key, byte[] value, Consumer<AppendResult> callback) {
+        append(topic, Optional.of(end), List.of(new Entry(key, value)), callback);
     }
 
     @Override
     public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
-        append(topic, "", entries, PlatformKeyedLog::decodeAppended, callback);
+        append(topic, Optional.empty(), entries, callback);
     }
 
     private void append(
-            String topic,
-            String condition,
-            List<Entry> entries,
-            Function<byte[], AppendResult> responseDecoder,
-            Consumer<AppendResult> callback) {
-        String uri = "/log-append?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0" + condition;
+            String topic, Optional<Position> requiredEnd, List<Entry> entries, Consumer<AppendResult> callback) {
+        String uri = "/log-append?topic=" + KEYED_TOPIC_PREFIX + topic + "&part=0"
+                + requiredEnd.map(end -> "&at=" + end.offset()).orElse("");
         PooledHttpClient.Call call = new PooledHttpClient.Call(
                 address,
                 HttpMethod.POST,
@@ -111,17 +110,78 @@
                 call,
                 result -> callback.accept(
                         switch (result) {
-                            case HttpCallResult.Response response ->
-                                switch (response.status()) {
-                                    case OK -> responseDecoder.apply(response.body());
-                                    case END_MOVED -> new EndMoved();
-                                    default -> unexpectedStatus(response);
-                                };
+                            case HttpCallResult.Response response -> readAppendResult(response, requiredEnd);
                             case HttpCallResult.NotSent notSent -> new Unavailable(notSent.reason());
                             case HttpCallResult.NoResponse noResponse -> new OutcomeUnknown(noResponse.reason());
                         }));
     }
 
+    private LatestResult readPage(HttpCallResult.Response response) {
+        if (isOfEarlierEra(response)) {
+            return new Unavailable(EARLIER_ERA);
+        }
+        return response.status() == OK ? decodePage(response.body(), currentEra()) : unexpectedStatus(response);
+    }
+
+    private ReadResult readRecords(HttpCallResult.Response response, Position from) {
+        if (isOfEarlierEra(response)) {
+            return new Unavailable(EARLIER_ERA);
+        }
+        if (from.era() != currentEra()) {
+            return new Restored();
+        }
+        return switch (response.status()) {
+            case OK -> decodeRecords(response.body(), from);
+            case OFFSET_TRIMMED -> new Trimmed();
+            default -> unexpectedStatus(response);
+        };
+    }
+
+    private AppendResult readAppendResult(HttpCallResult.Response response, Optional<Position> requiredEnd) {
+        if (isOfEarlierEra(response)) {
+            return new OutcomeUnknown(EARLIER_ERA);
+        }
+        if (requiredEnd.filter(end -> end.era() != currentEra()).isPresent()) {
+            return new Restored();
+        }
+        return switch (response.status()) {
+            case OK ->
+                requiredEnd
+                        .<AppendResult>map(end -> new Appended(end.offset()))
+                        .orElseGet(() -> decodeAppended(response.body()));
+            case END_MOVED -> new EndMoved();
+            default -> unexpectedStatus(response);
+        };
+    }
+
+    /** Returns the latest era that was received, or zero on a log that states none. */
+    private long currentEra() {
+        return era.orElse(0);
+    }
+
+    /** Notes the era that a response states, and returns whether a later one was received before. */
+    private boolean isOfEarlierEra(HttpCallResult.Response response) {
+        OptionalLong stated = DecimalParser.parse(response.headers().get(ERA, ""));
+        if (stated.isEmpty() || stated.equals(era)) {
+            return false;
+        }
+        long previousEra = era.orElse(stated.getAsLong());
+        if (stated.getAsLong() < previousEra) {
+            return true;
+        }
+        boolean isRestored = era.isPresent();
+        era = stated;
+        if (isRestored) {
+            restoreListeners.forEach(listener -> listener.restored(previousEra, currentEra()));
+        }
+        return false;
+    }
+
+    @Override
+    public void onRestored(RestoreListener listener) {
+        restoreListeners.add(listener);
+    }
+
     private static byte[] encodeRecords(List<Entry> entries) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (Entry entry : entries) {
@@ -154,7 +214,7 @@
                 new PooledHttpClient.Call(address, HttpMethod.GET, uri, Map.of(), NO_BODY, timeoutMillis), callback);
     }
 
-    private static LatestResult decodePage(byte[] body) {
+    private static LatestResult decodePage(byte[] body, long era) {
         try {
             JsonNode node = JsonFields.parse(body, "a page of the log");
             List<KeyedRecord> records = new ArrayList<>();
@@ -166,7 +226,7 @@
             return new Page(
                     records,
                     JsonFields.getBoolean(node, "more"),
-                    node.path("end").asLong(0));
+                    new Position(era, node.path("end").asLong(0)));
         } catch (PoplarWharfException | IllegalArgumentException e) {
             return new Unavailable("unreadable page: " + e.getMessage());
         }
@@ -176,18 +236,18 @@
      * Decodes a response body: the end offset, the first retained offset, and then length-prefixed records. Each record
      * consists of the key's length in one byte, the key and the value.
      */
-    private static ReadResult decodeRecords(byte[] body, long fromOffset) {
+    private static ReadResult decodeRecords(byte[] body, Position from) {
         if (body.length < OFFSETS_HEADER_BYTES) {
             return new Unavailable("short answer");
         }
         ByteBuffer buffer = ByteBuffer.wrap(body);
         long endOffset = buffer.getLong();
         long firstOffset = buffer.getLong();
-        if (firstOffset > fromOffset) {
+        if (firstOffset > from.offset()) {
             return new Trimmed();
         }
         List<KeyedRecord> records = new ArrayList<>();
-        long offset = fromOffset;
+        long offset = from.offset();
         while (buffer.remaining() >= Integer.BYTES) {
             int length = buffer.getInt();
             if (length < 0 || length > buffer.remaining()) {
@@ -197,7 +257,7 @@
             buffer.position(buffer.position() + length);
             offset++;
         }
-        return new Records(records, offset, endOffset);
+        return new Records(records, new Position(from.era(), offset), endOffset);
     }
 
     private static Optional<KeyedRecord> decodeRecord(ByteBuffer record, long offset) {
--- a/src/main/java/org/poplarwharf/internal/topic/KeyedLog.java
+++ b/src/main/java/org/poplarwharf/internal/topic/KeyedLog.java
@@ -8,6 +8,9 @@
  * A log whose topics keep the latest record of each key. A record without a value is a tombstone, which deletes its
  * key.
  *
+ * <p>The log may be restored from a copy that is some seconds old. Then it has lost its latest records, gives out their
+ * offsets again, and is in a new era. Era numbers only rise.
+ *
  * <p>Each call passes exactly one result to its callback, on the caller's event loop.
  */
 public interface KeyedLog {
@@ -17,15 +20,27 @@
      */
     void readLatest(String topic, Optional<String> afterKey, Consumer<LatestResult> callback);
 
-    /** Reads the records from an offset on; waits up to {@code waitMillis} if there is none yet. */
-    void read(String topic, long fromOffset, long waitMillis, Consumer<ReadResult> callback);
+    /** Reads the records from a position on; waits up to {@code waitMillis} if there is none yet. */
+    void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback);
 
-    /** Appends a record only if the topic ends at the given offset. */
-    void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback);
+    /** Appends a record only if the topic ends at the given position. */
+    void appendAt(String topic, Position end, String key, byte[] value, Consumer<AppendResult> callback);
 
     /** Appends records, all or none, wherever the topic ends. */
     void append(String topic, List<Entry> entries, Consumer<AppendResult> callback);
 
+    /** Registers a listener for restores of the log that this node notices. */
+    void onRestored(RestoreListener listener);
+
+    /** Receives restores of the log. */
+    interface RestoreListener {
+        /** Called with the first response of a new era, before its result is passed on. */
+        void restored(long previousEra, long era);
+    }
+
+    /** A place in a topic, which is valid in its era only. */
+    record Position(long era, long offset) {}
+
     /** A key and its value to append; an empty value deletes the key. */
     record Entry(String key, byte[] value) {}
 
@@ -41,23 +56,23 @@
     sealed interface LatestResult permits Page, Unavailable {}
 
     /** The result of {@link #read}. */
-    sealed interface ReadResult permits Records, Trimmed, Unavailable {}
+    sealed interface ReadResult permits Records, Trimmed, Restored, Unavailable {}
 
     /** The result of {@link #appendAt} and {@link #append}. */
-    sealed interface AppendResult permits Appended, EndMoved, OutcomeUnknown, Unavailable {}
+    sealed interface AppendResult permits Appended, EndMoved, Restored, OutcomeUnknown, Unavailable {}
 
-    /** A page of latest records; the topic ended at {@code endOffset} when the page was read. */
-    record Page(List<KeyedRecord> records, boolean more, long endOffset) implements LatestResult {}
+    /** A page of latest records; the topic ended at {@code end} when the page was read. */
+    record Page(List<KeyedRecord> records, boolean more, Position end) implements LatestResult {}
 
-    /**
-     * Records in the order of their offsets. The next record has {@code nextOffset}; the topic ends at
-     * {@code endOffset}.
-     */
-    record Records(List<KeyedRecord> records, long nextOffset, long endOffset) implements ReadResult {}
+    /** Records in the order of their offsets. The next record is at {@code next}; the topic ends at {@code endOffset}. */
+    record Records(List<KeyedRecord> records, Position next, long endOffset) implements ReadResult {}
 
     /** The log no longer retains all records from the requested offset on. */
     record Trimmed() implements ReadResult {}
 
+    /** The given position is of an earlier era than the log; an append may have taken effect at the same offset. */
+    record Restored() implements ReadResult, AppendResult {}
+
     /** The record was appended at this offset; of several records, the first one. */
     record Appended(long offset) implements AppendResult {}
 
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -6,14 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /**
  * Reads a snapshot of a topic and then its new records, and passes the latest record of each key to a listener.
  *
- * <p>Invariant: a key's record is never replaced by an older one, even if the log trims its history and responds from a
- * lagging replica. Confined to one event loop.
+ * <p>Invariant: within an era of the log, a key's record is never replaced by an older one, even if the log trims its
+ * history and responds from a lagging replica. After a restore of the log, reading starts again with a snapshot. Confined to one event loop.
  */
 public final class TopicFollower {
     private final String topic;
@@ -24,8 +25,9 @@
     private final BooleanSupplier enabled;
     private final Map<String, Long> offsets = new HashMap<>();
     private final List<KeyedLog.KeyedRecord> snapshotRecords = new ArrayList<>();
-    private Optional<Long> nextOffset = Optional.empty();
-    private long snapshotEndOffset;
+    private Optional<KeyedLog.Position> next = Optional.empty();
+    private KeyedLog.Position snapshotEnd = new KeyedLog.Position(0, 0);
+    private OptionalLong era = OptionalLong.empty();
     private long highestOffset = -1;
     private boolean reachable = true;
     private int consecutiveFailures;
@@ -57,6 +59,9 @@
         /** Called after all records of a snapshot have been passed on; called again for each new snapshot. */
         void onCaughtUp();
 
+        /** Called after a restore of the log, before the records of the first snapshot that is read from it. */
+        void onRestored();
+
         /** Called if the log becomes unreachable, or reachable again. */
         void onReachabilityChanged(boolean reachable, String reason);
     }
@@ -84,10 +89,10 @@
      * Reads the next records, or a snapshot if none has been read, and schedules the next read. Reading never stops.
      */
     public void start() {
-        if (nextOffset.isPresent() && !enabled.getAsBoolean()) {
+        if (next.isPresent() && !enabled.getAsBoolean()) {
             timer.schedule(timings.pollDelayMillis(), this::start);
-        } else if (nextOffset.isPresent()) {
-            readRecords(nextOffset.get());
+        } else if (next.isPresent()) {
+            readRecords(next.get());
         } else {
             snapshotRecords.clear();
             readSnapshotPage(Optional.empty());
@@ -105,7 +110,10 @@
 
     private void addSnapshotPage(KeyedLog.Page page, boolean isFirst) {
         if (isFirst) {
-            snapshotEndOffset = page.endOffset();
+            snapshotEnd = page.end();
+        } else if (page.end().era() != snapshotEnd.era()) {
+            start();
+            return;
         }
         snapshotRecords.addAll(page.records());
         if (page.more() && !page.records().isEmpty()) {
@@ -113,11 +121,18 @@
                     Optional.of(page.records().get(page.records().size() - 1).key()));
             return;
         }
-        if (snapshotEndOffset <= highestOffset) {
+        boolean isRestored = era.isPresent() && snapshotEnd.era() > era.getAsLong();
+        if (!isRestored && snapshotEnd.offset() <= highestOffset) {
             retry("a snapshot older than what is known");
             return;
         }
         recordSuccess();
+        if (isRestored) {
+            offsets.replaceAll((key, offset) -> -1L);
+            highestOffset = -1;
+            listener.onRestored();
+        }
+        era = OptionalLong.of(snapshotEnd.era());
         Set<String> deletedKeys = new HashSet<>(offsets.keySet());
         for (KeyedLog.KeyedRecord record : snapshotRecords) {
             deletedKeys.remove(record.key());
@@ -127,29 +142,32 @@
             offsets.remove(key);
             listener.onRemoved(key);
         });
-        nextOffset = Optional.of(snapshotEndOffset);
+        next = Optional.of(snapshotEnd);
         listener.onCaughtUp();
         timer.schedule(timings.pollDelayMillis(), this::start);
     }
 
-    private void readRecords(long fromOffset) {
-        log.read(topic, fromOffset, timings.maxWaitMillis(), result -> {
+    private void readRecords(KeyedLog.Position from) {
+        log.read(topic, from, timings.maxWaitMillis(), result -> {
             switch (result) {
                 case KeyedLog.Records records -> applyRecords(records);
-                case KeyedLog.Trimmed trimmed -> {
-                    nextOffset = Optional.empty();
-                    start();
-                }
+                case KeyedLog.Trimmed trimmed -> restart();
+                case KeyedLog.Restored restored -> restart();
                 case KeyedLog.Unavailable unavailable -> retry(unavailable.reason());
             }
         });
     }
 
+    private void restart() {
+        next = Optional.empty();
+        start();
+    }
+
     private void applyRecords(KeyedLog.Records records) {
         recordSuccess();
-        nextOffset = Optional.of(records.nextOffset());
-        boolean hasMore =
-                records.nextOffset() < records.endOffset() && !records.records().isEmpty();
+        next = Optional.of(records.next());
+        boolean hasMore = records.next().offset() < records.endOffset()
+                && !records.records().isEmpty();
         try {
             records.records().forEach(this::apply);
         } finally {
--- a/src/test/java/org/poplarwharf/internal/crash/CrashTopicTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashTopicTest.java
@@ -91,17 +91,22 @@
         }
 
         @Override
-        public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
+        public void appendAt(String topic, Position end, String key, byte[] value, Consumer<AppendResult> callback) {
             throw new UnsupportedOperationException("crashes are appended wherever the topic ends");
         }
 
+        @Override
+        public void onRestored(RestoreListener listener) {
+            throw new UnsupportedOperationException("a restore is handled elsewhere");
+        }
+
         @Override
         public void readLatest(String topic, Optional<String> afterKey, Consumer<LatestResult> callback) {
             throw new UnsupportedOperationException("a follower reads");
         }
 
         @Override
-        public void read(String topic, long fromOffset, long waitMillis, Consumer<ReadResult> callback) {
+        public void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback) {
             throw new UnsupportedOperationException("a follower reads");
         }
     }
--- a/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
@@ -36,6 +36,22 @@
         assertThat(logText()).contains("\"target\":\"x-1\"", "\"target\":\"x-2\"", "\"target\":\"x-3\"");
     }
 
+    @Test
+    void an_entry_from_before_a_restore_does_not_replace_a_newer_one() {
+        String entry = TARGET.replace("'seq':1", "'seq':9,'born':50");
+        targets.onUpdated("i-1", bytes(entry));
+        targets.onRestored();
+        targets.onUpdated("i-1", bytes(entry.replace("'seq':9", "'seq':8")));
+        targets.onUpdated("i-1", bytes(entry.replace("'born':50", "'born':40")));
+
+        assertThat(view.target("i-1").orElseThrow().heartbeatCount()).isEqualTo(9);
+        assertThat(view.target("i-1").orElseThrow().startedAtMillis()).isEqualTo(50);
+        assertThat(countLogged("target-entry-older")).isEqualTo(2);
+
+        targets.onUpdated("i-1", bytes(entry.replace("'born':50", "'born':60").replace("'seq':9", "'seq':1")));
+        assertThat(view.target("i-1").orElseThrow().startedAtMillis()).isEqualTo(60);
+    }
+
     @Test
     void a_plan_that_cannot_be_decoded_is_logged_and_the_current_plan_is_kept() {
         plans.onUpdated("config", bytes("{'version':4,'routes':[],'services':[]}"));
--- a/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.support.FakeKeyedLog;
 
 class HolderLeaseTest {
     private static final long TERM_MILLIS = 6_500;
@@ -139,6 +140,41 @@
         assertThat(first.lease.mayOrder()).isTrue();
     }
 
+    @Test
+    void holder_keeps_its_lease_with_a_higher_fencing_number_after_a_restore_that_lost_its_records() {
+        first.start();
+        second.start();
+        advanceFirstAndSecond(5_000);
+        long fencingNumberBefore = first.lease.fencingNumber();
+        log.restore(0);
+        advanceFirstAndSecond(10_000);
+
+        assertThat(first.lease.mayOrder()).isTrue();
+        assertThat(first.lease.fencingNumber()).isGreaterThan(fencingNumberBefore);
+        assertThat(second.claimCount).isZero();
+    }
+
+    @Test
+    void node_that_claims_after_a_restore_waits_for_a_holder_whose_record_was_lost() {
+        first.start();
+        advanceFirstAndSecond(5_000);
+        log.restore(0);
+        first.frozen = true;
+        second.start();
+        long lastOrderMillis = first.now();
+        while (!second.lease.mayOrder()) {
+            second.advance(50);
+            first.advanceClocks(50);
+            if (first.lease.mayOrder()) {
+                lastOrderMillis = first.now();
+            }
+            assertThat(second.now()).isLessThan(60_000 + LeaseTestNode.START_MILLIS);
+        }
+
+        assertThat(second.now() - lastOrderMillis).isGreaterThanOrEqualTo(ORDER_GAP_MILLIS - 100);
+        assertThat(second.lease.fencingNumber()).isGreaterThan(first.lease.fencingNumber());
+    }
+
     private void advanceFirstAndSecond(long millis) {
         for (long elapsed = 0; elapsed < millis; elapsed += 50) {
             first.advance(50);
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseRestorePropertyTest.java
@@ -0,0 +1,64 @@
+package org.poplarwharf.internal.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.poplarwharf.support.FakeKeyedLog;
+
+/** Orders of two nodes never overlap, whatever the log loses in restores and whichever nodes stand still meanwhile. */
+class LeaseRestorePropertyTest {
+    private static final int NODE_COUNT = 3;
+    private static final int STEP_COUNT = 1_200;
+    private static final long STEP_MILLIS = 50;
+    private static final long MIN_GAP_MILLIS = 3_000;
+
+    @Property(tries = 150)
+    void orders_of_two_holders_are_apart_and_fencing_numbers_rise_over_restores(@ForAll long seed) {
+        Random random = new Random(seed);
+        FakeKeyedLog log = new FakeKeyedLog();
+        List<LeaseTestNode> nodes = new ArrayList<>();
+        for (int i = 0; i < NODE_COUNT; i++) {
+            nodes.add(new LeaseTestNode("n" + i, log));
+            nodes.get(i).start();
+        }
+        LeaseTestNode latestHolder = null;
+        long latestOrderMillis = 0;
+        long highestFencingNumber = 0;
+        for (int step = 0; step < STEP_COUNT; step++) {
+            injectFault(random, log, nodes);
+            for (LeaseTestNode node : nodes) {
+                node.advance(STEP_MILLIS);
+                if (!node.lease.mayOrder()) {
+                    continue;
+                }
+                if (latestHolder != null && latestHolder != node) {
+                    assertThat(node.now() - latestOrderMillis).isGreaterThanOrEqualTo(MIN_GAP_MILLIS);
+                    assertThat(node.lease.fencingNumber()).isGreaterThan(highestFencingNumber);
+                }
+                assertThat(node.lease.fencingNumber()).isGreaterThanOrEqualTo(highestFencingNumber);
+                latestHolder = node;
+                latestOrderMillis = node.now();
+                highestFencingNumber = node.lease.fencingNumber();
+            }
+        }
+    }
+
+    private static void injectFault(Random random, FakeKeyedLog log, List<LeaseTestNode> nodes) {
+        switch (random.nextInt(40)) {
+            case 0 -> log.restore(random.nextInt(log.recordCount() + 1));
+            case 1 -> log.unavailable = random.nextInt(3) == 0;
+            case 2 -> log.loseNextResponse = true;
+            case 3 -> {
+                LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
+                node.frozen = !node.frozen;
+            }
+            default -> {
+                // No fault in this step.
+            }
+        }
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.poplarwharf.support.FakeKeyedLog;
 
 /** A node with a lease and with clocks that a test advances. */
 final class LeaseTestNode {
@@ -21,7 +22,7 @@
 
     LeaseTestNode(String id, FakeKeyedLog log) {
         this.id = id;
-        LeaseRecord self = new LeaseRecord(id, incarnation(), "127.0.0.1:1", 0, 0, false);
+        LeaseRecord self = new LeaseRecord(id, incarnation(), "127.0.0.1:1", 0, 0, 0, false);
         lease = new HolderLease(
                 "lease",
                 self,
--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 
 class TopicFollowerTest {
+    private static final long ERA = 1;
+
     private final ScriptedLog log = new ScriptedLog();
     private final TreeMap<String, String> latestValues = new TreeMap<>();
     private final List<String> events = new ArrayList<>();
@@ -26,9 +28,9 @@
 
     @Test
     void reads_a_paged_snapshot_and_then_the_records_after_it() {
-        log.latestResults.add(new KeyedLog.Page(List.of(record(3, "a", "1")), true, 7));
-        log.latestResults.add(new KeyedLog.Page(List.of(record(6, "b", "2")), false, 9));
-        log.readResults.add(new KeyedLog.Records(List.of(record(7, "a", "3")), 8, 8));
+        log.latestResults.add(page(List.of(record(3, "a", "1")), true, 7));
+        log.latestResults.add(page(List.of(record(6, "b", "2")), false, 9));
+        log.readResults.add(records(List.of(record(7, "a", "3")), 8, 8));
         follower.start();
         runNextTask();
 
@@ -39,9 +41,9 @@
 
     @Test
     void removes_a_key_that_is_missing_from_a_new_snapshot() {
-        log.latestResults.add(new KeyedLog.Page(List.of(record(1, "a", "1"), record(2, "b", "2")), false, 3));
+        log.latestResults.add(page(List.of(record(1, "a", "1"), record(2, "b", "2")), false, 3));
         log.readResults.add(new KeyedLog.Trimmed());
-        log.latestResults.add(new KeyedLog.Page(List.of(record(2, "b", "2")), false, 9));
+        log.latestResults.add(page(List.of(record(2, "b", "2")), false, 9));
         follower.start();
         runNextTask();
 
@@ -50,10 +52,10 @@
 
     @Test
     void ignores_a_snapshot_older_than_records_already_read() {
-        log.latestResults.add(new KeyedLog.Page(List.of(record(5, "a", "new")), false, 6));
+        log.latestResults.add(page(List.of(record(5, "a", "new")), false, 6));
         log.readResults.add(new KeyedLog.Trimmed());
-        log.latestResults.add(new KeyedLog.Page(List.of(record(2, "a", "old")), false, 3));
-        log.latestResults.add(new KeyedLog.Page(List.of(record(5, "a", "new")), false, 8));
+        log.latestResults.add(page(List.of(record(2, "a", "old")), false, 3));
+        log.latestResults.add(page(List.of(record(5, "a", "new")), false, 8));
         follower.start();
         runNextTask();
         assertThat(latestValues).containsEntry("a", "new");
@@ -67,7 +69,7 @@
     void reports_the_start_and_the_end_of_an_outage_once_each() {
         log.latestResults.add(new KeyedLog.Unavailable("away"));
         log.latestResults.add(new KeyedLog.Unavailable("away"));
-        log.latestResults.add(new KeyedLog.Page(List.of(), false, 0));
+        log.latestResults.add(page(List.of(), false, 0));
         follower.start();
         runNextTask();
         runNextTask();
@@ -77,8 +79,8 @@
 
     @Test
     void a_tombstone_removes_its_key() {
-        log.latestResults.add(new KeyedLog.Page(List.of(record(1, "a", "1")), false, 2));
-        log.readResults.add(new KeyedLog.Records(List.of(record(2, "a", "")), 3, 3));
+        log.latestResults.add(page(List.of(record(1, "a", "1")), false, 2));
+        log.readResults.add(records(List.of(record(2, "a", "")), 3, 3));
         follower.start();
         runNextTask();
 
@@ -87,9 +89,9 @@
 
     @Test
     void a_listener_that_fails_on_one_record_receives_the_next() {
-        log.latestResults.add(new KeyedLog.Page(List.of(), false, 0));
-        log.readResults.add(new KeyedLog.Records(List.of(record(0, "bad", "1")), 1, 1));
-        log.readResults.add(new KeyedLog.Records(List.of(record(1, "a", "2")), 2, 2));
+        log.latestResults.add(page(List.of(), false, 0));
+        log.readResults.add(records(List.of(record(0, "bad", "1")), 1, 1));
+        log.readResults.add(records(List.of(record(1, "a", "2")), 2, 2));
         follower.start();
         assertThatThrownBy(this::runNextTask).isInstanceOf(IllegalStateException.class);
         runNextTask();
@@ -101,6 +103,14 @@
         tasks.remove().run();
     }
 
+    private static KeyedLog.Page page(List<KeyedLog.KeyedRecord> records, boolean more, long endOffset) {
+        return new KeyedLog.Page(records, more, new KeyedLog.Position(ERA, endOffset));
+    }
+
+    private static KeyedLog.Records records(List<KeyedLog.KeyedRecord> records, long nextOffset, long endOffset) {
+        return new KeyedLog.Records(records, new KeyedLog.Position(ERA, nextOffset), endOffset);
+    }
+
     private static KeyedLog.KeyedRecord record(long offset, String key, String value) {
         return new KeyedLog.KeyedRecord(offset, key, value.getBytes());
     }
@@ -124,6 +134,11 @@
             events.add("caught up");
         }
 
+        @Override
+        public void onRestored() {
+            events.add("restored");
+        }
+
         @Override
         public void onReachabilityChanged(boolean reachable, String reason) {
             events.add(reachable ? "back" : "away");
@@ -136,6 +151,11 @@
         private final Deque<ReadResult> readResults = new ArrayDeque<>();
         private final List<Long> readOffsets = new ArrayList<>();
 
+        @Override
+        public void onRestored(RestoreListener listener) {
+            throw new UnsupportedOperationException("a follower compares the eras of positions");
+        }
+
         @Override
         public void readLatest(String topic, Optional<String> afterKey, Consumer<LatestResult> callback) {
             if (!latestResults.isEmpty()) {
@@ -144,9 +164,9 @@
         }
 
         @Override
-        public void read(String topic, long fromOffset, long waitMillis, Consumer<ReadResult> callback) {
+        public void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback) {
             if (!readResults.isEmpty()) {
-                readOffsets.add(fromOffset);
+                readOffsets.add(from.offset());
                 callback.accept(readResults.remove());
             }
         }
@@ -157,7 +177,7 @@
         }
 
         @Override
-        public void appendAt(String topic, long endOffset, String key, byte[] value, Consumer<AppendResult> callback) {
+        public void appendAt(String topic, Position end, String key, byte[] value, Consumer<AppendResult> callback) {
             throw new UnsupportedOperationException("a follower never appends");
         }
     }
--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -27,8 +27,14 @@
     /** A terminated process is killed after its shutdown grace period. */
     private static final long TERMINATION_MILLIS = SoakGateway.SHUTDOWN_GRACE_SECONDS * 1_000 + 500;
 
+    /** Earlier seeds play the same faults as before kinds were added. */
+    private static final long FIRST_SEED_OF_ADDED_KINDS = 1_000;
+
+    private static final int MAX_LOST_MILLIS = 4_000;
+
     private final SoakFleet fleet;
     private final Random random;
+    private final int kindCount;
     private final Set<String> faultyComponents = new HashSet<>();
     private final List<ActiveFault> activeFaults = new ArrayList<>();
 
@@ -69,7 +75,8 @@
         TARGET_LINK_FROZEN(FaultScope.TARGET),
         TARGET_LINK_SLOW(FaultScope.TARGET),
         TARGET_LINK_RESET(FaultScope.TARGET),
-        ORDERS_DELAYED(FaultScope.TARGET);
+        ORDERS_DELAYED(FaultScope.TARGET),
+        LOG_RESTORED(FaultScope.LOG);
 
         private final FaultScope scope;
 
@@ -83,6 +90,7 @@
     FaultInjector(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new Random(seed);
+        this.kindCount = seed < FIRST_SEED_OF_ADDED_KINDS ? Kind.LOG_RESTORED.ordinal() : Kind.values().length;
     }
 
     int randomMillis(int min, int max) {
@@ -95,7 +103,7 @@
 
     /** Starts the next random fault, or skips it if its component already has one. */
     void startNext(int minMillis, int maxMillis) {
-        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        Kind kind = Kind.values()[random.nextInt(kindCount)];
         SoakGateway gateway = fleet.gateways().get(random.nextInt(SoakFleet.GATEWAY_COUNT));
         SoakTarget target = fleet.targets().get(random.nextInt(fleet.targets().size()));
         long randomDurationMillis = randomMillis(minMillis, maxMillis);
@@ -184,6 +192,10 @@
             }
             case LOG_UNAVAILABLE, LOG_SLOW, LOG_RESPONSES_LOST, LOG_APPENDS_DELAYED, LOG_TRUNCATED ->
                 startLogFault(kind);
+            case LOG_RESTORED -> {
+                fleet.platform.unavailable = true;
+                yield Optional.of(() -> fleet.restoreLog(random.nextInt(MAX_LOST_MILLIS)));
+            }
             case CONFIG_CHANGED -> {
                 fleet.publishConfig();
                 yield Optional.empty();
--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +41,11 @@
     /** How long a target is down after a request has crashed it. */
     private static final long CRASH_RESTART_MILLIS = 1_000;
 
+    private static final int MAX_COPY_COUNT = 50;
+
+    /** How long after a restore the operator and the targets write again what was lost. */
+    private static final long REWRITE_DELAY_MILLIS = 400;
+
     private static final long REGISTRATION_INTERVAL_MILLIS = 100;
 
     /** One in this many requests for a model also names an adapter. */
@@ -52,6 +59,7 @@
     private final ProxyStandin proxy;
     private final List<SoakGateway> gateways = new ArrayList<>();
     private final List<SoakTarget> targets = new ArrayList<>();
+    private final Deque<FakePlatformLog.Copy> logCopies = new ArrayDeque<>();
     private final Thread registrationThread;
     private volatile boolean closing;
     private int configVersion;
@@ -119,6 +127,33 @@
         });
     }
 
+    /** Ends an outage of the log with a copy of about that age; its other writers write again a moment later. */
+    void restoreLog(long ageMillis) {
+        synchronized (logCopies) {
+            long copyCount = Math.min(logCopies.size() - 1, ageMillis / REGISTRATION_INTERVAL_MILLIS);
+            platform.restore(logCopies.stream().skip(copyCount).findFirst().orElseThrow());
+            logCopies.clear();
+        }
+        platform.unavailable = false;
+        Thread.startVirtualThread(() -> {
+            try {
+                Thread.sleep(REWRITE_DELAY_MILLIS);
+                platform.rewriteLostRecords();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private void copyLog() {
+        synchronized (logCopies) {
+            logCopies.addFirst(platform.copy());
+            if (logCopies.size() > MAX_COPY_COUNT) {
+                logCopies.removeLast();
+            }
+        }
+    }
+
     /** Publishes the next version of the configuration, which adds a route, and returns its number. */
     synchronized int publishConfig() {
         configVersion++;
@@ -180,6 +215,7 @@
         try {
             while (!closing) {
                 Thread.sleep(REGISTRATION_INTERVAL_MILLIS);
+                copyLog();
                 if (!platform.unavailable) {
                     targets.forEach(target -> register(target, written, lastSeenMillis));
                     removeExpiredEntries(written, lastSeenMillis);
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -48,8 +48,8 @@
     }
 
     @Test
-    void request_that_crashes_targets_is_contained_at_all_gateways() throws Exception {
-        assertThat(runSoak(3)).isEmpty();
+    void promises_hold_while_a_request_crashes_targets_and_the_log_is_restored() throws Exception {
+        assertThat(runSoak(1_002)).isEmpty();
     }
 
     /**
--- a/src/test/java/org/poplarwharf/support/FakePlatformLog.java
+++ b/src/test/java/org/poplarwharf/support/FakePlatformLog.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,11 +19,13 @@
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 /**
  * An in-memory implementation of the platform's log over HTTP, limited to what a gateway uses, with injectable faults.
  *
- * <p>Invariant: an acknowledged record remains the latest of its key until another one is appended. Thread-safe.
+ * <p>Invariant: an acknowledged record remains the latest of its key until another one is appended or an older copy is
+ * restored. Thread-safe.
  */
 public final class FakePlatformLog implements AutoCloseable {
     /** Rejects every request with 503 and without effect. */
@@ -37,14 +40,31 @@
     /** If positive, appends get no response and are executed after this delay, if their condition still holds then. */
     public volatile long appendDelayMillis;
 
+    /** The topics whose writers write what a restore has lost again. */
+    private static final List<String> REWRITTEN_TOPICS = List.of("keyed.op", "keyed.servers");
+
     private final HttpServer server;
     private final Map<String, Topic> topics = new HashMap<>();
 
+    private final List<LostRecord> lostRecords = new ArrayList<>();
+    private long era = 1;
+
     private record LogRecord(String key, byte[] value) {}
 
+    private record LostRecord(String topic, LogRecord record) {}
+
+    /** A response and the era in which its content was valid. */
+    private record Response(int status, byte[] body, long era) {}
+
+    /** The number of records of each topic at some moment. */
+    public record Copy(Map<String, Integer> recordCounts) {}
+
     private static final class Topic {
         final List<LogRecord> records = new ArrayList<>();
         int firstOffset;
+
+        /** The number of records that the latest restore has kept. */
+        int restoredCount;
     }
 
     public FakePlatformLog() throws IOException {
@@ -77,6 +97,51 @@
         topics.values().forEach(topic -> topic.firstOffset = topic.records.size());
     }
 
+    /** Returns a copy that can be restored later. */
+    public synchronized Copy copy() {
+        return new Copy(topics.entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey, topic -> topic.getValue().records.size())));
+    }
+
+    /** Restores a copy: all later records are lost, and their offsets are given out again in the next era. */
+    public synchronized void restore(Copy copy) {
+        era++;
+        topics.forEach((name, topic) -> {
+            int keptCount = Math.min(copy.recordCounts().getOrDefault(name, 0), topic.records.size());
+            List<LogRecord> lost = topic.records.subList(keptCount, topic.records.size());
+            if (REWRITTEN_TOPICS.contains(name)) {
+                lost.forEach(record -> lostRecords.add(new LostRecord(name, record)));
+            }
+            lost.clear();
+            topic.firstOffset = Math.min(topic.firstOffset, keptCount);
+            topic.restoredCount = keptCount;
+        });
+        notifyAll();
+    }
+
+    /**
+     * Appends what the operator and the targets had written before a restore again, in another order. Skips keys that
+     * they have written since.
+     */
+    public synchronized void rewriteLostRecords() {
+        Map<String, LostRecord> latest = new LinkedHashMap<>();
+        lostRecords.forEach(
+                lost -> latest.put(lost.topic() + " " + lost.record().key(), lost));
+        lostRecords.clear();
+        List<LostRecord> shuffled = new ArrayList<>(latest.values());
+        Collections.shuffle(shuffled);
+        for (LostRecord lost : shuffled) {
+            Topic topic = topic(lost.topic());
+            boolean isWritten = topic.records.subList(topic.restoredCount, topic.records.size()).stream()
+                    .anyMatch(record -> record.key().equals(lost.record().key()));
+            if (!isWritten) {
+                topic.records.add(lost.record());
+            }
+        }
+        notifyAll();
+    }
+
     @Override
     public void close() {
         server.stop(0);
@@ -93,7 +158,7 @@
         }
         byte[] body = exchange.getRequestBody().readAllBytes();
         if (unavailable) {
-            send(exchange, 503, new byte[0]);
+            send(exchange, response(503, ""));
             return;
         }
         try {
@@ -109,14 +174,18 @@
             throws IOException, InterruptedException {
         String topic = query.get("topic");
         switch (exchange.getRequestURI().getPath()) {
-            case "/log-newest" -> send(exchange, 200, latestRecords(topic));
-            case "/log-read" -> read(exchange, query);
+            case "/log-newest" -> send(exchange, latestRecords(topic));
+            case "/log-read" -> send(exchange, read(query));
             default ->
                 append(exchange, topic, Optional.ofNullable(query.get("at")).map(Integer::valueOf), body);
         }
     }
 
-    private synchronized byte[] latestRecords(String name) {
+    private synchronized Response response(int status, String body) {
+        return new Response(status, body.getBytes(StandardCharsets.UTF_8), era);
+    }
+
+    private synchronized Response latestRecords(String name) {
         List<LogRecord> records = topic(name).records;
         Map<String, String> items = new LinkedHashMap<>();
         for (int i = 0; i < records.size(); i++) {
@@ -129,34 +198,31 @@
                                         .encodeToString(records.get(i).value()) + "\",\"offset\":" + i + "}");
             }
         }
-        return ("{\"items\":[" + String.join(",", items.values()) + "],\"more\":false,\"end\":" + records.size() + "}")
-                .getBytes(StandardCharsets.UTF_8);
+        return response(
+                200,
+                "{\"items\":[" + String.join(",", items.values()) + "],\"more\":false,\"end\":" + records.size() + "}");
     }
 
-    private void read(HttpExchange exchange, Map<String, String> query) throws IOException, InterruptedException {
+    private synchronized Response read(Map<String, String> query) throws IOException, InterruptedException {
         int from = Integer.parseInt(query.get("from"));
         long waitMillis = Long.parseLong(query.getOrDefault("waitMs", "0"));
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
-        Topic topic;
-        synchronized (this) {
-            topic = topic(query.get("topic"));
-            while (topic.records.size() <= from && System.nanoTime() < endNanos) {
-                wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
-            }
+        Topic topic = topic(query.get("topic"));
+        while (topic.records.size() <= from && System.nanoTime() < endNanos) {
+            wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
         }
-        if (from < topic.firstOffset) {
-            send(exchange, 410, ("{\"first\":" + topic.firstOffset + "}").getBytes(StandardCharsets.UTF_8));
-        } else {
-            send(exchange, 200, records(topic, from));
+        if (from < topic.firstOffset || from > topic.records.size()) {
+            return response(410, "{\"first\":" + topic.firstOffset + "}");
         }
+        return new Response(200, records(topic, from), era);
     }
 
-    private synchronized byte[] records(Topic topic, int from) throws IOException {
+    private static byte[] records(Topic topic, int from) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
         out.writeLong(topic.records.size());
         out.writeLong(topic.firstOffset);
-        for (LogRecord record : topic.records.subList(Math.min(from, topic.records.size()), topic.records.size())) {
+        for (LogRecord record : topic.records.subList(from, topic.records.size())) {
             byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
             out.writeInt(1 + key.length + record.value().length);
             out.writeByte(key.length);
@@ -174,15 +240,15 @@
             exchange.close();
             return;
         }
-        int status = append(topic, expectedEnd, body) ? 200 : 412;
-        send(exchange, status, "{}".getBytes(StandardCharsets.UTF_8));
+        send(exchange, append(topic, expectedEnd, body));
     }
 
-    private synchronized boolean append(String name, Optional<Integer> expectedEnd, byte[] body) {
+    private synchronized Response append(String name, Optional<Integer> expectedEnd, byte[] body) {
         Topic topic = topic(name);
         if (expectedEnd.filter(end -> end != topic.records.size()).isPresent()) {
-            return false;
+            return response(412, "{\"end\":" + topic.records.size() + "}");
         }
+        int offset = topic.records.size();
         ByteBuffer buffer = ByteBuffer.wrap(body);
         while (buffer.hasRemaining()) {
             byte[] record = new byte[buffer.getInt()];
@@ -192,16 +258,17 @@
             topic.records.add(new LogRecord(new String(record, 1, keyLength, StandardCharsets.UTF_8), value));
         }
         notifyAll();
-        return true;
+        return response(200, "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}");
     }
 
-    private void send(HttpExchange exchange, int status, byte[] body) throws IOException {
+    private void send(HttpExchange exchange, Response response) throws IOException {
         if (!unavailable && ThreadLocalRandom.current().nextDouble() < lostResponseRatio) {
             exchange.close();
             return;
         }
-        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
-        exchange.getResponseBody().write(body);
+        exchange.getResponseHeaders().set("Store-Era", Long.toString(response.era()));
+        exchange.sendResponseHeaders(response.status(), response.body().length == 0 ? -1 : response.body().length);
+        exchange.getResponseBody().write(response.body());
         exchange.close();
     }
 }
