--- a/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetTopicListener.java
@@ -33,7 +33,8 @@
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
     private boolean logUnavailable;
-    private long logRestoredMillis = Long.MIN_VALUE / 2;
+    /** When the log was reachable again after an outage, or came back from an older copy. */
+    private long logReturnedMillis = Long.MIN_VALUE / 2;
 
     public TargetTopicListener(
             FleetView view,
@@ -88,16 +89,16 @@
 
     private boolean isOlder(Target target, Target known) {
         boolean isCountLower = target.startedAtMillis() == 0 && target.heartbeatCount() < known.heartbeatCount();
-        return known.isNewerThan(target) || (isCountLower && wasRestoredRecently());
+        return known.isNewerThan(target) || (isCountLower && hasRecentlyReturned());
     }
 
-    private boolean wasRestoredRecently() {
-        return clock.nowMillis() - logRestoredMillis < OUTAGE_EFFECT_MILLIS;
+    private boolean hasRecentlyReturned() {
+        return clock.nowMillis() - logReturnedMillis < OUTAGE_EFFECT_MILLIS;
     }
 
     @Override
     public void onRestored() {
-        logRestoredMillis = clock.nowMillis();
+        logReturnedMillis = clock.nowMillis();
     }
 
     @Override
@@ -106,7 +107,7 @@
         if (previous.isEmpty()) {
             return;
         }
-        boolean causedByOutage = logUnavailable || wasRestoredRecently();
+        boolean causedByOutage = logUnavailable || hasRecentlyReturned();
         if (!causedByOutage || previous.get().leaving()) {
             removeTarget(key, "entry dropped");
             return;
@@ -133,7 +134,7 @@
         log.log(reachable ? "log-regained" : "log-lost", "topic", "targets", "reason", reason);
         logUnavailable = !reachable;
         if (reachable) {
-            logRestoredMillis = clock.nowMillis();
+            logReturnedMillis = clock.nowMillis();
         }
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -63,6 +63,10 @@
     private static final long ENTRY_DELAY_MILLIS = 1_000;
 
     private static final long CRASH_READ_GAP_MILLIS = 500;
+
+    /** The longest time that the log holds a read back. Crashes also arrive through the holder, without the log. */
+    private static final long CRASH_READ_WAIT_MILLIS = 30_000;
+
     private static final long CRASH_EXPIRY_INTERVAL_MILLIS = 60_000;
 
     private static final long PLAN_READ_GAP_MILLIS = 50;
@@ -195,7 +199,7 @@
                 CRASH_TOPIC,
                 platformLog,
                 new TopicFollower.PollTimings(
-                        CRASH_READ_GAP_MILLIS, settings.planUpdateMillis(), RETRY_MILLIS, MAX_RETRY_MILLIS),
+                        CRASH_READ_GAP_MILLIS, CRASH_READ_WAIT_MILLIS, RETRY_MILLIS, MAX_RETRY_MILLIS),
                 timer,
                 crashTopic,
                 this::readsCrashes);
