--- a/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
@@ -29,6 +29,7 @@
 
     private static final int MAX_DEPARTED_COUNT = 1_000;
 
+    private final String nodeId;
     private final CrashHistory history;
     private final Function<String, Optional<Target>> targets;
     private final ConnectionProbe probe;
@@ -61,12 +62,14 @@
      * @param listener receives the requests that were in flight at a crash
      */
     public CrashDetector(
+            String nodeId,
             CrashHistory history,
             Function<String, Optional<Target>> targets,
             ConnectionProbe probe,
             LongSupplier clock,
             long retentionMillis,
             Consumer<List<TargetCrash>> listener) {
+        this.nodeId = nodeId;
         this.history = history;
         this.targets = targets;
         this.probe = probe;
@@ -133,7 +136,11 @@
         if (runs != null) {
             listener.accept(runs.stream()
                     .map(run -> history.crashOf(
-                            run.fingerprint(), incarnation.targetId(), incarnation.startedAtMillis(), run.sentMillis()))
+                            run.fingerprint(),
+                            incarnation.targetId(),
+                            incarnation.startedAtMillis(),
+                            nodeId,
+                            run.sentMillis()))
                     .distinct()
                     .limit(MAX_REPORTED_COUNT)
                     .toList());
--- a/src/main/java/org/poplarwharf/internal/crash/CrashHistory.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashHistory.java
@@ -12,8 +12,9 @@
  * The crashes of targets by the requests that were in flight, and the requests that are refused for them.
  *
  * <p>Invariants: a request is refused once two incarnations of targets have crashed while they ran it, in whichever
- * order the crashes become known; a crash that is reported more than once counts once. Bounded: the request that has
- * been unchanged for longest is removed first. Confined to one thread; the current time is passed with each call.
+ * order the crashes become known; a crash that arrives more than once counts once. Copies of a request that several nodes
+ * have in flight at a crash count for each node, because the nodes cannot tell that crash from two. Bounded: the request
+ * that has been unchanged for longest is removed first. Confined to one thread; the current time is passed with each call.
  */
 public final class CrashHistory {
     /** One crash may be a coincidence: up to a hundred other requests are in flight at the same target. */
@@ -32,16 +33,17 @@
     }
 
     /**
-     * Returns the crash of a target under a request. It is one that is known already, unless the request was sent after
-     * that became known.
+     * Returns the crash of a target under a request of a node. It is one that is known already, unless the request was
+     * sent after that became known.
      */
-    TargetCrash crashOf(String fingerprint, String targetId, long targetStartedAtMillis, long sentMillis) {
+    TargetCrash crashOf(
+            String fingerprint, String targetId, long targetStartedAtMillis, String nodeId, long sentMillis) {
         Map<TargetCrash, Long> known = Optional.ofNullable(byFingerprint.get(fingerprint))
                 .map(entry -> entry.recordedMillis)
                 .orElse(Map.of());
-        TargetCrash crash = new TargetCrash(fingerprint, targetId, targetStartedAtMillis, 0);
+        TargetCrash crash = new TargetCrash(fingerprint, targetId, targetStartedAtMillis, nodeId, 0);
         while (known.getOrDefault(crash, Long.MAX_VALUE) < sentMillis) {
-            crash = new TargetCrash(fingerprint, targetId, targetStartedAtMillis, crash.ordinal() + 1);
+            crash = new TargetCrash(fingerprint, targetId, targetStartedAtMillis, nodeId, crash.ordinal() + 1);
         }
         return crash;
     }
@@ -88,6 +90,16 @@
                 .toList();
     }
 
+    /** Returns all crashes of those requests among the given ones that are refused. */
+    public List<TargetCrash> crashesOfRefused(List<TargetCrash> crashes, long nowMillis) {
+        return crashes.stream()
+                .map(TargetCrash::fingerprint)
+                .distinct()
+                .filter(fingerprint -> refusalMillis(fingerprint, nowMillis).isPresent())
+                .flatMap(fingerprint -> byFingerprint.get(fingerprint).recordedMillis.keySet().stream())
+                .toList();
+    }
+
     /** Removes the crashes of requests without a recent crash, and returns them. */
     public List<TargetCrash> removeExpired(long nowMillis) {
         List<TargetCrash> expired = new ArrayList<>();
--- a/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
@@ -28,13 +28,15 @@
     /** The log's limit for the length of a key. */
     private static final int MAX_KEY_BYTES = 255;
 
+    /** The key alone describes the crash; a record without a value would delete it. */
+    private static final byte[] PRESENT = {1};
+
     private static final byte[] TOMBSTONE = new byte[0];
 
     private final String topic;
     private final KeyedLog platformLog;
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
-    private final byte[] nodeId;
     private final Consumer<List<TargetCrash>> listener;
     private final Map<String, byte[]> pending = new LinkedHashMap<>();
     private boolean appendScheduled;
@@ -42,7 +44,6 @@
     /**
      * Creates a writer and reader of a topic.
      *
-     * @param nodeId recorded with each crash, for diagnosis
      * @param listener receives the crashes that are read from the topic
      */
     public CrashTopic(
@@ -50,19 +51,17 @@
             KeyedLog platformLog,
             TopicFollower.Timer timer,
             DecisionLog log,
-            String nodeId,
             Consumer<List<TargetCrash>> listener) {
         this.topic = topic;
         this.platformLog = platformLog;
         this.timer = timer;
         this.log = log;
-        this.nodeId = nodeId.getBytes(StandardCharsets.UTF_8);
         this.listener = listener;
     }
 
     /** Records crashes. */
     public void record(Collection<TargetCrash> crashes) {
-        crashes.forEach(crash -> enqueue(crash.toKey(), nodeId));
+        crashes.forEach(crash -> enqueue(crash.toKey(), PRESENT));
     }
 
     /** Deletes the records of crashes. */
--- a/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
+++ b/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
@@ -9,17 +9,24 @@
  * @param fingerprint the request, see {@link RequestFingerprint}
  * @param targetStartedAtMillis start of the target's incarnation by its latest entry, in Unix milliseconds, or zero if
  *     not known
- * @param ordinal number of earlier crashes by this request at that incarnation; a target may crash again before the
- *     entry of its restart is read
+ * @param nodeId the node that had sent the request
+ * @param ordinal number of earlier crashes by this request at that incarnation that the node has detected; a target may
+ *     crash again before the entry of its restart is read
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record TargetCrash(String fingerprint, String targetId, long targetStartedAtMillis, int ordinal) {
+public record TargetCrash(String fingerprint, String targetId, long targetStartedAtMillis, String nodeId, int ordinal) {
     private static final String SEPARATOR = "/";
-    private static final int PART_COUNT = 4;
+    private static final int PART_COUNT = 5;
 
     /** Returns the key under which this crash is recorded on the log. */
     String toKey() {
-        return fingerprint + SEPARATOR + targetStartedAtMillis + SEPARATOR + ordinal + SEPARATOR + targetId;
+        return String.join(
+                SEPARATOR,
+                fingerprint,
+                Long.toString(targetStartedAtMillis),
+                Integer.toString(ordinal),
+                nodeId,
+                targetId);
     }
 
     /** Parses a key; the result is empty if another writer has written it. */
@@ -29,8 +36,8 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(
-                    new TargetCrash(parts[0], parts[3], Long.parseLong(parts[1]), Integer.parseInt(parts[2])));
+            return Optional.of(new TargetCrash(
+                    parts[0], parts[4], Long.parseLong(parts[1]), parts[3], Integer.parseInt(parts[2])));
         } catch (NumberFormatException e) {
             return Optional.empty();
         }
--- a/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
@@ -12,9 +12,10 @@
 /**
  * Shares requests that have crashed targets with all nodes, since such a request comes again at any of them.
  *
- * <p>A detected crash takes two paths: through the holder, which passes it on to the connected nodes, and through the
- * platform's log, which reaches nodes that are cut off from the holder and outlasts all nodes. Only the holder and nodes
- * without one read the log, so that reads do not grow with the number of nodes.
+ * <p>A detected crash takes two paths: through the holder and through the platform's log, which reaches nodes that are cut
+ * off from the holder and outlasts all nodes. The holder passes on only the crashes of requests that are refused, since
+ * each crash of a target has up to a hundred innocent requests. Only the holder and nodes without one read the log, so that
+ * reads do not grow with the number of nodes.
  *
  * <p>Invariant: a node passes on each crash at most once. Confined to the event loop.
  */
@@ -73,7 +74,7 @@
 
     @Override
     public List<TargetCrash> knownCrashes() {
-        return history.crashes();
+        return history.crashesOfRefused(history.crashes(), clock.getAsLong());
     }
 
     /** Forgets crashes of long ago; at the holder, also deletes their records. */
@@ -96,6 +97,8 @@
                     crash.targetId(),
                     "startedAt",
                     crash.targetStartedAtMillis(),
+                    "sentBy",
+                    crash.nodeId(),
                     "ordinal",
                     crash.ordinal(),
                     "source",
@@ -103,8 +106,9 @@
                     "crashes",
                     history.crashCount(crash.fingerprint()));
         }
-        if (peers.isHolding()) {
-            peers.broadcast(added);
+        List<TargetCrash> refused = history.crashesOfRefused(added, clock.getAsLong());
+        if (peers.isHolding() && !refused.isEmpty()) {
+            peers.broadcast(refused);
         }
         return added;
     }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -113,8 +113,7 @@
         this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
         CrashHistory crashHistory = new CrashHistory();
-        CrashTopic crashTopic =
-                new CrashTopic(CRASH_TOPIC, platformLog, timer, log, settings.nodeId(), this::crashesRead);
+        CrashTopic crashTopic = new CrashTopic(CRASH_TOPIC, platformLog, timer, log, this::crashesRead);
         platformLog.onRestored(this::handleLogRestored);
         this.crashExchange = new CrashExchange(crashHistory, crashTopic, clock::nowMillis, log, new CrashPeers());
         this.front = new GatewayServer(
@@ -166,6 +165,7 @@
                 + settings.targetRemovalMillis()
                 + ENTRY_DELAY_MILLIS;
         return new CrashDetector(
+                settings.nodeId(),
                 crashHistory,
                 view::target,
                 new RefusalProbe(loop)::connect,
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -79,7 +79,7 @@
         /** Called with crashes that a node has detected. */
         void crashesReported(List<TargetCrash> crashes);
 
-        /** Returns the crashes to send to a node that has just connected. */
+        /** Returns the crashes of refused requests, for a node that has just connected. */
         List<TargetCrash> knownCrashes();
     }
 
@@ -177,7 +177,7 @@
         sendCrashes(connection, crashListener.knownCrashes());
     }
 
-    /** Sends requests that have crashed targets to all other nodes that are connected. */
+    /** Sends crashes of targets to all other nodes that are connected. */
     public void broadcastCrashes(List<TargetCrash> crashes) {
         connections.forEach(connection -> sendCrashes(connection, crashes));
     }
--- a/src/main/java/org/poplarwharf/internal/place/WarmReplicaFallback.java
+++ b/src/main/java/org/poplarwharf/internal/place/WarmReplicaFallback.java
@@ -79,7 +79,7 @@
         inFlightByTarget.computeIfPresent(grant.target(), (name, count) -> count > 1 ? count - 1 : null);
         String fingerprint = fingerprintByGrantId.remove(grant.grantId());
         if (fingerprint != null && outcome == GrantCompletion.Outcome.CONNECTION_LOST) {
-            lostConnections.addAll(List.of(new TargetCrash(fingerprint, grant.target(), 0, 0)), clock.nowMillis());
+            lostConnections.addAll(List.of(new TargetCrash(fingerprint, grant.target(), 0, "", 0)), clock.nowMillis());
         }
     }
 
--- a/src/test/java/org/poplarwharf/internal/crash/CrashDetectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashDetectorTest.java
@@ -23,6 +23,7 @@
     private final Target target = target(1, false);
     private long nowMillis = 1_000;
     private final CrashDetector detector = new CrashDetector(
+            "n1",
             new CrashHistory(),
             id -> Optional.ofNullable(listed.get(id)),
             (address, refused) -> probes.add(refused),
@@ -82,7 +83,7 @@
         assertThat(probes).isEmpty();
         detector.targetRemoved(target);
 
-        assertThat(reported).containsExactly(new TargetCrash("f", "t", 1, 0));
+        assertThat(reported).containsExactly(new TargetCrash("f", "t", 1, "n1", 0));
     }
 
     @Test
--- a/src/test/java/org/poplarwharf/internal/crash/CrashHistoryTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashHistoryTest.java
@@ -21,7 +21,7 @@
     private final CrashHistory history = new CrashHistory();
 
     private static TargetCrash crash(String fingerprint, String target) {
-        return new TargetCrash(fingerprint, target, 1, 0);
+        return new TargetCrash(fingerprint, target, 1, "n1", 0);
     }
 
     @Test
@@ -38,7 +38,7 @@
     }
 
     @Test
-    void crash_that_two_nodes_report_counts_once() {
+    void crash_that_arrives_twice_counts_once() {
         assertThat(history.addAll(List.of(crash(REQUEST, "t1")), 0)).hasSize(1);
 
         assertThat(history.addAll(List.of(crash(REQUEST, "t1")), 10)).isEmpty();
@@ -47,15 +47,35 @@
 
     @Test
     void second_crash_counts_although_the_entry_of_the_restart_has_not_been_read() {
-        history.addAll(List.of(history.crashOf(REQUEST, "t1", 1, 0)), 50);
-        TargetCrash seenByAnotherRun = history.crashOf(REQUEST, "t1", 1, 40);
-        TargetCrash afterRestart = history.crashOf(REQUEST, "t1", 1, 60);
+        history.addAll(List.of(history.crashOf(REQUEST, "t1", 1, "n1", 0)), 50);
+        TargetCrash seenByAnotherRun = history.crashOf(REQUEST, "t1", 1, "n1", 40);
+        TargetCrash afterRestart = history.crashOf(REQUEST, "t1", 1, "n1", 60);
 
         assertThat(history.addAll(List.of(seenByAnotherRun), 70)).isEmpty();
         assertThat(history.addAll(List.of(afterRestart), 80)).hasSize(1);
         assertThat(history.refusalMillis(REQUEST, 90)).isPresent();
     }
 
+    @Test
+    void crashes_of_requests_that_are_not_refused_need_not_be_passed_on() {
+        history.addAll(List.of(crash(REQUEST, "t1"), crash("other", "t1")), 0);
+        assertThat(history.crashesOfRefused(history.crashes(), 1)).isEmpty();
+
+        List<TargetCrash> added = history.addAll(List.of(crash(REQUEST, "t2")), 1);
+
+        assertThat(history.crashesOfRefused(added, 2))
+                .containsExactlyInAnyOrder(crash(REQUEST, "t1"), crash(REQUEST, "t2"));
+    }
+
+    @Test
+    void second_crash_that_another_node_detects_counts_although_it_does_not_know_the_first() {
+        history.addAll(List.of(history.crashOf(REQUEST, "t1", 1, "n1", 0)), 50);
+
+        assertThat(history.addAll(List.of(new CrashHistory().crashOf(REQUEST, "t1", 1, "n2", 60)), 80))
+                .hasSize(1);
+        assertThat(history.refusalMillis(REQUEST, 90)).isPresent();
+    }
+
     @Test
     void expired_crashes_are_removed_and_returned() {
         history.addAll(List.of(crash(REQUEST, "t1"), crash("other", "t1")), 0);
--- a/src/test/java/org/poplarwharf/internal/crash/CrashTopicTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashTopicTest.java
@@ -15,7 +15,7 @@
 import org.poplarwharf.internal.topic.KeyedLog;
 
 class CrashTopicTest {
-    private static final TargetCrash CRASH = new TargetCrash("f", "rack/1", 17, 2);
+    private static final TargetCrash CRASH = new TargetCrash("f", "rack/1", 17, "n1", 2);
 
     private final AppendLog platformLog = new AppendLog();
     private final Deque<Runnable> tasks = new ArrayDeque<>();
@@ -25,7 +25,6 @@
             platformLog,
             (delayMillis, task) -> tasks.add(task),
             new DecisionLog("n1", "z1", new PrintStream(OutputStream.nullOutputStream())),
-            "n1",
             read::addAll);
 
     private void runTasks() {
@@ -50,7 +49,7 @@
     void crashes_of_one_moment_are_appended_together() {
         platformLog.results.add(new KeyedLog.Appended(0));
         topic.record(List.of(CRASH));
-        topic.record(List.of(new TargetCrash("g", "t", 1, 0)));
+        topic.record(List.of(new TargetCrash("g", "t", 1, "n1", 0)));
         runTasks();
 
         assertThat(platformLog.batches).hasSize(1);
