--- a/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
@@ -17,7 +17,8 @@
  * each crash of a target has up to a hundred innocent requests. Only the holder and nodes without one read the log, so that
  * reads do not grow with the number of nodes.
  *
- * <p>Invariant: a node passes on each crash at most once. Confined to the event loop.
+ * <p>Invariant: a node sends messages only for crashes that are new to it, so that reports do not circulate. Confined to the
+ * event loop.
  */
 final class CrashExchange implements HolderRole.CrashListener {
     private final CrashHistory history;
