--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -45,6 +45,11 @@
         log("stray-answer-skipped", "target", target.id());
     }
 
+    void recordTargetLimit(Target target, double requestsPerSecond) {
+        context.metrics().countTargetLimitNamed();
+        log("target-limit-named", "target", target.id(), "requestsPerSecond", requestsPerSecond);
+    }
+
     void recordDeclined(Target target, int status) {
         log("request-declined", "target", target.id(), "status", status);
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -31,6 +31,11 @@
                 .inc();
     }
 
+    /** Counts a response in which a target names the requests per second that it takes. */
+    void countTargetLimitNamed() {
+        registry.counter("gateway.target_limits_named").inc();
+    }
+
     /** Records the end of a request under the name of its final log event. */
     void recordEnd(Route route, String event, long millis) {
         registry.counter(MetricRegistry.name("gateway.ended", event)).inc();
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -157,6 +157,9 @@
     @Override
     public void onHead(HttpResponse head) {
         relay.receiveHead(head);
+        if (!relay.isForOtherRequest()) {
+            relay.requestsPerSecondLimit().ifPresent(limit -> recorder.recordTargetLimit(target, limit));
+        }
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -71,6 +72,11 @@
         return traits.notRun();
     }
 
+    /** Returns the requests per second that the target takes from all nodes together, if its response names a limit. */
+    OptionalDouble requestsPerSecondLimit() {
+        return traits.requestsPerSecondLimit();
+    }
+
     int status() {
         return head.status().code();
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Metadata that a target attaches to its response. Immutable and thread-safe.
@@ -8,5 +9,7 @@
  * @param requestId the id of the request that the response belongs to, if the target states it
  * @param authentic whether the response carries the target's own digest
  * @param notRun whether the target states that it did not run the request
+ * @param requestsPerSecondLimit the requests per second that the target takes from all nodes together, if it names a limit
  */
-public record ResponseTraits(Optional<String> requestId, boolean authentic, boolean notRun) {}
+public record ResponseTraits(
+        Optional<String> requestId, boolean authentic, boolean notRun, OptionalDouble requestsPerSecondLimit) {}
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.gateway.DecimalParser;
@@ -35,6 +36,9 @@
     private static final String RESPONSE_DIGEST = "X-Response-Seal";
     private static final String NOT_EXECUTED = "X-Not-Executed";
 
+    /** Requests per second, a decimal number, that a target in need takes from all nodes together. */
+    private static final String REQUESTS_PER_SECOND_LIMIT = "Server-Limit";
+
     /** Headers that only nodes and targets may set; they are removed from callers' requests. */
     private static final List<String> RESERVED = List.of(
             EXPECTED_TARGET,
@@ -70,7 +74,8 @@
         return new ResponseTraits(
                 Optional.ofNullable(headers.get(REQUEST_ID)),
                 headers.contains(RESPONSE_DIGEST),
-                headers.contains(NOT_EXECUTED) || status == 421);
+                headers.contains(NOT_EXECUTED) || status == 421,
+                parseRate(headers.get(REQUESTS_PER_SECOND_LIMIT)));
     }
 
     @Override
@@ -101,6 +106,20 @@
         return text == null ? OptionalLong.empty() : DecimalParser.parse(text);
     }
 
+    /** Parses a rate; empty unless it is a finite decimal number that isn't negative. */
+    private static OptionalDouble parseRate(String text) {
+        if (text == null) {
+            return OptionalDouble.empty();
+        }
+        try {
+            double rate = Double.parseDouble(text.strip());
+            return Double.isFinite(rate) && rate >= 0 ? OptionalDouble.of(rate) : OptionalDouble.empty();
+        } catch (NumberFormatException e) {
+            // A malformed header names no limit.
+            return OptionalDouble.empty();
+        }
+    }
+
     /** Parses the number of prompt tokens and the maximum number of output tokens; each is zero if it is not stated. */
     private static long[] parseTokenCounts(String text) {
         int comma = text.indexOf(',');
--- a/src/main/java/org/poplarwharf/internal/platform/package-info.java
+++ b/src/main/java/org/poplarwharf/internal/platform/package-info.java
@@ -27,6 +27,8 @@
  * <tr><td>{@code maxAttempts}</td><td>{@code Route.maxTargets}</td><td>{@link PlanDecoder}</td></tr>
  * <tr><td>request and response headers</td><td>{@code RequestTraits}, {@code ResponseTraits}</td>
  * <td>{@link PlatformHeaderCodec}</td></tr>
+ * <tr><td>{@code Server-Limit}</td><td>{@code ResponseTraits.requestsPerSecondLimit}</td>
+ * <td>{@link PlatformHeaderCodec}</td></tr>
  * <tr><td>topics, records, offsets</td><td>keyed topics of the platform's log</td>
  * <td>{@link PlatformKeyedLog}</td></tr>
  * </table>
--- a/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -168,6 +169,24 @@
         assertThatThrownBy(() -> GatewaySettingsReader.read(file)).isInstanceOf(PoplarWharfException.class);
     }
 
+    @Test
+    void a_limit_of_requests_per_second_is_a_decimal_number_that_is_not_negative() {
+        assertThat(limitOf("1.1")).hasValue(1.1);
+        assertThat(limitOf("0")).hasValue(0);
+        assertThat(limitOf("-1")).isEmpty();
+        assertThat(limitOf("NaN")).isEmpty();
+        assertThat(limitOf("many")).isEmpty();
+        assertThat(new PlatformHeaderCodec()
+                        .readResponse(200, new DefaultHttpHeaders())
+                        .requestsPerSecondLimit())
+                .isEmpty();
+    }
+
+    private static OptionalDouble limitOf(String text) {
+        HttpHeaders headers = new DefaultHttpHeaders().add("Server-Limit", text);
+        return new PlatformHeaderCodec().readResponse(200, headers).requestsPerSecondLimit();
+    }
+
     private static byte[] bytes(String json) {
         return json.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
     }
