--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.poplarwharf.internal.fleet.EngineModelSpec;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
  * Places the requests of one service at engines, and adapts the models that its targets hold to demand.
@@ -46,6 +47,7 @@
     private final Map<String, EngineState> engineByKey = new LinkedHashMap<>();
     private final DemandEstimator demand = new DemandEstimator();
     private final DispatchActions actions;
+    private final TargetLimits targetLimits;
     private final EngineSelector selector;
     private final EngineOrderController orders;
     private final AdapterLoader adapterLoader;
@@ -57,12 +59,22 @@
     private long lastPlacementMillis = Long.MIN_VALUE / 2;
     private boolean demandSeeded;
 
-    private record QueuedRequest(DispatchRequest request, long queuedAtMillis) {}
+    private record QueuedRequest(DispatchRequest request, long queuedAtMillis) {
+        /** Returns whether this request for the same model is placed before another. */
+        boolean isAheadOf(QueuedRequest other) {
+            if (this == other || !request.model().equals(other.request.model())) {
+                return false;
+            }
+            return request.priority() < other.request.priority()
+                    || (request.priority() == other.request.priority() && queuedAtMillis <= other.queuedAtMillis);
+        }
+    }
 
-    public Dispatcher(EngineSpec spec, LoadLimits limits, DispatchActions actions) {
+    public Dispatcher(EngineSpec spec, LoadLimits limits, TargetLimits targetLimits, DispatchActions actions) {
         this.spec = spec;
         this.actions = actions;
-        this.selector = new EngineSelector();
+        this.targetLimits = targetLimits;
+        this.selector = new EngineSelector(targetLimits);
         LoadRateLimiter loadRate =
                 new LoadRateLimiter(spec.storeLoadsPerSecond(), limits.windowMillis(), limits.rateFactor());
         this.orders = new EngineOrderController(loadRate, actions);
@@ -135,6 +147,7 @@
         switch (outcome) {
             case RunOutcome.FirstEventReceived received -> {
                 engine.recordFirstEvent(run.estimateMillis(), received.firstEventMillis(), nowMillis);
+                targetLimits.recordResponse(engine.target.id(), run.grantedMillis());
                 return;
             }
             case RunOutcome.Declined declined -> orders.handleDeclinedRun(engine, run.request(), nowMillis);
@@ -276,6 +289,39 @@
         return modelLoads.readyMillis(model, usable, nowMillis);
     }
 
+    /**
+     * Returns the expected wait for a permit behind earlier and more urgent requests for the same model, or zero if a
+     * target without a limit holds or loads the model.
+     */
+    private long permitWaitMillis(QueuedRequest queuedRequest, long nowMillis) {
+        DispatchRequest request = queuedRequest.request();
+        if (request.model().isEmpty()) {
+            return 0;
+        }
+        double permitsPerSecond = 0;
+        long nextPermitMillis = Long.MAX_VALUE;
+        for (EngineState engine : engines.values()) {
+            String targetId = engine.target.id();
+            if (!engine.holdsOrLoadsNext(request.model().get())
+                    || !engine.acceptsRequests(nowMillis)
+                    || request.excluded().contains(targetId)) {
+                continue;
+            }
+            if (!targetLimits.isLimited(targetId)) {
+                return 0;
+            }
+            permitsPerSecond += targetLimits.permitsPerSecond(targetId);
+            nextPermitMillis = Math.min(nextPermitMillis, targetLimits.waitMillis(targetId, nowMillis));
+        }
+        if (nextPermitMillis == Long.MAX_VALUE) {
+            return 0;
+        }
+        long aheadCount = queued.values().stream()
+                .filter(other -> other.isAheadOf(queuedRequest))
+                .count();
+        return nextPermitMillis + Math.round(aheadCount * 1_000 / permitsPerSecond);
+    }
+
     private boolean hasUsableReplica(DispatchRequest request, String model, long nowMillis) {
         for (EngineState engine : engines.values()) {
             if (engine.models.containsKey(model)
@@ -299,6 +345,11 @@
         }
         long allowedWaitMillis =
                 Math.round((request.deadlineMillis() - queuedRequest.queuedAtMillis()) * MAX_WAIT_RATIO);
+        long permitWaitMillis = permitWaitMillis(queuedRequest, nowMillis);
+        if (nowMillis + permitWaitMillis - queuedRequest.queuedAtMillis() > allowedWaitMillis && permitWaitMillis > 0) {
+            refuse(request, "targets-limited", Math.max(RETRY_AFTER_MILLIS, permitWaitMillis));
+            return;
+        }
         if (nowMillis - queuedRequest.queuedAtMillis() <= allowedWaitMillis) {
             return;
         }
@@ -315,8 +366,9 @@
             adapterLoader.loadAdapter(engine, request, nowMillis);
             return;
         }
+        targetLimits.tryAcquire(engine.target.id(), nowMillis);
         queued.remove(request.key());
-        engine.startRun(new EngineState.Run(request, selection.estimateMillis(), selection.tokens()));
+        engine.startRun(new EngineState.Run(request, nowMillis, selection.estimateMillis(), selection.tokens()));
         engineByKey.put(request.key(), engine);
         engine.recordPrefill(selection.prefillMillis(), nowMillis);
         request.model().ifPresent(model -> {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -4,13 +4,14 @@
 import java.util.Optional;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
  * Selects the target with the lowest cost for a request. The cost is the expected time to the first event, from the
  * prompt parts that are cached, the prompts to be prefilled first and the target's recent slowness, plus penalties for
- * slowing other streams, for crossing zones and for missing adapters.
+ * slowing other streams, for crossing zones, for missing adapters and for a limit that the target has named.
  *
- * <p>Stateless; confined to the thread of the engine states that it reads.
+ * <p>Confined to the thread of the engine states that it reads.
  */
 final class EngineSelector {
     /** Prompt tokens that an engine prefills per millisecond; the order of magnitude of current engines. */
@@ -45,12 +46,24 @@
     /** The cost of loading a missing adapter after unloading another, if all slots are taken. */
     private static final double ADAPTER_SWAP_MILLIS = 45;
 
+    /**
+     * The penalty for a target that has named a limit a short time ago: leaves its permits to requests that no other
+     * target can take without a load.
+     */
+    private static final double LIMITED_COST_MILLIS = 300;
+
     /** Requests wait once running requests fill this share of an engine's cache. */
     private static final double MAX_CACHE_FILL_RATIO = 0.9;
 
     /** Most responses end long before their limit, so a response counts with at most this many tokens. */
     private static final long MAX_COUNTED_OUTPUT_TOKENS = 400;
 
+    private final TargetLimits limits;
+
+    EngineSelector(TargetLimits limits) {
+        this.limits = limits;
+    }
+
     /**
      * A target for a request.
      *
@@ -71,7 +84,9 @@
             DispatchRequest request, Collection<EngineState> engines, EngineSpec spec, long nowMillis) {
         Selection best = null;
         for (EngineState engine : engines) {
-            if (!engine.acceptsRequests(nowMillis) || request.excluded().contains(engine.target.id())) {
+            if (!engine.acceptsRequests(nowMillis)
+                    || request.excluded().contains(engine.target.id())
+                    || limits.waitMillis(engine.target.id(), nowMillis) > 0) {
                 continue;
             }
             Optional<Selection> candidate = evaluate(request, engine, spec, nowMillis);
@@ -89,6 +104,7 @@
         for (EngineState engine : engines) {
             ModelInstance instance = request.model().map(engine.models::get).orElse(null);
             boolean usable = engine != selected
+                    && !limits.isLimited(engine.target.id())
                     && engine.acceptsRequests(nowMillis)
                     && instance != null
                     && instance.isReady(nowMillis);
@@ -112,8 +128,7 @@
     }
 
     /** Returns the cost of running the request at the engine; empty if the engine can't run it now. */
-    private static Optional<Selection> evaluate(
-            DispatchRequest request, EngineState engine, EngineSpec spec, long nowMillis) {
+    private Optional<Selection> evaluate(DispatchRequest request, EngineState engine, EngineSpec spec, long nowMillis) {
         Optional<ModelInstance> instance = request.model().map(engine.models::get);
         if (request.model().isPresent()
                 && (instance.isEmpty() || !instance.get().isReady(nowMillis))) {
@@ -137,7 +152,8 @@
                 + (IDLE_FIRST_EVENT_MILLIS + engine.runs.size() * DELAY_PER_RUN_MILLIS) * slowness;
         double costMillis = estimateMillis
                 + interferenceMillis(request, engine, prefillMillis, nowMillis)
-                + (engine.target.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MILLIS);
+                + (engine.target.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MILLIS)
+                + (limits.prefersOthers(engine.target.id(), nowMillis) ? LIMITED_COST_MILLIS : 0);
         boolean adapterReady = true;
         if (instance.isPresent()) {
             Optional<ModelInstance.AdapterInstance> adapterInstance =
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -81,7 +81,7 @@
     private long slownessUpdatedMillis;
 
     /** A granted request that hasn't ended. */
-    record Run(DispatchRequest request, long estimateMillis, long tokens) {}
+    record Run(DispatchRequest request, long grantedMillis, long estimateMillis, long tokens) {}
 
     EngineState(Target target, EngineSpec spec, long nowMillis) {
         this.target = target;
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -45,11 +45,6 @@
         log("stray-answer-skipped", "target", target.id());
     }
 
-    void recordTargetLimit(Target target, double requestsPerSecond) {
-        context.metrics().countTargetLimitNamed();
-        log("target-limit-named", "target", target.id(), "requestsPerSecond", requestsPerSecond);
-    }
-
     void recordDeclined(Target target, int status) {
         log("request-declined", "target", target.id(), "status", status);
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -7,9 +7,11 @@
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.fleet.FleetPlan;
+import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.TargetConnectionPool;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /** The collaborators that the exchanges of a node share. Confined to the event loop. */
 final class GatewayContext {
@@ -28,6 +30,7 @@
     private final String keyPrefix;
     private TargetSelector plainSelector;
     private TargetSelector engineSelector;
+    private TargetLimits targetLimits;
     private long keyCount;
 
     GatewayContext(
@@ -60,9 +63,15 @@
         retryBudget.setLimits(latest.retryRatio(), latest.minRetryCount(), latest.retryWindowMillis());
     }
 
-    void setSelectors(TargetSelector forPlainServices, TargetSelector forEngines) {
+    void setSelectors(TargetSelector forPlainServices, TargetSelector forEngines, TargetLimits limits) {
         plainSelector = forPlainServices;
         engineSelector = forEngines;
+        targetLimits = limits;
+    }
+
+    /** Returns whether requests to the target need a permit of the lease holder. */
+    boolean isLimited(Target target) {
+        return targetLimits.isLimited(target.id());
     }
 
     TargetSelector selectorFor(String service) {
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -31,9 +31,9 @@
                 .inc();
     }
 
-    /** Counts a response in which a target names the requests per second that it takes. */
-    void countTargetLimitNamed() {
-        registry.counter("gateway.target_limits_named").inc();
+    /** Counts a change of the requests per second that a target takes. */
+    public void countTargetLimitChange() {
+        registry.counter("gateway.target_limit_changes").inc();
     }
 
     /** Records the end of a request under the name of its final log event. */
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -8,6 +8,7 @@
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
  * The caller-facing side of a node: the proxy server and the readiness endpoint.
@@ -41,9 +42,13 @@
         view.onRemoval(crashDetector::targetRemoved);
     }
 
-    /** Sets the selector for targets that run engines. */
-    public void setEngineSelector(TargetSelector engines) {
-        context.setSelectors(new LowestCostTargetSelector(context.view(), context::nowMillis), engines);
+    /** Sets the selector that asks the lease holder, for targets that run engines and for those that name a limit. */
+    public void setHolderSelector(TargetSelector holderSelector, TargetLimits limits) {
+        context.view().onRemoval(target -> limits.remove(target.id()));
+        context.setSelectors(
+                new LowestCostTargetSelector(context.view(), context::nowMillis, limits, holderSelector),
+                holderSelector,
+                limits);
     }
 
     /** Listens for readiness checks and metrics requests. */
--- a/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
@@ -8,11 +8,13 @@
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
  * Selects the target with the lowest estimated cost for requests to services without an engine. The estimate uses only
  * what this node has observed: response times, failures, its own requests in flight, and whether the target is in the
- * same zone.
+ * same zone. A target that has named a limit is used only with a permit from the lease holder, through the selector for
+ * engines.
  *
  * <p>Assumes short calls at a load far below the targets' capacity, where a target is occasionally slow, fails a part
  * of its requests or hangs. Confined to the event loop.
@@ -36,11 +38,16 @@
     private static final long MIN_BACKOFF_MILLIS = 800;
     private static final long MAX_BACKOFF_MILLIS = 6_000;
 
+    /** The cost of a target that has named a limit a short time ago. */
+    private static final double LIMITED_COST_MILLIS = 300;
+
     /** Targets come back within seconds, and a caller has about one second. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
     private final FleetView view;
     private final MonotonicClock clock;
+    private final TargetLimits limits;
+    private final TargetSelector holderSelector;
     private final Map<String, TargetStats> statsByTarget = new HashMap<>();
     private final Map<String, String> targetIdByKey = new HashMap<>();
 
@@ -55,19 +62,35 @@
         }
     }
 
-    LowestCostTargetSelector(FleetView view, MonotonicClock clock) {
+    LowestCostTargetSelector(FleetView view, MonotonicClock clock, TargetLimits limits, TargetSelector holderSelector) {
         this.view = view;
         this.clock = clock;
+        this.limits = limits;
+        this.holderSelector = holderSelector;
         view.onRemoval(target -> statsByTarget.remove(target.id()));
     }
 
     @Override
     public void select(DispatchRequest request, Callback callback) {
+        Optional<Target> best = cheapest(request, true);
+        if (best.isEmpty()) {
+            callback.onRejected("no-target", RETRY_AFTER_MILLIS);
+        } else if (limits.isLimited(best.get().id())) {
+            holderSelector.select(request, new PermitCallback(request, callback));
+        } else {
+            assign(request, best.get(), callback, "nearest");
+        }
+    }
+
+    /** Returns the target with the lowest cost, among all or among those that have named no limit. */
+    private Optional<Target> cheapest(DispatchRequest request, boolean withLimited) {
         long nowMillis = clock.nowMillis();
         Target best = null;
         double bestCost = Double.MAX_VALUE;
         for (Target target : view.targetsOf(request.service())) {
-            if (target.leaving() || request.excluded().contains(target.id())) {
+            if (target.leaving()
+                    || request.excluded().contains(target.id())
+                    || (!withLimited && limits.isLimited(target.id()))) {
                 continue;
             }
             double cost = cost(target, request, nowMillis);
@@ -76,14 +99,38 @@
                 bestCost = cost;
             }
         }
-        if (best == null) {
-            callback.onRejected("no-target", RETRY_AFTER_MILLIS);
-            return;
-        }
-        TargetStats stats = statsByTarget.computeIfAbsent(best.id(), id -> new TargetStats());
+        return Optional.ofNullable(best);
+    }
+
+    private void assign(DispatchRequest request, Target target, Callback callback, String by) {
+        TargetStats stats = statsByTarget.computeIfAbsent(target.id(), id -> new TargetStats());
         stats.inFlightCount++;
-        targetIdByKey.put(request.key(), best.id());
-        callback.onSelected(best, Optional.empty(), "nearest");
+        targetIdByKey.put(request.key(), target.id());
+        callback.onSelected(target, Optional.empty(), by);
+    }
+
+    /** Uses the target that the holder has granted or, without a permit, one that has named no limit. */
+    private final class PermitCallback implements Callback {
+        private final DispatchRequest request;
+        private final Callback callback;
+
+        PermitCallback(DispatchRequest request, Callback callback) {
+            this.request = request;
+            this.callback = callback;
+        }
+
+        @Override
+        public void onSelected(Target target, Optional<Target> backup, String by) {
+            assign(request, target, callback, by);
+        }
+
+        @Override
+        public void onRejected(String reason, long retryAfterMillis) {
+            cheapest(request, false)
+                    .ifPresentOrElse(
+                            target -> assign(request, target, callback, "nearest"),
+                            () -> callback.onRejected(reason, retryAfterMillis));
+        }
     }
 
     private double cost(Target target, DispatchRequest request, long nowMillis) {
@@ -91,6 +138,7 @@
         // Breaks ties, so that the nodes of different zones without a target of their own choose different targets.
         cost += Math.floorMod((target.id() + request.zone()).hashCode(), 100) / 100.0;
         TargetStats stats = statsByTarget.get(target.id());
+        cost += limits.prefersOthers(target.id(), nowMillis) ? LIMITED_COST_MILLIS : 0;
         if (stats == null) {
             return cost;
         }
@@ -105,11 +153,18 @@
 
     @Override
     public void cancel(String key) {
+        holderSelector.cancel(key);
         reportEnd(key);
     }
 
+    @Override
+    public void reportLimit(String targetId, double requestsPerSecond) {
+        holderSelector.reportLimit(targetId, requestsPerSecond);
+    }
+
     @Override
     public void reportOutcome(String key, RunOutcome outcome) {
+        holderSelector.reportOutcome(key, outcome);
         TargetStats stats = statsByTarget.get(targetIdByKey.get(key));
         if (stats == null) {
             targetIdByKey.remove(key);
@@ -136,6 +191,7 @@
 
     @Override
     public void reportEnd(String key) {
+        holderSelector.reportEnd(key);
         TargetStats stats = statsByTarget.get(targetIdByKey.remove(key));
         if (stats != null) {
             stats.inFlightCount--;
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -157,9 +157,7 @@
     @Override
     public void onHead(HttpResponse head) {
         relay.receiveHead(head);
-        if (!relay.isForOtherRequest()) {
-            relay.requestsPerSecondLimit().ifPresent(limit -> recorder.recordTargetLimit(target, limit));
-        }
+        relay.requestsPerSecondLimit().ifPresent(limit -> selector.reportLimit(target.id(), limit));
     }
 
     @Override
@@ -277,7 +275,8 @@
 
     /** Returns whether a started run can resume at its backup as the same run. Takes a retry from the budget. */
     private boolean canContinueFromBackup() {
-        return backup.isPresent() && relay.started() && relay.lastEventId().isPresent() && limits.tryReserveRetry();
+        boolean hasBackup = backup.filter(other -> !context.isLimited(other)).isPresent();
+        return hasBackup && relay.hasForwardedEvents() && limits.tryReserveRetry();
     }
 
     private void continueFromBackup(String reason) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -74,7 +74,7 @@
 
     /** Returns the requests per second that the target takes from all nodes together, if its response names a limit. */
     OptionalDouble requestsPerSecondLimit() {
-        return traits.requestsPerSecondLimit();
+        return isForOtherRequest() ? OptionalDouble.empty() : traits.requestsPerSecondLimit();
     }
 
     int status() {
@@ -134,6 +134,11 @@
         return started;
     }
 
+    /** Returns whether a stream that breaks now can continue with the event after those that the caller has. */
+    boolean hasForwardedEvents() {
+        return started && lastEventId().isPresent();
+    }
+
     /** Flushes what has been written to the caller. */
     void flush() {
         if (started) {
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -25,6 +25,12 @@
     /** Reports that a request with a selected target has ended normally. */
     void reportEnd(String key);
 
+    /**
+     * Reports that a target has named the requests per second that it takes from all nodes together. To be called before
+     * the outcome of the request is reported.
+     */
+    void reportLimit(String targetId, double requestsPerSecond);
+
     /** Receives the result of a search. */
     interface Callback {
         /** Called when a target is selected. A backup, if present, keeps a copy of the run's state. */
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -14,9 +14,12 @@
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.TargetSelector;
+import org.poplarwharf.internal.holder.PendingRequest.Decider;
 import org.poplarwharf.internal.http.RefusalProbe;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.kernel.PauseDetector;
+import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
@@ -42,6 +45,9 @@
 
     private static final long RETRY_AFTER_MILLIS = 700;
 
+    /** After a pause of this length, a grant may have been issued so long ago that it no longer counts as recent. */
+    private static final long MAX_PAUSE_MILLIS = 500;
+
     private final HolderRole localHolder;
     private final FleetView view;
     private final EventLoop loop;
@@ -52,6 +58,8 @@
     private final Map<String, PendingRequest> pending = new HashMap<>();
     private final Map<String, Run> runs = new HashMap<>();
     private final FallbackTargetPicker fallback;
+    private final TargetLimits targetLimits;
+    private final PauseDetector pauses;
     private Optional<InetSocketAddress> holderAddress = Optional.empty();
     private String holderIncarnation = "";
     private Optional<HolderConnections.Connection> connection = Optional.empty();
@@ -60,25 +68,6 @@
     private long lastMessageMillis;
     private boolean wasResponding;
 
-    private enum Decider {
-        LOCAL_HOLDER,
-        REMOTE_HOLDER,
-        NO_HOLDER
-    }
-
-    private static final class PendingRequest {
-        private final DispatchRequest request;
-        private final Callback callback;
-        private final long submittedMillis;
-        private Decider decider = Decider.NO_HOLDER;
-
-        PendingRequest(DispatchRequest request, Callback callback, long submittedMillis) {
-            this.request = request;
-            this.callback = callback;
-            this.submittedMillis = submittedMillis;
-        }
-    }
-
     private record Run(Decider decider, String targetId) {}
 
     /** Receives changes of the holder that are observed on its connection. */
@@ -100,10 +89,13 @@
             MonotonicClock clock,
             TopicFollower.Timer timer,
             DecisionLog log,
+            TargetLimits targetLimits,
             Listener listener) {
         this.localHolder = localHolder;
         this.view = view;
-        this.fallback = new FallbackTargetPicker(view);
+        this.targetLimits = targetLimits;
+        this.fallback = new FallbackTargetPicker(view, targetLimits);
+        this.pauses = new PauseDetector(clock::nowMillis, System::currentTimeMillis, MAX_PAUSE_MILLIS);
         this.loop = loop;
         this.clock = clock;
         this.timer = timer;
@@ -186,6 +178,14 @@
         }
     }
 
+    @Override
+    public void reportLimit(String targetId, double requestsPerSecond) {
+        targetLimits.recordNamed(targetId, requestsPerSecond, clock.nowMillis());
+        if (!localHolder.isHolding()) {
+            send(HolderMessage.limitMessage(targetId, requestsPerSecond));
+        }
+    }
+
     /** There is no holder that keeps all nodes from a target whose connection broke, so this node does it itself. */
     private void applyBackoff(Run run, RunOutcome outcome) {
         if (outcome instanceof RunOutcome.ConnectionFailed) {
@@ -236,8 +236,9 @@
         }
         pendingRequest.decider = granter;
         runs.put(key, new Run(granter, targetId));
-        if (target.isEmpty() || target.get().leaving()) {
-            // The holder's view of the targets is older than this node's.
+        boolean isOldPermit = targetLimits.isLimited(targetId) && pauses.hasJustPaused();
+        if (target.isEmpty() || target.get().leaving() || isOldPermit) {
+            // Either the holder's view of the targets is older than this node's, or the grant itself is old.
             reportOutcome(key, new RunOutcome.Abandoned());
             pendingRequest.decider = Decider.NO_HOLDER;
             pending.put(key, pendingRequest);
@@ -270,6 +271,7 @@
     public void opened(HolderConnections.Connection openedConnection) {
         connection = Optional.of(openedConnection);
         connecting = false;
+        targetLimits.requestsPerSecondByTarget().forEach(this::reportLimit);
     }
 
     @Override
@@ -303,6 +305,7 @@
             return;
         }
         remoteHolding = heartbeat.holding();
+        heartbeat.targetLimits().ifPresent(limits -> targetLimits.replaceAll(limits, clock.nowMillis()));
         listener.nodeCountReported(heartbeat.nodes());
         if (remoteHolding) {
             for (PendingRequest pendingRequest : List.copyOf(pending.values())) {
@@ -342,6 +345,7 @@
     }
 
     private void checkPending() {
+        pauses.recordTurn();
         long nowMillis = clock.nowMillis();
         if (localHolder.isHolding()) {
             listener.nodeCountReported(localHolder.nodeCount());
--- a/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
+++ b/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
@@ -8,10 +8,13 @@
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
  * Picks targets for a node without a holder, among those whose entries list the requested model and adapter. Confined to
  * the event loop.
+ *
+ * <p>Invariant: a target that has named a limit is not picked, since only the holder issues permits for it.
  */
 final class FallbackTargetPicker {
     /** Backoff after a broken connection; about as long as a crashed target is still listed. */
@@ -21,10 +24,12 @@
     private static final long OTHER_ZONE_COST = 1;
 
     private final FleetView view;
+    private final TargetLimits limits;
     private final Map<String, Long> backoffUntilMillis = new HashMap<>();
 
-    FallbackTargetPicker(FleetView view) {
+    FallbackTargetPicker(FleetView view, TargetLimits limits) {
         this.view = view;
+        this.limits = limits;
     }
 
     /** Returns the target with the fewest runs of this node, preferably in the request's zone and without a backoff. */
@@ -32,7 +37,10 @@
         Target best = null;
         long bestCost = Long.MAX_VALUE;
         for (Target target : view.targetsOf(request.service())) {
-            if (target.leaving() || request.excluded().contains(target.id()) || !hasLoaded(target, request.traits())) {
+            if (target.leaving()
+                    || request.excluded().contains(target.id())
+                    || limits.isLimited(target.id())
+                    || !hasLoaded(target, request.traits())) {
                 continue;
             }
             long cost = runCountByTarget.applyAsLong(target.id()) * RUN_COST
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -35,6 +35,7 @@
 import org.poplarwharf.internal.lease.HolderLease;
 import org.poplarwharf.internal.lease.LeaseRecord;
 import org.poplarwharf.internal.lease.LeaseTimings;
+import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.topic.KeyedLog;
 import org.poplarwharf.internal.topic.TopicFollower;
 
@@ -116,12 +117,14 @@
         CrashTopic crashTopic = new CrashTopic(CRASH_TOPIC, platformLog, timer, log, this::crashesRead);
         platformLog.onRestored(this::handleLogRestored);
         this.crashExchange = new CrashExchange(crashHistory, crashTopic, clock::nowMillis, log, new CrashPeers());
+        GatewayMetrics metrics = new GatewayMetrics(registry);
+        TargetLimits targetLimits = newTargetLimits(metrics);
         this.front = new GatewayServer(
                 settings,
                 adapter.headerNames(),
                 loop,
                 log,
-                new GatewayMetrics(registry),
+                metrics,
                 view,
                 clock,
                 crashHistory,
@@ -135,10 +138,11 @@
                 clock,
                 timer,
                 log,
-                crashExchange);
-        this.engineTargets =
-                new EngineTargetSelector(holderRole, view, loop, clock, timer, log, new HolderConnectionListener());
-        front.setEngineSelector(engineTargets);
+                crashExchange,
+                targetLimits);
+        this.engineTargets = new EngineTargetSelector(
+                holderRole, view, loop, clock, timer, log, targetLimits, new HolderConnectionListener());
+        front.setHolderSelector(engineTargets, targetLimits);
         LeaseRecord self = new LeaseRecord(
                 settings.nodeId(),
                 incarnation,
@@ -160,6 +164,18 @@
         this.crashFollower = newCrashFollower(crashTopic);
     }
 
+    private TargetLimits newTargetLimits(GatewayMetrics metrics) {
+        return new TargetLimits(() -> holderRole.isSoleHolder(), (targetId, requestsPerSecond) -> {
+            metrics.countTargetLimitChange();
+            if (requestsPerSecond.isPresent()) {
+                log.log("target-limit-named", "target", targetId, "requestsPerSecond", requestsPerSecond.getAsDouble());
+            } else {
+                log.log("target-limit-ended", "target", targetId);
+            }
+            holderRole.limitsChanged();
+        });
+    }
+
     private CrashDetector newCrashDetector(CrashHistory crashHistory) {
         long entryRemovalMillis = MISSED_HEARTBEATS_COUNT * settings.heartbeatIntervalMillis()
                 + settings.targetRemovalMillis()
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -31,10 +32,17 @@
 public sealed interface HolderMessage {
     /**
      * States that the sender is up. In a message of the holder, {@code holding} states whether it holds the lease and
-     * {@code nodes} is the number of nodes, the holder included.
+     * {@code nodes} is the number of nodes, the holder included. {@code targetLimits} has the limits of all targets, in
+     * requests per second; it is in some messages of the holder only, and not in those of earlier releases.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Heartbeat(String node, String incarnation, boolean holding, int nodes) implements HolderMessage {}
+    record Heartbeat(
+            String node, String incarnation, boolean holding, int nodes, Optional<Map<String, Double>> targetLimits)
+            implements HolderMessage {
+        public Heartbeat {
+            targetLimits = targetLimits == null ? Optional.empty() : targetLimits;
+        }
+    }
 
     /** Asks the holder for a target for a request. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -59,9 +67,21 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Withdraw(String key) implements HolderMessage {}
 
-    /** Reports the outcome of a granted run. */
+    /**
+     * Reports the outcome of a granted run. With an empty key it reports a limit only; nodes of earlier releases, which do
+     * not know limits, ignore such a message.
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record Outcome(String key, OutcomeKind kind, long firstEventMillis, Optional<NamedLimit> namedLimit)
+            implements HolderMessage {
+        public Outcome {
+            namedLimit = namedLimit == null ? Optional.empty() : namedLimit;
+        }
+    }
+
+    /** The requests per second that a target takes from all nodes together, as it has named them in a response. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Outcome(String key, OutcomeKind kind, long firstEventMillis) implements HolderMessage {}
+    record NamedLimit(String targetId, double requestsPerSecond) {}
 
     /** Reports that a granted run has ended normally. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -148,15 +168,18 @@
     static HolderMessage outcomeMessage(String key, RunOutcome outcome) {
         return switch (outcome) {
             case RunOutcome.FirstEventReceived answered ->
-                new HolderMessage.Outcome(key, HolderMessage.OutcomeKind.ANSWERED, answered.firstEventMillis());
-            case RunOutcome.Declined declined -> new HolderMessage.Outcome(key, HolderMessage.OutcomeKind.DECLINED, 0);
-            case RunOutcome.ConnectionFailed broken ->
-                new HolderMessage.Outcome(key, HolderMessage.OutcomeKind.BROKEN, 0);
-            case RunOutcome.Abandoned abandoned ->
-                new HolderMessage.Outcome(key, HolderMessage.OutcomeKind.ABANDONED, 0);
+                new Outcome(key, OutcomeKind.ANSWERED, answered.firstEventMillis(), Optional.empty());
+            case RunOutcome.Declined declined -> new Outcome(key, OutcomeKind.DECLINED, 0, Optional.empty());
+            case RunOutcome.ConnectionFailed broken -> new Outcome(key, OutcomeKind.BROKEN, 0, Optional.empty());
+            case RunOutcome.Abandoned abandoned -> new Outcome(key, OutcomeKind.ABANDONED, 0, Optional.empty());
         };
     }
 
+    /** Returns the message that reports a limit that a target has named. */
+    static HolderMessage limitMessage(String targetId, double requestsPerSecond) {
+        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.of(new NamedLimit(targetId, requestsPerSecond)));
+    }
+
     /** Returns the outcome of a run that a node has reported. */
     static RunOutcome runOutcome(Outcome message) {
         return switch (message.kind()) {
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -3,10 +3,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,7 +15,7 @@
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.Dispatcher;
 import org.poplarwharf.internal.dispatch.EngineOrder;
-import org.poplarwharf.internal.dispatch.OrderResult;
+import org.poplarwharf.internal.dispatch.LimitedTargetDispatcher;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.FleetPlan;
@@ -29,12 +26,13 @@
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.lease.HolderLease;
+import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
  * Accepts connections from the other nodes and decides on placement for all nodes while this node holds the lease.
  *
- * <p>Invariants: an order is sent only if this node holds the lease at that moment; all grants of a node are released
+ * <p>Invariants: all grants of a node are released
  * when its connection closes. Confined to the event loop.
  */
 public final class HolderRole implements HolderConnections.Handler {
@@ -45,27 +43,33 @@
 
     private static final long IDLE_TICK_INTERVAL_MILLIS = 250;
 
+    /** Limits are sent again with each fourth heartbeat, so that nodes agree again within two seconds in any case. */
+    private static final int HEARTBEATS_PER_LIMITS_COUNT = 4;
+
+    /** Combines changes at about the same time into one message. */
+    private static final long LIMIT_BROADCAST_DELAY_MILLIS = 20;
+
     /** Keeps messages well below the maximum size of a frame. */
     private static final int MAX_CRASHES_PER_MESSAGE = 500;
 
     private final GatewaySettings settings;
     private final String incarnation;
     private final FleetView view;
-    private final EngineClient engines;
+    private final EngineOrderSender orderSender;
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
     private final CrashListener crashListener;
+    private final TargetLimits targetLimits;
+    private final LimitedTargetDispatcher limitedTargets;
     private final Set<HolderConnections.Connection> connections = new LinkedHashSet<>();
     private final Map<String, Dispatcher> dispatchers = new LinkedHashMap<>();
     private final Map<String, RequestSource> sources = new HashMap<>();
     private Optional<HolderLease> lease = Optional.empty();
     private boolean ticking;
     private boolean viewUpdateScheduled;
-
-    /** The node that a request came from: another node's connection or this node's own listener. */
-    private record RequestSource(
-            String service, Optional<HolderConnections.Connection> connection, Optional<PlacementListener> listener) {}
+    private boolean limitBroadcastScheduled;
+    private int heartbeatCount;
 
     /** Receives the decisions on this node's own requests. */
     public interface PlacementListener {
@@ -91,15 +95,18 @@
             MonotonicClock clock,
             TopicFollower.Timer timer,
             DecisionLog log,
-            CrashListener crashListener) {
+            CrashListener crashListener,
+            TargetLimits targetLimits) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.view = view;
-        this.engines = engines;
+        this.orderSender = new EngineOrderSender(settings.nodeId(), engines, timer, log);
         this.clock = clock;
         this.timer = timer;
         this.log = log;
         this.crashListener = crashListener;
+        this.targetLimits = targetLimits;
+        this.limitedTargets = new LimitedTargetDispatcher(targetLimits, new HolderDispatchActions(""));
         view.onChange(this::scheduleViewUpdate);
     }
 
@@ -119,8 +126,9 @@
             sources.clear();
         }
         lease = Optional.of(acquiredLease);
+        targetLimits.restartPacing(clock.nowMillis());
         updateDispatchers();
-        connections.forEach(this::sendHeartbeat);
+        connections.forEach(connection -> sendHeartbeat(connection, true));
         if (!ticking) {
             ticking = true;
             tick();
@@ -132,7 +140,7 @@
         lease = Optional.empty();
         dispatchers.clear();
         sources.clear();
-        connections.forEach(this::sendHeartbeat);
+        connections.forEach(connection -> sendHeartbeat(connection, false));
     }
 
     /** Returns whether this node decides. */
@@ -140,6 +148,11 @@
         return lease.isPresent();
     }
 
+    /** Returns whether this node decides and no other node can. */
+    boolean isSoleHolder() {
+        return lease.isPresent() && lease.get().isSoleHolder();
+    }
+
     private boolean mayOrder() {
         return lease.isPresent() && lease.get().mayOrder();
     }
@@ -150,16 +163,18 @@
 
     /** Submits a request of this node. */
     public void submit(DispatchRequest request, PlacementListener listener) {
-        dispatch(request, new RequestSource(request.service(), Optional.empty(), Optional.of(listener)));
+        dispatch(request, RequestSource.local(request.service(), listener));
     }
 
     public void withdraw(String key) {
         dispatcherOf(key).ifPresent(dispatcher -> dispatcher.withdraw(key, clock.nowMillis()));
+        limitedTargets.end(key);
         sources.remove(key);
     }
 
     public void recordOutcome(String key, RunOutcome outcome) {
         dispatcherOf(key).ifPresent(dispatcher -> dispatcher.recordOutcome(key, outcome, clock.nowMillis()));
+        limitedTargets.recordOutcome(key, outcome);
         if (!(outcome instanceof RunOutcome.FirstEventReceived)) {
             sources.remove(key);
         }
@@ -167,13 +182,14 @@
 
     public void recordEnd(String key) {
         dispatcherOf(key).ifPresent(dispatcher -> dispatcher.endRun(key, clock.nowMillis()));
+        limitedTargets.end(key);
         sources.remove(key);
     }
 
     @Override
     public void opened(HolderConnections.Connection connection) {
         connections.add(connection);
-        sendHeartbeat(connection);
+        sendHeartbeat(connection, true);
         sendCrashes(connection, crashListener.knownCrashes());
     }
 
@@ -192,12 +208,10 @@
     @Override
     public void closed(HolderConnections.Connection connection) {
         connections.remove(connection);
-        Set<String> keys = new HashSet<>();
-        sources.forEach((key, source) -> {
-            if (source.connection().filter(other -> other == connection).isPresent()) {
-                keys.add(key);
-            }
-        });
+        List<String> keys = sources.entrySet().stream()
+                .filter(entry -> entry.getValue().isFrom(connection))
+                .map(Map.Entry::getKey)
+                .toList();
         for (String key : keys) {
             recordOutcome(key, new RunOutcome.Abandoned());
             withdraw(key);
@@ -210,9 +224,9 @@
             case HolderMessage.Submit submit ->
                 dispatch(
                         HolderMessage.dispatchRequest(submit, clock.nowMillis()),
-                        new RequestSource(submit.service(), Optional.of(connection), Optional.empty()));
+                        RequestSource.remote(submit.service(), connection));
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
-            case HolderMessage.Outcome outcome -> recordOutcome(outcome.key(), HolderMessage.runOutcome(outcome));
+            case HolderMessage.Outcome outcome -> handleOutcome(outcome);
             case HolderMessage.Ended ended -> recordEnd(ended.key());
             case HolderMessage.TargetCrashes report -> crashListener.crashesReported(report.crashes());
             case HolderMessage.Heartbeat heartbeat -> closeUnexpected(connection);
@@ -221,6 +235,24 @@
         }
     }
 
+    private void handleOutcome(HolderMessage.Outcome outcome) {
+        outcome.namedLimit()
+                .ifPresent(limit ->
+                        targetLimits.recordNamed(limit.targetId(), limit.requestsPerSecond(), clock.nowMillis()));
+        recordOutcome(outcome.key(), HolderMessage.runOutcome(outcome));
+    }
+
+    /** Sends the limits of targets to the other nodes, soon after they have changed. */
+    public void limitsChanged() {
+        if (lease.isPresent() && !limitBroadcastScheduled) {
+            limitBroadcastScheduled = true;
+            timer.schedule(LIMIT_BROADCAST_DELAY_MILLIS, () -> {
+                limitBroadcastScheduled = false;
+                connections.forEach(connection -> sendHeartbeat(connection, true));
+            });
+        }
+    }
+
     /** Closes a connection on which a node sent a message that only the holder sends. */
     private static void closeUnexpected(HolderConnections.Connection sender) {
         sender.close();
@@ -233,13 +265,17 @@
 
     private void dispatch(DispatchRequest request, RequestSource source) {
         Dispatcher dispatcher = dispatchers.get(request.service());
-        if (lease.isEmpty() || dispatcher == null) {
-            source.connection().ifPresent(this::sendHeartbeat);
+        if (lease.isEmpty()) {
+            source.connection().ifPresent(connection -> sendHeartbeat(connection, false));
             source.listener()
                     .ifPresent(listener -> listener.refused(request.key(), "no-holder", HEARTBEAT_INTERVAL_MILLIS));
             return;
         }
         sources.put(request.key(), source);
+        if (dispatcher == null) {
+            limitedTargets.submit(request, view.targetsOf(request.service()), clock.nowMillis());
+            return;
+        }
         dispatcher.setOrdersAllowed(mayOrder());
         dispatcher.submit(request, clock.nowMillis());
     }
@@ -269,7 +305,7 @@
         Dispatcher dispatcher = dispatchers.computeIfAbsent(service, name -> {
             Dispatcher.LoadLimits limits =
                     new Dispatcher.LoadLimits(settings.loadWindowMillis(), settings.loadWindowFactor());
-            return new Dispatcher(spec, limits, new HolderDispatchActions(name));
+            return new Dispatcher(spec, limits, targetLimits, new HolderDispatchActions(name));
         });
         dispatcher.updateSpec(spec);
         dispatcher.setOrdersAllowed(mayOrder());
@@ -295,12 +331,16 @@
     }
 
     private void sendHeartbeats() {
-        connections.forEach(this::sendHeartbeat);
+        heartbeatCount++;
+        boolean withLimits = heartbeatCount % HEARTBEATS_PER_LIMITS_COUNT == 0;
+        connections.forEach(connection -> sendHeartbeat(connection, withLimits));
         timer.schedule(HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeats);
     }
 
-    private void sendHeartbeat(HolderConnections.Connection connection) {
-        connection.send(new HolderMessage.Heartbeat(settings.nodeId(), incarnation, isHolding(), nodeCount()));
+    private void sendHeartbeat(HolderConnections.Connection connection, boolean withLimits) {
+        Optional<Map<String, Double>> limits =
+                withLimits && isHolding() ? Optional.of(targetLimits.requestsPerSecondByTarget()) : Optional.empty();
+        connection.send(new HolderMessage.Heartbeat(settings.nodeId(), incarnation, isHolding(), nodeCount(), limits));
     }
 
     /** Sends the decisions of a dispatcher to the nodes and engines that they concern. */
@@ -318,10 +358,7 @@
                 return;
             }
             String backupId = backup.map(Target::id).orElse("");
-            source.connection()
-                    .ifPresent(connection ->
-                            connection.send(new HolderMessage.Granted(request.key(), target.id(), backupId)));
-            source.listener().ifPresent(listener -> listener.granted(request.key(), target.id(), backupId));
+            source.grant(request.key(), target.id(), backupId);
         }
 
         @Override
@@ -330,10 +367,7 @@
             if (source == null) {
                 return;
             }
-            source.connection()
-                    .ifPresent(connection ->
-                            connection.send(new HolderMessage.Refused(request.key(), reason, retryAfterMillis)));
-            source.listener().ifPresent(listener -> listener.refused(request.key(), reason, retryAfterMillis));
+            source.refuse(request.key(), reason, retryAfterMillis);
         }
 
         @Override
@@ -344,51 +378,17 @@
         @Override
         public void sendOrder(EngineOrder order) {
             Dispatcher dispatcher = dispatchers.get(service);
-            if (!mayOrder()) {
-                timer.schedule(0, () -> handleOrderResult(dispatcher, order, OrderResult.REFUSED));
-                return;
-            }
-            long fencingNumber = lease.get().fencingNumber();
-            logOrder(
-                    "order-sent",
-                    order,
-                    "ordersAccepted",
-                    order.expectedOrdersAccepted(),
-                    "fencingNumber",
-                    fencingNumber);
-            engines.sendOrder(
-                    order, settings.nodeId(), fencingNumber, result -> handleOrderResult(dispatcher, order, result));
-        }
-
-        private void handleOrderResult(Dispatcher dispatcher, EngineOrder order, OrderResult result) {
-            logOrder("order-answered", order, "answer", result);
-            if (dispatchers.get(service) == dispatcher) {
-                dispatcher.handleOrderResult(order, result, clock.nowMillis());
-            }
-        }
-
-        private void logOrder(String event, EngineOrder order, Object... moreFields) {
-            List<Object> fields = new ArrayList<>();
-            Collections.addAll(fields, "target", order.target().id(), "kind", order.kind(), "model", order.model());
-            Collections.addAll(fields, "adapter", order.adapter().orElse(""));
-            Collections.addAll(fields, moreFields);
-            log.log(event, fields.toArray());
+            orderSender.send(order, lease, result -> {
+                if (dispatchers.get(service) == dispatcher) {
+                    dispatcher.handleOrderResult(order, result, clock.nowMillis());
+                }
+            });
         }
 
         @Override
         public void requestReport(Target target) {
             Dispatcher dispatcher = dispatchers.get(service);
-            engines.fetchReport(target, report -> {
-                log.log(
-                        "target-reported",
-                        "target",
-                        target.id(),
-                        "answered",
-                        report.isPresent(),
-                        "ordersAccepted",
-                        report.map(received -> received.ordersAccepted()).orElse(-1L),
-                        "busy",
-                        report.map(received -> received.orderInProgress()).orElse(false));
+            orderSender.requestReport(target, report -> {
                 if (dispatchers.get(service) == dispatcher && dispatcher != null) {
                     dispatcher.handleReport(target, report, clock.nowMillis());
                 }
--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -113,6 +113,11 @@
                 && clocks.wallMillis() - termStart.wallMillis() < timings.termMillis();
     }
 
+    /** Returns whether this node holds the lease and the holder before it can decide nothing any more. */
+    public boolean isSoleHolder() {
+        return isHeld() && clocks.steadyMillis() >= ordersAllowedFromMillis - timings.orderGapMillis();
+    }
+
     /** Returns whether this node may issue orders at this moment. */
     public boolean mayOrder() {
         return isHeld() && clocks.steadyMillis() >= ordersAllowedFromMillis;
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits that hold for all nodes together. */
+package org.poplarwharf.internal.limit;
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -44,8 +44,9 @@
             Map.entry("http", List.of()),
             Map.entry("topic", List.of()),
             Map.entry("lease", List.of("failure", "topic")),
-            Map.entry("dispatch", List.of("fleet")),
-            Map.entry("gateway", List.of("crash", "dispatch", "failure", "fleet", "http", "kernel", "topic")),
+            Map.entry("limit", List.of()),
+            Map.entry("dispatch", List.of("fleet", "limit")),
+            Map.entry("gateway", List.of("crash", "dispatch", "failure", "fleet", "http", "kernel", "limit", "topic")),
             Map.entry(
                     "holder",
                     List.of(
@@ -59,6 +60,7 @@
                             "http",
                             "kernel",
                             "lease",
+                            "limit",
                             "topic")),
             Map.entry("platform", List.of("dispatch", "failure", "fleet", "gateway", "holder", "http", "topic")),
             Map.entry("log", List.of("codec", "failure", "kernel")),
@@ -89,6 +91,7 @@
         packageOf("idle"),
         packageOf("kernel"),
         packageOf("lease"),
+        packageOf("limit"),
         packageOf("load"),
         packageOf("log"),
         packageOf("peer"),
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -16,6 +16,7 @@
 import org.poplarwharf.internal.fleet.LoadedModel;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.limit.TargetLimits;
 
 /** Simulates the targets and callers of a dispatcher under test, with a clock that the test advances. */
 final class FakeFleet implements DispatchActions {
@@ -34,6 +35,7 @@
     final Map<String, Long> retryAfterMillis = new LinkedHashMap<>();
     final List<String> reportsRequested = new ArrayList<>();
     final Map<String, Target> targets = new LinkedHashMap<>();
+    final TargetLimits targetLimits = new TargetLimits(() -> true, (target, requestsPerSecond) -> {});
     final Dispatcher dispatcher;
     long nowMillis = 1_000_000;
     private final Map<String, Set<String>> modelsByTarget = new LinkedHashMap<>();
@@ -51,7 +53,7 @@
                             model, MODEL_MB, STORE_LOAD_MILLIS, DISK_LOAD_MILLIS, DISK_LOAD_MILLIS, 4, 0.1));
         }
         EngineSpec spec = new EngineSpec(SLOT_COUNT, 100_000, TARGET_MB, 2, 1.6, true, specs);
-        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), this);
+        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, this);
         dispatcher.setOrdersAllowed(true);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -32,6 +32,7 @@
 import org.poplarwharf.internal.gateway.TargetSelector;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.support.Eventually;
 
 /** Tests a node that follows a lease holder, which the test plays. */
@@ -45,6 +46,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final FleetView view = new FleetView();
     private final ScriptedHolder holder = new ScriptedHolder();
+    private final TargetLimits limits = new TargetLimits(() -> false, (target, requestsPerSecond) -> {});
     private final List<String> selected = new CopyOnWriteArrayList<>();
     private final List<String> rejected = new CopyOnWriteArrayList<>();
     private EngineTargetSelector selector;
@@ -58,14 +60,23 @@
                         .localAddress();
         DecisionLog log = new DecisionLog("n1", "z1", new PrintStream(OutputStream.nullOutputStream()));
         HolderRole localHolder = new HolderRole(
-                GatewaySettings.DEFAULTS, "n1/1", view, new NoEngines(), clock, this::schedule, log, new NoCrashes());
-        selector = new EngineTargetSelector(localHolder, view, loop, clock, this::schedule, log, new NoChanges());
+                GatewaySettings.DEFAULTS,
+                "n1/1",
+                view,
+                new NoEngines(),
+                clock,
+                this::schedule,
+                log,
+                new NoCrashes(),
+                limits);
+        selector =
+                new EngineTargetSelector(localHolder, view, loop, clock, this::schedule, log, limits, new NoChanges());
         loop.execute(() -> {
             selector.start();
             selector.followHolder(address, HOLDER);
         });
         Eventually.eventually("the node is connected", () -> holder.connection != null);
-        holder.connection.send(new HolderMessage.Heartbeat("holder", HOLDER, true, 2));
+        holder.connection.send(new HolderMessage.Heartbeat("holder", HOLDER, true, 2, Optional.empty()));
         Eventually.eventually("the holder responds", selector::isHolderResponding);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/TargetLimitGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/TargetLimitGatewayTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.support.ScriptedTarget;
@@ -48,7 +47,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void engine_that_names_a_limit_gets_no_more_requests_from_all_nodes_together() throws Exception {
         start("lm", MODELS);
         sendFor(OBSERVED_MILLIS, "/lm/x");
@@ -57,7 +55,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void plain_target_that_names_a_limit_gets_no_more_requests_from_all_nodes_together() throws Exception {
         start("desk", "");
         sendFor(OBSERVED_MILLIS, "/safe/x");
