Test limits of targets through changes of the holder, pauses and mixed releases

Unit and gateway tests of: order and refusal at the dispatcher, a copy loaded elsewhere, the end of a limit, a change of the holder, a node without a holder, a grant read after a pause, reports after a reconnection, messages to and from the release before.

--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -113,13 +113,33 @@
         return key;
     }
 
+    /** Submits a request of the highest priority, and returns its key. */
+    String submitUrgent(String model, long remainingMillis) {
+        requestCount++;
+        String key = "r" + requestCount;
+        submit(key, model, Optional.empty(), 0, remainingMillis);
+        return key;
+    }
+
     /** Submits a request under a key, again if that key has been submitted before. */
     void submit(String key, String model, Optional<String> adapter, long remainingMillis) {
+        submit(key, model, adapter, 1, remainingMillis);
+    }
+
+    private void submit(String key, String model, Optional<String> adapter, int priority, long remainingMillis) {
         RequestTraits traits = new RequestTraits(
                 key, OptionalLong.empty(), Optional.of(model), adapter, 100, 50, List.of(), OptionalLong.empty());
         dispatcher.submit(
                 new DispatchRequest(
-                        key, "z1", SERVICE, traits, 1, nowMillis + remainingMillis, nowMillis + 2_000, true, Set.of()),
+                        key,
+                        "z1",
+                        SERVICE,
+                        traits,
+                        priority,
+                        nowMillis + remainingMillis,
+                        nowMillis + 2_000,
+                        true,
+                        Set.of()),
                 nowMillis);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -140,6 +140,43 @@
         assertThat(holder.has(HolderMessage.Withdraw.class)).isFalse();
     }
 
+    @Test
+    void node_without_a_holder_sends_nothing_to_a_target_that_has_named_a_limit() {
+        addTarget("limited");
+        loop.execute(() -> selector.reportLimit("limited", 10));
+        GatewayCluster.pause(HOLDER_SILENCE_MILLIS);
+        select("r");
+        Eventually.eventually("the request is refused", () -> rejected.contains("no-holder"));
+
+        assertThat(selected).isEmpty();
+    }
+
+    @Test
+    void limit_is_reported_to_a_holder_and_again_after_a_reconnection() {
+        loop.execute(() -> selector.reportLimit("t", 2.5));
+        Eventually.eventually("the holder knows", () -> holder.reportedLimits().equals(List.of(2.5)));
+        holder.connection.close();
+        Eventually.eventually("it is told again", () -> holder.reportedLimits().equals(List.of(2.5, 2.5)));
+    }
+
+    @Test
+    void grant_of_a_limited_target_that_is_read_after_a_pause_of_the_process_is_not_used() throws Exception {
+        addTarget("t");
+        loop.execute(() -> selector.reportLimit("t", 1));
+        select("r");
+        Eventually.eventually("the holder has the request", () -> holder.has(HolderMessage.Submit.class));
+        loop.execute(() -> GatewayCluster.pause(700));
+        holder.connection.send(new HolderMessage.Granted("r", "t", ""));
+        Eventually.eventually(
+                "the grant is returned",
+                () -> holder.received.stream()
+                        .anyMatch(message -> message instanceof HolderMessage.Outcome outcome
+                                && outcome.key().equals("r")
+                                && outcome.kind() == HolderMessage.OutcomeKind.ABANDONED));
+
+        assertThat(selected).isEmpty();
+    }
+
     private final class RecordingCallback implements TargetSelector.Callback {
         @Override
         public void onSelected(Target target, Optional<Target> backup, String by) {
@@ -156,6 +193,14 @@
         private final List<HolderMessage> received = new CopyOnWriteArrayList<>();
         private volatile HolderConnections.Connection connection;
 
+        List<Double> reportedLimits() {
+            return received.stream()
+                    .filter(HolderMessage.Outcome.class::isInstance)
+                    .flatMap(message -> ((HolderMessage.Outcome) message).namedLimit().stream())
+                    .map(HolderMessage.NamedLimit::requestsPerSecond)
+                    .toList();
+        }
+
         boolean has(Class<? extends HolderMessage> type) {
             return received.stream().anyMatch(type::isInstance);
         }
--- a/src/test/java/org/poplarwharf/internal/holder/TargetLimitGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/TargetLimitGatewayTest.java
@@ -4,10 +4,12 @@
 
 import java.io.IOException;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -28,6 +30,7 @@
     private static final String MODELS = ",'models':[{'name':'m1','version':1,'adapters':[]}],'atHand':{}";
 
     private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
+    private final AtomicInteger refusedCount = new AtomicInteger();
     private GatewayCluster cluster;
 
     private void start(String service, String extraFields) throws IOException {
@@ -61,6 +64,60 @@
         assertThat(mostArrivalsInWindow()).isLessThanOrEqualTo(allowedCount());
     }
 
+    @Test
+    void limit_is_kept_through_a_change_of_the_lease_holder() throws Exception {
+        start("lm", MODELS);
+        sendFor(SETTLING_MILLIS, "/lm/x");
+        GatewayCluster.Node holder = cluster.nodes.stream()
+                .filter(node -> node.log().contains("lease-claimed"))
+                .findFirst()
+                .orElseThrow();
+        cluster.nodes.remove(holder);
+        holder.gateway().drainAndStop();
+        sendFor(2 * WINDOW_MILLIS, "/lm/x");
+
+        assertThat(mostArrivalsInWindow()).isLessThanOrEqualTo(allowedCount());
+        assertThat(arrivalMillis.get(arrivalMillis.size() - 1))
+                .as("requests reach the target again after the change")
+                .isGreaterThan(System.currentTimeMillis() - WINDOW_MILLIS);
+    }
+
+    @Test
+    void requests_pass_without_a_permit_again_once_the_target_names_no_limit() throws Exception {
+        start("desk", "");
+        sendFor(SETTLING_MILLIS, "/safe/x");
+        cluster.targets.get(0).requestsPerSecondLimit = OptionalDouble.empty();
+        sendFor(2_500, "/safe/x");
+        int arrivalCount = arrivalMillis.size();
+        sendFor(1_000, "/safe/x");
+
+        assertThat(arrivalMillis.size() - arrivalCount).isGreaterThanOrEqualTo(5);
+    }
+
+    @Test
+    void another_plain_target_takes_the_requests_that_a_limit_keeps_out() throws Exception {
+        start("desk", "");
+        cluster.addTarget("desk", "");
+        sendFor(SETTLING_MILLIS, "/once/x");
+
+        assertThat(refusedCount).hasValue(0);
+    }
+
+    @Test
+    void request_without_a_permit_is_refused_at_once_as_not_run_with_the_time_of_the_next_permit() throws Exception {
+        start("desk", "");
+        sendFor(1_000, "/once/x");
+        HttpResponse<String> response = null;
+        for (int i = 0; i < 4; i++) {
+            response = cluster.post(cluster.nodes.get(0).frontPort(), "/once/x");
+        }
+
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(Double.parseDouble(
+                        response.headers().firstValue("Retry-After").orElseThrow()))
+                .isBetween(0.0, 2.1);
+    }
+
     private static long allowedCount() {
         return (long) (1.5 * REQUESTS_PER_SECOND * WINDOW_MILLIS / 1_000 + 5);
     }
@@ -81,11 +138,14 @@
     private void sendFor(long millis, String path) throws IOException, InterruptedException {
         long endMillis = System.currentTimeMillis() + millis;
         for (int i = 0; System.currentTimeMillis() < endMillis; i++) {
-            GatewayCluster.Node node = cluster.nodes.get(i % NODE_COUNT);
-            cluster.send(GatewayCluster.request(node.frontPort(), path)
+            GatewayCluster.Node node = cluster.nodes.get(i % cluster.nodes.size());
+            HttpResponse<String> response = cluster.send(GatewayCluster.request(node.frontPort(), path)
                     .header("X-Model", "m1")
                     .header("X-Token-Counts", "10,10")
                     .POST(HttpRequest.BodyPublishers.ofString("body")));
+            if (response.statusCode() == 503) {
+                refusedCount.incrementAndGet();
+            }
             GatewayCluster.pause(REQUEST_INTERVAL_MILLIS);
         }
     }
--- a/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
@@ -69,6 +69,34 @@
         assertThat(second.now() - lastOrderMillis).isGreaterThanOrEqualTo(ORDER_GAP_MILLIS - 100);
     }
 
+    @Test
+    void after_resignation_the_next_holder_is_the_only_one_at_once() {
+        first.start();
+        second.start();
+        advanceFirstAndSecond(2_000);
+        first.lease.resign();
+        advanceFirstAndSecond(1_000);
+
+        assertThat(second.lease.isSoleHolder()).isTrue();
+        assertThat(first.lease.isSoleHolder()).isFalse();
+    }
+
+    @Test
+    void two_nodes_are_never_sure_at_once_of_being_the_only_holder_when_the_first_stops_running() {
+        first.start();
+        second.start();
+        advanceFirstAndSecond(5_000);
+        first.frozen = true;
+        while (!second.lease.isSoleHolder()) {
+            second.advance(50);
+            first.advanceClocks(50);
+            assertThat(first.lease.isSoleHolder() && second.lease.isSoleHolder())
+                    .isFalse();
+            assertThat(second.now()).isLessThan(60_000 + LeaseTestNode.START_MILLIS);
+        }
+        assertThat(first.lease.isSoleHolder()).isFalse();
+    }
+
     @Test
     void suspended_holder_whose_monotonic_clock_stood_still_may_not_issue_orders() {
         first.start();
