Close a connection on which a target sends informational responses without end

Callers saw a 504 at their deadline while the target's 1xx responses used the node's processor until then. Cause: each was skipped and nothing counted them.

--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -35,6 +35,9 @@
      */
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 500;
 
+    /** A target sends a few informational responses at most. */
+    private static final int MAX_INFORMATIONAL_COUNT = 16;
+
     private final String targetId;
     private final TargetConnectionPool pool;
     private Channel channel;
@@ -43,6 +46,7 @@
     private boolean written;
     private boolean reusable;
     private boolean informational;
+    private int informationalCount;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceNanos;
 
@@ -79,6 +83,7 @@
         listener = responseListener;
         written = false;
         reusable = true;
+        informationalCount = 0;
         listener.onSending();
         channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
     }
@@ -128,6 +133,10 @@
     private void readHead(HttpResponse head) {
         informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational) {
+            informationalCount++;
+            if (informationalCount > MAX_INFORMATIONAL_COUNT) {
+                fail("informational responses without end");
+            }
             return;
         }
         boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
