Bound what a node reads of bytes that are no response

Reported: bytes that are no answer may come without end, in a head or a body, until the caller closes. Endless heads, header lines, unsealed successes and bytes after a response were bounded already. Not bounded: an event without end (buffered until the deadline, at 1 Gbit/s more than a node's memory), a body that belongs to another request (read on until the deadline), the body of an unsealed failure (passed on to the caller without end). Each now ends as an invalid response after 1 MiB, so that a request that may be repeated still has time for another target.

--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -13,6 +13,9 @@
  * call {@link #release()}.
  */
 final class EventSplitter {
+    /** Far above the size of any event; bounds what is buffered of one that doesn't end. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private static final byte NEWLINE = '\n';
     private static final String ID_FIELD_PREFIX = "id:";
 
@@ -25,7 +28,10 @@
         this.lastEventId = lastEventId;
     }
 
-    /** Adds bytes and returns the events that are now complete, or an empty optional if event ids do not increase. */
+    /**
+     * Adds bytes and returns the events that are now complete, or an empty optional if event ids do not increase or an
+     * event is too long.
+     */
     java.util.Optional<ByteBuf> add(ByteBuf bytes) {
         buffered.writeBytes(bytes);
         int end = -1;
@@ -41,7 +47,9 @@
         }
         if (end < 0) {
             scannedBytes = Math.max(0, buffered.readableBytes() - 2);
-            return java.util.Optional.of(Unpooled.EMPTY_BUFFER);
+            return buffered.readableBytes() > MAX_EVENT_BYTES
+                    ? java.util.Optional.empty()
+                    : java.util.Optional.of(Unpooled.EMPTY_BUFFER);
         }
         ByteBuf wholeEvents = buffered.readBytes(end - start);
         buffered.discardReadBytes();
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -19,7 +19,6 @@
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.InFlightRequest;
 import org.poplarwharf.internal.http.ResponseListener;
-import org.poplarwharf.internal.http.TargetConnectionPool;
 
 /**
  * Handles one request from its arrival to its final response.
@@ -43,6 +42,7 @@
     private final ResponseRelay relay;
     private final ExchangeRecorder recorder;
     private final AttemptLimits limits;
+    private final RequestSender sender;
     private final Future<?> deadlineTimer;
     private final ProgressTimer progressTimer;
     private String selectionKey = "";
@@ -75,6 +75,7 @@
                 context.headerCodec(), sink, traits.requestId(), route.kind().isStream(), traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
         this.limits = new AttemptLimits(context, recorder, route, service, fingerprint, deadlineMillis);
+        this.sender = new RequestSender(context, request, route);
         this.progressTimer = new ProgressTimer(context, this::handleNoProgress);
         this.deadlineTimer = context.schedule(deadlineMillis - arrivedMillis, this::expire);
     }
@@ -132,13 +133,7 @@
                 resumeAddress.isEmpty() ? backup.map(Target::address) : Optional.empty(),
                 resumeAddress,
                 OptionalInt.of(route.priority()));
-        TargetConnectionPool.ConnectionSpec spec = new TargetConnectionPool.ConnectionSpec(
-                target.id(),
-                target.address(),
-                context.policy().connectTimeoutMillis(millisLeft),
-                context.policy().maxIdleMillis(route.kind()));
-        inFlight = context.connections()
-                .send(spec, HttpMessages.forTarget(request, context.headerCodec(), forwarding), this);
+        inFlight = sender.send(target, forwarding, this);
         progressTimer.restart(context.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
     }
 
@@ -162,9 +157,6 @@
 
     @Override
     public void onContent(ByteBuf chunk) {
-        if (relay.isForOtherRequest()) {
-            return;
-        }
         switch (relay.addChunk(chunk)) {
             case INCOMPLETE -> {}
             case EVENTS_FORWARDED -> onEventsForwarded();
@@ -173,11 +165,20 @@
     }
 
     private void onEventsForwarded() {
+        reportFirstEvent();
+        progressTimer.restart(context.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
+        pauseReadingIfFull();
+    }
+
+    private void reportFirstEvent() {
         if (!firstEventReported) {
             firstEventReported = true;
             selector.reportOutcome(selectionKey, new RunOutcome.FirstEventReceived(context.nowMillis() - sentMillis));
         }
-        progressTimer.restart(context.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
+    }
+
+    /** Stops reading from the target while the caller takes no more bytes, so that no more than a buffer is kept. */
+    private void pauseReadingIfFull() {
         if (!sink.isWritable() && inFlight != null) {
             inFlight.setReading(false);
         }
@@ -216,9 +217,7 @@
             rerun("failed by target");
             return true;
         }
-        if (!firstEventReported) {
-            selector.reportOutcome(selectionKey, new RunOutcome.FirstEventReceived(context.nowMillis() - sentMillis));
-        }
+        reportFirstEvent();
         selector.reportEnd(selectionKey);
         relay.finish();
         close("request-answered", "status", relay.status());
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -31,6 +31,7 @@
     private ResponseTraits traits;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private boolean started;
+    private long skippedBytes;
 
     /** The effect of a chunk of the response body. */
     enum ChunkResult {
@@ -38,7 +39,7 @@
         INCOMPLETE,
         /** Complete events were forwarded. */
         EVENTS_FORWARDED,
-        /** The response does not come from a target, or its event ids do not increase. */
+        /** The response does not come from a target, its event ids do not increase, or a part of it is too long. */
         INVALID
     }
 
@@ -87,6 +88,10 @@
 
     /** Processes a chunk of the body. Does not retain the buffer. */
     ChunkResult addChunk(ByteBuf chunk) {
+        if (isForOtherRequest()) {
+            skippedBytes += chunk.readableBytes();
+            return skippedBytes > MAX_BUFFERED_BYTES ? ChunkResult.INVALID : ChunkResult.INCOMPLETE;
+        }
         if (isInvalid()) {
             return ChunkResult.INVALID;
         }
@@ -102,6 +107,9 @@
         }
         buffered.writeBytes(chunk);
         if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+            if (!traits.authentic()) {
+                return ChunkResult.INVALID;
+            }
             start();
             sink.writeChunk(buffered);
             buffered = Unpooled.EMPTY_BUFFER;
