Stop reading a plain response while its caller does not read

Found by the test of bytes without end: a target wrote 851 MB in 1.5 s into a node whose caller read nothing. Cause: reading was stopped only after complete events, so a plain response over 1 MiB was buffered without a bound. Now any chunk does.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -158,7 +158,7 @@
     @Override
     public void onContent(ByteBuf chunk) {
         switch (relay.addChunk(chunk)) {
-            case INCOMPLETE -> {}
+            case INCOMPLETE -> pauseReadingIfFull();
             case EVENTS_FORWARDED -> onEventsForwarded();
             case INVALID -> abandonAttempt("spoiled answer");
         }
