Do not count comments as progress of a stream

Here a target that sent a comment every 300 ms kept its stream until the route's timeout, although another target could go on with it: each block that ended with a blank line restarted the progress timer. Comments are still passed on, but only blocks with a field count as events. Red before (stream_that_sends_only_comments_continues_at_another_target: broken transfer at the timeout), green after.

The other lines, tried with tests and not found here: a late second copy of a response (ReusedConnectionGatewayTest), requests cut off in a planned stop (DrainUnderLoadGatewayTest, 24 callers), slow streams cut or streams with a byte now and then kept (StreamProgressGatewayTest).

--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -18,6 +18,7 @@
 
     private static final byte NEWLINE = '\n';
     private static final String ID_FIELD_PREFIX = "id:";
+    private static final String COMMENT_PREFIX = ":";
 
     private final ByteBuf buffered = Unpooled.buffer();
     private OptionalLong lastEventId;
@@ -42,7 +43,6 @@
                     return java.util.Optional.empty();
                 }
                 end = newline + 1;
-                eventCount++;
             }
         }
         if (end < 0) {
@@ -72,6 +72,7 @@
         return lastEventId;
     }
 
+    /** Returns the number of events so far, without blocks that have only comments. */
     int eventCount() {
         return eventCount;
     }
@@ -94,6 +95,9 @@
 
     private boolean acceptEventId(int from, int to) {
         String event = buffered.toString(from, to - from, StandardCharsets.UTF_8);
+        if (event.lines().anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT_PREFIX))) {
+            eventCount++;
+        }
         for (String line : event.split("\n")) {
             if (!line.startsWith(ID_FIELD_PREFIX)) {
                 continue;
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -35,7 +35,7 @@
 
     /** The effect of a chunk of the response body. */
     enum ChunkResult {
-        /** No event is complete yet, or the response is not a stream. */
+        /** No further event is complete, or the response is not a stream. */
         INCOMPLETE,
         /** Complete events were forwarded. */
         EVENTS_FORWARDED,
@@ -118,6 +118,7 @@
     }
 
     private ChunkResult addStreamChunk(ByteBuf chunk) {
+        int eventCountBefore = splitter.eventCount();
         ByteBuf wholeEvents = splitter.add(chunk).orElse(null);
         if (wholeEvents == null) {
             return ChunkResult.INVALID;
@@ -129,7 +130,7 @@
             start();
         }
         sink.writeChunk(wholeEvents);
-        return ChunkResult.EVENTS_FORWARDED;
+        return splitter.eventCount() > eventCountBefore ? ChunkResult.EVENTS_FORWARDED : ChunkResult.INCOMPLETE;
     }
 
     private void start() {
