Do not exit on a signal to reload the settings while the process starts

Found by the soak (once): a gateway that had been started again 34 ms before got SIGHUP and was gone, with an empty log; the soak then failed to signal it. Callers lose the node for another restart whenever settings change around a start. Cause: the handler was registered after the start had ended; until then the JVM's default applies, which ends the process. Now the gateway command registers it first and keeps a signal until it can reload. A signal before the JVM runs main still ends it.

--- a/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
@@ -29,8 +29,10 @@
     @Override
     public int run(List<String> arguments, PrintStream out, PrintStream err) {
         return OPTIONS.run(arguments, out, err, values -> {
+            ReloadSignal reloadSignal = ReloadSignal.register();
             Path file = Path.of(values.text(BOOT.flag()));
             PlatformGateway gateway = PlatformGateway.start(file, GatewaySettingsReader.read(file), out);
+            reloadSignal.setAction(gateway::reload);
             ShutdownHook.install(() -> {
                 gateway.drainAndStop();
                 return EXIT_OK;
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
-import org.jline.utils.Signals;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.holder.GatewayNode;
@@ -37,7 +36,7 @@
     }
 
     /**
-     * Starts a gateway and reloads its settings on SIGHUP or if the file changes. Throws if an address cannot be bound.
+     * Starts a gateway, which reloads its settings if the file changes. Throws if an address cannot be bound.
      */
     public static PlatformGateway start(Path settingsFile, GatewaySettings settings, PrintStream out) {
         GatewayNode.PlatformAdapter adapter = new GatewayNode.PlatformAdapter(
@@ -53,7 +52,6 @@
         GatewayNode node = new GatewayNode(settings, adapter, out);
         node.start();
         PlatformGateway gateway = new PlatformGateway(node, settingsFile);
-        Signals.register("HUP", gateway::reload);
         Thread watcher = new Thread(gateway::watchSettingsFile, "settings-watch");
         watcher.setDaemon(true);
         watcher.start();
@@ -73,7 +71,8 @@
         }
     }
 
-    private void reload() {
+    /** Reads the settings again and applies those that can change in a running node. */
+    public void reload() {
         lastModified = lastModifiedTime();
         try {
             node.reload(GatewaySettingsReader.read(settingsFile));
