--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -58,6 +58,7 @@
     List<String> violations() {
         calls.forEach(this::check);
         checkRunsMatchRequests();
+        runs.values().forEach(this::checkSoftwareVersions);
         checkResponseTimes();
         checkOrders();
         checkStoreLoads();
@@ -75,6 +76,9 @@
         if (call.indicatesNotRun() && call.complete() && !callRuns.isEmpty()) {
             addViolation("ran although its response says that it did not", call);
         }
+        if (ResumingCaller.isCallerOf(call)) {
+            return; // Leaves its streams early; the versions of their runs are checked.
+        }
         if (call.isSuccessful()) {
             checkSuccessfulCall(call, callRuns);
         }
@@ -112,6 +116,29 @@
         }
     }
 
+    /** Checks that a stream, over the runs of one request or of those that resume it, has one software version. */
+    private void checkSoftwareVersions(List<TargetActivity.Run> requestRuns) {
+        TargetActivity.Run began = null;
+        List<TargetActivity.Run> ordered = requestRuns.stream()
+                .sorted(Comparator.comparingLong(TargetActivity.Run::startMillis))
+                .toList();
+        for (TargetActivity.Run run : ordered) {
+            if (run.lastEventId() == 0) {
+                began = run;
+            } else if (began == null) {
+                began = runs.getOrDefault(ResumingCaller.beganId(run.id()), List.of()).stream()
+                        .filter(other -> other.lastEventId() == 0)
+                        .max(Comparator.comparingLong(TargetActivity.Run::startMillis))
+                        .orElse(null);
+            }
+            boolean isMixed = began != null
+                    && !SoakTarget.softwareVersion(began.target()).equals(SoakTarget.softwareVersion(run.target()));
+            if (isMixed && run.lastEventId() > 0) {
+                violations.add("a stream was continued at another software version: " + began + ", then " + run);
+            }
+        }
+    }
+
     private void checkRunsMatchRequests() {
         Map<String, RecordedCall> byId = calls.stream().collect(Collectors.toMap(RecordedCall::id, call -> call));
         runs.forEach((id, callRuns) -> {
--- a/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
+++ b/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
@@ -39,13 +39,19 @@
 
     /** Sends a request and returns the call with whatever part of the response was received. */
     RecordedCall send(String id, CallKind kind, String path, String model) {
+        return sendForEvents(id, kind, path, model, "", Integer.MAX_VALUE);
+    }
+
+    /** Sends a request with additional headers, and leaves after a number of events. */
+    RecordedCall sendForEvents(
+            String id, CallKind kind, String path, String model, String extraHeaders, int maxEvents) {
         long sentMillis = clock.getAsLong();
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         Map<String, String> headers = new HashMap<>();
         int status = 0;
         boolean complete = false;
         try {
-            socket.getOutputStream().write(request(id, kind, path, model));
+            socket.getOutputStream().write(request(id, kind, path, model, extraHeaders));
             long endMillis = sentMillis + kind.timeoutMillis + EXTRA_WAIT_MILLIS;
             status = Integer.parseInt(readLine(endMillis).split(" ")[1]);
             for (String line = readLine(endMillis); !line.isEmpty(); line = readLine(endMillis)) {
@@ -54,7 +60,7 @@
                         line.substring(0, colon).toLowerCase(Locale.ROOT),
                         line.substring(colon + 1).strip());
             }
-            readBody(headers, body, endMillis);
+            readBody(headers, body, maxEvents, endMillis);
             complete = true;
             isReusable = !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
         } catch (IOException | RuntimeException e) {
@@ -89,23 +95,25 @@
         return CrashingCaller.sendsCrashingBody(path) ? CrashingCaller.BODY : "body of " + id;
     }
 
-    private static byte[] request(String id, CallKind kind, String path, String model) {
+    private static byte[] request(String id, CallKind kind, String path, String model, String extraHeaders) {
         String body = body(id, path);
         String modelHeaders = model.isEmpty()
                 ? ""
                 : "X-Model: " + model + "\r\nX-Token-Counts: 100,50\r\nX-Prompt-Prefix: aa:60," + id + ":40\r\n";
         return ("POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: "
-                        + kind.timeoutMillis + "\r\n" + modelHeaders + "Content-Length: " + body.length() + "\r\n\r\n"
+                        + kind.timeoutMillis + "\r\n" + modelHeaders + extraHeaders + "Content-Length: " + body.length()
+                        + "\r\n\r\n"
                         + body)
                 .getBytes(StandardCharsets.UTF_8);
     }
 
-    private void readBody(Map<String, String> headers, ByteArrayOutputStream body, long endMillis) throws IOException {
+    private void readBody(Map<String, String> headers, ByteArrayOutputStream body, int maxEvents, long endMillis)
+            throws IOException {
         if (headers.containsKey("content-length")) {
             copyBytes(Integer.parseInt(headers.get("content-length")), body, endMillis);
             return;
         }
-        while (true) {
+        for (int events = 0; events < maxEvents; events = countEvents(body)) {
             int length = Integer.parseInt(readLine(endMillis), 16);
             copyBytes(length, body, endMillis);
             readLine(endMillis);
@@ -115,6 +123,10 @@
         }
     }
 
+    private static int countEvents(ByteArrayOutputStream body) {
+        return body.toString(StandardCharsets.UTF_8).split("\n\n", -1).length - 1;
+    }
+
     private void copyBytes(int length, ByteArrayOutputStream to, long endMillis) throws IOException {
         for (int i = 0; i < length; i++) {
             to.write(readByte(endMillis));
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -92,6 +92,8 @@
             if (seed % CRASHING_CALLER_SEED_INTERVAL == 0) {
                 crashingCaller.start();
             }
+            ResumingCaller resumingCaller = new ResumingCaller(fleet, seed);
+            resumingCaller.start();
             injectFaults(fleet, new FaultInjector(fleet, seed));
 
             Thread.sleep(RECOVERY_MILLIS);
@@ -105,6 +107,7 @@
 
             List<RecordedCall> calls = new ArrayList<>(callers.calls());
             calls.addAll(crashingCaller.stop());
+            calls.addAll(resumingCaller.stop());
             List<String> violations = new ArrayList<>(unreadyGateways);
             for (SoakGateway gateway : fleet.gateways()) {
                 RecordedCall call = callNewestRoute(fleet, gateway);
@@ -117,10 +120,21 @@
             List<RecordedCall> callsAfterFaults = calls.stream()
                     .filter(call -> call.sentMillis() >= recoveredMillis)
                     .filter(call -> !CrashingCaller.sendsCrashingBody(call.path()))
+                    .filter(call -> !ResumingCaller.isCallerOf(call))
                     .toList();
             violations.addAll(InvariantChecker.findUnrecovered(
                     callsAfterFaults,
                     fleet.gateways().stream().map(gateway -> gateway.name).collect(Collectors.toSet())));
+            long resumed = calls.stream()
+                    .filter(call -> ResumingCaller.isCallerOf(call)
+                            && !ResumingCaller.beganId(call.id()).equals(call.id()))
+                    .count();
+            long continued = calls.stream()
+                    .filter(call -> ResumingCaller.isCallerOf(call)
+                            && !ResumingCaller.beganId(call.id()).equals(call.id())
+                            && call.status() == 200)
+                    .count();
+            System.out.println("soak: seed " + seed + ": " + continued + " of " + resumed + " resumed streams went on");
             report(seed, calls, callsAfterFaults, violations);
             return violations;
         }
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -16,6 +16,7 @@
  */
 final class SoakTarget {
     private static final int PROCESSING_MILLIS = 15;
+    private static final int SOFTWARE_VERSION_COUNT = 2;
 
     final String name;
     final ScriptedTarget server;
@@ -108,10 +109,16 @@
         recordStart();
     }
 
+    /** Returns the software version of a target with a name such as t1, or an id such as t1-0; each service has two. */
+    static String softwareVersion(String nameOrId) {
+        return "v" + (nameOrId.charAt(1) - '0') % SOFTWARE_VERSION_COUNT;
+    }
+
     /** Returns the registry entry of this target as JSON with apostrophes for quotes. */
     synchronized String registryEntry(String address) {
         return "{'service':'" + (engine.isPresent() ? "lm" : "desk") + "','addr':'" + address
-                + "','zone':'z1','version':'v1','slots':" + SoakEngine.SLOT_COUNT + ",'state':'"
+                + "','zone':'z1','version':'" + softwareVersion(name) + "','slots':" + SoakEngine.SLOT_COUNT
+                + ",'state':'"
                 + (draining ? "draining" : "ready") + "',"
                 + engine.map(SoakEngine::reportFields).orElseGet(() -> "'born':" + startedMillis + ",'seq':0") + "}";
     }
