--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -60,9 +60,13 @@
      *
      * <p>1000: a suspended holder granted requests whose nodes had gone on without it. Nobody released these grants, so
      * their adapters could not be unloaded.
+     *
+     * <p>100003: a target that named a limit of 1.5 requests a second got 46 in 4 s.
+     *
+     * <p>100011: streams were resumed at targets of another software version.
      */
     @ParameterizedTest
-    @ValueSource(longs = {104, 1_000})
+    @ValueSource(longs = {104, 1_000, 100_003, 100_011})
     void promises_hold_through_seeds_that_failed_before(long seed) throws Exception {
         assertThat(runSoak(seed)).isEmpty();
     }
