--- a/src/main/java/org/poplarwharf/internal/dispatch/LimitedTargetDispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LimitedTargetDispatcher.java
@@ -8,9 +8,9 @@
 import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
- * Grants requests to targets without an engine that have named a limit. Nodes choose among the other targets by
- * themselves. Requests are not queued: these targets' callers wait for about a second, so one without a permit is told at
- * once when to come back.
+ * Grants targets of services without an engine, to requests whose nodes can't choose by themselves: where a target has
+ * named a limit, or where only the holder knows the software version that may run the request. Requests are not queued:
+ * these targets' callers wait for about a second, so one without a permit is told at once when to come back.
  *
  * <p>Invariant: each request gets exactly one grant or one refusal. Confined to one thread; the current time is passed
  * with each call.
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -23,8 +23,9 @@
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * Selects engines for requests. While the lease holder responds, it decides; otherwise this node selects a target that
- * reports the model as loaded.
+ * Selects the targets that only the lease holder can select: engines, and for other services targets that have named a limit
+ * and targets for streams whose origin this node doesn't know. While no holder responds, this node selects a target by its
+ * own view, which has neither.
  *
  * <p>Invariant: at any time, exactly one of the local holder, the remote holder and, without a holder, this node itself
  * selects the target of a pending request. A request that waits for a holder waits for no more than a fixed share of
