Log how a response that counts as complete was delimited, and what was left of it

request-answered names the delimiter of the body (length, chunks or the end of the connection), the number of events and the bytes after the last whole event. No decision changes.

--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -57,6 +57,11 @@
         return java.util.Optional.of(wholeEvents);
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int remainderBytes() {
+        return buffered.readableBytes();
+    }
+
     /** Removes and returns the bytes after the last complete event. */
     ByteBuf takeRemainder() {
         return buffered.readBytes(buffered.readableBytes());
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -218,8 +218,9 @@
         }
         reportFirstEvent();
         selector.reportEnd(selectionKey);
+        Object[] end = relay.endFields();
         relay.finish();
-        close("request-answered", "status", relay.status());
+        close("request-answered", end);
         return true;
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.poplarwharf.internal.http.BodyDelimiter;
 
 /**
  * Forwards a target's response to the caller. Buffers a short response until it is complete and forwards a stream event
@@ -177,6 +178,20 @@
         splitter.discardPartialEvent();
     }
 
+    /** Returns the log fields that tell how the response ended, before {@link #finish()} sends its remainder. */
+    Object[] endFields() {
+        return new Object[] {
+            "status",
+            status(),
+            "delimiter",
+            BodyDelimiter.of(head).text(),
+            "events",
+            eventCount(),
+            "remainderBytes",
+            splitter.remainderBytes()
+        };
+    }
+
     OptionalLong lastEventId() {
         return splitter.lastEventId();
     }
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -139,8 +139,7 @@
             }
             return;
         }
-        boolean framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-        reusable &= framed && HttpUtil.isKeepAlive(head);
+        reusable &= BodyDelimiter.of(head) != BodyDelimiter.CONNECTION_END && HttpUtil.isKeepAlive(head);
         String keepAlive = head.headers().get(KEEP_ALIVE_HEADER, "");
         Matcher timeout = KEEP_ALIVE_TIMEOUT_SECONDS.matcher(keepAlive);
         if (timeout.find()) {
