--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -202,6 +202,7 @@
 
     /** Completes the response to the caller, and returns the log fields that tell how it ended. */
     Object[] finish() {
+        int remainderBytes = splitter.remainderBytes();
         ByteBuf remainder = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
         if (isSuccess() && streaming) {
@@ -211,7 +212,7 @@
             "status", status(),
             "delimiter", BodyDelimiter.of(head).text(),
             "events", eventCount(),
-            "remainderBytes", remainder.readableBytes()
+            "remainderBytes", remainderBytes
         };
         if (started) {
             sink.writeChunk(remainder);
