--- a/src/main/java/org/poplarwharf/internal/standin/ProxyConnection.java
+++ b/src/main/java/org/poplarwharf/internal/standin/ProxyConnection.java
@@ -14,8 +14,8 @@
 /**
  * One connection through the proxy.
  *
- * <p>Invariant: a direction that has dropped bytes never forwards bytes again, and no longer forwards a close. Confined to
- * one reactor thread.
+ * <p>Invariants: a direction that has dropped bytes never forwards bytes again, and no longer forwards a close. A side that
+ * resets its connection resets that of the other side; an end is forwarded as an end. Confined to one reactor thread.
  */
 final class ProxyConnection {
     private final NioReactor reactor;
@@ -127,7 +127,7 @@
                 return;
             }
             if (failure != null) {
-                forwardClose(() -> close(failure));
+                forwardClose(ProxyConnection.this::reset);
                 return;
             }
             awaitFaults().whenResult(() -> forward(data));
@@ -181,7 +181,7 @@
                 return;
             }
             if (failure != null) {
-                close(failure);
+                reset();
             } else if (!inputEnded) {
                 readNext();
             } else if (toUpstream.inputEnded && toClient.inputEnded) {
--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -87,12 +87,19 @@
         }
         boolean isLost = call.isIncomplete()
                 && !callRuns.isEmpty()
+                && !beganTooLate(call, callRuns)
                 && faults.hasNoUnplannedFault(call.sentMillis(), call.endMillis());
         if (isLost) {
             addViolation("was lost without an unplanned fault", call);
         }
     }
 
+    /** Returns whether a stream began so late that its caller's timeout is reached before its last event. */
+    private static boolean beganTooLate(RecordedCall call, List<TargetActivity.Run> callRuns) {
+        long latestStartMillis = call.sentMillis() + call.kind().timeoutMillis - SoakEngine.STREAM_MILLIS;
+        return call.kind().streaming && callRuns.stream().allMatch(run -> run.startMillis() > latestStartMillis);
+    }
+
     private void checkSuccessfulCall(RecordedCall call, List<TargetActivity.Run> callRuns) {
         if (!call.hasDigest() || !call.responseId().equals(call.id()) || callRuns.isEmpty()) {
             addViolation("succeeded without digest, matching request id or run", call);
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.poplarwharf.support.ScriptedTarget;
@@ -34,6 +35,9 @@
     private static final int FIRST_EVENT_DELAY_MILLIS = 40;
     private static final int EVENT_INTERVAL_MILLIS = 20;
 
+    /** The duration of a stream at an engine that is not slowed. */
+    static final long STREAM_MILLIS = FIRST_EVENT_DELAY_MILLIS + EVENT_COUNT * EVENT_INTERVAL_MILLIS;
+
     /** Delay of an order while {@link #delaysOrders} is set; the order then gets no response. */
     private static final long ORDER_DELAY_MILLIS = 2_000;
 
@@ -41,12 +45,16 @@
     volatile int slowdownFactor = 1;
     volatile boolean abortsResponses;
 
+    /** Sends streams without chunks, and breaks some off. */
+    volatile boolean omitsFraming;
+
     private final ScriptedTarget target;
     private final TargetActivity activity;
     private final LongSupplier clock;
     private final CrashAction crashAction;
     private final Map<String, ModelState> models = new LinkedHashMap<>();
     private final Set<String> onDisk = new LinkedHashSet<>();
+    private final AtomicInteger unframedCount = new AtomicInteger();
     private long startedMillis = System.currentTimeMillis();
     private long seq;
     private long busyUntilMillis;
@@ -265,7 +273,33 @@
         return null;
     }
 
+    /** Sends a stream without chunks that ends with its connection; breaks two of three off, one of these in order. */
+    private void streamWithoutChunks(Request request, OutputStream out, String incarnation, long lastEventId)
+            throws IOException {
+        int breakKind = unframedCount.getAndIncrement() % 3;
+        simulateWork(request, incarnation, FIRST_EVENT_DELAY_MILLIS);
+        ScriptedTarget.writeUnframedStreamHead(out, request);
+        for (long number = lastEventId + 1; number <= EVENT_COUNT; number++) {
+            String event = eventText(request.id(), number);
+            if (breakKind > 0 && number > EVENT_COUNT / 2) {
+                if (breakKind == 1) {
+                    ScriptedTarget.write(out, event.substring(0, event.length() / 2));
+                } else {
+                    request.resetConnection();
+                }
+                throw new IOException("engine breaks the response off");
+            }
+            ScriptedTarget.write(out, event);
+            simulateWork(request, incarnation, EVENT_INTERVAL_MILLIS);
+        }
+        request.connection().close();
+    }
+
     private void stream(Request request, OutputStream out, String incarnation, long lastEventId) throws IOException {
+        if (omitsFraming) {
+            streamWithoutChunks(request, out, incarnation, lastEventId);
+            return;
+        }
         simulateWork(request, incarnation, FIRST_EVENT_DELAY_MILLIS);
         ScriptedTarget.writeStreamHead(out, request);
         for (long number = lastEventId + 1; number <= EVENT_COUNT; number++) {
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.poplarwharf.support.ScriptedTarget;
@@ -25,8 +26,10 @@
     volatile boolean draining;
     volatile boolean abortsResponses;
     volatile boolean rejectsRequests;
+    private volatile boolean omitsFraming;
     private final TargetActivity activity;
     private final LongSupplier clock;
+    private final AtomicInteger unframedCount = new AtomicInteger();
     private int replacementCount;
     private long startedMillis = System.currentTimeMillis();
     private int startCount;
@@ -136,7 +139,29 @@
         if (request.closedByPeerWithin(PROCESSING_MILLIS) || !alive || abortsResponses) {
             throw new IOException("caller disconnected, or the target crashed or aborts responses");
         }
-        ScriptedTarget.writeResponse(out, request, "200 OK", responseBody(request.id()));
+        if (omitsFraming) {
+            respondWithoutLength(request, out);
+        } else {
+            ScriptedTarget.writeResponse(out, request, "200 OK", responseBody(request.id()));
+        }
+    }
+
+    /** Responds without a length, and resets the connection within every other response. */
+    private void respondWithoutLength(Request request, OutputStream out) throws IOException {
+        String body = responseBody(request.id());
+        boolean isReset = unframedCount.getAndIncrement() % 2 == 0;
+        ScriptedTarget.writeUnframedStreamHead(out, request);
+        ScriptedTarget.write(out, isReset ? body.substring(0, body.length() / 2) : body);
+        if (isReset) {
+            request.resetConnection();
+        }
+        request.connection().close();
+    }
+
+    /** Makes the target respond without length or chunks, and break responses off, until switched off. */
+    void setOmitsFraming(boolean on) {
+        omitsFraming = on;
+        engine.ifPresent(running -> running.omitsFraming = on);
     }
 
     static String responseBody(String id) {
