--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -30,7 +30,10 @@
     static final int ADAPTERS_PER_MODEL = 2;
     static final int LOADS_PER_SECOND = 4;
     static final long HEARTBEAT_MILLIS = 400;
-    private static final int FIRST_GATEWAY_PORT = 14_000;
+
+    /** A run beside another one needs ports of its own. */
+    private static final int FIRST_GATEWAY_PORT = Integer.getInteger("poplarwharf.soak.port", 14_000);
+
     private static final int PORTS_PER_GATEWAY = 3;
     private static final int PLAIN_TARGET_COUNT = 3;
     private static final int ENGINE_COUNT = 4;
