Do not take a response without a body for a broken stream

Found while reading the change again.

ProxyExchange ends a broken attempt in one place, handleBreak.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -71,8 +72,9 @@
         this.arrivedMillis = context.nowMillis();
         long callerMillis = traits.remainingMillis().orElse(route.timeoutMillis());
         this.deadlineMillis = arrivedMillis + Math.min(callerMillis, route.timeoutMillis());
-        this.relay = new ResponseRelay(
-                context.headerCodec(), sink, traits.requestId(), route.kind().isStream(), traits.lastEventId());
+        boolean streaming = route.kind().isStream() && !HttpMethod.HEAD.equals(request.method());
+        this.relay =
+                new ResponseRelay(context.headerCodec(), sink, traits.requestId(), streaming, traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
         this.limits = new AttemptLimits(context, recorder, route, service, fingerprint, deadlineMillis);
         this.outgoing = new OutgoingRequests(context, request, route, traits, service, arrivedMillis, deadlineMillis);
@@ -156,7 +158,7 @@
         switch (relay.addChunk(chunk)) {
             case INCOMPLETE -> pauseReadingIfFull();
             case EVENTS_FORWARDED -> onEventsForwarded();
-            case INVALID -> abandonAttempt("spoiled answer");
+            case INVALID -> handleBreak("spoiled answer");
         }
     }
 
@@ -202,13 +204,10 @@
                 recorder.recordUnrelatedResponse(target);
                 return false;
             }
-            case INVALID -> abandonAttempt("spoiled answer");
-            case BROKEN_OFF -> {
-                cancelInFlight();
-                onBroken("stream ended inside an event");
-            }
+            case INVALID -> handleBreak("spoiled answer");
+            case BROKEN_OFF -> onBroken("stream ended inside an event");
             case DECLINED -> retryDeclined();
-            case FAILED_CONTINUATION -> abandonAttempt("failed by target");
+            case FAILED_CONTINUATION -> handleBreak("failed by target");
             case COMPLETE -> answer();
         }
         return true;
@@ -265,8 +264,9 @@
         handleBreak(reason);
     }
 
+    /** Ends an attempt whose response is broken, and continues or fails the request. */
     private void handleBreak(String reason) {
-        inFlight = null;
+        cancelInFlight();
         progressTimer.stop();
         if (limits.tryReserveRerun(isRerunAllowed())) {
             rerun(reason);
@@ -296,16 +296,10 @@
         send(backupTarget, Optional.of(backupTarget.address()), "copy");
     }
 
-    /** Gives up on an attempt whose target sends an invalid response or makes no progress. */
-    private void abandonAttempt(String reason) {
-        cancelInFlight();
-        handleBreak(reason);
-    }
-
     private void handleNoProgress() {
         if (!done && inFlight != null) {
             context.crashDetector().recordAbandonedRun(target, fingerprint, sentMillis);
-            abandonAttempt("no progress");
+            handleBreak("no progress");
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -99,8 +99,8 @@
         if (!isSuccess() || !streaming || !isEventStream()) {
             return false;
         }
-        boolean isEmpty = splitter.eventCount() == 0 && lastEventId().isEmpty();
-        return splitter.endsInsideEvent() || (isEmpty && BodyDelimiter.of(head) == BodyDelimiter.CONNECTION_END);
+        boolean hasNoEvent = splitter.eventCount() == 0 && lastEventId().isEmpty();
+        return splitter.endsInsideEvent() || (hasNoEvent && BodyDelimiter.of(head) == BodyDelimiter.CONNECTION_END);
     }
 
     /** Returns whether the caller has a part of a response that the target should continue, but fails or declines to. */
--- a/src/test/java/org/poplarwharf/internal/holder/BrokenResponseGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/BrokenResponseGatewayTest.java
@@ -119,6 +119,22 @@
         assertLooksBroken("/stream/x");
     }
 
+    @Test
+    void responses_that_have_no_body_are_complete_on_a_route_for_streams() throws Exception {
+        addTarget((request, out) -> {
+            boolean isHead = request.line().startsWith("HEAD");
+            ScriptedTarget.write(
+                    out,
+                    "HTTP/1.1 " + (isHead ? "200 OK" : "204 No Content") + "\r\nX-Request-Id: " + request.id()
+                            + "\r\nX-Response-Seal: s\r\n\r\n");
+        });
+        HttpRequest.Builder head = GatewayCluster.request(node.frontPort(), "/stream/x")
+                .method("HEAD", HttpRequest.BodyPublishers.noBody());
+
+        assertThat(cluster.send(head).statusCode()).isEqualTo(200);
+        assertThat(cluster.post(node.frontPort(), "/stream/x").statusCode()).isEqualTo(204);
+    }
+
     @Test
     void resumable_stream_whose_connection_ends_inside_an_event_continues_at_another_target() throws Exception {
         AtomicInteger runCount = new AtomicInteger();
