Require streams to have begun before their node is killed

ResumedStreamsProcessTest compared the share of no streams at all, which is not a number, as above its bound: had none begun, the test would have passed. Found while reading the change again.

--- a/src/test/java/org/poplarwharf/soak/ResumedStreamsProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/ResumedStreamsProcessTest.java
@@ -117,6 +117,7 @@
                 begun.add(number);
             }
         }
+        assertThat(begun).isNotEmpty();
         gateway.process().kill();
         List<Boolean> resumed = new ArrayList<>();
         for (int number : begun) {
