Log what a request's fingerprint is made of

The fingerprint is one hash over the caller's address, the path and the body, so two fingerprints of one request could not be told from two requests (hypotheses 1 and 2 of docs/incidents/0005-crashing-request-again.md). request-seeks-target now has each part.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -34,11 +34,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.crash.RequestFingerprint;
+import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -204,14 +203,14 @@
             sendProblem(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
             return;
         }
-        exchange = new ProxyExchange(gateway, this, request, route.get(), traits, fingerprint(request));
+        exchange = new ProxyExchange(gateway, this, request, route.get(), traits, identify(request));
         exchange.start();
     }
 
-    private String fingerprint(FullHttpRequest request) {
+    private RequestIdentity identify(FullHttpRequest request) {
         String caller = channel.remoteAddress() instanceof InetSocketAddress address ? address.getHostString() : "";
-        return RequestFingerprint.of(
-                List.of(caller, request.method().name(), request.uri()), ByteBufUtil.getBytes(request.content()));
+        return RequestIdentity.of(
+                caller, request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.Target;
@@ -22,7 +23,7 @@
         this.arrivedMillis = arrivedMillis;
     }
 
-    void recordSelection(String service, RequestTraits traits, String fingerprint, int attempt, long millisLeft) {
+    void recordSelection(String service, RequestTraits traits, RequestIdentity identity, int attempt, long millisLeft) {
         context.metrics().countAttempt();
         log(
                 "request-seeks-target",
@@ -31,7 +32,13 @@
                 "weights",
                 traits.weightsName(),
                 "fingerprint",
-                fingerprint,
+                identity.fingerprint(),
+                "callerAddress",
+                identity.callerAddress(),
+                "pathHash",
+                identity.pathHash(),
+                "bodyHash",
+                identity.bodyHash(),
                 "send",
                 attempt,
                 "millisLeft",
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
@@ -34,7 +35,7 @@
     private final RequestTraits traits;
     private final Route route;
     private final String service;
-    private final String fingerprint;
+    private final RequestIdentity identity;
     private final TargetSelector selector;
     private final long arrivedMillis;
     private final long deadlineMillis;
@@ -60,13 +61,13 @@
             FullHttpRequest request,
             Route route,
             RequestTraits traits,
-            String fingerprint) {
+            RequestIdentity identity) {
         this.context = context;
         this.sink = sink;
         this.request = request;
         this.route = route;
         this.traits = traits;
-        this.fingerprint = fingerprint;
+        this.identity = identity;
         this.service = route.serviceFor(traits.requestId());
         this.selector = context.selectorFor(service);
         this.arrivedMillis = context.nowMillis();
@@ -76,7 +77,7 @@
         this.relay =
                 new ResponseRelay(context.headerCodec(), sink, traits.requestId(), streaming, traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
-        this.limits = new AttemptLimits(context, recorder, route, service, fingerprint, deadlineMillis);
+        this.limits = new AttemptLimits(context, recorder, route, service, identity.fingerprint(), deadlineMillis);
         this.outgoing = new OutgoingRequests(context, request, route, traits, service, arrivedMillis, deadlineMillis);
         this.continuity = new StreamContinuity(context.streamOrigins(), route, traits, service);
         this.progressTimer = new ProgressTimer(context, this::handleNoProgress);
@@ -96,7 +97,7 @@
         limits.recordAttempt();
         selectionKey = context.nextKey();
         recorder.recordSelection(
-                service, traits, fingerprint, limits.attemptCount(), deadlineMillis - context.nowMillis());
+                service, traits, identity, limits.attemptCount(), deadlineMillis - context.nowMillis());
         selector.select(outgoing.dispatchRequest(selectionKey, excluded, continuity.continuation()), this);
     }
 
@@ -260,7 +261,7 @@
 
     @Override
     public void onBroken(String reason) {
-        context.crashDetector().recordClosedRun(target, fingerprint, sentMillis);
+        context.crashDetector().recordClosedRun(target, identity.fingerprint(), sentMillis);
         handleBreak(reason);
     }
 
@@ -298,7 +299,7 @@
 
     private void handleNoProgress() {
         if (!done && inFlight != null) {
-            context.crashDetector().recordAbandonedRun(target, fingerprint, sentMillis);
+            context.crashDetector().recordAbandonedRun(target, identity.fingerprint(), sentMillis);
             handleBreak("no progress");
         }
     }
@@ -363,7 +364,7 @@
 
     private void releaseTarget() {
         if (inFlight != null && limits.mayHaveRun()) {
-            context.crashDetector().recordAbandonedRun(target, fingerprint, sentMillis);
+            context.crashDetector().recordAbandonedRun(target, identity.fingerprint(), sentMillis);
         }
         cancelInFlight();
         selector.cancel(selectionKey);
