--- a/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
@@ -3,10 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.support.Eventually;
@@ -74,6 +77,24 @@
         assertThat(last.statusCode()).isEqualTo(503);
     }
 
+    @Test
+    @Tag("known-red")
+    void request_that_comes_from_several_addresses_is_refused_after_two_crashes() throws Exception {
+        start("desk", "");
+        HttpResponse<String> last = null;
+        for (int i = 0; i < REPEAT_COUNT; i++) {
+            HttpClient callerAtOtherAddress = HttpClient.newBuilder()
+                    .localAddress(InetAddress.getByName("127.0.0." + (2 + i)))
+                    .build();
+            last = callerAtOtherAddress.send(
+                    request(i % NODE_COUNT, "/once/x", CRASHING_BODY).build(), HttpResponse.BodyHandlers.ofString());
+            GatewayCluster.pause(REPEAT_INTERVAL_MILLIS);
+        }
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+    }
+
     @Test
     void nodes_that_start_later_refuse_a_request_that_crashed_two_targets_before() throws Exception {
         start("desk", "");
@@ -101,10 +122,14 @@
     }
 
     private HttpResponse<String> send(int node, String path, String body) throws IOException, InterruptedException {
-        return cluster.send(GatewayCluster.request(cluster.nodes.get(node).frontPort(), path)
+        return cluster.send(request(node, path, body));
+    }
+
+    private HttpRequest.Builder request(int node, String path, String body) {
+        return GatewayCluster.request(cluster.nodes.get(node).frontPort(), path)
                 .header("X-Model", "m1")
                 .header("X-Token-Counts", "10,10")
-                .POST(HttpRequest.BodyPublishers.ofString(body)));
+                .POST(HttpRequest.BodyPublishers.ofString(body));
     }
 
     private void addCrashingTarget(String service, String extraFields) throws IOException {
