--- a/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
+++ b/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
@@ -36,8 +36,14 @@
     }
 
     SoakHttpConnection(String gatewayIncarnation, int port, LongSupplier clock) throws IOException {
+        this(SoakGateway.HOST, gatewayIncarnation, port, clock);
+    }
+
+    /** Connects from a local address. */
+    SoakHttpConnection(String localHost, String gatewayIncarnation, int port, LongSupplier clock) throws IOException {
         this.gatewayIncarnation = gatewayIncarnation;
         this.clock = clock;
+        socket.bind(new InetSocketAddress(localHost, 0));
         socket.connect(new InetSocketAddress(SoakGateway.HOST, port), CONNECT_TIMEOUT_MILLIS);
         in = new BufferedInputStream(socket.getInputStream());
     }
