--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -66,9 +66,11 @@
      * <p>100011: streams were resumed at targets of another software version.
      *
      * <p>200000: streams without chunks that ended inside an event looked complete.
+     *
+     * <p>400002: a request that came from several addresses crashed 11 targets.
      */
     @ParameterizedTest
-    @ValueSource(longs = {104, 1_000, 100_003, 100_011, 200_000})
+    @ValueSource(longs = {104, 1_000, 100_003, 100_011, 200_000, 400_002})
     void promises_hold_through_seeds_that_failed_before(long seed) throws Exception {
         assertThat(runSoak(seed)).isEmpty();
     }
