Log the shared parts of a request's prompt

The logs could not tell a part of a prompt that crashes targets from targets that crash by themselves (hypotheses 1 and 3 of docs/incidents/0006-crashing-prompt-part.md).

--- a/src/main/java/org/poplarwharf/internal/fleet/RequestTraits.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/RequestTraits.java
@@ -30,6 +30,11 @@
         return model.orElse("") + adapter.map(name -> "/" + name).orElse("");
     }
 
+    /** Returns the parts of the prompt that other requests may share. */
+    public List<PromptPart> sharedPromptParts() {
+        return promptParts.subList(0, Math.max(0, promptParts.size() - 1));
+    }
+
     /** Returns whether the caller resumes a stream that an earlier request began. */
     public boolean resumesStream() {
         return lastEventId.isPresent();
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -39,6 +39,10 @@
                 identity.queryHash(),
                 "bodyHash",
                 identity.bodyHash(),
+                "sharedPromptParts",
+                traits.sharedPromptParts().stream()
+                        .map(RequestTraits.PromptPart::id)
+                        .toList(),
                 "send",
                 attempt,
                 "millisLeft",
