--- a/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.support.Eventually;
-import org.poplarwharf.support.ScriptedTarget;
 
 /** Sends a request that crashes each target that runs it to the nodes in turn; it may take down two targets at most. */
 @Timeout(60)
@@ -22,9 +21,6 @@
     private static final int NODE_COUNT = 3;
     private static final int REPEAT_COUNT = 12;
 
-    /** A crashed target is back in less time than the platform needs to remove its entry. */
-    private static final long RESTART_MILLIS = 150;
-
     private static final long REPEAT_INTERVAL_MILLIS = 200;
     private static final String CRASHING_BODY = "crashes its target";
     private static final String MODELS = ",'models':[{'name':'m1','version':1,'adapters':[]}],'atHand':{}";
@@ -38,7 +34,8 @@
             cluster.startNode();
         }
         for (int i = 0; i < TARGET_COUNT; i++) {
-            addCrashingTarget(service, extraFields);
+            cluster.addCrashingTarget(
+                    service, extraFields, request -> request.body().equals(CRASHING_BODY), crashCount);
         }
     }
 
@@ -129,23 +126,4 @@
                 .header("X-Token-Counts", "10,10")
                 .POST(HttpRequest.BodyPublishers.ofString(body));
     }
-
-    private void addCrashingTarget(String service, String extraFields) throws IOException {
-        long firstStartMillis = System.currentTimeMillis();
-        ScriptedTarget target = cluster.addTarget(service, ",'born':" + firstStartMillis + extraFields);
-        AtomicInteger restartCount = new AtomicInteger();
-        target.script = (request, out) -> {
-            if (!request.body().equals(CRASHING_BODY)) {
-                ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
-                return;
-            }
-            crashCount.incrementAndGet();
-            target.crash();
-            Thread.sleep(RESTART_MILLIS);
-            target.restart();
-            long startMillis = firstStartMillis + restartCount.incrementAndGet();
-            cluster.platform.put(
-                    "servers", target.id, target.topicEntry(service, ",'born':" + startMillis + extraFields));
-        };
-    }
 }
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -12,6 +12,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.platform.PlatformGateway;
 import org.poplarwharf.process.FreePorts;
@@ -43,6 +45,9 @@
     /** High enough that a single request may be retried. */
     private static final double RETRY_RATIO = 2;
 
+    /** A crashed target is back in less time than the platform needs to remove its entry. */
+    private static final long RESTART_MILLIS = 150;
+
     final FakePlatformLog platform = new FakePlatformLog();
     final List<ScriptedTarget> targets = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
@@ -117,6 +122,28 @@
         return target;
     }
 
+    /** Adds a target that crashes under some requests, and starts again under its id a moment later. */
+    ScriptedTarget addCrashingTarget(
+            String service, String extraFields, Predicate<ScriptedTarget.Request> crashes, AtomicInteger crashCount)
+            throws IOException {
+        long firstStartMillis = System.currentTimeMillis();
+        ScriptedTarget target = addTarget(service, ",'born':" + firstStartMillis + extraFields);
+        AtomicInteger restartCount = new AtomicInteger();
+        target.script = (request, out) -> {
+            if (!crashes.test(request)) {
+                ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+                return;
+            }
+            crashCount.incrementAndGet();
+            target.crash();
+            Thread.sleep(RESTART_MILLIS);
+            target.restart();
+            long startMillis = firstStartMillis + restartCount.incrementAndGet();
+            platform.put("servers", target.id, target.topicEntry(service, ",'born':" + startMillis + extraFields));
+        };
+        return target;
+    }
+
     HttpResponse<String> get(int port, String path) throws IOException, InterruptedException {
         return send(request(port, path).GET());
     }
