Refuse requests with a part in their prompts that crashes targets

A part of a prompt is now a second kind of suspect beside the whole request, in the same history, detector, messages and topic. The holder weighs it, since it learns of the ends of all nodes' runs: a success clears a part; a part is refused once it was in flight at crashes at three moments and an innocent one would have lost all its runs with a chance of 0.001 at most, by the share of other runs that were lost since. Crashes that a part with more crashes explains do not count. Only refused parts are passed on and recorded on the log.

Targets that crash at random condemn no part (PromptPartHistoryTest, 200 random histories).

--- a/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
@@ -13,10 +13,11 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.poplarwharf.internal.fleet.Target;
 
 /**
- * Determines which requests were in flight at a target when it crashed. A lost run alone is no crash: connections also
+ * Determines which requests, with the parts of their prompts, were in flight at a target when it crashed. A lost run alone is no crash: connections also
  * break on the way. The target has crashed if its address refuses connections, or if its entry is replaced by that of
  * a new incarnation or removed.
  *
@@ -25,7 +26,7 @@
  */
 public final class CrashDetector {
     /** The requests sent last are the likeliest causes, because a request crashes its target when it begins to run. */
-    private static final int MAX_REPORTED_COUNT = 64;
+    private static final int MAX_REPORTED_RUN_COUNT = 64;
 
     private static final int MAX_DEPARTED_COUNT = 1_000;
 
@@ -36,6 +37,7 @@
     private final LongSupplier clock;
     private final long retentionMillis;
     private final Consumer<List<TargetCrash>> listener;
+    private final Consumer<RequestSuspects> successListener;
     private final Map<Incarnation, Deque<LostRun>> lostRuns = new LinkedHashMap<>();
     private final Set<Incarnation> probed = new HashSet<>();
     private final Set<Incarnation> departed = new LinkedHashSet<>();
@@ -52,14 +54,15 @@
         }
     }
 
-    private record LostRun(String fingerprint, long sentMillis, long lostMillis) {}
+    private record LostRun(RequestSuspects suspects, long sentMillis, long lostMillis) {}
 
     /**
      * Creates a detector.
      *
      * @param targets finds the latest state of a target by its id
      * @param retentionMillis how long after a lost run the target's entry may still show the crash
-     * @param listener receives the requests that were in flight at a crash
+     * @param listener receives the crash of each request and prompt part that was in flight
+     * @param successListener receives the requests that were answered in full
      */
     public CrashDetector(
             String nodeId,
@@ -68,7 +71,8 @@
             ConnectionProbe probe,
             LongSupplier clock,
             long retentionMillis,
-            Consumer<List<TargetCrash>> listener) {
+            Consumer<List<TargetCrash>> listener,
+            Consumer<RequestSuspects> successListener) {
         this.nodeId = nodeId;
         this.history = history;
         this.targets = targets;
@@ -76,18 +80,26 @@
         this.clock = clock;
         this.retentionMillis = retentionMillis;
         this.listener = listener;
+        this.successListener = successListener;
     }
 
     /** Records a run whose connection the target's end closed before its response was complete. */
-    public void recordClosedRun(Target target, String fingerprint, long sentMillis) {
-        if (recordLostRun(target, fingerprint, sentMillis) && probed.add(Incarnation.of(target))) {
+    public void recordClosedRun(Target target, RequestSuspects suspects, long sentMillis) {
+        if (recordLostRun(target, suspects, sentMillis) && probed.add(Incarnation.of(target))) {
             probe.connect(target.address(), refused -> handleProbe(target, refused));
         }
     }
 
     /** Records a run that this node has ended while it waited for its response. */
-    public void recordAbandonedRun(Target target, String fingerprint, long sentMillis) {
-        recordLostRun(target, fingerprint, sentMillis);
+    public void recordAbandonedRun(Target target, RequestSuspects suspects, long sentMillis) {
+        recordLostRun(target, suspects, sentMillis);
+    }
+
+    /** Records a whole response. */
+    public void recordResponse(RequestSuspects suspects, boolean successful) {
+        if (successful) {
+            successListener.accept(suspects);
+        }
     }
 
     /** Handles the removal of a target's entry, or its replacement by that of a new incarnation. */
@@ -105,7 +117,7 @@
     }
 
     /** Returns whether it is still open if the target has crashed. */
-    private boolean recordLostRun(Target target, String fingerprint, long sentMillis) {
+    private boolean recordLostRun(Target target, RequestSuspects suspects, long sentMillis) {
         removeExpired();
         Incarnation incarnation = Incarnation.of(target);
         Optional<Target> latest = targets.apply(target.id());
@@ -113,7 +125,7 @@
             return false;
         }
         lostRuns.computeIfAbsent(incarnation, key -> new ArrayDeque<>())
-                .addFirst(new LostRun(fingerprint, sentMillis, clock.getAsLong()));
+                .addFirst(new LostRun(suspects, sentMillis, clock.getAsLong()));
         if (latest.filter(target::isSameIncarnation).isEmpty()) {
             report(incarnation);
             return false;
@@ -135,18 +147,19 @@
         Deque<LostRun> runs = lostRuns.remove(incarnation);
         if (runs != null) {
             listener.accept(runs.stream()
-                    .map(run -> history.crashOf(
-                            run.fingerprint(),
-                            incarnation.targetId(),
-                            incarnation.startedAtMillis(),
-                            nodeId,
-                            run.sentMillis()))
+                    .limit(MAX_REPORTED_RUN_COUNT)
+                    .flatMap(run -> crashesOf(run, incarnation))
                     .distinct()
-                    .limit(MAX_REPORTED_COUNT)
                     .toList());
         }
     }
 
+    private Stream<TargetCrash> crashesOf(LostRun run, Incarnation incarnation) {
+        return run.suspects().ids().stream()
+                .map(suspectId -> history.crashOf(
+                        suspectId, incarnation.targetId(), incarnation.startedAtMillis(), nodeId, run.sentMillis()));
+    }
+
     private void removeExpired() {
         long expiryMillis = clock.getAsLong() - retentionMillis;
         lostRuns.values().removeIf(runs -> {
--- a/src/main/java/org/poplarwharf/internal/crash/RequestFingerprint.java
+++ b/src/main/java/org/poplarwharf/internal/crash/RequestFingerprint.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.HashStream128;
 import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HexFormat;
 import java.util.List;
 
 /**
@@ -22,6 +23,7 @@
         HashStream128 stream = Hashing.murmur3_128().hashStream();
         attributes.forEach(stream::putString);
         HashValue128 hash = stream.putByteArray(body).get();
-        return String.format("%016x%016x", hash.getMostSignificantBits(), hash.getLeastSignificantBits());
+        HexFormat hex = HexFormat.of();
+        return hex.toHexDigits(hash.getMostSignificantBits()) + hex.toHexDigits(hash.getLeastSignificantBits());
     }
 }
--- a/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
+++ b/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
@@ -4,25 +4,30 @@
 import java.util.Optional;
 
 /**
- * A request that was in flight at a target when the target crashed. Immutable and thread-safe.
+ * A request, or a part of its prompt, that was in flight at a target when the target crashed. Immutable and thread-safe.
  *
- * @param fingerprint the request, see {@link RequestFingerprint}
+ * @param suspectId see {@link Suspect#id}
  * @param targetStartedAtMillis start of the target's incarnation by its latest entry, in Unix milliseconds, or zero if
  *     not known
  * @param nodeId the node that had sent the request
- * @param ordinal number of earlier crashes by this request at that incarnation that the node has detected; a target may
+ * @param ordinal number of earlier crashes by this suspect at that incarnation that the node has detected; a target may
  *     crash again before the entry of its restart is read
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record TargetCrash(String fingerprint, String targetId, long targetStartedAtMillis, String nodeId, int ordinal) {
+public record TargetCrash(String suspectId, String targetId, long targetStartedAtMillis, String nodeId, int ordinal) {
     private static final String SEPARATOR = "/";
     private static final int PART_COUNT = 5;
 
+    /** Returns what was in flight. */
+    public Suspect suspect() {
+        return Suspect.fromId(suspectId);
+    }
+
     /** Returns the key under which this crash is recorded on the log. */
     String toKey() {
         return String.join(
                 SEPARATOR,
-                fingerprint,
+                suspectId,
                 Long.toString(targetStartedAtMillis),
                 Integer.toString(ordinal),
                 nodeId,
--- a/src/main/java/org/poplarwharf/internal/crash/package-info.java
+++ b/src/main/java/org/poplarwharf/internal/crash/package-info.java
@@ -1,2 +1,2 @@
-/** Recognizes requests that crash the targets that run them. */
+/** Recognizes requests, and parts of prompts, that crash the targets that run them. */
 package org.poplarwharf.internal.crash;
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -1,6 +1,8 @@
 package org.poplarwharf.internal.gateway;
 
-import java.util.OptionalLong;
+import java.util.Optional;
+import org.poplarwharf.internal.crash.CrashHistory;
+import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.fleet.Route;
 
 /**
@@ -17,7 +19,7 @@
     private final ExchangeRecorder recorder;
     private final Route route;
     private final String service;
-    private final String fingerprint;
+    private final RequestSuspects suspects;
     private final long deadlineMillis;
     private int attemptCount;
     private int possibleRunCount;
@@ -27,13 +29,13 @@
             ExchangeRecorder recorder,
             Route route,
             String service,
-            String fingerprint,
+            RequestSuspects suspects,
             long deadlineMillis) {
         this.context = context;
         this.recorder = recorder;
         this.route = route;
         this.service = service;
-        this.fingerprint = fingerprint;
+        this.suspects = suspects;
         this.deadlineMillis = deadlineMillis;
     }
 
@@ -82,14 +84,14 @@
         return rerunAllowed && possibleRunCount < route.maxTargets() && tryReserveRetry();
     }
 
-    /** Returns how much longer the request is refused since it has crashed targets, or empty if it may run. */
-    OptionalLong refusalMillis() {
-        return context.refusalMillis(fingerprint);
+    /** Returns whether and why the request is refused, since it or a part of its prompt has crashed targets. */
+    Optional<CrashHistory.Refusal> crashRefusal() {
+        return context.crashRefusal(suspects);
     }
 
     /** Takes a retry from the budget, or returns false if there is none, no time left or the request is refused. */
     boolean tryReserveRetry() {
-        if (!hasTimeLeft() || refusalMillis().isPresent()) {
+        if (!hasTimeLeft() || crashRefusal().isPresent()) {
             return false;
         }
         long nowMillis = context.nowMillis();
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -2,10 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
+import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.TargetConnectionPool;
@@ -141,9 +142,9 @@
         return crashDetector;
     }
 
-    /** Returns how much longer a request is refused since it has crashed targets, or empty if it may run. */
-    OptionalLong refusalMillis(String fingerprint) {
-        return crashHistory.refusalMillis(fingerprint, nowMillis());
+    /** Returns whether and why a request is refused, since it or a part of its prompt has crashed targets. */
+    Optional<CrashHistory.Refusal> crashRefusal(RequestSuspects suspects) {
+        return crashHistory.refusal(suspects, nowMillis());
     }
 
     ForwardingPolicy policy() {
--- a/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
@@ -156,7 +156,7 @@
     @Override
     public void cancel(String key) {
         holderSelector.cancel(key);
-        reportEnd(key);
+        reportEnd(key, false);
     }
 
     @Override
@@ -188,12 +188,12 @@
                 // Carries no information about the target.
             }
         }
-        reportEnd(key);
+        reportEnd(key, false);
     }
 
     @Override
-    public void reportEnd(String key) {
-        holderSelector.reportEnd(key);
+    public void reportEnd(String key, boolean successful) {
+        holderSelector.reportEnd(key, successful);
         TargetStats stats = statsByTarget.get(targetIdByKey.remove(key));
         if (stats != null) {
             stats.inFlightCount--;
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -12,7 +12,9 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.RequestIdentity;
+import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
@@ -36,6 +38,7 @@
     private final Route route;
     private final String service;
     private final RequestIdentity identity;
+    private final RequestSuspects suspects;
     private final TargetSelector selector;
     private final long arrivedMillis;
     private final long deadlineMillis;
@@ -69,6 +72,7 @@
         this.traits = traits;
         this.identity = identity;
         this.service = route.serviceFor(traits.requestId());
+        this.suspects = new RequestSuspects(identity.fingerprint(), service, traits);
         this.selector = context.selectorFor(service);
         this.arrivedMillis = context.nowMillis();
         long callerMillis = traits.remainingMillis().orElse(route.timeoutMillis());
@@ -77,7 +81,7 @@
         this.relay =
                 new ResponseRelay(context.headerCodec(), sink, traits.requestId(), streaming, traits.lastEventId());
         this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
-        this.limits = new AttemptLimits(context, recorder, route, service, identity.fingerprint(), deadlineMillis);
+        this.limits = new AttemptLimits(context, recorder, route, service, suspects, deadlineMillis);
         this.outgoing = new OutgoingRequests(context, request, route, traits, service, arrivedMillis, deadlineMillis);
         this.continuity = new StreamContinuity(context.streamOrigins(), route, traits, service);
         this.progressTimer = new ProgressTimer(context, this::handleNoProgress);
@@ -223,7 +227,8 @@
             return;
         }
         reportFirstEvent();
-        selector.reportEnd(selectionKey);
+        selector.reportEnd(selectionKey, relay.isSuccess());
+        context.crashDetector().recordResponse(suspects, relay.isSuccess());
         close("request-answered", relay.finish());
     }
 
@@ -261,7 +266,7 @@
 
     @Override
     public void onBroken(String reason) {
-        context.crashDetector().recordClosedRun(target, identity.fingerprint(), sentMillis);
+        context.crashDetector().recordClosedRun(target, suspects, sentMillis);
         handleBreak(reason);
     }
 
@@ -299,7 +304,7 @@
 
     private void handleNoProgress() {
         if (!done && inFlight != null) {
-            context.crashDetector().recordAbandonedRun(target, identity.fingerprint(), sentMillis);
+            context.crashDetector().recordAbandonedRun(target, suspects, sentMillis);
             handleBreak("no progress");
         }
     }
@@ -329,17 +334,18 @@
         }
     }
 
-    /** Refuses a request that has crashed targets, and returns whether it did. */
+    /** Refuses a request that has crashed targets, or a part of whose prompt has, and returns whether it did. */
     private boolean refuseIfCrashing() {
-        OptionalLong refusalMillis = limits.refusalMillis();
-        if (refusalMillis.isEmpty()) {
+        Optional<CrashHistory.Refusal> refusal = limits.crashRefusal();
+        if (refusal.isEmpty()) {
             return false;
         }
+        String reason = refusal.get().reason();
         releaseTarget();
         if (limits.mayHaveRun()) {
-            giveUp("request crashes targets", 0);
+            giveUp(reason, 0);
         } else {
-            fail(FailureCode.CRASH_SUSPECTED, "request crashes targets", refusalMillis.getAsLong());
+            fail(FailureCode.CRASH_SUSPECTED, reason, refusal.get().remainingMillis());
         }
         return true;
     }
@@ -364,7 +370,7 @@
 
     private void releaseTarget() {
         if (inFlight != null && limits.mayHaveRun()) {
-            context.crashDetector().recordAbandonedRun(target, identity.fingerprint(), sentMillis);
+            context.crashDetector().recordAbandonedRun(target, suspects, sentMillis);
         }
         cancelInFlight();
         selector.cancel(selectionKey);
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -139,7 +139,8 @@
         return head.status().code();
     }
 
-    private boolean isSuccess() {
+    /** Returns whether the target has stated success. */
+    boolean isSuccess() {
         return status() / 100 == 2;
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -22,8 +22,8 @@
      */
     void reportOutcome(String key, RunOutcome outcome);
 
-    /** Reports that a request with a selected target has ended normally. */
-    void reportEnd(String key);
+    /** Reports that a request with a selected target has ended normally, and whether its response was a success. */
+    void reportEnd(String key, boolean successful);
 
     /**
      * Reports that a target has named the requests per second that it takes from all nodes together. To be called before
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -76,8 +76,8 @@
         /** Called with the number of nodes that the holder, which may be this node, is connected to, itself included. */
         void nodeCountReported(int nodeCount);
 
-        /** Called with requests that have crashed targets, which another node has detected. */
-        void crashesReported(List<TargetCrash> crashes);
+        /** Called with the suspects that the holder refuses, or no longer refuses. */
+        void crashesAnnounced(HolderMessage.TargetCrashes announcement);
     }
 
     public EngineTargetSelector(
@@ -174,14 +174,14 @@
     }
 
     @Override
-    public void reportEnd(String key) {
+    public void reportEnd(String key, boolean successful) {
         Run run = runs.remove(key);
         if (run == null) {
             return;
         }
         switch (run.decider()) {
-            case LOCAL_HOLDER -> localHolder.recordEnd(key);
-            case REMOTE_HOLDER -> send(new HolderMessage.Ended(key));
+            case LOCAL_HOLDER -> localHolder.recordEnd(key, successful);
+            case REMOTE_HOLDER -> send(new HolderMessage.Ended(key, successful));
             case NO_HOLDER -> fallback.recordSuccess(run.targetId());
         }
     }
@@ -305,7 +305,7 @@
             case HolderMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat);
             case HolderMessage.Granted grant -> handleRemoteGrant(grant);
             case HolderMessage.Refused refusal -> refused(refusal.key(), refusal.reason(), refusal.retryAfterMillis());
-            case HolderMessage.TargetCrashes report -> listener.crashesReported(report.crashes());
+            case HolderMessage.TargetCrashes report -> listener.crashesAnnounced(report);
             case HolderMessage.Submit submit -> closeUnexpected(sender);
             case HolderMessage.Withdraw withdraw -> closeUnexpected(sender);
             case HolderMessage.Outcome outcome -> closeUnexpected(sender);
@@ -387,7 +387,7 @@
     /** Reports requests that have crashed targets to the holder, which informs the other nodes. */
     public void reportCrashes(List<TargetCrash> crashes) {
         if (!crashes.isEmpty()) {
-            send(new HolderMessage.TargetCrashes(crashes));
+            send(HolderMessage.TargetCrashes.of(crashes));
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -14,9 +14,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.poplarwharf.internal.admin.PrometheusText;
-import org.poplarwharf.internal.crash.CrashDetector;
-import org.poplarwharf.internal.crash.CrashHistory;
-import org.poplarwharf.internal.crash.CrashTopic;
+import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.fleet.FleetPlan;
@@ -29,7 +27,6 @@
 import org.poplarwharf.internal.gateway.PlanTopicListener;
 import org.poplarwharf.internal.gateway.TargetTopicListener;
 import org.poplarwharf.internal.http.PooledHttpClient;
-import org.poplarwharf.internal.http.RefusalProbe;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.lease.HolderLease;
@@ -57,21 +54,6 @@
      */
     private static final double TARGET_READ_INTERVAL_RATIO = 0.7;
 
-    private static final String CRASH_TOPIC = "poplarwharf-crashes";
-
-    /** A target's entry is removed after this many missed heartbeats. */
-    private static final int MISSED_HEARTBEATS_COUNT = 3;
-
-    /** The time that the platform and this node need, in addition, to notice that an entry was removed. */
-    private static final long ENTRY_DELAY_MILLIS = 1_000;
-
-    private static final long CRASH_READ_GAP_MILLIS = 500;
-
-    /** The longest time that the log holds a read back. Crashes also arrive through the holder, without the log. */
-    private static final long CRASH_READ_WAIT_MILLIS = 30_000;
-
-    private static final long CRASH_EXPIRY_INTERVAL_MILLIS = 60_000;
-
     private static final long PLAN_READ_GAP_MILLIS = 50;
     private static final long RETRY_MILLIS = 250;
     private static final long MAX_RETRY_MILLIS = 800;
@@ -93,8 +75,7 @@
     private final HolderLease lease;
     private final TopicFollower planFollower;
     private final TopicFollower targetFollower;
-    private final TopicFollower crashFollower;
-    private final CrashExchange crashExchange;
+    private final CrashContainment crashes;
 
     /** The platform-specific functions that a node needs. */
     public record PlatformAdapter(
@@ -115,10 +96,9 @@
         PooledHttpClient httpCaller = new PooledHttpClient(loop);
         this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
-        CrashHistory crashHistory = new CrashHistory();
-        CrashTopic crashTopic = new CrashTopic(CRASH_TOPIC, platformLog, timer, log, this::crashesRead);
         platformLog.onRestored(this::handleLogRestored);
-        this.crashExchange = new CrashExchange(crashHistory, crashTopic, clock::nowMillis, log, new CrashPeers());
+        this.crashes =
+                new CrashContainment(settings, view, loop, platformLog, timer, clock::nowMillis, log, new CrashPeers());
         GatewayMetrics metrics = new GatewayMetrics(registry);
         TargetLimits targetLimits = newTargetLimits(metrics);
         StreamOrigins streamOrigins = new StreamOrigins(clock::nowMillis, view::softwareVersionsOf);
@@ -130,8 +110,8 @@
                 metrics,
                 view,
                 clock,
-                crashHistory,
-                newCrashDetector(crashHistory),
+                crashes.history(),
+                crashes.detector(),
                 () -> PrometheusText.of(registry));
         this.holderRole = new HolderRole(
                 settings,
@@ -141,7 +121,7 @@
                 clock,
                 timer,
                 log,
-                crashExchange,
+                crashes.exchange(),
                 targetLimits,
                 streamOrigins);
         this.engineTargets = new EngineTargetSelector(
@@ -165,7 +145,6 @@
                 new LeaseListener());
         this.planFollower = newPlanFollower();
         this.targetFollower = newTargetFollower();
-        this.crashFollower = newCrashFollower(crashTopic);
     }
 
     private TargetLimits newTargetLimits(GatewayMetrics metrics) {
@@ -180,20 +159,6 @@
         });
     }
 
-    private CrashDetector newCrashDetector(CrashHistory crashHistory) {
-        long entryRemovalMillis = MISSED_HEARTBEATS_COUNT * settings.heartbeatIntervalMillis()
-                + settings.targetRemovalMillis()
-                + ENTRY_DELAY_MILLIS;
-        return new CrashDetector(
-                settings.nodeId(),
-                crashHistory,
-                view::target,
-                new RefusalProbe(loop)::connect,
-                clock::nowMillis,
-                entryRemovalMillis,
-                crashExchange::crashesDetected);
-    }
-
     private TopicFollower newPlanFollower() {
         return new TopicFollower(
                 adapter.planTopic(),
@@ -214,35 +179,10 @@
                 new TargetTopicListener(view, adapter.targetDecoder(), clock, timer, log));
     }
 
-    private TopicFollower newCrashFollower(CrashTopic crashTopic) {
-        return new TopicFollower(
-                CRASH_TOPIC,
-                platformLog,
-                new TopicFollower.PollTimings(
-                        CRASH_READ_GAP_MILLIS, CRASH_READ_WAIT_MILLIS, RETRY_MILLIS, MAX_RETRY_MILLIS),
-                timer,
-                crashTopic,
-                this::readsCrashes);
-    }
-
     private void handleLogRestored(long previousEra, long era) {
         log.log("log-restored", "eraBefore", previousEra, "era", era);
         registry.counter(LOG_RESTORES_COUNTER).inc();
-        crashExchange.recordAgain();
-    }
-
-    private void crashesRead(List<TargetCrash> crashes) {
-        crashExchange.crashesRead(crashes);
-    }
-
-    /** Without a responding holder, each node reads the crashes itself. */
-    private boolean readsCrashes() {
-        return holderRole.isHolding() || !engineTargets.isHolderResponding();
-    }
-
-    private void removeExpiredCrashes() {
-        crashExchange.removeExpired();
-        schedule(CRASH_EXPIRY_INTERVAL_MILLIS, this::removeExpiredCrashes);
+        crashes.exchange().recordAgain();
     }
 
     /** Starts the node and returns once it accepts connections. */
@@ -254,8 +194,7 @@
             log.log("node-started", "front", settings.callerAddress(), "log", settings.logAddress());
             planFollower.start();
             targetFollower.start();
-            crashFollower.start();
-            removeExpiredCrashes();
+            crashes.start();
             engineTargets.start();
             lease.start();
         });
@@ -364,8 +303,8 @@
         }
 
         @Override
-        public void crashesReported(List<TargetCrash> crashes) {
-            crashExchange.crashesReported(crashes);
+        public void crashesAnnounced(HolderMessage.TargetCrashes announcement) {
+            crashes.exchange().announced(announcement);
         }
     }
 
@@ -375,6 +314,16 @@
             return holderRole.isHolding();
         }
 
+        @Override
+        public boolean isHolderResponding() {
+            return engineTargets.isHolderResponding();
+        }
+
+        @Override
+        public void broadcastCleared(Suspect.PromptPart part) {
+            holderRole.broadcastCleared(part);
+        }
+
         @Override
         public void broadcast(List<TargetCrash> crashes) {
             holderRole.broadcastCrashes(crashes);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.stream.StreamOrigin;
@@ -130,10 +131,14 @@
         connections.forEach(connection -> sendCrashes(connection, crashes));
     }
 
+    void broadcastCleared(Suspect.PromptPart part) {
+        connections.forEach(connection -> connection.send(HolderMessage.TargetCrashes.cleared(part)));
+    }
+
     void sendCrashes(HolderConnections.Connection connection, List<TargetCrash> crashes) {
         for (int from = 0; from < crashes.size(); from += MAX_CRASHES_PER_MESSAGE) {
             int to = Math.min(crashes.size(), from + MAX_CRASHES_PER_MESSAGE);
-            connection.send(new HolderMessage.TargetCrashes(crashes.subList(from, to)));
+            connection.send(HolderMessage.TargetCrashes.of(crashes.subList(from, to)));
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -9,6 +9,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
@@ -106,9 +109,12 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record NamedLimit(String targetId, double requestsPerSecond) {}
 
-    /** Reports that a granted run has ended normally. */
+    /**
+     * Reports that a granted run has ended normally, and whether its response was a success; earlier releases don't state
+     * that.
+     */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Ended(String key) implements HolderMessage {}
+    record Ended(String key, boolean successful) implements HolderMessage {}
 
     /**
      * Grants a target to a request; {@code backupId} is empty if no second target keeps a copy of the run's state.
@@ -127,9 +133,37 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Refused(String key, String reason, long retryAfterMillis) implements HolderMessage {}
 
-    /** Reports requests that were in flight at targets that crashed; sent in both directions. */
+    /**
+     * Reports requests, and parts of their prompts, that were in flight at targets that crashed; sent in both directions.
+     * From the holder, the parts are refused, and {@code clearedParts} has the ids of those that no longer are. Earlier
+     * releases know only requests.
+     */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record TargetCrashes(List<TargetCrash> crashes) implements HolderMessage {}
+    record TargetCrashes(
+            List<TargetCrash> requestCrashes,
+            Optional<List<TargetCrash>> promptPartCrashes,
+            Optional<List<String>> clearedParts)
+            implements HolderMessage {
+        public TargetCrashes {
+            promptPartCrashes = orEmpty(promptPartCrashes);
+            clearedParts = orEmpty(clearedParts);
+        }
+
+        static TargetCrashes of(List<TargetCrash> crashes) {
+            Map<Boolean, List<TargetCrash>> ofParts = crashes.stream()
+                    .collect(Collectors.partitioningBy(crash -> crash.suspect() instanceof Suspect.PromptPart));
+            return new TargetCrashes(ofParts.get(false), Optional.of(ofParts.get(true)), Optional.empty());
+        }
+
+        static TargetCrashes cleared(Suspect.PromptPart part) {
+            return new TargetCrashes(List.of(), Optional.empty(), Optional.of(List.of(part.id())));
+        }
+
+        List<TargetCrash> crashes() {
+            return Stream.concat(requestCrashes.stream(), promptPartCrashes.orElse(List.of()).stream())
+                    .toList();
+        }
+    }
 
     /** Returns the optional, or an empty one if the message of an earlier release lacks the field. */
     private static <T> Optional<T> orEmpty(Optional<T> field) {
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchActions;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
@@ -66,15 +67,6 @@
         void refused(String key, String reason, long retryAfterMillis);
     }
 
-    /** Exchanges requests that have crashed targets with the connected nodes. */
-    public interface CrashListener {
-        /** Called with crashes that a node has detected. */
-        void crashesReported(List<TargetCrash> crashes);
-
-        /** Returns the crashes of refused requests, for a node that has just connected. */
-        List<TargetCrash> knownCrashes();
-    }
-
     public HolderRole(
             GatewaySettings settings,
             String incarnation,
@@ -153,7 +145,7 @@
 
     /** Submits a request of this node. */
     public void submit(DispatchRequest request, PlacementListener listener) {
-        dispatch(request, RequestSource.local(request.service(), listener));
+        dispatch(request, RequestSource.local(request, listener));
     }
 
     public void withdraw(String key) {
@@ -170,7 +162,11 @@
         }
     }
 
-    public void recordEnd(String key) {
+    /** Records that a run has ended normally, and whether its response was a success. */
+    public void recordEnd(String key, boolean successful) {
+        if (successful && sources.containsKey(key)) {
+            crashListener.runSucceeded(sources.get(key).suspects());
+        }
         dispatcherOf(key).ifPresent(dispatcher -> dispatcher.endRun(key, clock.nowMillis()));
         limitedTargets.end(key);
         sources.remove(key);
@@ -183,6 +179,11 @@
         originSearch.soughtStreamIds().forEach(streamId -> announcer.askForStream(connection, streamId));
     }
 
+    /** Tells all other nodes that are connected that a part of a prompt is no longer refused. */
+    void broadcastCleared(Suspect.PromptPart part) {
+        announcer.broadcastCleared(part);
+    }
+
     /** Sends crashes of targets to all other nodes that are connected. */
     public void broadcastCrashes(List<TargetCrash> crashes) {
         announcer.broadcastCrashes(crashes);
@@ -204,13 +205,13 @@
     @Override
     public void received(HolderConnections.Connection connection, HolderMessage message) {
         switch (message) {
-            case HolderMessage.Submit submit ->
-                dispatch(
-                        HolderMessage.dispatchRequest(submit, clock.nowMillis()),
-                        RequestSource.remote(submit.service(), connection));
+            case HolderMessage.Submit submit -> {
+                DispatchRequest request = HolderMessage.dispatchRequest(submit, clock.nowMillis());
+                dispatch(request, RequestSource.remote(request, connection));
+            }
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
             case HolderMessage.Outcome outcome -> handleOutcome(outcome);
-            case HolderMessage.Ended ended -> recordEnd(ended.key());
+            case HolderMessage.Ended ended -> recordEnd(ended.key(), ended.successful());
             case HolderMessage.TargetCrashes report -> crashListener.crashesReported(report.crashes());
             case HolderMessage.Heartbeat heartbeat -> closeUnexpected(connection);
             case HolderMessage.Granted granted -> closeUnexpected(connection);
--- a/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
+++ b/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
@@ -1,20 +1,32 @@
 package org.poplarwharf.internal.holder;
 
 import java.util.Optional;
+import org.poplarwharf.internal.crash.RequestSuspects;
+import org.poplarwharf.internal.dispatch.DispatchRequest;
 
 /**
- * The node that a request came from: another node's connection or this node's own listener. Confined to the event loop.
+ * A request and the node that it came from: another node's connection or this node's own listener. Confined to the event
+ * loop.
  */
 record RequestSource(
-        String service,
+        DispatchRequest request,
         Optional<HolderConnections.Connection> connection,
         Optional<HolderRole.PlacementListener> listener) {
-    static RequestSource remote(String service, HolderConnections.Connection connection) {
-        return new RequestSource(service, Optional.of(connection), Optional.empty());
+    static RequestSource remote(DispatchRequest request, HolderConnections.Connection connection) {
+        return new RequestSource(request, Optional.of(connection), Optional.empty());
     }
 
-    static RequestSource local(String service, HolderRole.PlacementListener listener) {
-        return new RequestSource(service, Optional.empty(), Optional.of(listener));
+    static RequestSource local(DispatchRequest request, HolderRole.PlacementListener listener) {
+        return new RequestSource(request, Optional.empty(), Optional.of(listener));
+    }
+
+    String service() {
+        return request.service();
+    }
+
+    /** Returns the parts of the request's prompt as suspects; the holder does not know the request's fingerprint. */
+    RequestSuspects suspects() {
+        return new RequestSuspects("", request.service(), request.traits());
     }
 
     boolean isFrom(HolderConnections.Connection other) {
--- a/src/test/java/org/poplarwharf/internal/crash/CrashDetectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashDetectorTest.java
@@ -29,7 +29,8 @@
             (address, refused) -> probes.add(refused),
             () -> nowMillis,
             RETENTION_MILLIS,
-            reported::addAll);
+            reported::addAll,
+            suspects -> {});
 
     CrashDetectorTest() {
         list(target);
@@ -56,13 +57,17 @@
         listed.put(latest.id(), latest);
     }
 
+    private static RequestSuspects suspects(String fingerprint, String... promptPartIds) {
+        return CrashHistoryTest.suspects(fingerprint, promptPartIds);
+    }
+
     private List<String> reportedFingerprints() {
-        return reported.stream().map(TargetCrash::fingerprint).toList();
+        return reported.stream().map(TargetCrash::suspectId).toList();
     }
 
     @Test
     void connection_that_breaks_although_its_target_accepts_others_is_no_crash() {
-        detector.recordClosedRun(target, "f", 900);
+        detector.recordClosedRun(target, suspects("f"), 900);
         probes.get(0).accept(false);
 
         assertThat(reported).isEmpty();
@@ -70,8 +75,8 @@
 
     @Test
     void all_runs_that_a_target_lost_are_reported_once_it_refuses_connections() {
-        detector.recordClosedRun(target, "first", 800);
-        detector.recordClosedRun(target, "second", 900);
+        detector.recordClosedRun(target, suspects("first"), 800);
+        detector.recordClosedRun(target, suspects("second"), 900);
         assertThat(probes).hasSize(1);
         probes.get(0).accept(true);
 
@@ -80,7 +85,7 @@
 
     @Test
     void lost_runs_are_reported_once_their_target_has_a_new_incarnation_or_no_entry() {
-        detector.recordAbandonedRun(target, "f", 900);
+        detector.recordAbandonedRun(target, suspects("f"), 900);
         assertThat(probes).isEmpty();
         detector.targetRemoved(target);
 
@@ -90,29 +95,39 @@
     @Test
     void run_that_ends_after_the_restart_of_its_target_was_read_is_reported_at_once() {
         list(target(2, false));
-        detector.recordAbandonedRun(target, "f", 900);
+        detector.recordAbandonedRun(target, suspects("f"), 900);
 
         assertThat(reportedFingerprints()).containsExactly("f");
     }
 
     @Test
     void run_that_is_lost_at_a_target_that_leaves_is_not_reported() {
-        detector.recordClosedRun(target, "before", 900);
+        detector.recordClosedRun(target, suspects("before"), 900);
         list(target(1, true));
         probes.get(0).accept(true);
         detector.targetRemoved(listed.remove("t"));
-        detector.recordClosedRun(target, "after", 900);
+        detector.recordClosedRun(target, suspects("after"), 900);
 
         assertThat(reported).isEmpty();
     }
 
     @Test
     void run_that_was_lost_long_before_its_target_crashed_is_not_reported() {
-        detector.recordAbandonedRun(target, "old", 900);
+        detector.recordAbandonedRun(target, suspects("old"), 900);
         nowMillis += RETENTION_MILLIS + 1;
-        detector.recordAbandonedRun(target, "new", 900);
+        detector.recordAbandonedRun(target, suspects("new"), 900);
         detector.targetRemoved(target);
 
         assertThat(reportedFingerprints()).containsExactly("new");
     }
+
+    @Test
+    void shared_parts_of_the_prompt_are_reported_with_the_request() {
+        detector.recordAbandonedRun(target, suspects("f", "shared", "last"), 900);
+        detector.targetRemoved(target);
+
+        assertThat(reported)
+                .extracting(TargetCrash::suspect)
+                .hasExactlyElementsOfTypes(Suspect.WholeRequest.class, Suspect.PromptPart.class);
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/crash/CrashHistoryTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/CrashHistoryTest.java
@@ -5,18 +5,22 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.fleet.RequestTraits;
 
 class CrashHistoryTest {
     private static final String REQUEST = "f";
-    private static final int MAX_FINGERPRINT_COUNT = 10_000;
+    private static final String SERVICE = "lm";
+    private static final int MAX_SUSPECT_COUNT = 10_000;
 
     private final CrashHistory history = new CrashHistory();
 
@@ -24,6 +28,25 @@
         return new TargetCrash(fingerprint, target, 1, "n1", 0);
     }
 
+    /** Returns the suspects of a request whose prompt has these parts, the last one of its own. */
+    static RequestSuspects suspects(String fingerprint, String... promptPartIds) {
+        return new RequestSuspects(
+                fingerprint,
+                SERVICE,
+                new RequestTraits(
+                        "r",
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        0,
+                        Stream.of(promptPartIds)
+                                .map(id -> new RequestTraits.PromptPart(id, 10))
+                                .toList(),
+                        OptionalLong.empty(),
+                        Optional.empty()));
+    }
+
     @Test
     void request_is_refused_after_two_crashes_until_the_retention_time_has_passed() {
         history.addAll(List.of(crash(REQUEST, "t1")), 0);
@@ -87,10 +110,10 @@
 
     @Test
     void oldest_request_is_removed_first_if_there_are_too_many() {
-        IntStream.rangeClosed(0, MAX_FINGERPRINT_COUNT)
+        IntStream.rangeClosed(0, MAX_SUSPECT_COUNT)
                 .forEach(number -> history.addAll(List.of(crash("f" + number, "t1")), number));
 
-        assertThat(history.crashes()).hasSize(MAX_FINGERPRINT_COUNT);
+        assertThat(history.crashes()).hasSize(MAX_SUSPECT_COUNT);
         assertThat(history.crashCount("f0")).isZero();
         assertThat(history.crashCount("f1")).isEqualTo(1);
     }
--- a/src/test/java/org/poplarwharf/internal/holder/CrashingPromptPartGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingPromptPartGatewayTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.support.Eventually;
@@ -54,7 +53,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void prompt_part_that_crashes_engines_is_refused_and_requests_that_share_its_other_parts_are_served()
             throws Exception {
         start(prompt -> prompt.contains(CRASHING_PART));
@@ -66,7 +64,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void nodes_that_start_later_refuse_a_prompt_part_that_crashed_engines_before() throws Exception {
         start(prompt -> prompt.contains(CRASHING_PART));
         sendMixed(CRASHING_REQUEST_COUNT);
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.EngineOrder;
@@ -246,7 +247,10 @@
         }
     }
 
-    private static final class NoCrashes implements HolderRole.CrashListener {
+    private static final class NoCrashes implements CrashListener {
+        @Override
+        public void runSucceeded(RequestSuspects suspects) {}
+
         @Override
         public void crashesReported(List<TargetCrash> crashes) {
             throw new UnsupportedOperationException("no crash is reported");
@@ -270,7 +274,7 @@
         }
 
         @Override
-        public void crashesReported(List<TargetCrash> crashes) {
+        public void crashesAnnounced(HolderMessage.TargetCrashes announcement) {
             // Not checked here.
         }
     }
