--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -28,9 +28,6 @@
 
     private static final int ALLOWED_EXTRA_LOAD_COUNT = 3;
 
-    /** Gateways must recognize a request that crashes targets by this many crashes and the recovery margin. */
-    private static final int TOLERATED_CRASH_COUNT = 3;
-
     private static final int ALLOWED_LATE_CRASH_COUNT = 3;
 
     private static final long LIMIT_WINDOW_MILLIS = 4_000;
@@ -62,7 +59,9 @@
         checkResponseTimes();
         checkOrders();
         checkStoreLoads();
-        checkCrashingRequest();
+        for (CrashingCaller.Cause cause : CrashingCaller.Cause.values()) {
+            checkCrashingRequests(cause);
+        }
         activity.limitPeriods().forEach(this::checkLimit);
         violations.addAll(activity.violations());
         return violations;
@@ -174,27 +173,28 @@
         }
     }
 
-    /** Checks that a request which has crashed some targets is no longer sent to others. */
-    private void checkCrashingRequest() {
+    /** Checks that requests which have crashed some targets are no longer sent to others. */
+    private void checkCrashingRequests(CrashingCaller.Cause cause) {
         Map<String, RecordedCall> crashingCalls = calls.stream()
-                .filter(call -> CrashingCaller.sendsCrashingBody(call.path()))
+                .filter(call -> cause.isCauseOf(call.path()))
                 .collect(Collectors.toMap(RecordedCall::id, call -> call));
         List<TargetActivity.Run> crashes = runs.values().stream()
                 .flatMap(List::stream)
                 .filter(run -> crashingCalls.containsKey(run.id()))
                 .sorted(Comparator.comparingLong(TargetActivity.Run::startMillis))
                 .toList();
-        if (crashes.size() < TOLERATED_CRASH_COUNT) {
+        if (crashes.size() < cause.toleratedCrashCount) {
             return;
         }
-        long boundMillis = crashes.get(TOLERATED_CRASH_COUNT - 1).startMillis() + FaultTimeline.RECOVERY_MARGIN_MILLIS;
+        long boundMillis =
+                crashes.get(cause.toleratedCrashCount - 1).startMillis() + FaultTimeline.RECOVERY_MARGIN_MILLIS;
         List<TargetActivity.Run> late = crashes.stream()
                 .filter(run -> run.startMillis() > boundMillis)
                 .filter(run -> faults.hasNoFaultOn(
                         run.startMillis(), run.startMillis(), gatewayName(crashingCalls.get(run.id())), "log"))
                 .toList();
         if (late.size() > ALLOWED_LATE_CRASH_COUNT) {
-            violations.add("a request that crashes targets was still sent to targets: " + late);
+            violations.add("requests that crash targets were still sent to targets: " + cause + " " + late);
         }
     }
 
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -235,7 +235,7 @@
         activity.add(new TargetActivity.Run(
                 request.id(), target.id, clock.getAsLong(), request.line(), request.body(), lastEventId));
         try {
-            if (request.body().equals(CrashingCaller.BODY)) {
+            if (CrashingCaller.crashes(request)) {
                 crashAction.run();
             }
             stream(request, out, incarnation, lastEventId);
--- a/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
+++ b/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
@@ -107,14 +107,15 @@
 
     /** Returns the body that a caller sends with a request. */
     static String body(String id, String path) {
-        return CrashingCaller.sendsCrashingBody(path) ? CrashingCaller.BODY : "body of " + id;
+        return CrashingCaller.body(id, path);
     }
 
     private byte[] request(String id, CallKind kind, String path, String model, String extraHeaders) {
         String body = body(id, path);
         String modelHeaders = model.isEmpty()
                 ? ""
-                : "X-Model: " + model + "\r\nX-Token-Counts: 100,50\r\nX-Prompt-Prefix: aa:60," + id + ":40\r\n";
+                : "X-Model: " + model + "\r\nX-Token-Counts: 100,50\r\nX-Prompt-Prefix: "
+                        + CrashingCaller.promptParts(id, path) + "\r\n";
         return ("POST " + path + (takesChunks ? " HTTP/1.1" : " HTTP/1.0") + "\r\nHost: 127.0.0.1\r\nX-Request-Id: "
                         + id + "\r\nX-Deadline-Ms: "
                         + kind.timeoutMillis + "\r\n" + modelHeaders + extraHeaders + "Content-Length: " + body.length()
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -96,8 +96,8 @@
             fleet.start();
             SoakCallers callers = new SoakCallers(fleet, seed);
             callers.start();
-            CrashingCaller crashingCaller = new CrashingCaller(fleet, seed);
-            if (seed % CRASHING_CALLER_SEED_INTERVAL == 0) {
+            CrashingCaller crashingCaller = new CrashingCaller(fleet, seed, crashCause(seed));
+            if (hasCrashingCaller(seed)) {
                 crashingCaller.start();
             }
             ResumingCaller resumingCaller = new ResumingCaller(fleet, seed);
@@ -127,7 +127,7 @@
             violations.addAll(new InvariantChecker(calls, fleet.activity, fleet.faultTimeline).violations());
             List<RecordedCall> callsAfterFaults = calls.stream()
                     .filter(call -> call.sentMillis() >= recoveredMillis)
-                    .filter(call -> !CrashingCaller.sendsCrashingBody(call.path()))
+                    .filter(call -> !CrashingCaller.isCallerOf(call.path()))
                     .filter(call -> !ResumingCaller.isCallerOf(call))
                     .toList();
             violations.addAll(InvariantChecker.findUnrecovered(
@@ -148,6 +148,17 @@
         }
     }
 
+    private static boolean hasCrashingCaller(long seed) {
+        return seed % CRASHING_CALLER_SEED_INTERVAL == 0 || crashCause(seed) == CrashingCaller.Cause.PROMPT_PART;
+    }
+
+    /** From some seed on, every third seed has requests that crash targets by a part of their prompts. */
+    private static CrashingCaller.Cause crashCause(long seed) {
+        return seed >= FaultInjector.FIRST_SEED_WITHOUT_LOG_FAULTS && seed % CRASHING_CALLER_SEED_INTERVAL == 1
+                ? CrashingCaller.Cause.PROMPT_PART
+                : CrashingCaller.Cause.WHOLE_REQUEST;
+    }
+
     /** Sends a request to the route that only the newest configuration has. */
     private static RecordedCall callNewestRoute(SoakFleet fleet, SoakGateway gateway) throws IOException {
         try (SoakHttpConnection connection =
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -133,7 +133,7 @@
         }
         activity.add(
                 new TargetActivity.Run(request.id(), server.id, clock.getAsLong(), request.line(), request.body(), 0));
-        if (request.body().equals(CrashingCaller.BODY)) {
+        if (CrashingCaller.crashes(request)) {
             crashByRequest();
         }
         if (request.closedByPeerWithin(PROCESSING_MILLIS) || !alive || abortsResponses) {
