Bound the suspects of a request and the messages on crashes; log prompt parts from their second crash on

A prompt may have any number of parts: a crash with 64 runs lost could make a message larger than a frame, and a line for each part. A request now has 32 suspects beside itself at most, and reports are split like the holder's own messages. Messages of the release before are read and sent (HolderMessageTest).

--- a/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
@@ -17,9 +17,9 @@
 import org.poplarwharf.internal.fleet.Target;
 
 /**
- * Determines which requests, with the parts of their prompts, were in flight at a target when it crashed. A lost run alone is no crash: connections also
- * break on the way. The target has crashed if its address refuses connections, or if its entry is replaced by that of
- * a new incarnation or removed.
+ * Determines which requests, with the parts of their prompts, were in flight at a target when it crashed. A lost run alone
+ * is no crash: connections also break on the way. The target has crashed if its address refuses connections, or if its
+ * entry is replaced by that of a new incarnation or removed.
  *
  * <p>Invariants: a target that has announced that it leaves is never reported; each lost run is reported once at most.
  * Bounded by the runs that are lost within the retention time. Confined to one thread.
--- a/src/main/java/org/poplarwharf/internal/crash/RequestSuspects.java
+++ b/src/main/java/org/poplarwharf/internal/crash/RequestSuspects.java
@@ -7,10 +7,12 @@
 /**
  * The suspects of one request if its target crashes: the request itself and the parts that its prompt shares with others.
  *
- * <p>Hashes of parts are computed when they are first needed. Confined to the event loop.
+ * <p>Invariant: a request has a bounded number of suspects. Hashes of parts are computed when they are first needed.
+ * Confined to the event loop.
  */
 public final class RequestSuspects {
     private static final byte[] NO_BODY = new byte[0];
+    private static final int MAX_PROMPT_PART_COUNT = 32;
 
     private final String fingerprint;
     private final String service;
@@ -33,20 +35,20 @@
         return new Suspect.WholeRequest(fingerprint);
     }
 
-    /** Returns the parts of a prompt that other requests may share. */
-    static List<Suspect.PromptPart> promptPartsOf(String service, RequestTraits traits) {
+    private static List<Suspect.PromptPart> promptPartsOf(String service, RequestTraits traits) {
         List<RequestTraits.PromptPart> shared = traits.sharedPromptParts();
         if (shared.isEmpty()) {
             return List.of();
         }
         String serviceHash = RequestFingerprint.of(List.of(service), NO_BODY);
         return shared.stream()
+                .limit(MAX_PROMPT_PART_COUNT)
                 .map(part -> new Suspect.PromptPart(serviceHash, RequestFingerprint.of(List.of(part.id()), NO_BODY)))
                 .distinct()
                 .toList();
     }
 
-    /** Returns the parts of the prompt that other requests may share. */
+    /** Returns the first parts of the prompt that other requests may share. */
     List<Suspect.PromptPart> promptParts() {
         if (promptParts == null) {
             promptParts = promptPartsOf(service, traits);
--- a/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
@@ -132,7 +132,7 @@
         });
     }
 
-    /** Records the crashes that this node has recorded again, after a restore of the log that may have lost them. */
+    /** Records again what this node has recorded, after a restore of the log that may have lost them. */
     void recordAgain() {
         topic.record(recordedHere);
     }
@@ -178,24 +178,31 @@
     }
 
     private List<TargetCrash> logged(List<TargetCrash> added, String source) {
-        for (TargetCrash crash : added) {
-            log.log(
-                    "target-crash-learned",
-                    "suspect",
-                    crash.suspectId(),
-                    "target",
-                    crash.targetId(),
-                    "startedAt",
-                    crash.targetStartedAtMillis(),
-                    "sentBy",
-                    crash.nodeId(),
-                    "ordinal",
-                    crash.ordinal(),
-                    "source",
-                    source,
-                    "crashes",
-                    history.crashCount(crash.suspectId()));
-        }
+        added.stream().filter(this::isWorthLogging).forEach(crash -> log(crash, source));
         return added;
     }
+
+    /** Most parts of prompts that are in flight at a crash are in flight at no other. */
+    private boolean isWorthLogging(TargetCrash crash) {
+        return crash.suspect() instanceof Suspect.WholeRequest || history.crashCount(crash.suspectId()) > 1;
+    }
+
+    private void log(TargetCrash crash, String source) {
+        log.log(
+                "target-crash-learned",
+                "suspect",
+                crash.suspectId(),
+                "target",
+                crash.targetId(),
+                "startedAt",
+                crash.targetStartedAtMillis(),
+                "sentBy",
+                crash.nodeId(),
+                "ordinal",
+                crash.ordinal(),
+                "source",
+                source,
+                "crashes",
+                history.crashCount(crash.suspectId()));
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -387,7 +387,7 @@
     /** Reports requests that have crashed targets to the holder, which informs the other nodes. */
     public void reportCrashes(List<TargetCrash> crashes) {
         if (!crashes.isEmpty()) {
-            send(HolderMessage.TargetCrashes.of(crashes));
+            HolderMessage.TargetCrashes.of(crashes).forEach(this::send);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
@@ -26,9 +26,6 @@
     /** Combines changes at about the same time into one message. */
     private static final long LIMIT_DELAY_MILLIS = 20;
 
-    /** Keeps messages well below the maximum size of a frame. */
-    private static final int MAX_CRASHES_PER_MESSAGE = 500;
-
     /** All nodes are connected to a new holder after this time, so that origins need not be sent again. */
     private static final long CONNECTING_MILLIS = 3_000;
 
@@ -136,10 +133,7 @@
     }
 
     void sendCrashes(HolderConnections.Connection connection, List<TargetCrash> crashes) {
-        for (int from = 0; from < crashes.size(); from += MAX_CRASHES_PER_MESSAGE) {
-            int to = Math.min(crashes.size(), from + MAX_CRASHES_PER_MESSAGE);
-            connection.send(HolderMessage.TargetCrashes.of(crashes.subList(from, to)));
-        }
+        HolderMessage.TargetCrashes.of(crashes).forEach(connection::send);
     }
 
     private HolderMessage heartbeat(
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -144,12 +144,24 @@
             Optional<List<TargetCrash>> promptPartCrashes,
             Optional<List<String>> clearedParts)
             implements HolderMessage {
+        /** Keeps messages well below the maximum size of a frame. */
+        private static final int MAX_CRASH_COUNT = 500;
+
         public TargetCrashes {
             promptPartCrashes = orEmpty(promptPartCrashes);
             clearedParts = orEmpty(clearedParts);
         }
 
-        static TargetCrashes of(List<TargetCrash> crashes) {
+        /** Returns messages of bounded size. */
+        static List<TargetCrashes> of(List<TargetCrash> crashes) {
+            List<TargetCrashes> messages = new ArrayList<>();
+            for (int from = 0; from < crashes.size(); from += MAX_CRASH_COUNT) {
+                messages.add(message(crashes.subList(from, Math.min(crashes.size(), from + MAX_CRASH_COUNT))));
+            }
+            return messages;
+        }
+
+        private static TargetCrashes message(List<TargetCrash> crashes) {
             Map<Boolean, List<TargetCrash>> ofParts = crashes.stream()
                     .collect(Collectors.partitioningBy(crash -> crash.suspect() instanceof Suspect.PromptPart));
             return new TargetCrashes(ofParts.get(false), Optional.of(ofParts.get(true)), Optional.empty());
--- a/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
@@ -5,21 +5,31 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.crash.Suspect;
+import org.poplarwharf.internal.crash.TargetCrash;
 
 /** Exchanges messages with nodes of the release before limits were added, which run beside others during an update. */
 class HolderMessageTest {
     private static final MessagePackCodec<HolderMessage> CODEC = new MessagePackCodec<>(HolderMessage.class);
     private static final MessagePackCodec<EarlierMessage> EARLIER_CODEC = new MessagePackCodec<>(EarlierMessage.class);
 
+    private static final TargetCrash REQUEST_CRASH = new TargetCrash("f", "t", 1, "n1", 0);
+    private static final TargetCrash PART_CRASH =
+            new TargetCrash(new Suspect.PromptPart("s", "p").id(), "t", 1, "n1", 0);
+
     /** The messages of the earlier release that have changed. */
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
     @JsonSubTypes({
         @JsonSubTypes.Type(value = EarlierMessage.Heartbeat.class, name = "b"),
         @JsonSubTypes.Type(value = EarlierMessage.Outcome.class, name = "o"),
+        @JsonSubTypes.Type(value = EarlierMessage.Ended.class, name = "e"),
+        @JsonSubTypes.Type(value = EarlierMessage.TargetCrashes.class, name = "c"),
     })
     sealed interface EarlierMessage {
         @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -27,6 +37,12 @@
 
         @JsonFormat(shape = JsonFormat.Shape.ARRAY)
         record Outcome(String key, HolderMessage.OutcomeKind kind, long firstEventMillis) implements EarlierMessage {}
+
+        @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+        record Ended(String key) implements EarlierMessage {}
+
+        @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+        record TargetCrashes(List<TargetCrash> crashes) implements EarlierMessage {}
     }
 
     @Test
@@ -60,4 +76,38 @@
         assertThat(CODEC.decode(CODEC.encode(heartbeat), "a node")).isEqualTo(heartbeat);
         assertThat(CODEC.decode(CODEC.encode(limit), "a node")).isEqualTo(limit);
     }
+
+    @Test
+    void nodes_of_the_earlier_release_read_crashes_without_prompt_parts() {
+        HolderMessage.TargetCrashes message = HolderMessage.TargetCrashes.of(List.of(REQUEST_CRASH, PART_CRASH))
+                .get(0);
+
+        assertThat(EARLIER_CODEC.decode(CODEC.encode(message), "a node"))
+                .isEqualTo(new EarlierMessage.TargetCrashes(List.of(REQUEST_CRASH)));
+        assertThat(EARLIER_CODEC.decode(CODEC.encode(new HolderMessage.Ended("k", true)), "a node"))
+                .isEqualTo(new EarlierMessage.Ended("k"));
+        assertThat(CODEC.decode(CODEC.encode(message), "a node")).isEqualTo(message);
+    }
+
+    @Test
+    void crashes_and_ends_of_the_earlier_release_are_read() {
+        HolderMessage crashes =
+                CODEC.decode(EARLIER_CODEC.encode(new EarlierMessage.TargetCrashes(List.of(REQUEST_CRASH))), "a node");
+
+        assertThat(((HolderMessage.TargetCrashes) crashes).crashes()).containsExactly(REQUEST_CRASH);
+        assertThat(CODEC.decode(EARLIER_CODEC.encode(new EarlierMessage.Ended("k")), "a node"))
+                .isEqualTo(new HolderMessage.Ended("k", false));
+    }
+
+    @Test
+    void crashes_are_split_into_messages_of_bounded_size() {
+        List<HolderMessage.TargetCrashes> messages =
+                HolderMessage.TargetCrashes.of(Collections.nCopies(1_200, PART_CRASH));
+
+        assertThat(messages).hasSize(3);
+        assertThat(messages.stream()
+                        .mapToInt(message -> message.crashes().size())
+                        .sum())
+                .isEqualTo(1_200);
+    }
 }
