Read the end of a run from nodes of the release before

The message lacks the new field there, which the codec does not take for false; a holder of this release would have closed the connections of nodes of the release before.

--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -181,7 +181,7 @@
         }
         switch (run.decider()) {
             case LOCAL_HOLDER -> localHolder.recordEnd(key, successful);
-            case REMOTE_HOLDER -> send(new HolderMessage.Ended(key, successful));
+            case REMOTE_HOLDER -> send(new HolderMessage.Ended(key, Optional.of(successful)));
             case NO_HOLDER -> fallback.recordSuccess(run.targetId());
         }
     }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -114,7 +114,11 @@
      * that.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record Ended(String key, boolean successful) implements HolderMessage {}
+    record Ended(String key, Optional<Boolean> successful) implements HolderMessage {
+        public Ended {
+            successful = orEmpty(successful);
+        }
+    }
 
     /**
      * Grants a target to a request; {@code backupId} is empty if no second target keeps a copy of the run's state.
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -211,7 +211,8 @@
             }
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
             case HolderMessage.Outcome outcome -> handleOutcome(outcome);
-            case HolderMessage.Ended ended -> recordEnd(ended.key(), ended.successful());
+            case HolderMessage.Ended ended ->
+                recordEnd(ended.key(), ended.successful().orElse(false));
             case HolderMessage.TargetCrashes report -> crashListener.crashesReported(report.crashes());
             case HolderMessage.Heartbeat heartbeat -> closeUnexpected(connection);
             case HolderMessage.Granted granted -> closeUnexpected(connection);
