Keep what a target states of itself in its responses: it leaves, it wants a pause

Nothing in the code knew Server-Leaving, and Retry-After of a target was not read. A target that left went on getting requests until its entry said so, and one that asked for a pause was chosen again.

Leaving becomes part of the node's view of the target, so that each path that leaves out leaving targets does; entries of the same incarnation do not take it back, and the holder is told once. Paused targets are excluded from each search of the node, and asked about once more before a request is sent. While all targets of a service pause, a request is refused at once with the soonest end.

--- a/src/main/java/org/poplarwharf/internal/fleet/Target.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Target.java
@@ -45,6 +45,24 @@
                 && (startedAtMillis != 0 || heartbeatCount <= later.heartbeatCount);
     }
 
+    /** Returns this state of a target that is shutting down. */
+    public Target asLeaving() {
+        return new Target(
+                id,
+                startedAtMillis,
+                heartbeatCount,
+                service,
+                address,
+                zone,
+                slots,
+                true,
+                remainingMillis,
+                softwareVersion,
+                models,
+                inMemory,
+                onDisk);
+    }
+
     /**
      * Returns whether another state of this target is older than this one, by the start time and then by the heartbeat
      * count. Without start times it cannot be told from a restart.
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -4,6 +4,7 @@
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.fleet.Route;
+import org.poplarwharf.internal.fleet.RouteKind;
 
 /**
  * Counts the attempts of one exchange and decides whether another target may be tried.
@@ -71,17 +72,23 @@
     /**
      * Returns whether to try another target after one that did not run the request.
      *
-     * @param rerunAllowed whether the request may run again if an earlier target may have run it
+     * @param response what the caller has of the response
      */
-    boolean tryReserveAttempt(boolean rerunAllowed) {
-        return (!mayHaveRun() || rerunAllowed)
+    boolean tryReserveAttempt(ResponseRelay response) {
+        return (!mayHaveRun() || isRerunAllowed(response))
                 && attemptCount < context.policy().maxAttemptCount()
                 && tryReserveRetry();
     }
 
     /** Returns whether a request that may have run can be sent to one more target. */
-    boolean tryReserveRerun(boolean rerunAllowed) {
-        return rerunAllowed && possibleRunCount < route.maxTargets() && tryReserveRetry();
+    boolean tryReserveRerun(ResponseRelay response) {
+        return isRerunAllowed(response) && possibleRunCount < route.maxTargets() && tryReserveRetry();
+    }
+
+    /** Returns whether the route allows another run that can continue the response from where the caller has it. */
+    private boolean isRerunAllowed(ResponseRelay response) {
+        boolean isResumable = route.kind() == RouteKind.RESUMABLE_STREAM && response.hasForwardedEvents();
+        return route.kind().isRetryable() && (!response.started() || isResumable);
     }
 
     /** Returns whether and why the request is refused, since it or a part of its prompt has crashed targets. */
--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -14,13 +14,18 @@
 /**
  * This node's view of the deployment: the operator's plan and the known targets.
  *
- * <p>Invariant: the plan's version never decreases. Confined to the event loop.
+ * <p>Invariants: the plan's version never decreases. An incarnation of a target that leaves never stops leaving. Confined to the event loop.
  */
 public final class FleetView {
+    private static final int MAX_LEAVING_COUNT = 1_000;
+
     private Optional<FleetPlan> plan = Optional.empty();
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private final List<Consumer<Target>> removalListeners = new ArrayList<>();
+    /** The incarnations that have stated that they leave, also those that are no longer known. */
+    private final Map<String, Target> leavingById = new LinkedHashMap<>();
+
     private boolean targetsLoaded;
     private boolean targetsCurrent = true;
 
@@ -44,7 +49,40 @@
         return true;
     }
 
-    public void put(Target target) {
+    /**
+     * Records that an incarnation of a target states that it leaves; none of its entries takes that back.
+     *
+     * @return whether it was not known to leave
+     */
+    public boolean markLeaving(Target target) {
+        Optional<Target> known = target(target.id()).filter(target::isSameIncarnation);
+        if (known.isEmpty() || known.get().leaving()) {
+            return false;
+        }
+        leavingById.remove(target.id());
+        leavingById.put(target.id(), known.get());
+        if (leavingById.size() > MAX_LEAVING_COUNT) {
+            leavingById.remove(leavingById.keySet().iterator().next());
+        }
+        put(known.get());
+        return true;
+    }
+
+    /** Returns the known targets that have stated that they leave. */
+    public List<Target> statedLeaving() {
+        return leavingById.keySet().stream()
+                .flatMap(id -> target(id).stream())
+                .filter(Target::leaving)
+                .toList();
+    }
+
+    private Target withStatement(Target target) {
+        Target leaving = leavingById.get(target.id());
+        return leaving != null && leaving.isSameIncarnation(target) ? target.asLeaving() : target;
+    }
+
+    public void put(Target latest) {
+        Target target = withStatement(latest);
         Target previous = targets.put(target.id(), target);
         if (previous != null && !previous.isSameIncarnation(target)) {
             removalListeners.forEach(listener -> listener.accept(previous));
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -30,6 +30,7 @@
     private final CrashDetector crashDetector;
     private final ForwardingPolicy policy = new ForwardingPolicy();
     private final String keyPrefix;
+    private final TargetStatements statements;
     private TargetSelector plainSelector;
     private TargetSelector engineSelector;
     private TargetLimits targetLimits;
@@ -58,6 +59,7 @@
         this.connections = new TargetConnectionPool(loop);
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
+        this.statements = new TargetStatements(view, clock::nowMillis, log);
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
@@ -74,9 +76,13 @@
         targetLimits = limits;
     }
 
-    /** Returns whether requests to the target need a permit of the lease holder. */
-    boolean isLimited(Target target) {
-        return targetLimits.isLimited(target.id());
+    TargetStatements statements() {
+        return statements;
+    }
+
+    /** Returns whether a run may continue at a target without a permit of the lease holder. */
+    boolean mayContinueAt(Target target) {
+        return !targetLimits.isLimited(target.id()) && statements.accepts(target);
     }
 
     TargetSelector selectorFor(String service) {
--- a/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
@@ -159,6 +159,11 @@
         reportEnd(key, false);
     }
 
+    @Override
+    public void reportLeaving(Target target) {
+        holderSelector.reportLeaving(target);
+    }
+
     @Override
     public void reportLimit(String targetId, double requestsPerSecond) {
         holderSelector.reportLimit(targetId, requestsPerSecond);
--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -39,7 +39,7 @@
         this.deadlineMillis = deadlineMillis;
     }
 
-    /** Returns the request for a target, except those that are excluded. */
+    /** Returns the request for a target, except those that are excluded and those that take none from this node now. */
     DispatchRequest dispatchRequest(String key, Set<String> excluded, Optional<StreamContinuation> continuation) {
         return new DispatchRequest(
                 key,
@@ -50,10 +50,16 @@
                 Math.min(deadlineMillis, arrivedMillis + route.callerTimeoutMillis()),
                 arrivedMillis + route.objectiveMillis(),
                 context.policy().wantsBackup(route, traits),
-                Set.copyOf(excluded),
+                withPaused(excluded),
                 continuation);
     }
 
+    private Set<String> withPaused(Set<String> excluded) {
+        Set<String> all = context.statements().pausedTargetIds();
+        all.addAll(excluded);
+        return Set.copyOf(all);
+    }
+
     /** Sends the caller's request to a target, on a connection that suits its route. */
     InFlightRequest send(Target target, ForwardingTraits traits, ResponseListener listener) {
         TargetConnectionPool.ConnectionSpec spec = new TargetConnectionPool.ConnectionSpec(
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -18,7 +18,6 @@
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
-import org.poplarwharf.internal.fleet.RouteKind;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.InFlightRequest;
 import org.poplarwharf.internal.http.ResponseListener;
@@ -98,6 +97,11 @@
         if (refuseIfCrashing()) {
             return;
         }
+        OptionalLong pauseMillis = context.statements().pauseMillis(service, traits.requestId());
+        if (pauseMillis.isPresent()) {
+            giveUp("targets paused", pauseMillis.getAsLong());
+            return;
+        }
         limits.recordAttempt();
         selectionKey = context.nextKey();
         recorder.recordSelection(
@@ -107,12 +111,17 @@
 
     @Override
     public void onSelected(Target selected, Optional<Target> backupTarget, String by) {
-        if (!done && !refuseIfCrashing()) {
-            if (!continuity.allows(selected)) {
-                releaseTarget();
-                giveUp("target of another software version", context.policy().retryAfterDeclinedMillis());
-                return;
-            }
+        if (done || refuseIfCrashing()) {
+            return;
+        }
+        if (!continuity.allows(selected)) {
+            releaseTarget();
+            giveUp("target of another software version", context.policy().retryAfterDeclinedMillis());
+        } else if (!context.statements().accepts(selected)) {
+            releaseTarget();
+            excluded.add(selected.id());
+            selectTarget();
+        } else {
             backup = backupTarget;
             send(selected, Optional.empty(), by);
         }
@@ -155,7 +164,7 @@
     @Override
     public void onHead(HttpResponse head) {
         relay.receiveHead(head);
-        relay.requestsPerSecondLimit().ifPresent(limit -> selector.reportLimit(target.id(), limit));
+        relay.statements().ifPresent(traits -> context.statements().record(target, traits, selector));
     }
 
     @Override
@@ -176,10 +185,7 @@
     private void reportFirstEvent() {
         if (!firstEventReported) {
             firstEventReported = true;
-            selector.reportOutcome(
-                    selectionKey,
-                    new RunOutcome.FirstEventReceived(
-                            context.nowMillis() - sentMillis, continuity.recordFirstEvent(target)));
+            selector.reportOutcome(selectionKey, continuity.recordFirstEvent(target, context.nowMillis() - sentMillis));
         }
     }
 
@@ -222,7 +228,7 @@
         inFlight = null;
         progressTimer.stop();
         boolean serverError = relay.status() >= 500 && !relay.started();
-        if (serverError && context.policy().retriesServerErrors(route) && limits.tryReserveRerun(isRerunAllowed())) {
+        if (serverError && context.policy().retriesServerErrors(route) && limits.tryReserveRerun(relay)) {
             rerun("failed by target");
             return;
         }
@@ -257,7 +263,7 @@
 
     /** Tries another target after one that did not run the request, if limits allow it. */
     private void retryOrGiveUp(String reason) {
-        if (limits.tryReserveAttempt(isRerunAllowed())) {
+        if (limits.tryReserveAttempt(relay)) {
             selectTarget();
         } else {
             giveUp(reason, context.policy().retryAfterDeclinedMillis());
@@ -274,7 +280,7 @@
     private void handleBreak(String reason) {
         cancelInFlight();
         progressTimer.stop();
-        if (limits.tryReserveRerun(isRerunAllowed())) {
+        if (limits.tryReserveRerun(relay)) {
             rerun(reason);
         } else if (canContinueFromBackup()) {
             continueFromBackup(reason);
@@ -287,7 +293,7 @@
 
     /** Returns whether a started run can resume at its backup as the same run. Takes a retry from the budget. */
     private boolean canContinueFromBackup() {
-        boolean hasBackup = backup.filter(other -> !context.isLimited(other) && continuity.allows(other))
+        boolean hasBackup = backup.filter(other -> context.mayContinueAt(other) && continuity.allows(other))
                 .isPresent();
         return hasBackup && relay.hasForwardedEvents() && limits.tryReserveRetry();
     }
@@ -309,12 +315,6 @@
         }
     }
 
-    /** Returns whether the route allows another run that can continue the response from where the caller has it. */
-    private boolean isRerunAllowed() {
-        boolean isResumable = route.kind() == RouteKind.RESUMABLE_STREAM && relay.hasForwardedEvents();
-        return route.kind().isRetryable() && (!relay.started() || isResumable);
-    }
-
     private void rerun(String reason) {
         selector.reportOutcome(selectionKey, new RunOutcome.ConnectionFailed());
         recorder.recordBroken(target, true, reason, limits.possibleRunCount(), relay.eventCount());
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Locale;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.poplarwharf.internal.http.BodyDelimiter;
 
@@ -130,9 +130,9 @@
         return isFailedContinuation() ? Verdict.FAILED_CONTINUATION : Verdict.COMPLETE;
     }
 
-    /** Returns the requests per second that the target takes from all nodes together, if its response names a limit. */
-    OptionalDouble requestsPerSecondLimit() {
-        return isForOtherRequest() ? OptionalDouble.empty() : traits.requestsPerSecondLimit();
+    /** Returns what the target states with its response, unless that is a late one to another request. */
+    Optional<ResponseTraits> statements() {
+        return isForOtherRequest() ? Optional.empty() : Optional.of(traits);
     }
 
     int status() {
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * Metadata that a target attaches to its response. Immutable and thread-safe.
@@ -10,6 +11,13 @@
  * @param authentic whether the response carries the target's own digest
  * @param notRun whether the target states that it did not run the request
  * @param requestsPerSecondLimit the requests per second that the target takes from all nodes together, if it names a limit
+ * @param targetLeaving whether the target states that it leaves and takes no new requests
+ * @param pauseMillis how long the target takes no requests from this node, if it states that
  */
 public record ResponseTraits(
-        Optional<String> requestId, boolean authentic, boolean notRun, OptionalDouble requestsPerSecondLimit) {}
+        Optional<String> requestId,
+        boolean authentic,
+        boolean notRun,
+        OptionalDouble requestsPerSecondLimit,
+        boolean targetLeaving,
+        OptionalLong pauseMillis) {}
--- a/src/main/java/org/poplarwharf/internal/gateway/StreamContinuity.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/StreamContinuity.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.Target;
@@ -53,14 +54,15 @@
                 .orElse(true);
     }
 
-    /** Records the target whose first event is passed on, and returns the origin of the stream. */
-    Optional<StreamOrigin> recordFirstEvent(Target target) {
+    /** Records the target whose first event is passed on, and returns the outcome with the origin of the stream. */
+    RunOutcome recordFirstEvent(Target target, long firstEventMillis) {
         if (!streaming) {
-            return Optional.empty();
+            return new RunOutcome.FirstEventReceived(firstEventMillis, Optional.empty());
         }
         begun = true;
         StreamOrigin origin = new StreamOrigin(traits.streamId(), service, target.softwareVersion());
-        return origins.record(origin) ? Optional.of(origin) : Optional.empty();
+        return new RunOutcome.FirstEventReceived(
+                firstEventMillis, Optional.of(origin).filter(origins::record));
     }
 
     /** Returns the failure of a request that no target may run for the given reason. */
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -25,6 +25,9 @@
     /** Reports that a request with a selected target has ended normally, and whether its response was a success. */
     void reportEnd(String key, boolean successful);
 
+    /** Reports that a target states that it leaves. */
+    void reportLeaving(Target target);
+
     /**
      * Reports that a target has named the requests per second that it takes from all nodes together. To be called before
      * the outcome of the request is reported.
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -54,7 +54,7 @@
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
-    private final Listener listener;
+    private final HolderListener listener;
     private final Map<String, PendingRequest> pending = new HashMap<>();
     private final Map<String, Run> runs = new HashMap<>();
     private final FallbackTargetPicker fallback;
@@ -68,18 +68,6 @@
 
     private record Run(Decider decider, String targetId) {}
 
-    /** Receives changes of the holder that are observed on its connection. */
-    public interface Listener {
-        /** Called when the holder's process has ended or another process runs at its address. */
-        void holderEnded(String incarnation);
-
-        /** Called with the number of nodes that the holder, which may be this node, is connected to, itself included. */
-        void nodeCountReported(int nodeCount);
-
-        /** Called with the suspects that the holder refuses, or no longer refuses. */
-        void crashesAnnounced(HolderMessage.TargetCrashes announcement);
-    }
-
     public EngineTargetSelector(
             HolderRole localHolder,
             FleetView view,
@@ -89,7 +77,7 @@
             DecisionLog log,
             TargetLimits targetLimits,
             StreamOrigins streamOrigins,
-            Listener listener) {
+            HolderListener listener) {
         this.localHolder = localHolder;
         this.view = view;
         this.targetLimits = targetLimits;
@@ -186,6 +174,13 @@
         }
     }
 
+    @Override
+    public void reportLeaving(Target target) {
+        if (!localHolder.isHolding()) {
+            send(HolderMessage.leavingMessage(target));
+        }
+    }
+
     @Override
     public void reportLimit(String targetId, double requestsPerSecond) {
         targetLimits.recordNamed(targetId, requestsPerSecond, clock.nowMillis());
@@ -292,6 +287,7 @@
     public void opened(HolderConnections.Connection openedConnection) {
         link.opened(openedConnection);
         targetLimits.requestsPerSecondByTarget().forEach(this::reportLimit);
+        view.statedLeaving().forEach(this::reportLeaving);
         unsharedOrigins.takeAll().forEach(origin -> send(HolderMessage.originMessage(origin)));
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -291,7 +291,7 @@
         }
     }
 
-    private final class HolderConnectionListener implements EngineTargetSelector.Listener {
+    private final class HolderConnectionListener implements HolderListener {
         @Override
         public void holderEnded(String incarnation) {
             lease.holderEnded(incarnation);
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderListener.java
@@ -0,0 +1,13 @@
+package org.poplarwharf.internal.holder;
+
+/** Receives changes of the holder that are observed on its connection. */
+public interface HolderListener {
+    /** Called when the holder's process has ended or another process runs at its address. */
+    void holderEnded(String incarnation);
+
+    /** Called with the number of nodes that the holder, which may be this node, is connected to, itself included. */
+    void nodeCountReported(int nodeCount);
+
+    /** Called with the suspects that the holder refuses, or no longer refuses. */
+    void crashesAnnounced(HolderMessage.TargetCrashes announcement);
+}
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -16,6 +16,7 @@
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
+import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.stream.StreamContinuation;
 import org.poplarwharf.internal.stream.StreamOrigin;
 
@@ -89,7 +90,7 @@
 
     /**
      * Reports the outcome of a granted run, and the origin of its stream with the first event. With an empty key it reports
-     * only a limit or an origin; nodes of earlier releases, which know neither, ignore such a message.
+     * only a limit, an origin or a target that leaves; nodes of earlier releases, which know none, ignore such a message.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Outcome(
@@ -97,11 +98,13 @@
             OutcomeKind kind,
             long firstEventMillis,
             Optional<NamedLimit> namedLimit,
-            Optional<StreamOrigin> origin)
+            Optional<StreamOrigin> origin,
+            Optional<LeavingTarget> leavingTarget)
             implements HolderMessage {
         public Outcome {
             namedLimit = orEmpty(namedLimit);
             origin = orEmpty(origin);
+            leavingTarget = orEmpty(leavingTarget);
         }
     }
 
@@ -109,6 +112,10 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record NamedLimit(String targetId, double requestsPerSecond) {}
 
+    /** An incarnation of a target that has stated in a response that it leaves. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record LeavingTarget(String targetId, long startedAtMillis) {}
+
     /**
      * Reports that a granted run has ended normally, and whether its response was a success; earlier releases don't state
      * that.
@@ -259,7 +266,12 @@
         return switch (outcome) {
             case RunOutcome.FirstEventReceived answered ->
                 new Outcome(
-                        key, OutcomeKind.ANSWERED, answered.firstEventMillis(), Optional.empty(), answered.origin());
+                        key,
+                        OutcomeKind.ANSWERED,
+                        answered.firstEventMillis(),
+                        Optional.empty(),
+                        answered.origin(),
+                        Optional.empty());
             case RunOutcome.Declined declined -> endMessage(key, OutcomeKind.DECLINED);
             case RunOutcome.ConnectionFailed broken -> endMessage(key, OutcomeKind.BROKEN);
             case RunOutcome.Abandoned abandoned -> endMessage(key, OutcomeKind.ABANDONED);
@@ -273,16 +285,23 @@
                 OutcomeKind.ANSWERED,
                 0,
                 Optional.of(new NamedLimit(targetId, requestsPerSecond)),
+                Optional.empty(),
                 Optional.empty());
     }
 
+    /** Returns the message that reports that a target leaves. */
+    static HolderMessage leavingMessage(Target target) {
+        LeavingTarget leaving = new LeavingTarget(target.id(), target.startedAtMillis());
+        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.empty(), Optional.of(leaving));
+    }
+
     /** Returns the message that reports the origin of a stream. */
     static HolderMessage originMessage(StreamOrigin origin) {
-        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.of(origin));
+        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.of(origin), Optional.empty());
     }
 
     private static HolderMessage endMessage(String key, OutcomeKind kind) {
-        return new Outcome(key, kind, 0, Optional.empty(), Optional.empty());
+        return new Outcome(key, kind, 0, Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /** Returns the outcome of a run that a node has reported. */
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -225,6 +225,10 @@
                 .ifPresent(limit ->
                         targetLimits.recordNamed(limit.targetId(), limit.requestsPerSecond(), clock.nowMillis()));
         outcome.origin().ifPresent(originSearch::record);
+        outcome.leavingTarget()
+                .flatMap(leaving -> view.target(leaving.targetId())
+                        .filter(target -> target.startedAtMillis() == leaving.startedAtMillis()))
+                .ifPresent(view::markLeaving);
         recordOutcome(outcome.key(), HolderMessage.runOutcome(outcome));
     }
 
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -45,6 +45,19 @@
     /** Requests per second, a decimal number, that a target in need takes from all nodes together. */
     private static final String REQUESTS_PER_SECOND_LIMIT = "Server-Limit";
 
+    /** Has the value 1 in all responses of a target that leaves. */
+    private static final String TARGET_LEAVING = "Server-Leaving";
+
+    /** In a response 503: the seconds, a decimal number, for which the target takes no requests from this node. */
+    private static final String RETRY_AFTER = "Retry-After";
+
+    private static final double MAX_PAUSE_SECONDS = 1e6;
+
+    private static final int UNAVAILABLE = 503;
+
+    /** The status of a response by another target than the expected one, whose statements concern that other target. */
+    private static final int MISDIRECTED = 421;
+
     /** Headers that only nodes and targets may set; they are removed from callers' requests. */
     private static final List<String> RESERVED = List.of(
             EXPECTED_TARGET,
@@ -83,8 +96,10 @@
         return new ResponseTraits(
                 Optional.ofNullable(headers.get(REQUEST_ID)),
                 headers.contains(RESPONSE_DIGEST),
-                headers.contains(NOT_EXECUTED) || status == 421,
-                parseRate(headers.get(REQUESTS_PER_SECOND_LIMIT)));
+                headers.contains(NOT_EXECUTED) || status == MISDIRECTED,
+                parseRate(headers.get(REQUESTS_PER_SECOND_LIMIT)),
+                status != MISDIRECTED && statesLeaving(headers),
+                status == UNAVAILABLE ? parsePause(headers.getAll(RETRY_AFTER)) : OptionalLong.empty());
     }
 
     @Override
@@ -115,6 +130,18 @@
         return text == null ? OptionalLong.empty() : DecimalParser.parse(text);
     }
 
+    private static boolean statesLeaving(HttpHeaders headers) {
+        return headers.getAll(TARGET_LEAVING).stream().map(String::strip).anyMatch("1"::equals);
+    }
+
+    /** Parses the longest of some durations in seconds; empty if none is a decimal number that isn't negative, such as a date. */
+    private static OptionalLong parsePause(List<String> texts) {
+        return texts.stream()
+                .flatMapToDouble(text -> parseRate(text).stream())
+                .mapToLong(seconds -> (long) Math.ceil(Math.min(seconds, MAX_PAUSE_SECONDS) * 1_000))
+                .max();
+    }
+
     /** Parses a rate; empty unless it is a finite decimal number that isn't negative. */
     private static OptionalDouble parseRate(String text) {
         if (text == null) {
--- a/src/main/java/org/poplarwharf/internal/platform/package-info.java
+++ b/src/main/java/org/poplarwharf/internal/platform/package-info.java
@@ -29,6 +29,10 @@
  * <td>{@link PlatformHeaderCodec}</td></tr>
  * <tr><td>{@code Server-Limit}</td><td>{@code ResponseTraits.requestsPerSecondLimit}</td>
  * <td>{@link PlatformHeaderCodec}</td></tr>
+ * <tr><td>{@code Server-Leaving}</td><td>{@code ResponseTraits.targetLeaving}</td>
+ * <td>{@link PlatformHeaderCodec}</td></tr>
+ * <tr><td>{@code Retry-After} of a 503</td><td>{@code ResponseTraits.pauseMillis}</td>
+ * <td>{@link PlatformHeaderCodec}</td></tr>
  * <tr><td>{@code version} of an entry</td><td>{@code Target.softwareVersion}</td><td>{@link TargetEntryDecoder}</td></tr>
  * <tr><td>{@code Resumes}</td><td>{@code RequestTraits.resumedRequestId}</td><td>{@link PlatformHeaderCodec}</td></tr>
  * <tr><td>topics, records, offsets</td><td>keyed topics of the platform's log</td>
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -262,7 +262,7 @@
         }
     }
 
-    private static final class NoChanges implements EngineTargetSelector.Listener {
+    private static final class NoChanges implements HolderListener {
         @Override
         public void holderEnded(String incarnation) {
             // The holder does not end in these tests.
--- a/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
@@ -54,7 +54,12 @@
                         EARLIER_CODEC.encode(new EarlierMessage.Outcome("k", HolderMessage.OutcomeKind.ANSWERED, 7)),
                         "a node"))
                 .isEqualTo(new HolderMessage.Outcome(
-                        "k", HolderMessage.OutcomeKind.ANSWERED, 7, Optional.empty(), Optional.empty()));
+                        "k",
+                        HolderMessage.OutcomeKind.ANSWERED,
+                        7,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty()));
     }
 
     @Test
