--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -14,7 +14,8 @@
 /**
  * This node's view of the deployment: the operator's plan and the known targets.
  *
- * <p>Invariants: the plan's version never decreases. An incarnation of a target that leaves never stops leaving. Confined to the event loop.
+ * <p>Invariants: the plan's version never decreases. An incarnation that has stated that it leaves never stops leaving.
+ * Confined to the event loop.
  */
 public final class FleetView {
     private static final int MAX_LEAVING_COUNT = 1_000;
