Keep a prompt part refused when the log has lost its record

Found by reading the change again. A follower reports each key that a restored or newly read log lacks as removed, and a removed record cleared the part: after a return of the log from an older copy, the holder and nodes without one would have sent its requests on until the record was written and read again. A part that another node had cleared was also written again after a restore, since the node that had recorded it still listed it.

Removed records say nothing now, as it always was for requests; a part is cleared by a success and by the holder's message alone.

--- a/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashTopic.java
@@ -16,7 +16,7 @@
  * have recorded.
  *
  * <p>Invariants: a record is appended until the log has acknowledged it; an append that is executed twice has the effect
- * of one. A removed record of a request is not forgotten by the nodes that know it. Confined to the event loop.
+ * of one. A removed record is not forgotten by the nodes that know it. Confined to the event loop.
  */
 public final class CrashTopic implements TopicFollower.Listener {
     /** Crashes of one target are detected by all its lost runs within a few milliseconds and appended together. */
@@ -38,7 +38,6 @@
     private final TopicFollower.Timer timer;
     private final DecisionLog log;
     private final Consumer<List<TargetCrash>> listener;
-    private final Consumer<Suspect.PromptPart> clearedListener;
     private final Map<String, byte[]> pending = new LinkedHashMap<>();
     private boolean appendScheduled;
 
@@ -46,21 +45,18 @@
      * Creates a writer and reader of a topic.
      *
      * @param listener receives the crashes that are read from the topic
-     * @param clearedListener receives the parts of prompts whose crashes are deleted
      */
     public CrashTopic(
             String topic,
             KeyedLog platformLog,
             TopicFollower.Timer timer,
             DecisionLog log,
-            Consumer<List<TargetCrash>> listener,
-            Consumer<Suspect.PromptPart> clearedListener) {
+            Consumer<List<TargetCrash>> listener) {
         this.topic = topic;
         this.platformLog = platformLog;
         this.timer = timer;
         this.log = log;
         this.listener = listener;
-        this.clearedListener = clearedListener;
     }
 
     /** Records crashes. */
@@ -127,10 +123,7 @@
 
     @Override
     public void onRemoved(String key) {
-        // Each node forgets the crashes of a request by its own clock.
-        if (TargetCrash.fromKey(key).map(TargetCrash::suspect).orElse(null) instanceof Suspect.PromptPart part) {
-            clearedListener.accept(part);
-        }
+        // Each node forgets a crash by its own clock; a restore of the log removes records too.
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
+++ b/src/main/java/org/poplarwharf/internal/crash/TargetCrash.java
@@ -18,6 +18,11 @@
     private static final String SEPARATOR = "/";
     private static final int PART_COUNT = 5;
 
+    /** Returns the crash of a target under a part of a prompt, which is one crash for all nodes that had it in flight. */
+    public static TargetCrash ofPromptPart(Suspect.PromptPart part, String targetId, long targetStartedAtMillis) {
+        return new TargetCrash(part.id(), targetId, targetStartedAtMillis, "", 0);
+    }
+
     /** Returns what was in flight. */
     public Suspect suspect() {
         return Suspect.fromId(suspectId);
--- a/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
@@ -6,7 +6,6 @@
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.CrashTopic;
-import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.GatewaySettings;
@@ -54,8 +53,7 @@
             DecisionLog log,
             CrashExchange.Peers peers) {
         this.timer = timer;
-        CrashTopic topic =
-                new CrashTopic(TOPIC, platformLog, timer, log, this::handleRecords, this::handleClearedPromptPart);
+        CrashTopic topic = new CrashTopic(TOPIC, platformLog, timer, log, this::handleRecords);
         this.exchange = new CrashExchange(history, topic, clock, log, peers);
         long entryRemovalMillis = MISSED_HEARTBEATS_COUNT * settings.heartbeatIntervalMillis()
                 + settings.targetRemovalMillis()
@@ -82,10 +80,6 @@
         exchange.crashesRead(crashes);
     }
 
-    private void handleClearedPromptPart(Suspect.PromptPart part) {
-        exchange.promptPartCleared(part);
-    }
-
     CrashHistory history() {
         return history;
     }
--- a/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashExchange.java
@@ -89,7 +89,7 @@
         passOn(logged(history.addRefused(announcement.crashes(), clock.getAsLong()), "holder"));
         for (String id : announcement.clearedParts().orElse(List.of())) {
             if (Suspect.fromId(id) instanceof Suspect.PromptPart part) {
-                promptPartCleared(part);
+                clear(part);
             }
         }
     }
@@ -99,9 +99,10 @@
         learn(crashes, "other-node");
     }
 
-    /** Handles that a part of a prompt is no longer refused, according to the holder or the log. */
-    void promptPartCleared(Suspect.PromptPart part) {
-        if (!history.clear(part).isEmpty()) {
+    private void clear(Suspect.PromptPart part) {
+        List<TargetCrash> cleared = history.clear(part);
+        cleared.forEach(recordedHere::remove);
+        if (!cleared.isEmpty()) {
             log.log("prompt-part-cleared", "suspect", part.id(), "source", "other-node");
         }
     }
@@ -122,7 +123,7 @@
         if (cleared.isEmpty()) {
             return;
         }
-        recordedHere.removeAll(cleared);
+        cleared.forEach(recordedHere::remove);
         topic.delete(cleared);
         cleared.stream().map(TargetCrash::suspect).distinct().forEach(suspect -> {
             log.log("prompt-part-cleared", "suspect", suspect.id(), "source", "success");
