Count a crash under a prompt part once, whichever nodes had it in flight

Each node that had a part in flight at a crash reported it under its own name, and the holder passed on all crashes of a refused part with each of these reports: 60 nodes and 8 crashes made 99,150 entries for each connected node (CrashExchangeTest, red). Parts that were only in flight also left a deletion on the log when they expired.

A crash under a part is now one record for all nodes, and the holder passes on and records the latest one, which is all that a node needs to refuse the part: 8 entries at most in the same test. Nothing that was not recorded is deleted. How many runs were lost is still counted by the requests.

--- a/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
@@ -155,9 +155,12 @@
     }
 
     private Stream<TargetCrash> crashesOf(LostRun run, Incarnation incarnation) {
-        return run.suspects().ids().stream()
-                .map(suspectId -> history.crashOf(
-                        suspectId, incarnation.targetId(), incarnation.startedAtMillis(), nodeId, run.sentMillis()));
+        String fingerprint = run.suspects().wholeRequest().fingerprint();
+        TargetCrash ofRequest = history.crashOf(
+                fingerprint, incarnation.targetId(), incarnation.startedAtMillis(), nodeId, run.sentMillis());
+        Stream<TargetCrash> ofParts = run.suspects().promptParts().stream()
+                .map(part -> TargetCrash.ofPromptPart(part, incarnation.targetId(), incarnation.startedAtMillis()));
+        return Stream.concat(Stream.of(ofRequest), ofParts);
     }
 
     private void removeExpired() {
--- a/src/main/java/org/poplarwharf/internal/crash/CrashHistory.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashHistory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * The crashes of targets by the suspects that were in flight, and the suspects that are refused for them.
@@ -73,7 +74,7 @@
                 added.add(crash);
             }
         }
-        promptParts.recordCrashes(added, nowMillis);
+        promptParts.recordCrashes(crashes, added, nowMillis);
         added.forEach(this::refuseIfGuilty);
         removeExcess();
         return added;
@@ -209,24 +210,38 @@
                 .toList();
     }
 
-    /** Returns all crashes of those suspects among the given ones that are refused. */
+    /**
+     * Returns the crashes that show other nodes which of the given suspects are refused: all of a request, which each node
+     * counts itself, and the latest of a part of a prompt.
+     */
     public List<TargetCrash> crashesOfRefused(List<TargetCrash> crashes, long nowMillis) {
         return crashes.stream()
                 .map(TargetCrash::suspect)
                 .distinct()
                 .filter(suspect -> refusal(suspect, nowMillis).isPresent())
-                .flatMap(suspect -> bySuspect.get(suspect.id()).recordedMillis.keySet().stream())
+                .flatMap(this::sharedCrashes)
                 .toList();
     }
 
-    /** Removes the crashes of suspects without a recent crash, and returns them. */
+    private Stream<TargetCrash> sharedCrashes(Suspect suspect) {
+        Map<TargetCrash, Long> recordedMillis = bySuspect.get(suspect.id()).recordedMillis;
+        return switch (suspect) {
+            case Suspect.WholeRequest request -> recordedMillis.keySet().stream();
+            case Suspect.PromptPart part ->
+                recordedMillis.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).stream();
+        };
+    }
+
+    /** Removes the crashes of suspects without a recent crash, and returns those that may be on the log. */
     public List<TargetCrash> removeExpired(long nowMillis) {
         List<TargetCrash> expired = new ArrayList<>();
         bySuspect.entrySet().removeIf(each -> {
             Entry entry = each.getValue();
             boolean isExpired = entry.latestMillis + RETENTION_MILLIS <= nowMillis;
             if (isExpired) {
-                expired.addAll(entry.recordedMillis.keySet());
+                if (entry.isRefusedPart || Suspect.fromId(each.getKey()) instanceof Suspect.WholeRequest) {
+                    expired.addAll(entry.recordedMillis.keySet());
+                }
                 forget(each.getKey(), entry);
             }
             return isExpired;
--- a/src/main/java/org/poplarwharf/internal/crash/PromptPartEvidence.java
+++ b/src/main/java/org/poplarwharf/internal/crash/PromptPartEvidence.java
@@ -22,7 +22,7 @@
 final class PromptPartEvidence {
     private static final int GUILTY_MOMENT_COUNT = 3;
 
-    /** Small compared with the number of parts that are in flight at crashes of targets. */
+    /** The chance at which the record of an innocent part is taken for that of a guilty one. */
     private static final double MAX_CHANCE = 0.00005;
 
     /** Longer than the connections of targets in one failure domain take to break. */
@@ -86,29 +86,33 @@
         return byPart.isEmpty();
     }
 
-    /** Records crashes that become known together; those of whole requests tell how many runs were lost. */
-    void recordCrashes(Collection<TargetCrash> crashes, long nowMillis) {
+    /**
+     * Records crashes that become known together; those of whole requests tell how many runs were lost.
+     *
+     * @param reported tell the service of each target; some of them may be known
+     * @param added those that were not known
+     */
+    void recordCrashes(Collection<TargetCrash> reported, Collection<TargetCrash> added, long nowMillis) {
         Map<String, ServiceRecord> serviceByIncarnation = new HashMap<>();
-        for (TargetCrash crash : crashes) {
+        for (TargetCrash crash : reported) {
             if (crash.suspect() instanceof Suspect.PromptPart part) {
-                serviceByIncarnation.put(crash.incarnation(), recordCrash(part, crash.incarnation(), nowMillis));
+                serviceByIncarnation.put(
+                        crash.incarnation(), byService.computeIfAbsent(part.serviceHash(), key -> new ServiceRecord()));
             }
         }
-        for (TargetCrash crash : crashes) {
-            ServiceRecord service = serviceByIncarnation.get(crash.incarnation());
-            if (service != null && crash.suspect() instanceof Suspect.WholeRequest) {
-                service.crashOf(crash.incarnation()).lostRunCount++;
+        for (TargetCrash each : added) {
+            ServiceRecord service = serviceByIncarnation.get(each.incarnation());
+            if (service != null) {
+                Crash crash = service.crashOf(each.incarnation());
+                switch (each.suspect()) {
+                    case Suspect.WholeRequest request -> crash.lostRunCount++;
+                    case Suspect.PromptPart part ->
+                        byPart.computeIfAbsent(part, key -> new PartRecord()).recordCrash(crash, nowMillis);
+                }
             }
         }
     }
 
-    private ServiceRecord recordCrash(Suspect.PromptPart part, String incarnation, long nowMillis) {
-        ServiceRecord service = byService.computeIfAbsent(part.serviceHash(), key -> new ServiceRecord());
-        Crash crash = service.crashOf(incarnation);
-        byPart.computeIfAbsent(part, key -> new PartRecord()).recordCrash(crash, nowMillis);
-        return service;
-    }
-
     /** Records a whole response to a request with these parts, which clears them. */
     void recordSuccess(List<Suspect.PromptPart> parts) {
         if (parts.isEmpty()) {
--- a/src/main/java/org/poplarwharf/internal/crash/RequestSuspects.java
+++ b/src/main/java/org/poplarwharf/internal/crash/RequestSuspects.java
@@ -1,6 +1,5 @@
 package org.poplarwharf.internal.crash;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.poplarwharf.internal.fleet.RequestTraits;
 
@@ -55,12 +54,4 @@
         }
         return promptParts;
     }
-
-    /** Returns the ids of all suspects. */
-    List<String> ids() {
-        List<String> ids = new ArrayList<>();
-        ids.add(fingerprint);
-        promptParts().forEach(part -> ids.add(part.id()));
-        return ids;
-    }
 }
--- a/src/test/java/org/poplarwharf/internal/crash/PromptPartHistoryTest.java
+++ b/src/test/java/org/poplarwharf/internal/crash/PromptPartHistoryTest.java
@@ -44,7 +44,7 @@
             requestCount++;
             crashes.add(new TargetCrash("f" + requestCount, "t" + targetCount, 1, "n1", 0));
             for (Suspect.PromptPart part : suspects.promptParts()) {
-                crashes.add(history.crashOf(part.id(), "t" + targetCount, 1, "n1", nowMillis));
+                crashes.add(TargetCrash.ofPromptPart(part, "t" + targetCount, 1));
             }
         }
         history.addAll(crashes, nowMillis);
--- a/src/test/java/org/poplarwharf/internal/holder/CrashExchangeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashExchangeTest.java
@@ -8,18 +8,25 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.CrashTopic;
 import org.poplarwharf.internal.crash.RequestFingerprint;
+import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.topic.TopicFollower;
 import org.poplarwharf.support.FakeKeyedLog;
 
 /** Shares prompt parts that crash targets, at the lease holder. */
 class CrashExchangeTest {
+    private static final int CRASH_COUNT = 8;
+    private static final int SUCCESS_COUNT = 10;
+    private static final long INTERVAL_MILLIS = 1_000;
     private static final Suspect.PromptPart PART =
             new Suspect.PromptPart(RequestFingerprint.of(List.of("lm"), new byte[0]), "p");
 
@@ -39,6 +46,41 @@
         }
     }
 
+    /** Reports crashes one after the other, each by as many nodes; requests without the part succeed between them. */
+    private void reportCrashes(int nodeCount) {
+        for (int crash = 0; crash < CRASH_COUNT; crash++) {
+            nowMillis += INTERVAL_MILLIS;
+            for (int node = 0; node < nodeCount; node++) {
+                String request = "f" + crash + "-" + node;
+                exchange.crashesReported(List.of(
+                        new TargetCrash(request, "t" + crash, 1, "n" + node, 0),
+                        TargetCrash.ofPromptPart(PART, "t" + crash, 1)));
+            }
+            for (int success = 0; success < SUCCESS_COUNT * nodeCount; success++) {
+                exchange.runSucceeded(sound());
+            }
+        }
+        runTasks();
+    }
+
+    private static RequestSuspects sound() {
+        List<RequestTraits.PromptPart> parts =
+                List.of(new RequestTraits.PromptPart("sound", 1), new RequestTraits.PromptPart("last", 1));
+        return new RequestSuspects(
+                "",
+                "lm",
+                new RequestTraits(
+                        "r",
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        0,
+                        parts,
+                        OptionalLong.empty(),
+                        Optional.empty()));
+    }
+
     private boolean isRefused() {
         return exchange.knownCrashes().stream()
                 .anyMatch(crash -> crash.suspect().equals(PART));
@@ -69,6 +111,25 @@
         assertThat(platformLog.latestValues()).isEmpty();
     }
 
+    @Test
+    void messages_and_records_do_not_grow_with_the_nodes_that_report_a_crash() {
+        reportCrashes(60);
+
+        assertThat(peers.broadcast.stream().filter(crash -> crash.suspect().equals(PART)))
+                .hasSizeBetween(1, CRASH_COUNT);
+        assertThat(platformLog.recordCount()).isLessThanOrEqualTo(CRASH_COUNT);
+    }
+
+    @Test
+    void parts_that_were_only_in_flight_leave_no_record_when_they_expire() {
+        exchange.crashesReported(List.of(TargetCrash.ofPromptPart(PART, "t", 1)));
+        nowMillis += 1_000_000;
+        exchange.removeExpired();
+        runTasks();
+
+        assertThat(platformLog.recordCount()).isZero();
+    }
+
     private static final class FakePeers implements CrashExchange.Peers {
         private final List<TargetCrash> broadcast = new ArrayList<>();
 
