Do not clear a prompt part by a response whose end its target has not marked

A stream without length or chunks that its target breaks off between two events looks whole, and counted as a success that clears the parts of its prompt. A part under which every other engine ends so was never refused.

Only responses with a length or a last chunk clear a part now.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -233,8 +233,8 @@
             return;
         }
         reportFirstEvent();
-        selector.reportEnd(selectionKey, relay.isSuccess());
-        context.crashDetector().recordResponse(suspects, relay.isSuccess());
+        selector.reportEnd(selectionKey, relay.isMarkedSuccess());
+        context.crashDetector().recordResponse(suspects, relay.isMarkedSuccess());
         close("request-answered", relay.finish());
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -139,8 +139,12 @@
         return head.status().code();
     }
 
-    /** Returns whether the target has stated success. */
-    boolean isSuccess() {
+    /** Returns whether the target has stated success and marked the end of its response, so that it was not broken off. */
+    boolean isMarkedSuccess() {
+        return isSuccess() && BodyDelimiter.of(head) != BodyDelimiter.CONNECTION_END;
+    }
+
+    private boolean isSuccess() {
         return status() / 100 == 2;
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -22,7 +22,7 @@
      */
     void reportOutcome(String key, RunOutcome outcome);
 
-    /** Reports that a request with a selected target has ended normally, and whether its response was a success. */
+    /** Reports that a request with a selected target has ended normally, and whether its response was certainly a success. */
     void reportEnd(String key, boolean successful);
 
     /** Reports that a target states that it leaves. */
--- a/src/test/java/org/poplarwharf/internal/holder/CrashingPromptPartGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingPromptPartGatewayTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.support.Eventually;
+import org.poplarwharf.support.ScriptedTarget;
 
 /**
  * Sends requests that hold a part under which engines crash, and others that share their other parts, to the nodes in turn.
@@ -81,6 +82,26 @@
         assertThat(sound).allMatch(response -> response.statusCode() == 200);
     }
 
+    /** Such a response may have been broken off between two events. */
+    @Test
+    void response_whose_end_its_target_has_not_marked_does_not_clear_a_part() throws Exception {
+        AtomicInteger crashingRequestCount = new AtomicInteger();
+        start(prompt -> prompt.contains(CRASHING_PART) && crashingRequestCount.getAndIncrement() % 2 == 0);
+        cluster.soundScript = (request, out) -> {
+            if (request.header("X-Prompt-Prefix").contains(CRASHING_PART)) {
+                ScriptedTarget.writeUnframedStreamHead(out, request);
+                ScriptedTarget.write(out, "id: 1\ndata: x\n\n");
+                request.connection().close();
+            } else {
+                ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+            }
+        };
+        sendMixed(CRASHING_REQUEST_COUNT);
+
+        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(sendCrashing(0).statusCode()).isEqualTo(503);
+    }
+
     @Test
     void engines_that_crash_by_themselves_condemn_no_prompt_part() throws Exception {
         Random random = new Random(1);
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -45,6 +45,10 @@
     /** High enough that a single request may be retried. */
     private static final double RETRY_RATIO = 2;
 
+    /** How targets that crash under some requests respond to the others. */
+    volatile ScriptedTarget.Script soundScript =
+            (request, out) -> ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+
     /** A crashed target is back in less time than the platform needs to remove its entry. */
     private static final long RESTART_MILLIS = 150;
 
@@ -131,7 +135,7 @@
         AtomicInteger restartCount = new AtomicInteger();
         target.script = (request, out) -> {
             if (!crashes.test(request)) {
-                ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+                soundScript.respond(request, out);
                 return;
             }
             crashCount.incrementAndGet();
