Let the shared fake of the log reject appends at an unknown end again

CrashExchangeTest had made it accept them, which took a check from the tests of the lease: they fail if the lease appends other than at a known end. The test has a fake of its own now.

--- a/src/test/java/org/poplarwharf/internal/holder/CrashExchangeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashExchangeTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.CrashTopic;
@@ -19,8 +20,8 @@
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.topic.KeyedLog;
 import org.poplarwharf.internal.topic.TopicFollower;
-import org.poplarwharf.support.FakeKeyedLog;
 
 /** Shares prompt parts that crash targets, at the lease holder. */
 class CrashExchangeTest {
@@ -30,7 +31,7 @@
     private static final Suspect.PromptPart PART =
             new Suspect.PromptPart(RequestFingerprint.of(List.of("lm"), new byte[0]), "p");
 
-    private final FakeKeyedLog platformLog = new FakeKeyedLog();
+    private final AppendedRecords platformLog = new AppendedRecords();
     private final Deque<Runnable> tasks = new ArrayDeque<>();
     private final DecisionLog log = new DecisionLog("n0", "z1", new PrintStream(OutputStream.nullOutputStream()));
     private final CrashHistory history = new CrashHistory();
@@ -91,7 +92,7 @@
         exchange.crashesRead(List.of(TargetCrash.ofPromptPart(PART, "t", 1)));
         topic.record(exchange.knownCrashes());
         runTasks();
-        platformLog.latestValues().keySet().forEach(topic::onRemoved);
+        platformLog.records.forEach(record -> topic.onRemoved(record.key()));
 
         assertThat(isRefused()).isTrue();
     }
@@ -101,14 +102,14 @@
         exchange.crashesRead(List.of(TargetCrash.ofPromptPart(PART, "t", 1)));
         exchange.crashesReported(List.of(TargetCrash.ofPromptPart(PART, "t2", 1)));
         runTasks();
-        assertThat(platformLog.latestValues()).isNotEmpty();
-        platformLog.restore(0);
+        assertThat(platformLog.records).isNotEmpty();
+        platformLog.records.clear();
         exchange.announced(HolderMessage.TargetCrashes.cleared(PART));
         exchange.recordAgain();
         runTasks();
 
         assertThat(isRefused()).isFalse();
-        assertThat(platformLog.latestValues()).isEmpty();
+        assertThat(platformLog.records).isEmpty();
     }
 
     @Test
@@ -117,7 +118,7 @@
 
         assertThat(peers.broadcast.stream().filter(crash -> crash.suspect().equals(PART)))
                 .hasSizeBetween(1, CRASH_COUNT);
-        assertThat(platformLog.recordCount()).isLessThanOrEqualTo(CRASH_COUNT);
+        assertThat(platformLog.records).hasSizeBetween(1, CRASH_COUNT);
     }
 
     @Test
@@ -127,7 +128,38 @@
         exchange.removeExpired();
         runTasks();
 
-        assertThat(platformLog.recordCount()).isZero();
+        assertThat(platformLog.records).isEmpty();
+    }
+
+    /** A log that keeps what is appended. */
+    private static final class AppendedRecords implements KeyedLog {
+        private final List<Entry> records = new ArrayList<>();
+
+        @Override
+        public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
+            records.addAll(entries);
+            callback.accept(new Appended(0));
+        }
+
+        @Override
+        public void appendAt(String topic, Position end, String key, byte[] value, Consumer<AppendResult> callback) {
+            throw new UnsupportedOperationException("crashes are appended wherever the topic ends");
+        }
+
+        @Override
+        public void onRestored(RestoreListener listener) {
+            throw new UnsupportedOperationException("a restore is handled elsewhere");
+        }
+
+        @Override
+        public void readLatest(String topic, Optional<String> afterKey, Consumer<LatestResult> callback) {
+            throw new UnsupportedOperationException("a follower reads");
+        }
+
+        @Override
+        public void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback) {
+            throw new UnsupportedOperationException("a follower reads");
+        }
     }
 
     private static final class FakePeers implements CrashExchange.Peers {
--- a/src/test/java/org/poplarwharf/support/FakeKeyedLog.java
+++ b/src/test/java/org/poplarwharf/support/FakeKeyedLog.java
@@ -74,13 +74,7 @@
 
     @Override
     public void append(String topic, List<Entry> entries, Consumer<AppendResult> callback) {
-        if (unavailable) {
-            callback.accept(new Unavailable("away"));
-            return;
-        }
-        int offset = records.size();
-        entries.forEach(entry -> records.add(new KeyedRecord(records.size(), entry.key(), entry.value())));
-        callback.accept(new Appended(offset));
+        throw new UnsupportedOperationException("a lease appends at a known end only");
     }
 
     @Override
