Log for how long a target was silent, and requests dropped on a connection

request-repeated and request-broken now tell how long the target had sent nothing, the end of a request names the reason of its first break, request-dropped names each whole request that its connection drops, and caller-connection-failed the request under way. The queue of pipelined requests becomes a class of its own. No decision changes.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -31,8 +31,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
@@ -61,7 +59,7 @@
     private final GatewayContext gateway;
     private final ProxyServer server;
     private final EventLoop loop;
-    private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private final PipelinedRequests pipelined;
     private Channel channel;
     private HttpRequest incoming;
     private ByteBuf incomingBody = Unpooled.EMPTY_BUFFER;
@@ -76,6 +74,7 @@
         this.gateway = gateway;
         this.server = server;
         this.loop = loop;
+        this.pipelined = new PipelinedRequests(gateway);
     }
 
     @Override
@@ -99,6 +98,9 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (discarding) {
+                if (message instanceof HttpRequest request) {
+                    pipelined.logDropped(request, "connection takes no more requests");
+                }
                 return;
             }
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -170,8 +172,8 @@
         incomingBody = Unpooled.EMPTY_BUFFER;
         cancelReadTimer();
         if (exchange != null) {
-            pipelined.addLast(complete);
-            channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_COUNT);
+            pipelined.add(complete);
+            channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
             return;
         }
         startExchange(complete);
@@ -321,16 +323,12 @@
         // its next request on this connection.
         if (closeAfter || server.isDraining()) {
             discarding = true;
+            pipelined.dropAll("connection closes after the response before");
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        FullHttpRequest next = pipelined.pollFirst();
         channel.config().setAutoRead(true);
-        if (next != null) {
-            startExchange(next);
-        } else {
-            startReadTimer(limits().idleTimeoutMillis());
-        }
+        pipelined.take().ifPresentOrElse(this::startExchange, () -> startReadTimer(limits().idleTimeoutMillis()));
     }
 
     @Override
@@ -344,8 +342,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         cancelReadTimer();
         server.removeConnection(this);
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        pipelined.dropAll("connection closed");
         if (incoming != null) {
             incomingBody.release();
             incoming = null;
@@ -359,7 +356,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        gateway.log().log("caller-connection-failed", "reason", String.valueOf(cause));
+        String requestId = current == null
+                ? ""
+                : gateway.headerCodec().readRequest(current.headers()).requestId();
+        gateway.log().log("caller-connection-failed", "requestId", requestId, "reason", String.valueOf(cause));
         channel.close();
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
@@ -13,17 +14,22 @@
 final class ExchangeRecorder {
     private final GatewayContext context;
     private final Route route;
-    private final String requestId;
+    private final RequestTraits traits;
+    private final RequestIdentity identity;
     private final long arrivedMillis;
+    private long lastBytesMillis;
+    private Optional<String> firstBreak = Optional.empty();
 
-    ExchangeRecorder(GatewayContext context, Route route, String requestId, long arrivedMillis) {
+    ExchangeRecorder(
+            GatewayContext context, Route route, RequestTraits traits, RequestIdentity identity, long arrivedMillis) {
         this.context = context;
         this.route = route;
-        this.requestId = requestId;
+        this.traits = traits;
+        this.identity = identity;
         this.arrivedMillis = arrivedMillis;
     }
 
-    void recordSelection(String service, RequestTraits traits, RequestIdentity identity, int attempt, long millisLeft) {
+    void recordSelection(String service, int attempt, long millisLeft) {
         context.metrics().countAttempt();
         log(
                 "request-seeks-target",
@@ -64,9 +70,15 @@
     }
 
     void recordSent(Target target, String by, long millisLeft) {
+        recordBytes();
         log("request-sent", "target", target.id(), "by", by, "millisLeft", millisLeft);
     }
 
+    /** Records that the target has sent a part of the response, which ends its silence. */
+    void recordBytes() {
+        lastBytesMillis = context.nowMillis();
+    }
+
     void recordUnrelatedResponse(Target target) {
         log("stray-answer-skipped", "target", target.id());
     }
@@ -80,8 +92,19 @@
     }
 
     void recordBroken(Target target, boolean repeated, String reason, int possibleRuns, int events) {
-        String event = repeated ? "request-repeated" : "request-broken";
-        log(event, "target", target.id(), "reason", reason, "targetsRun", possibleRuns, "events", events);
+        firstBreak = firstBreak.or(() -> Optional.of(reason));
+        log(
+                repeated ? "request-repeated" : "request-broken",
+                "target",
+                target.id(),
+                "reason",
+                reason,
+                "targetsRun",
+                possibleRuns,
+                "events",
+                events,
+                "silentMillis",
+                context.nowMillis() - lastBytesMillis);
     }
 
     /** Records whether the retry budget allowed another target, and the state of the budget after that. */
@@ -99,14 +122,18 @@
                 usage.nodeCount());
     }
 
+    /** Records the end of the exchange, with the reason for which its first attempt broke, if one did. */
     void recordEnd(String event, Object... fields) {
-        log(event, fields);
+        List<Object> all = new ArrayList<>(List.of(fields));
+        firstBreak.ifPresent(reason -> Collections.addAll(all, "firstBreak", reason));
+        log(event, all.toArray());
         context.metrics().recordEnd(route, event, context.nowMillis() - arrivedMillis);
     }
 
     private void log(String event, Object... fields) {
         List<Object> all = new ArrayList<>();
-        Collections.addAll(all, "requestId", requestId, "route", route.name(), "planVersion", context.planVersion());
+        Collections.addAll(
+                all, "requestId", traits.requestId(), "route", route.name(), "planVersion", context.planVersion());
         Collections.addAll(all, "millis", context.nowMillis() - arrivedMillis);
         Collections.addAll(all, fields);
         context.log().log(event, all.toArray());
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -36,7 +36,6 @@
     private final RequestTraits traits;
     private final Route route;
     private final String service;
-    private final RequestIdentity identity;
     private final RequestSuspects suspects;
     private final TargetSelector selector;
     private final long arrivedMillis;
@@ -69,7 +68,6 @@
         this.request = request;
         this.route = route;
         this.traits = traits;
-        this.identity = identity;
         this.service = route.serviceFor(traits.requestId());
         this.suspects = new RequestSuspects(identity.fingerprint(), service, traits);
         this.selector = context.selectorFor(service);
@@ -79,7 +77,7 @@
         boolean streaming = route.kind().isStream() && !HttpMethod.HEAD.equals(request.method());
         this.relay =
                 new ResponseRelay(context.headerCodec(), sink, traits.requestId(), streaming, traits.lastEventId());
-        this.recorder = new ExchangeRecorder(context, route, traits.requestId(), arrivedMillis);
+        this.recorder = new ExchangeRecorder(context, route, traits, identity, arrivedMillis);
         this.limits = new AttemptLimits(context, recorder, route, service, suspects, deadlineMillis);
         this.outgoing = new OutgoingRequests(context, request, route, traits, service, arrivedMillis, deadlineMillis);
         this.continuity = new StreamContinuity(context.streamOrigins(), route, traits, service);
@@ -104,8 +102,7 @@
         }
         limits.recordAttempt();
         selectionKey = context.nextKey();
-        recorder.recordSelection(
-                service, traits, identity, limits.attemptCount(), deadlineMillis - context.nowMillis());
+        recorder.recordSelection(service, limits.attemptCount(), deadlineMillis - context.nowMillis());
         selector.select(outgoing.dispatchRequest(selectionKey, excluded, continuity.continuation()), this);
     }
 
@@ -169,6 +166,7 @@
 
     @Override
     public void onContent(ByteBuf chunk) {
+        recorder.recordBytes();
         switch (relay.addChunk(chunk)) {
             case INCOMPLETE -> pauseReadingIfFull();
             case EVENTS_FORWARDED -> onEventsForwarded();
@@ -340,12 +338,14 @@
         if (refusal.isEmpty()) {
             return false;
         }
-        String reason = refusal.get().reason();
         releaseTarget();
         if (limits.mayHaveRun()) {
-            giveUp(reason, 0);
+            giveUp(refusal.get().reason(), 0);
         } else {
-            fail(FailureCode.CRASH_SUSPECTED, reason, refusal.get().remainingMillis());
+            fail(
+                    FailureCode.CRASH_SUSPECTED,
+                    refusal.get().reason(),
+                    refusal.get().remainingMillis());
         }
         return true;
     }
