End the search for another target when the silent one fails without a run

A target that declines, or cannot be reached, after it was silent left the search for its replacement pending, and a second search was begun beside it. The result of the first would have met an exchange without a current attempt. Found by reading; the search is now ended first, as after a broken response.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -228,8 +228,9 @@
 
     /** Tries another target after one that did not run the request, if limits allow it. */
     private void retryOrGiveUp(String reason) {
-        if (replacement.isAttempting()) {
-            replacement.take().ifPresent(this::adopt);
+        Optional<Attempt> other = replacement.take();
+        if (other.isPresent()) {
+            adopt(other.get());
         } else if (limits.tryReserveAttempt(relay)) {
             selectTarget();
         } else {
