Look for another target also where a kept connection is silent

What callers got: 504 at their deadline (red test: a request that may be repeated, on a kept connection that has gone silent for good, while another target is well). On a new connection the search began in time.

Cause: the progress timeout was taken from the count of possible runs after the request was sent. On a kept connection that count already has the new run, so the request seemed to be at its last target and had no timeout.

The count is now taken with the run that waits, on both kinds of connection, and a replacement uses a new connection, since kept ones may be silent for the same reason.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
@@ -53,17 +53,30 @@
      * @param resumeAddress the address of the backup copy from which the stream resumes
      */
     void send(Attempt attempt, OptionalLong lastEventId, Optional<InetSocketAddress> resumeAddress, String selectedBy) {
-        Target target = attempt.target();
-        long millisLeft = request.deadlineMillis() - attempt.sentMillis();
-        recorder.recordSent(target, selectedBy, millisLeft);
-        ForwardingTraits forwarding = new ForwardingTraits(
-                target.id(),
-                millisLeft,
+        ForwardingTraits forwarding = forwardingTraits(attempt, lastEventId, resumeAddress);
+        recorder.recordSent(attempt.target(), selectedBy, forwarding.millisLeft());
+        attempt.setInFlight(outgoing.send(attempt.target(), forwarding, attempt));
+    }
+
+    /**
+     * Sends the request to a target that is to take the place of a silent one. Kept connections may have gone silent with
+     * that target's, so a new one is used.
+     */
+    void sendReplacement(Attempt attempt, OptionalLong lastEventId, String selectedBy) {
+        ForwardingTraits forwarding = forwardingTraits(attempt, lastEventId, Optional.empty());
+        recorder.recordSent(attempt.target(), selectedBy, forwarding.millisLeft());
+        attempt.setInFlight(outgoing.sendOnNewConnection(attempt.target(), forwarding, attempt));
+    }
+
+    private ForwardingTraits forwardingTraits(
+            Attempt attempt, OptionalLong lastEventId, Optional<InetSocketAddress> resumeAddress) {
+        return new ForwardingTraits(
+                attempt.target().id(),
+                request.deadlineMillis() - attempt.sentMillis(),
                 request.route().kind().isStream() ? lastEventId : OptionalLong.empty(),
                 resumeAddress.isEmpty() ? attempt.backup().map(Target::address) : Optional.empty(),
                 resumeAddress,
                 OptionalInt.of(request.route().priority()));
-        attempt.setInFlight(outgoing.send(target, forwarding, attempt));
     }
 
     /** Ends an attempt before its response has ended. */
--- a/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
@@ -57,9 +57,13 @@
         return kind.isRetryable() ? MAX_RERUNNABLE_IDLE_MILLIS : MAX_RUN_ONCE_IDLE_MILLIS;
     }
 
-    /** Returns the timeout for the nth target's first event or response, or empty if no other target may be tried. */
-    OptionalLong progressTimeoutMillis(Route route, int nth) {
-        if (!route.kind().isRetryable() || nth >= route.maxTargets()) {
+    /**
+     * Returns the timeout for the first event or the response, or empty if no other target may be tried.
+     *
+     * @param runCount possible runs of the request so far, with the one that waits
+     */
+    OptionalLong progressTimeoutMillis(Route route, int runCount) {
+        if (!route.kind().isRetryable() || runCount >= route.maxTargets()) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(
@@ -72,9 +76,13 @@
                                 Math.round(route.objectiveMillis() * RESPONSE_TIMEOUT_RATIO)));
     }
 
-    /** Returns the longest pause between the nth target's events, or empty if no other target may continue. */
-    OptionalLong eventGapTimeoutMillis(Route route, int nth) {
-        return route.kind().isRetryable() && nth <= route.maxTargets()
+    /**
+     * Returns the longest pause between events, or empty if no other target may continue.
+     *
+     * @param runCount possible runs of the request so far, with the one that sends the events
+     */
+    OptionalLong eventGapTimeoutMillis(Route route, int runCount) {
+        return route.kind().isRetryable() && runCount < route.maxTargets()
                 ? OptionalLong.of(EVENT_GAP_TIMEOUT_MILLIS)
                 : OptionalLong.empty();
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -47,12 +47,27 @@
 
     /** Sends the caller's request to a target, on a connection that suits its route. */
     InFlightRequest send(Target target, ForwardingTraits traits, ResponseListener listener) {
-        TargetConnectionPool.ConnectionSpec spec = new TargetConnectionPool.ConnectionSpec(
+        return gateway.connections()
+                .send(
+                        connectionSpec(target, traits),
+                        HttpMessages.forTarget(request, gateway.headerCodec(), traits),
+                        listener);
+    }
+
+    /** Sends the caller's request to a target on a connection that no other request has used. */
+    InFlightRequest sendOnNewConnection(Target target, ForwardingTraits traits, ResponseListener listener) {
+        return gateway.connections()
+                .sendOnNewConnection(
+                        connectionSpec(target, traits),
+                        HttpMessages.forTarget(request, gateway.headerCodec(), traits),
+                        listener);
+    }
+
+    private TargetConnectionPool.ConnectionSpec connectionSpec(Target target, ForwardingTraits traits) {
+        return new TargetConnectionPool.ConnectionSpec(
                 target.id(),
                 target.address(),
                 gateway.policy().connectTimeoutMillis(traits.millisLeft()),
                 gateway.policy().maxIdleMillis(context.route().kind()));
-        return gateway.connections()
-                .send(spec, HttpMessages.forTarget(request, gateway.headerCodec(), traits), listener);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -109,8 +109,9 @@
         firstEventReported = false;
         Attempt attempt = new Attempt(selectionKey, target, backup, gateway.nowMillis(), this);
         current = Optional.of(attempt);
+        int runCount = limits.possibleRunCount() + 1;
         sender.send(attempt, relay.lastEventId(), resumeAddress, by);
-        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
+        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, runCount));
     }
 
     @Override
@@ -144,7 +145,7 @@
     private void onEventsForwarded(Attempt attempt) {
         replacement.cancel();
         reportFirstEvent(attempt);
-        progressTimer.restart(gateway.policy().eventGapTimeoutMillis(route, limits.possibleRunCount() + 1));
+        progressTimer.restart(gateway.policy().eventGapTimeoutMillis(route, limits.possibleRunCount()));
         pauseReadingIfFull(attempt);
     }
 
@@ -281,7 +282,8 @@
         current = Optional.of(attempt);
         attempt.setListener(this);
         firstEventReported = false;
-        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, limits.possibleRunCount() + 1));
+        int runCount = limits.possibleRunCount() + (attempt.wasSent() ? 0 : 1);
+        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, runCount));
     }
 
     /** Returns whether a started run can resume at its backup as the same run. Takes a retry from the budget. */
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -74,7 +74,7 @@
         }
         Attempt created = new Attempt(key, selected, backup, gateway.nowMillis(), this);
         attempt = Optional.of(created);
-        sender.send(created, relay.lastEventId(), Optional.empty(), by);
+        sender.sendReplacement(created, relay.lastEventId(), by);
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
@@ -44,6 +44,12 @@
             pooled.send(request, listener);
             return pooled;
         }
+        return sendOnNewConnection(spec, request, listener);
+    }
+
+    /** Sends the request on a new connection. */
+    public InFlightRequest sendOnNewConnection(
+            ConnectionSpec spec, FullHttpRequest request, ResponseListener listener) {
         TargetConnection connection = new TargetConnection(spec.targetId(), this);
         ChannelFuture connecting = SocketBootstraps.client(loop, spec.connectTimeoutMillis())
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/test/java/org/poplarwharf/internal/holder/SilentTargetGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/SilentTargetGatewayTest.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +27,7 @@
     private static final int LAST_EVENT = 3;
     private static final String WHOLE_STREAM = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n";
 
+    private static final int KEPT_CONNECTION_REQUEST_COUNT = 4;
     private static final int LARGE_EVENT_COUNT = 400;
     private static final String LARGE_DATA = "x".repeat(50_000);
 
@@ -135,6 +138,23 @@
         assertThat(cluster.get(node.frontPort(), "/safe/x").statusCode()).isEqualTo(200);
     }
 
+    @Test
+    void request_on_a_kept_connection_that_is_silent_for_good_runs_elsewhere_in_time() throws Exception {
+        Set<Socket> usedConnections = ConcurrentHashMap.newKeySet();
+        for (int i = 0; i < 2; i++) {
+            cluster.addTarget("desk", "").script = (request, out) -> {
+                if (usedConnections.add(request.connection())) {
+                    ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+                } else {
+                    request.closedByPeerWithin(30_000);
+                }
+            };
+        }
+        for (int i = 0; i < KEPT_CONNECTION_REQUEST_COUNT; i++) {
+            assertThat(cluster.get(node.frontPort(), "/safe/x").statusCode()).isEqualTo(200);
+        }
+    }
+
     @Test
     void stream_does_not_move_while_its_caller_reads_nothing() throws Exception {
         for (int i = 0; i < 2; i++) {
