--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -10,13 +10,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -27,11 +25,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.crash.RequestIdentity;
@@ -47,7 +44,7 @@
  * caller can delimit only by the end of the connection is followed by a reset unless it is complete. Confined to its event
  * loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
     /** Pipelined requests after which reading from the caller stops. */
     private static final int MAX_PIPELINED_COUNT = 4;
 
@@ -60,32 +57,34 @@
     private final ProxyServer server;
     private final EventLoop loop;
     private final PipelinedRequests pipelined;
+    private final RequestReader reader;
     private Channel channel;
-    private HttpRequest incoming;
-    private ByteBuf incomingBody = Unpooled.EMPTY_BUFFER;
-    private boolean discarding;
+    private boolean takesNoMore;
+    private boolean handlingWaiting;
+    private OptionalInt refusalStatus = OptionalInt.empty();
     private FullHttpRequest current;
     private ProxyExchange exchange;
     private boolean keepAlive = true;
     private boolean chunked;
-    private Future<?> readTimer;
+    private Future<?> idleTimer;
 
     CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop) {
         this.gateway = gateway;
         this.server = server;
         this.loop = loop;
         this.pipelined = new PipelinedRequests(gateway);
+        this.reader = new RequestReader(loop, this::limits, this);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         server.addConnection(this);
-        startReadTimer(limits().idleTimeoutMillis());
+        startIdleTimer();
     }
 
     boolean isBusy() {
-        return exchange != null || !pipelined.isEmpty() || incoming != null;
+        return exchange != null || !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
     }
 
     void closeIfIdle() {
@@ -97,86 +96,67 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (discarding) {
+            if (takesNoMore) {
                 if (message instanceof HttpRequest request) {
                     pipelined.logDropped(request, "connection takes no more requests");
                 }
                 return;
             }
-            if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-                reject(statusFor(object.decoderResult().cause()), "unreadable request");
-                return;
-            }
-            if (message instanceof HttpRequest request) {
-                readHead(request);
-            }
-            if (message instanceof HttpContent content && incoming != null) {
-                readContent(content);
+            if (message instanceof HttpObject part) {
+                reader.read(part);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private static int statusFor(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code();
-        }
-        return cause instanceof TooLongHttpLineException
-                ? HttpResponseStatus.REQUEST_URI_TOO_LONG.code()
-                : HttpResponseStatus.BAD_REQUEST.code();
-    }
-
-    private void readHead(HttpRequest request) {
-        incoming = request;
-        incomingBody = Unpooled.EMPTY_BUFFER;
-        startReadTimer(limits().headerTimeoutMillis());
-        int size = request.uri().length();
-        for (var header : request.headers()) {
-            size += header.getKey().length() + header.getValue().length() + 4;
-        }
-        if (size > limits().maxHeaderBytes()) {
-            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE.code(), "headers over the limit");
-        } else if (HttpUtil.getContentLength(request, 0L) > limits().maxBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "body over the limit");
-        } else if (HttpUtil.is100ContinueExpected(request)) {
+    @Override
+    public void onHead(HttpRequest head) {
+        cancelIdleTimer();
+        if (HttpUtil.is100ContinueExpected(head)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private void readContent(HttpContent content) {
-        ByteBuf chunk = content.content();
-        if (chunk.isReadable()) {
-            if (incomingBody == Unpooled.EMPTY_BUFFER) {
-                long announced = HttpUtil.getContentLength(incoming, chunk.readableBytes());
-                incomingBody = Unpooled.buffer((int) Math.min(announced, limits().maxBodyBytes()));
-            }
-            if (incomingBody.readableBytes() + chunk.readableBytes() > limits().maxBodyBytes()) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), "body over the limit");
-                return;
-            }
-            incomingBody.writeBytes(chunk);
-        }
-        if (!(content instanceof LastHttpContent)) {
+    @Override
+    public void onRequest(FullHttpRequest request) {
+        pipelined.add(request);
+        handleWaiting();
+    }
+
+    @Override
+    public void onInvalid(int status, String reason) {
+        gateway.log().log("request-refused", "requestId", "", "reason", reason, "status", status);
+        cancelIdleTimer();
+        takesNoMore = true;
+        refusalStatus = OptionalInt.of(status);
+        handleWaiting();
+    }
+
+    /** Handles the requests that wait until one of them is under way, and then the invalid one behind them. */
+    private void handleWaiting() {
+        if (handlingWaiting) {
             return;
         }
-        FullHttpRequest complete = new DefaultFullHttpRequest(
-                incoming.protocolVersion(),
-                incoming.method(),
-                incoming.uri(),
-                incomingBody,
-                incoming.headers(),
-                new DefaultHttpHeaders());
-        incoming = null;
-        incomingBody = Unpooled.EMPTY_BUFFER;
-        cancelReadTimer();
-        if (exchange != null) {
-            pipelined.add(complete);
-            channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
-            return;
+        handlingWaiting = true;
+        try {
+            while (exchange == null && !pipelined.isEmpty()) {
+                pipelined.take().ifPresent(this::startExchange);
+            }
+        } finally {
+            handlingWaiting = false;
+        }
+        channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
+        if (exchange == null && refusalStatus.isPresent()) {
+            refuseInvalid(refusalStatus.getAsInt());
         }
-        startExchange(complete);
+    }
+
+    private void refuseInvalid(int status) {
+        refusalStatus = OptionalInt.empty();
+        keepAlive = false;
+        sendResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
 
     private void startExchange(FullHttpRequest request) {
@@ -224,18 +204,6 @@
         sendResponse(code.httpStatus(), headers, body);
     }
 
-    /** Rejects an invalid request and closes the connection, because the end of the request cannot be found. */
-    private void reject(int status, String reason) {
-        discarding = true;
-        gateway.log().log("request-refused", "requestId", "", "reason", reason, "status", status);
-        if (exchange != null) {
-            return;
-        }
-        keepAlive = false;
-        current = null;
-        sendResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-    }
-
     @Override
     public void sendResponse(int status, HttpHeaders headers, ByteBuf body) {
         boolean headOnly = current != null && HttpMethod.HEAD.equals(current.method());
@@ -309,7 +277,7 @@
     }
 
     private boolean applyCloseHeader(HttpHeaders headers) {
-        keepAlive &= !server.isDraining() && !discarding;
+        keepAlive &= !server.isDraining();
         if (!keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -322,13 +290,17 @@
         // A response head sent before the drain did not announce the close. Without a close now, the caller would send
         // its next request on this connection.
         if (closeAfter || server.isDraining()) {
-            discarding = true;
+            takesNoMore = true;
+            refusalStatus = OptionalInt.empty();
+            reader.discard();
             pipelined.dropAll("connection closes after the response before");
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        channel.config().setAutoRead(true);
-        pipelined.take().ifPresentOrElse(this::startExchange, () -> startReadTimer(limits().idleTimeoutMillis()));
+        handleWaiting();
+        if (!isBusy()) {
+            startIdleTimer();
+        }
     }
 
     @Override
@@ -340,13 +312,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelReadTimer();
+        cancelIdleTimer();
         server.removeConnection(this);
         pipelined.dropAll("connection closed");
-        if (incoming != null) {
-            incomingBody.release();
-            incoming = null;
-        }
+        reader.discard();
         if (exchange != null) {
             ProxyExchange abandoned = exchange;
             exchange = null;
@@ -367,23 +336,15 @@
         return gateway.view().plan().map(FleetPlan::limits).orElse(CallerLimits.DEFAULTS);
     }
 
-    private void startReadTimer(long millis) {
-        cancelReadTimer();
-        readTimer = loop.schedule(this::handleReadTimeout, millis, TimeUnit.MILLISECONDS);
-    }
-
-    private void handleReadTimeout() {
-        if (incoming != null) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT.code(), "request not sent in time");
-        } else if (exchange == null) {
-            channel.close();
-        }
+    private void startIdleTimer() {
+        cancelIdleTimer();
+        idleTimer = loop.schedule(this::closeIfIdle, limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void cancelReadTimer() {
-        if (readTimer != null) {
-            readTimer.cancel(false);
-            readTimer = null;
+    private void cancelIdleTimer() {
+        if (idleTimer != null) {
+            idleTimer.cancel(false);
+            idleTimer = null;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -0,0 +1,143 @@
+package org.poplarwharf.internal.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.concurrent.Future;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.poplarwharf.internal.fleet.CallerLimits;
+
+/**
+ * Reads the requests of a connection within the operator's limits.
+ *
+ * <p>Invariant: reports each request once, either when it is whole or as invalid. Confined to the event loop.
+ */
+final class RequestReader {
+    private final EventLoop loop;
+    private final Supplier<CallerLimits> limits;
+    private final Listener listener;
+    private HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Optional<Future<?>> timer = Optional.empty();
+
+    /** Receives what has been read. */
+    interface Listener {
+        /** Called when the head of a valid request has been read. */
+        void onHead(HttpRequest head);
+
+        /** Called with a whole request. The listener takes ownership of it. */
+        void onRequest(FullHttpRequest request);
+
+        /** Called with an invalid request. Its end cannot be found, so that nothing that follows can be read. */
+        void onInvalid(int status, String reason);
+    }
+
+    RequestReader(EventLoop loop, Supplier<CallerLimits> limits, Listener listener) {
+        this.loop = loop;
+        this.limits = limits;
+        this.listener = listener;
+    }
+
+    /** Returns whether a request has been read in part. */
+    boolean isReading() {
+        return head != null;
+    }
+
+    /** Reads a part of a request. Does not retain it. */
+    void read(HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            reject(statusFor(part.decoderResult().cause()), "unreadable request");
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            readHead(request);
+        }
+        if (part instanceof HttpContent content && isReading()) {
+            readContent(content);
+        }
+    }
+
+    private static HttpResponseStatus statusFor(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return cause instanceof TooLongHttpLineException
+                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    private void readHead(HttpRequest request) {
+        head = request;
+        timer = Optional.of(
+                loop.schedule(this::handleTimeout, limits.get().headerTimeoutMillis(), TimeUnit.MILLISECONDS));
+        int size = request.uri().length();
+        for (var header : request.headers()) {
+            size += header.getKey().length() + header.getValue().length() + 4;
+        }
+        if (size > limits.get().maxHeaderBytes()) {
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers over the limit");
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
+        } else {
+            listener.onHead(request);
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        ByteBuf chunk = content.content();
+        int maxBodyBytes = limits.get().maxBodyBytes();
+        if (chunk.isReadable()) {
+            if (body.readableBytes() + chunk.readableBytes() > maxBodyBytes) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
+                return;
+            }
+            if (body == Unpooled.EMPTY_BUFFER) {
+                long announced = HttpUtil.getContentLength(head, chunk.readableBytes());
+                body = Unpooled.buffer((int) Math.min(announced, maxBodyBytes));
+            }
+            body.writeBytes(chunk);
+        }
+        if (!(content instanceof LastHttpContent)) {
+            return;
+        }
+        FullHttpRequest whole = new DefaultFullHttpRequest(
+                head.protocolVersion(), head.method(), head.uri(), body, head.headers(), new DefaultHttpHeaders());
+        reset();
+        listener.onRequest(whole);
+    }
+
+    private void handleTimeout() {
+        reject(HttpResponseStatus.REQUEST_TIMEOUT, "request not sent in time");
+    }
+
+    private void reject(HttpResponseStatus status, String reason) {
+        discard();
+        listener.onInvalid(status.code(), reason);
+    }
+
+    /** Discards a request that has been read in part. */
+    void discard() {
+        body.release();
+        reset();
+    }
+
+    private void reset() {
+        head = null;
+        body = Unpooled.EMPTY_BUFFER;
+        timer.ifPresent(running -> running.cancel(false));
+        timer = Optional.empty();
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -27,7 +27,7 @@
  * <p>Not thread-safe.
  */
 final class GatewayCluster implements AutoCloseable {
-    private static final String PLAN = "{'version':1,'routes':["
+    private static final String PLAN_CONTENT = "'routes':["
             + "{'name':'safe','host':'127.0.0.1','pathPrefix':'/safe/','kind':'safe','timeoutMs':2000,'targetLatencyMs':100,"
             + "'priority':0,'service':'desk','maxAttempts':2},"
             + "{'name':'once','host':'127.0.0.1','pathPrefix':'/once/','kind':'unsafe','timeoutMs':2000,"
@@ -40,7 +40,7 @@
             + "'gapAimMs':400,'priority':0,'service':'lm','maxAttempts':1,'sticky':true}],"
             + "'services':[{'name':'desk','healthPath':'/health'},{'name':'lm','healthPath':'/health','engine':"
             + "{'slots':4,'kvCapacity':100000,'weightsMb':100.0,'adapterSlots':2,'loadsPerS':2.0,'models':"
-            + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]}";
+            + "[{'name':'m1','weightsMb':60.0,'loadS':6.0,'warmS':0.2,'diskS':0.2}]}}]";
 
     /** High enough that a single request may be retried. */
     private static final double RETRY_RATIO = 2;
@@ -71,6 +71,11 @@
 
     GatewayCluster() throws IOException {}
 
+    /** Returns the plan of all tests as another version, with one more field. */
+    static String plan(int version, String extraField) {
+        return "{'version':" + version + "," + PLAN_CONTENT + "," + extraField + "}";
+    }
+
     /** Starts another node. */
     Node startNode() throws IOException {
         List<InetSocketAddress> freeAddresses =
@@ -117,7 +122,7 @@
         target.softwareVersion = softwareVersion;
         targets.add(target);
         platform.put("servers", target.id, target.topicEntry(service, extraFields));
-        platform.put("op", "config", PLAN);
+        platform.put("op", "config", plan(1, "'limits':{}"));
         for (Node node : nodes) {
             Eventually.eventually("the node is ready", () -> status(node.readyPort(), "/ready") == 200);
         }
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
@@ -0,0 +1,170 @@
+package org.poplarwharf.internal.holder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.poplarwharf.support.Eventually;
+import org.poplarwharf.support.ScriptedTarget;
+
+/** Requests that a caller sends while the response to another one on the same connection is under way. */
+@Timeout(30)
+class PipelinedRequestGatewayTest {
+    private static final String WHOLE_STREAM = ScriptedTarget.eventText(1) + ScriptedTarget.eventText(2);
+
+    /** Over the default limit of a plan, and under that of the decoder. */
+    private static final String LARGE_HEADER = "X-Large: " + "x".repeat(80_000) + "\r\n";
+
+    private static final String OVERSIZED_BODY = "Content-Length: 9000000\r\n\r\n";
+    private static final String UNREADABLE_REQUEST = "no request at all\r\n\r\n";
+
+    private final CountDownLatch streamMayEnd = new CountDownLatch(1);
+    private GatewayCluster cluster;
+    private GatewayCluster.Node node;
+    private ScriptedTarget target;
+    private RawCaller caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        cluster = new GatewayCluster();
+        node = cluster.startNode();
+        target = cluster.addTarget("desk", "");
+        target.script = this::respond;
+        caller = new RawCaller(node.frontPort());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        cluster.close();
+    }
+
+    /** Holds a stream after its first event, and responds to other requests with their id. */
+    private void respond(ScriptedTarget.Request request, OutputStream out) throws IOException, InterruptedException {
+        if (!request.line().contains("/stream/")) {
+            ScriptedTarget.writeResponse(out, request, "200 OK", request.id());
+            return;
+        }
+        ScriptedTarget.writeStreamHead(out, request);
+        ScriptedTarget.writeEvent(out, 1);
+        streamMayEnd.await();
+        ScriptedTarget.writeEvent(out, 2);
+        ScriptedTarget.write(out, "0\r\n\r\n");
+    }
+
+    private void startStream() throws IOException {
+        caller.send(RawCaller.post("/stream/x", "stream", ""));
+        caller.awaitBytes();
+    }
+
+    /** Lets the stream end once the node has logged a line with these parts. */
+    private void endStreamAfter(String... parts) {
+        awaitLog(parts);
+        streamMayEnd.countDown();
+    }
+
+    private void awaitLog(String... parts) {
+        Eventually.eventually(
+                "logged: " + String.join(" ", parts),
+                () -> node.log().lines().anyMatch(line -> Stream.of(parts).allMatch(line::contains)));
+    }
+
+    private void assertStreamIsWhole() throws IOException {
+        RawCaller.Response stream = caller.readResponse();
+        assertThat(stream.status()).isEqualTo(200);
+        assertThat(stream.body()).isEqualTo(WHOLE_STREAM);
+    }
+
+    private void assertAnswered(String id) throws IOException {
+        assertAnswered(id, false);
+    }
+
+    private void assertAnswered(String id, boolean announcesClose) throws IOException {
+        RawCaller.Response response = caller.readResponse();
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(id);
+        assertThat(response.announcesClose()).isEqualTo(announcesClose);
+    }
+
+    private void assertRefusedAndClosed(int status) throws IOException {
+        RawCaller.Response refusal = caller.readResponse();
+        assertThat(refusal.status()).isEqualTo(status);
+        assertThat(refusal.announcesClose()).isTrue();
+        assertThat(caller.isClosedByNode()).isTrue();
+    }
+
+    @Test
+    void request_with_large_headers_behind_a_stream_is_refused_and_the_connection_closes() throws Exception {
+        startStream();
+        caller.send(RawCaller.post("/once/x", "large", LARGE_HEADER));
+        caller.send(RawCaller.post("/once/x", "third", ""));
+        endStreamAfter("headers over the limit");
+
+        assertStreamIsWhole();
+        assertRefusedAndClosed(431);
+        assertThat(target.executedRequestIds).containsExactly("stream");
+    }
+
+    private void assertWholeRequestsAreAnsweredBeforeRefusal(String invalidRequest, int status) throws IOException {
+        startStream();
+        caller.send(RawCaller.post("/once/x", "second", "") + RawCaller.post("/once/x", "third", ""));
+        caller.send(invalidRequest);
+        endStreamAfter("\"request-refused\"");
+
+        assertStreamIsWhole();
+        assertAnswered("second");
+        assertAnswered("third");
+        assertRefusedAndClosed(status);
+    }
+
+    @Test
+    void whole_requests_are_answered_before_one_with_large_headers_is_refused() throws Exception {
+        assertWholeRequestsAreAnsweredBeforeRefusal(RawCaller.post("/once/x", "large", LARGE_HEADER), 431);
+    }
+
+    @Test
+    void whole_requests_are_answered_before_one_with_a_large_body_is_refused() throws Exception {
+        assertWholeRequestsAreAnsweredBeforeRefusal(
+                "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\n" + OVERSIZED_BODY, 413);
+    }
+
+    @Test
+    void whole_requests_are_answered_before_unreadable_bytes_are_refused() throws Exception {
+        assertWholeRequestsAreAnsweredBeforeRefusal(UNREADABLE_REQUEST, 400);
+    }
+
+    @Test
+    void whole_requests_are_answered_before_one_that_is_not_sent_in_time_is_refused() throws Exception {
+        changePlan(2, "'limits':{'headerTimeoutMs':200}");
+
+        assertWholeRequestsAreAnsweredBeforeRefusal(
+                "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 10\r\n\r\nhalf", 408);
+    }
+
+    /** Puts a plan with other limits in force. */
+    private void changePlan(int version, String limits) {
+        cluster.platform.put("op", "config", GatewayCluster.plan(version, limits));
+        awaitLog("\"plan-in-force\"", "\"version\":" + version);
+    }
+
+    @Test
+    void requests_behind_one_that_asks_to_close_the_connection_are_dropped_and_logged() throws Exception {
+        startStream();
+        caller.send(RawCaller.post("/once/x", "second", "Connection: close\r\n"));
+        caller.send(RawCaller.post("/once/x", "third", ""));
+        GatewayCluster.pause(100);
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertAnswered("second", true);
+        assertThat(caller.isClosedByNode()).isTrue();
+        assertThat(target.executedRequestIds).containsExactly("stream", "second");
+        awaitLog("\"request-dropped\"", "\"requestId\":\"third\"");
+    }
+}
