--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -84,7 +84,11 @@
     }
 
     boolean isBusy() {
-        return exchange != null || !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
+        return exchange != null || hasWaiting();
+    }
+
+    private boolean hasWaiting() {
+        return !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
     }
 
     void closeIfIdle() {
@@ -210,14 +214,14 @@
         if (!headOnly) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
-        boolean closeAfter = applyCloseHeader(headers);
+        applyCloseHeader(headers);
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
                 headOnly ? Unpooled.EMPTY_BUFFER : body,
                 headers,
                 new DefaultHttpHeaders());
-        finishResponse(channel.writeAndFlush(response), closeAfter);
+        finishResponse(channel.writeAndFlush(response));
     }
 
     @Override
@@ -262,7 +266,7 @@
         if (!chunked) {
             written.addListener(done -> setResetOnClose(!done.isSuccess()));
         }
-        finishResponse(written, !keepAlive);
+        finishResponse(written);
     }
 
     @Override
@@ -276,30 +280,34 @@
         return channel.isWritable();
     }
 
-    private boolean applyCloseHeader(HttpHeaders headers) {
-        keepAlive &= !server.isDraining();
+    /** Announces the close with the caller's last response. While draining, that is one behind which nothing waits. */
+    private void applyCloseHeader(HttpHeaders headers) {
+        keepAlive &= !server.isDraining() || hasWaiting();
         if (!keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            takesNoMore = true;
+            refusalStatus = OptionalInt.empty();
+            reader.discard();
+            pipelined.dropAll("connection closes after the response before");
         }
-        return !keepAlive;
     }
 
-    private void finishResponse(ChannelFuture written, boolean closeAfter) {
+    private void finishResponse(ChannelFuture written) {
         exchange = null;
         current = null;
-        // A response head sent before the drain did not announce the close. Without a close now, the caller would send
-        // its next request on this connection.
-        if (closeAfter || server.isDraining()) {
-            takesNoMore = true;
-            refusalStatus = OptionalInt.empty();
-            reader.discard();
-            pipelined.dropAll("connection closes after the response before");
+        if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
         handleWaiting();
-        if (!isBusy()) {
-            startIdleTimer();
+        if (isBusy()) {
+            return;
+        }
+        startIdleTimer();
+        // A response head sent before the drain did not announce the close. Without a close now, the caller would send
+        // its next request on this connection.
+        if (server.isDraining()) {
+            written.addListener(done -> closeIfIdle());
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -16,8 +16,8 @@
 /**
  * Accepts connections from callers.
  *
- * <p>Invariant: while draining, each response asks its caller to close the connection, and idle connections are closed
- * once the server stops accepting new ones. Confined to the event loop, except for its construction.
+ * <p>Invariant: while draining, the last response of each connection asks its caller to close it, and idle connections
+ * are closed once the server stops accepting new ones. Confined to the event loop, except for its construction.
  */
 final class ProxyServer {
     /** Large enough for a burst of new connections within one iteration of the event loop. */
@@ -72,7 +72,7 @@
         return draining;
     }
 
-    /** Makes each response from now on ask its caller to close the connection. */
+    /** Makes each response from now on, behind which no request waits, ask its caller to close the connection. */
     void startDraining() {
         draining = true;
     }
--- a/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
@@ -153,6 +153,36 @@
         awaitLog("\"plan-in-force\"", "\"version\":" + version);
     }
 
+    @Test
+    void requests_that_wait_when_a_drain_starts_are_answered_and_only_the_last_response_announces_the_close()
+            throws Exception {
+        startStream();
+        caller.send(RawCaller.post("/once/x", "second", "") + RawCaller.post("/once/x", "third", ""));
+        Thread drain = Thread.startVirtualThread(() -> node.gateway().drainAndStop());
+        endStreamAfter("\"node-draining\"");
+
+        assertStreamIsWhole();
+        assertAnswered("second");
+        assertAnswered("third", true);
+        assertThat(caller.isClosedByNode()).isTrue();
+        drain.join();
+    }
+
+    @Test
+    void request_that_arrives_during_a_drain_behind_one_under_way_is_answered() throws Exception {
+        startStream();
+        Thread drain = Thread.startVirtualThread(() -> node.gateway().drainAndStop());
+        awaitLog("\"node-draining\"");
+        caller.send(RawCaller.post("/once/x", "second", ""));
+        GatewayCluster.pause(100);
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertAnswered("second", true);
+        assertThat(caller.isClosedByNode()).isTrue();
+        drain.join();
+    }
+
     @Test
     void requests_behind_one_that_asks_to_close_the_connection_are_dropped_and_logged() throws Exception {
         startStream();
