--- a/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -23,13 +23,15 @@
 /**
  * Reads the requests of a connection within the operator's limits.
  *
- * <p>Invariant: reports each request once, either when it is whole or as invalid. Confined to the event loop.
+ * <p>Invariants: reports each request once, either when it is whole or as invalid. The limits that are in force when the
+ * head of a request is read hold for the whole request. Confined to the event loop.
  */
 final class RequestReader {
     private final EventLoop loop;
-    private final Supplier<CallerLimits> limits;
+    private final Supplier<CallerLimits> latestLimits;
     private final Listener listener;
     private HttpRequest head;
+    private CallerLimits limits = CallerLimits.DEFAULTS;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Optional<Future<?>> timer = Optional.empty();
 
@@ -45,9 +47,9 @@
         void onInvalid(int status, String reason);
     }
 
-    RequestReader(EventLoop loop, Supplier<CallerLimits> limits, Listener listener) {
+    RequestReader(EventLoop loop, Supplier<CallerLimits> latestLimits, Listener listener) {
         this.loop = loop;
-        this.limits = limits;
+        this.latestLimits = latestLimits;
         this.listener = listener;
     }
 
@@ -81,15 +83,15 @@
 
     private void readHead(HttpRequest request) {
         head = request;
-        timer = Optional.of(
-                loop.schedule(this::handleTimeout, limits.get().headerTimeoutMillis(), TimeUnit.MILLISECONDS));
+        limits = latestLimits.get();
+        timer = Optional.of(loop.schedule(this::handleTimeout, limits.headerTimeoutMillis(), TimeUnit.MILLISECONDS));
         int size = request.uri().length();
         for (var header : request.headers()) {
             size += header.getKey().length() + header.getValue().length() + 4;
         }
-        if (size > limits.get().maxHeaderBytes()) {
+        if (size > limits.maxHeaderBytes()) {
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers over the limit");
-        } else if (HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
         } else {
             listener.onHead(request);
@@ -98,15 +100,14 @@
 
     private void readContent(HttpContent content) {
         ByteBuf chunk = content.content();
-        int maxBodyBytes = limits.get().maxBodyBytes();
         if (chunk.isReadable()) {
-            if (body.readableBytes() + chunk.readableBytes() > maxBodyBytes) {
+            if (body.readableBytes() + chunk.readableBytes() > limits.maxBodyBytes()) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
                 return;
             }
             if (body == Unpooled.EMPTY_BUFFER) {
                 long announced = HttpUtil.getContentLength(head, chunk.readableBytes());
-                body = Unpooled.buffer((int) Math.min(announced, maxBodyBytes));
+                body = Unpooled.buffer((int) Math.min(announced, limits.maxBodyBytes()));
             }
             body.writeBytes(chunk);
         }
--- a/src/test/java/org/poplarwharf/internal/holder/RawCaller.java
+++ b/src/test/java/org/poplarwharf/internal/holder/RawCaller.java
@@ -37,6 +37,11 @@
                 + "Content-Length: 0\r\n\r\n";
     }
 
+    /** Returns the head of a request with a body of seven bytes. */
+    static String postWithBody(String path, String id, String extraHeaders) {
+        return post(path, id, extraHeaders).replace("Content-Length: 0", "Content-Length: 7");
+    }
+
     void send(String text) throws IOException {
         ScriptedTarget.write(socket.getOutputStream(), text);
     }
