--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -115,12 +115,12 @@
     }
 
     @Override
-    public void onHead(HttpRequest head) {
+    public void onHead() {
         cancelIdleTimer();
-        if (HttpUtil.is100ContinueExpected(head)) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        if (!reader.awaitsContinue()) {
+            reader.expectRest();
         }
+        handleWaiting();
     }
 
     @Override
@@ -138,7 +138,7 @@
         handleWaiting();
     }
 
-    /** Handles the requests that wait until one of them is under way, and then the invalid one behind them. */
+    /** Handles the requests that wait until one of them is under way, and then the one behind them that is not whole. */
     private void handleWaiting() {
         if (handlingWaiting) {
             return;
@@ -154,9 +154,17 @@
         channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
         if (exchange == null && refusalStatus.isPresent()) {
             refuseInvalid(refusalStatus.getAsInt());
+        } else if (exchange == null && reader.awaitsContinue()) {
+            sendContinue();
         }
     }
 
+    private void sendContinue() {
+        channel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        reader.expectRest();
+    }
+
     private void refuseInvalid(int status) {
         refusalStatus = OptionalInt.empty();
         keepAlive = false;
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -32,13 +32,14 @@
     private final Listener listener;
     private HttpRequest head;
     private CallerLimits limits = CallerLimits.DEFAULTS;
+    private boolean awaitsContinue;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Optional<Future<?>> timer = Optional.empty();
 
     /** Receives what has been read. */
     interface Listener {
         /** Called when the head of a valid request has been read. */
-        void onHead(HttpRequest head);
+        void onHead();
 
         /** Called with a whole request. The listener takes ownership of it. */
         void onRequest(FullHttpRequest request);
@@ -58,6 +59,20 @@
         return head != null;
     }
 
+    /** Returns whether the caller waits for a statement that it may send the body of the request. */
+    boolean awaitsContinue() {
+        return awaitsContinue;
+    }
+
+    /** Starts the time within which the caller must send the rest of the request. */
+    void expectRest() {
+        awaitsContinue = false;
+        if (timer.isEmpty()) {
+            timer = Optional.of(
+                    loop.schedule(this::handleTimeout, limits.headerTimeoutMillis(), TimeUnit.MILLISECONDS));
+        }
+    }
+
     /** Reads a part of a request. Does not retain it. */
     void read(HttpObject part) {
         if (part.decoderResult().isFailure()) {
@@ -84,7 +99,6 @@
     private void readHead(HttpRequest request) {
         head = request;
         limits = latestLimits.get();
-        timer = Optional.of(loop.schedule(this::handleTimeout, limits.headerTimeoutMillis(), TimeUnit.MILLISECONDS));
         int size = request.uri().length();
         for (var header : request.headers()) {
             size += header.getKey().length() + header.getValue().length() + 4;
@@ -94,7 +108,8 @@
         } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
         } else {
-            listener.onHead(request);
+            awaitsContinue = HttpUtil.is100ContinueExpected(request);
+            listener.onHead();
         }
     }
 
@@ -137,6 +152,7 @@
 
     private void reset() {
         head = null;
+        awaitsContinue = false;
         body = Unpooled.EMPTY_BUFFER;
         timer.ifPresent(running -> running.cancel(false));
         timer = Optional.empty();
--- a/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
@@ -209,4 +209,43 @@
         caller.send(RawCaller.postWithBody("/once/x", "second", ""));
         assertRefusedAndClosed(413);
     }
+
+    @Test
+    void caller_behind_a_stream_is_told_to_continue_after_the_stream() throws Exception {
+        startStream();
+        caller.send(RawCaller.postWithBody("/once/x", "second", "Expect: 100-continue\r\n"));
+        GatewayCluster.pause(100);
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertThat(caller.readResponse().status()).isEqualTo(100);
+        caller.send("one two");
+        assertAnswered("second");
+    }
+
+    @Test
+    void caller_that_waits_to_continue_behind_a_stream_is_not_refused_for_being_late() throws Exception {
+        changePlan(2, "'limits':{'headerTimeoutMs':200}");
+        startStream();
+        caller.send(RawCaller.postWithBody("/once/x", "second", "Expect: 100-continue\r\n"));
+        GatewayCluster.pause(400);
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertThat(caller.readResponse().status()).isEqualTo(100);
+        caller.send("one two");
+        assertAnswered("second");
+    }
+
+    @Test
+    void response_after_an_interim_one_keeps_its_body_where_a_head_request_follows() throws Exception {
+        caller.send(RawCaller.postWithBody("/once/x", "first", "Expect: 100-continue\r\n"));
+        assertThat(caller.readResponse().status()).isEqualTo(100);
+        caller.send("one two" + RawCaller.post("/once/x", "second", "").replace("POST", "HEAD"));
+        caller.send(RawCaller.post("/once/x", "third", ""));
+
+        assertAnswered("first");
+        assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 200 OK");
+        assertAnswered("third");
+    }
 }
