--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -175,31 +175,54 @@
         current = request;
         keepAlive = HttpUtil.isKeepAlive(request);
         RequestTraits traits = gateway.headerCodec().readRequest(request.headers());
+        try {
+            startExchange(request, traits);
+        } catch (RuntimeException e) {
+            handleDefect(request, traits.requestId(), e);
+        }
+    }
+
+    /** Responds to a request whose handling has thrown an exception, unless it has got its response. */
+    private void handleDefect(FullHttpRequest request, String requestId, RuntimeException cause) {
+        gateway.log().log("request-handling-failed", "requestId", requestId, "reason", String.valueOf(cause));
+        if (exchange != null) {
+            exchange.handleDefect("defect of the node");
+        } else if (current == request) {
+            refuse(requestId, FailureCode.INTERNAL, "defect of the node", 0);
+        }
+    }
+
+    private void startExchange(FullHttpRequest request, RequestTraits traits) {
         if (!gateway.view().isComplete()) {
-            gateway.log().log("request-refused", "requestId", traits.requestId(), "reason", "no plan or targets yet");
-            request.release();
-            sendProblem(traits.requestId(), FailureCode.NOT_READY, "not ready", NOT_READY_RETRY_AFTER_MILLIS);
+            refuse(traits.requestId(), FailureCode.NOT_READY, "no plan or targets yet", NOT_READY_RETRY_AFTER_MILLIS);
             return;
         }
         FleetPlan plan = gateway.view().plan().orElseThrow();
         Optional<Route> route = plan.routes().find(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
         if (route.isEmpty()) {
-            gateway.log().log(
-                    "request-refused",
-                    "requestId",
-                    traits.requestId(),
-                    "reason",
-                    "no route",
-                    "planVersion",
-                    plan.version());
-            request.release();
-            sendProblem(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
+            refuse(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
             return;
         }
         exchange = new ProxyExchange(RequestContext.of(gateway, route.get(), traits, identify(request)), this, request);
         exchange.start();
     }
 
+    /** Refuses the current request before its exchange begins. */
+    private void refuse(String requestId, FailureCode code, String reason, long retryAfterMillis) {
+        gateway.log().log(
+                "request-refused",
+                "requestId",
+                requestId,
+                "code",
+                code.text(),
+                "reason",
+                reason,
+                "planVersion",
+                gateway.planVersion());
+        current.release();
+        sendProblem(requestId, code, reason, retryAfterMillis);
+    }
+
     private static RequestIdentity identify(FullHttpRequest request) {
         return RequestIdentity.of(
                 request.headers().get(HttpHeaderNames.AUTHORIZATION, ""),
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -355,6 +355,14 @@
         }
     }
 
+    /** Ends the exchange, whose start has thrown an exception, with a response. */
+    void handleDefect(String reason) {
+        if (!done) {
+            releaseTarget();
+            fail(limits.mayHaveRun() ? FailureCode.OUTCOME_UNKNOWN : FailureCode.INTERNAL, reason, 0);
+        }
+    }
+
     void handleCallerGone() {
         if (!done) {
             releaseTarget();
