Go on with a silent target's response in entry until another one has a permit

What callers got: a stream whose target was silent for longer than the progress timeout was cut with stream-interrupted, and a response that was silent in its body failed with target-failed, when no retry was left, the search for another target was refused, or the stream's events had no index.

Cause: AbortableConnection closed the connection when the progress timer fired. Only then did RetryingExchange ask for a retry token and a permit.

The timer now reports silence. RetryingExchange takes a retry token and asks for a permit for another target while the response goes on, again after each further progress timeout if none was found. Only with that permit does it end the attempt, and then it sends the request there or resumes the stream, so that a request doesn't run at two targets. If the target goes on, the search is cancelled and the token given back. A stream whose second target fails tries another one within the retry budget instead of ending. The deadline stays the limit.

A reused connection may have been lost without notice, so a request whose response does not begin there within the progress timeout is still sent once more to the same target, on a new connection. On a new connection it no longer is: there, silence says nothing about the connection.

--- a/src/main/java/org/poplarwharf/internal/entry/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Attempt.java
@@ -14,7 +14,8 @@
 /**
  * One attempt to run a request: sends it on a connection to the target that a permit names.
  *
- * <p>Invariant: the permit is released exactly once. Confined to one traffic thread.
+ * <p>Invariants: the permit is released exactly once. Silence of the target ends no attempt; it is only reported. Confined
+ * to one traffic thread.
  */
 final class Attempt {
     private static final long NO_FIRST_BYTE_MILLIS = -1;
@@ -22,13 +23,24 @@
     private final TrafficThreadContext thread;
     private final CallerRequest request;
     private final Permit permit;
+    private final SilenceListener listener;
     private final String attemptId;
     private final long startedMillis;
     private AbortableConnection connection;
     private long firstByteDelayMillis = NO_FIRST_BYTE_MILLIS;
     private boolean isFinished;
 
-    Attempt(TrafficThreadContext thread, CallerRequest request, Permit permit) {
+    /** Learns whether the target of an attempt makes progress. */
+    interface SilenceListener {
+        /** Called each time the target has been silent for another progress timeout. */
+        void onSilence(Attempt attempt);
+
+        /** Called when the target has sent something, or the connection has failed. */
+        void onSilenceEnded();
+    }
+
+    Attempt(TrafficThreadContext thread, CallerRequest request, Permit permit, SilenceListener listener) {
+        this.listener = listener;
         this.thread = thread;
         this.request = request;
         this.permit = permit;
@@ -56,7 +68,10 @@
         return isFinished;
     }
 
-    /** Sends the request; if it stalls before the response begins, it is sent once more on a new connection. */
+    /**
+     * Sends the request. A reused connection may have been lost without notice, so if the response does not begin there
+     * within the progress timeout, the request is sent once more on a new connection to the same target.
+     */
     Promise<HttpResponse> send(int resumeAfterTokens) {
         return sendOnce(resumeAfterTokens).then((response, e) -> {
             boolean retry = e != null && connection.isStalled() && !isFinished;
@@ -68,21 +83,24 @@
         });
     }
 
-    /**
-     * Sends the request on the current connection. A response that is not streamed may begin as late as the deadline, so
-     * on a new connection the deadline is the timeout. A reused connection may have been lost without notice, so the
-     * shorter progress timeout applies there.
-     */
+    /** Sends the request on the current connection. On a new connection, the response may begin as late as the deadline. */
     private Promise<HttpResponse> sendOnce(int resumeAfterTokens) {
         HttpRequest httpRequest = buildHttpRequest(resumeAfterTokens);
-        return request.streamed() || connection.wasUsedBefore()
-                ? connection.exchange(httpRequest)
+        if (connection.wasUsedBefore()) {
+            return connection.exchange(httpRequest);
+        }
+        return request.streamed()
+                ? connection
+                        .exchange(httpRequest, () -> listener.onSilence(this))
+                        .whenComplete(listener::onSilenceEnded)
                 : connection.exchange(httpRequest, remainingMillis());
     }
 
-    /** Applies the progress timeout to one read of the response body, unless the response is sent only when complete. */
-    Promise<ByteBuf> readWithProgressTimeout(Promise<ByteBuf> read) {
-        return respondsOnlyWhenComplete() ? read : connection.withProgressTimeout(read);
+    /** Reports silence of the target during one read of the body, unless the response is sent only when complete. */
+    Promise<ByteBuf> watch(Promise<ByteBuf> read) {
+        return respondsOnlyWhenComplete()
+                ? read
+                : connection.watch(read, () -> listener.onSilence(this)).whenComplete(listener::onSilenceEnded);
     }
 
     /** Returns whether the engine may send nothing until its response is complete. */
--- a/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
@@ -48,6 +48,11 @@
         }
     }
 
+    /** Returns whether another target could continue the stream after the events that the caller has. */
+    boolean isResumable() {
+        return allTokensIndexed && nextTokenIndex > 0;
+    }
+
     @Override
     protected Promise<ByteBuf> doGet() {
         if (completed) {
@@ -107,15 +112,14 @@
         }
         Attempt failedAttempt = attempt;
         failedAttempt.abort(failedAttempt.failureOutcome());
-        if (!allTokensIndexed || nextTokenIndex == 0) {
+        if (!isResumable()) {
             return failInterrupted(failedAttempt);
         }
         return exchange.resume(nextTokenIndex, failedAttempt).then((nextReader, e) -> {
+            attempt = exchange.attempt().orElseThrow();
             if (e != null) {
-                exchange.attempt().ifPresent(current -> current.abort(current.failureOutcome()));
-                return failInterrupted(failedAttempt);
+                return attempt == failedAttempt ? failInterrupted(failedAttempt) : handleFailure();
             }
-            attempt = exchange.attempt().orElseThrow();
             reader = nextReader;
             resuming = true;
             return doGet();
--- a/src/main/java/org/poplarwharf/internal/entry/RetryTokenBucket.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RetryTokenBucket.java
@@ -25,4 +25,9 @@
         tokens--;
         return true;
     }
+
+    /** Returns the token of a retry that was not made. */
+    void giveBack() {
+        tokens = Math.min(MAX_RETRY_TOKENS, tokens + 1);
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
@@ -25,9 +25,10 @@
  *
  * <p>Invariants: the caller gets one final response, at its deadline at the latest. A failure says "not run" only if no
  * attempt may have reached a target. Nothing is retried after bytes were sent to the caller, except that a stream may be
- * resumed. Confined to one traffic thread.
+ * resumed. Silence of a target starts a search for another one, and its attempt ends only when another target's permit
+ * was obtained. Confined to one traffic thread.
  */
-final class RetryingExchange {
+final class RetryingExchange implements Attempt.SilenceListener {
     private static final int STATUS_OK = 200;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
@@ -42,7 +43,9 @@
     private ScheduledRunnable deadline;
     private Optional<Attempt> attempt = Optional.empty();
     private Optional<CompletionStream> stream = Optional.empty();
+    private Optional<Permit> replacement = Optional.empty();
     private String permitRequestId = "";
+    private boolean searching;
     private boolean mayHaveRun;
     private boolean coldStart;
     private boolean ended;
@@ -78,18 +81,80 @@
         deadline.cancel();
         thread.cancelPermitRequest(permitRequestId);
         attempt.ifPresent(current -> current.abort(outcome));
+        replacement.ifPresent(permit -> thread.releasePermit(permit, Outcome.NOT_SENT, 0, -1));
+        replacement = Optional.empty();
+    }
+
+    /** Starts a search for another target, unless nothing could continue the response there or no retry is left. */
+    @Override
+    public void onSilence(Attempt silent) {
+        boolean replaceable = stream.map(CompletionStream::isResumable).orElse(true);
+        if (ended || searching || silent.isFinished() || !replaceable) {
+            return;
+        }
+        if (!thread.retryBudget().tryAcquire()) {
+            return;
+        }
+        searching = true;
+        List<String> excluded = new ArrayList<>(excludedTargets);
+        excluded.add(silent.target());
+        Promise<Permit> permits = requestPermit(excluded);
+        String searchId = permitRequestId;
+        permits.whenComplete((permit, e) -> {
+            if (!searchId.equals(permitRequestId)) {
+                return;
+            }
+            searching = false;
+            if (e != null) {
+                thread.retryBudget().giveBack();
+                return;
+            }
+            replace(silent, permit);
+        });
+    }
+
+    @Override
+    public void onSilenceEnded() {
+        if (!searching) {
+            return;
+        }
+        searching = false;
+        thread.retryBudget().giveBack();
+        thread.cancelPermitRequest(permitRequestId);
+        permitRequestId = "";
+    }
+
+    /** Ends the attempt at the silent target. The read that fails thereby resumes a stream with the new permit. */
+    private void replace(Attempt silent, Permit permit) {
+        excludedTargets.add(silent.target());
+        if (stream.isPresent()) {
+            replacement = Optional.of(permit);
+            silent.abort(Outcome.NO_PROGRESS);
+            return;
+        }
+        silent.abort(Outcome.NO_PROGRESS);
+        send(createAttempt(permit));
     }
 
     /** Opens a stream at another target for the tokens after those that the caller has; fails if no target can continue. */
     Promise<SseReader> resume(int afterTokens, Attempt failed) {
+        return permitToResume(failed).then(permit -> {
+            Attempt nextAttempt = createAttempt(permit);
+            return nextAttempt.send(afterTokens).then(response -> openReader(nextAttempt, response));
+        });
+    }
+
+    private Promise<Permit> permitToResume(Attempt failed) {
+        if (replacement.isPresent()) {
+            Permit permit = replacement.get();
+            replacement = Optional.empty();
+            return Promise.of(permit);
+        }
         excludedTargets.add(failed.target());
         if (ended || !thread.retryBudget().tryAcquire()) {
             return Promise.ofException(CallerReporter.streamInterrupted(failed.target()));
         }
-        return requestPermit().then(permit -> {
-            Attempt nextAttempt = createAttempt(permit);
-            return nextAttempt.send(afterTokens).then(response -> openReader(nextAttempt, response));
-        });
+        return requestPermit(excludedTargets);
     }
 
     Optional<Attempt> attempt() {
@@ -101,11 +166,11 @@
             nextAttempt.abort(Outcome.TARGET_ERROR);
             return Promise.ofException(CallerReporter.streamInterrupted(nextAttempt.target()));
         }
-        return Promise.of(new SseReader(nextAttempt.connection(), response.takeBodyStream(), nextAttempt.attemptId()));
+        return Promise.of(new SseReader(nextAttempt, response.takeBodyStream()));
     }
 
     private void startAttempt() {
-        requestPermit().whenComplete((permit, e) -> {
+        requestPermit(excludedTargets).whenComplete((permit, e) -> {
             if (e != null) {
                 fail(CallerResponses.toFailure(e));
                 return;
@@ -114,10 +179,11 @@
         });
     }
 
-    private Promise<Permit> requestPermit() {
-        permitRequestId = thread.requestIds().next();
+    private Promise<Permit> requestPermit(List<String> excluded) {
+        String id = thread.requestIds().next();
+        permitRequestId = id;
         AdmissionRequest admission = new AdmissionRequest(
-                permitRequestId,
+                id,
                 request.artifact(),
                 request.requestClass().name(),
                 request.tenant(),
@@ -125,14 +191,14 @@
                 Math.max(0, request.deadlineMillis() - thread.nowMillis()),
                 request.fingerprint(),
                 request.prefixHash(),
-                List.copyOf(excludedTargets));
+                List.copyOf(excluded));
         long requestedMillis = thread.nowMillis();
         return thread.requestPermit(new PermitRequest(
                         admission,
                         request.deadlineMillis(),
                         request.requestClass().priority()))
                 .then(permit -> {
-                    if (ended) {
+                    if (ended || !id.equals(permitRequestId)) {
                         thread.releasePermit(permit, Outcome.NOT_SENT, 0, -1);
                         return Promise.ofException(deadlineFailure());
                     }
@@ -144,7 +210,7 @@
 
     private Attempt createAttempt(Permit permit) {
         coldStart |= permit.grant().coldStart();
-        Attempt created = new Attempt(thread, request, permit);
+        Attempt created = new Attempt(thread, request, permit, this);
         attempt = Optional.of(created);
         return created;
     }
@@ -192,7 +258,7 @@
         BoundedBodyReader.read(
                         response.takeBodyStream(),
                         thread.maxBodyBytes(),
-                        current::readWithProgressTimeout,
+                        current::watch,
                         () -> CallerReporter.targetFailed(current.target(), null))
                 .whenComplete((body, e) -> {
                     if (current.isFinished()) {
@@ -241,7 +307,7 @@
     }
 
     private void startStream(Attempt current, HttpResponse response) {
-        SseReader reader = new SseReader(current.connection(), response.takeBodyStream(), current.attemptId());
+        SseReader reader = new SseReader(current, response.takeBodyStream());
         reader.next().whenComplete((first, e) -> {
             if (current.isFinished()) {
                 return;
--- a/src/main/java/org/poplarwharf/internal/entry/SseReader.java
+++ b/src/main/java/org/poplarwharf/internal/entry/SseReader.java
@@ -10,7 +10,6 @@
 import java.util.OptionalInt;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.failure.Reporter;
-import org.poplarwharf.internal.target.AbortableConnection;
 
 /**
  * Reads the server-sent events of a completion from a target.
@@ -24,18 +23,16 @@
     private static final String DONE_MARKER = "[DONE]";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final AbortableConnection connection;
+    private final Attempt attempt;
     private final ChannelSupplier<ByteBuf> body;
-    private final String attemptId;
     private final StringBuilder buffer = new StringBuilder();
 
-    SseReader(AbortableConnection connection, ChannelSupplier<ByteBuf> body, String attemptId) {
-        this.connection = connection;
+    SseReader(Attempt attempt, ChannelSupplier<ByteBuf> body) {
+        this.attempt = attempt;
         this.body = body;
-        this.attemptId = attemptId;
     }
 
-    /** Returns the next event; fails if the stream ends without {@code [DONE]}, stalls or is malformed. */
+    /** Returns the next event; fails if the stream ends without {@code [DONE]} or is malformed. */
     Promise<Event> next() {
         int end = buffer.indexOf("\n\n");
         if (end >= 0) {
@@ -46,7 +43,7 @@
         if (buffer.length() > MAX_EVENT_CHARS) {
             return Promise.ofException(malformedStream());
         }
-        return connection.withProgressTimeout(body.get()).async().then(buf -> {
+        return attempt.watch(body.get()).async().then(buf -> {
             if (buf == null) {
                 return Promise.ofException(malformedStream());
             }
@@ -58,7 +55,7 @@
 
     /** Reads the end of the body after the last event; returns whether the connection can be reused. */
     Promise<Boolean> readToEnd() {
-        return connection.withProgressTimeout(body.get()).map((buf, e) -> {
+        return attempt.connection().withProgressTimeout(body.get()).map((buf, e) -> {
             if (buf != null) {
                 buf.recycle();
             }
@@ -87,7 +84,7 @@
         } catch (JsonProcessingException e) {
             throw malformedStream();
         }
-        if (RequestIdGenerator.belongsToAnotherRequest(json.path("id").asText(), attemptId)) {
+        if (RequestIdGenerator.belongsToAnotherRequest(json.path("id").asText(), attempt.attemptId())) {
             throw malformedStream();
         }
         return json;
@@ -111,7 +108,7 @@
     private RuntimeException malformedStream() {
         return Reporter.failure(
                 FailureCode.TARGET_FAILED,
-                "The stream from " + connection.address() + " is incomplete or malformed.",
+                "The stream from " + attempt.connection().address() + " is incomplete or malformed.",
                 "It ended early, or contained an event that is malformed or belongs to another request.",
                 "Try again.",
                 null);
--- a/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
+++ b/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
@@ -51,13 +51,22 @@
 
     /** Starts an exchange. The promise fails if the response does not begin within the progress timeout. */
     public Promise<HttpResponse> exchange(HttpRequest request) {
-        return exchange(request, progressTimeoutMillis);
+        return withProgressTimeout(start(request));
     }
 
     /** Starts an exchange. The promise fails if the response does not begin within the given time. */
     public Promise<HttpResponse> exchange(HttpRequest request, long firstByteTimeoutMillis) {
+        return withTimeout(firstByteTimeoutMillis, start(request));
+    }
+
+    /** Starts an exchange that may begin at any time. The action runs each time a progress timeout has passed. */
+    public Promise<HttpResponse> exchange(HttpRequest request, Runnable onSilence) {
+        return watch(start(request), onSilence);
+    }
+
+    private Promise<HttpResponse> start(HttpRequest request) {
         mayHaveSentBytes = socket.isPresent();
-        return withTimeout(firstByteTimeoutMillis, client.request(request));
+        return client.request(request);
     }
 
     /** Returns whether the connection carried an earlier exchange, so that the target may have closed it unnoticed. */
@@ -80,6 +89,16 @@
         return withTimeout(progressTimeoutMillis, step);
     }
 
+    /** Runs the action each time the step has made no progress for another progress timeout. The step goes on. */
+    public <T> Promise<T> watch(Promise<T> step, Runnable onSilence) {
+        if (step.isComplete()) {
+            return step;
+        }
+        SilenceTimer timer = new SilenceTimer(onSilence);
+        timer.schedule();
+        return step.whenComplete(timer::cancel);
+    }
+
     private <T> Promise<T> withTimeout(long timeoutMillis, Promise<T> step) {
         if (step.isComplete()) {
             return step;
@@ -103,6 +122,29 @@
         abort();
     }
 
+    /** Runs an action after each progress timeout until it is cancelled. */
+    private final class SilenceTimer {
+        private final Runnable onSilence;
+        private ScheduledRunnable next;
+
+        private SilenceTimer(Runnable onSilence) {
+            this.onSilence = onSilence;
+        }
+
+        private void schedule() {
+            next = reactor.delayBackground(progressTimeoutMillis, this::onTimeout);
+        }
+
+        private void onTimeout() {
+            schedule();
+            onSilence.run();
+        }
+
+        private void cancel() {
+            next.cancel();
+        }
+    }
+
     /** Tracks the socket that the client has opened. */
     private final class SocketTracker extends TcpSocket.JmxInspector {
         @Override
