Don't report a request as not run after it was sent again in vain

What callers got: deadline-exceeded with ran=no for a request that may have run. It was sent on a reused connection, the target was silent for the progress timeout, and the new connection to the same target could not be opened.

Cause: Attempt judged only by its last connection, on which nothing was sent, and reported CONNECT_FAILED. RetryingExchange then forgot that the request may have run.

An attempt that was sent again now counts as one that may have reached its target, whatever became of the second connection.

The new case of SilentTargetEntryTest was red before ("code" was deadline-exceeded). Green now, with the unit tests of entry, HttpCallDispatcherTest and SilentConnectionTest (50 in all). No process test was run for this change.

--- a/src/main/java/org/poplarwharf/internal/entry/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Attempt.java
@@ -28,6 +28,7 @@
     private final long startedMillis;
     private AbortableConnection connection;
     private long firstByteDelayMillis = NO_FIRST_BYTE_MILLIS;
+    private boolean wasSentAgain;
     private boolean isFinished;
 
     /** Learns whether the target of an attempt makes progress. */
@@ -78,6 +79,7 @@
             if (!retry) {
                 return Promise.of(response, e);
             }
+            wasSentAgain = true;
             connection = thread.connections().openAfterStall(permit.grant().address());
             return sendOnce(resumeAfterTokens);
         });
@@ -117,7 +119,8 @@
         if (connection.isStalled()) {
             return Outcome.NO_PROGRESS;
         }
-        return connection.mayHaveSentBytes() ? Outcome.CONNECTION_LOST : Outcome.CONNECT_FAILED;
+        boolean mayHaveReachedTarget = wasSentAgain || connection.mayHaveSentBytes();
+        return mayHaveReachedTarget ? Outcome.CONNECTION_LOST : Outcome.CONNECT_FAILED;
     }
 
     void recordFirstByte() {
--- a/src/test/java/org/poplarwharf/internal/entry/SilentTargetEntryTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/SilentTargetEntryTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -148,6 +149,31 @@
         }
     }
 
+    @Test
+    void request_that_reached_a_target_before_its_connection_was_replaced_in_vain_does_not_fail_as_not_run()
+            throws Exception {
+        AtomicReference<RawHttpTarget> listening = new AtomicReference<>();
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            if (n == 1) {
+                return write(out, jsonResponse(200, "{}"));
+            }
+            listening.get().close();
+            return true;
+        })) {
+            listening.set(target);
+            entry.admission.targetAddresses.addAll(List.of(target.address(), target.address()));
+            lookUp();
+
+            String problem = entry.send(entry.request("/services/ledger/casks")
+                            .header("X-Deadline-Millis", "1500")
+                            .GET())
+                    .join()
+                    .body();
+
+            assertThat(problem).contains("\"code\":\"deadline-exceeded-running\"", "\"ran\":\"unknown\"");
+        }
+    }
+
     @Test
     void silent_stream_moves_to_another_target_and_ends_at_the_silent_one() throws Exception {
         try (RawHttpTarget silent = targetFallingSilent();
