--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -11,7 +11,6 @@
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.dispatch.RunOutcome;
-import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.Target;
 
@@ -27,7 +26,6 @@
     private final GatewayContext gateway;
     private final ResponseSink sink;
     private final FullHttpRequest request;
-    private final RequestTraits traits;
     private final Route route;
     private final TargetSelector selector;
     private final ResponseRelay relay;
@@ -49,14 +47,12 @@
         this.sink = sink;
         this.request = request;
         this.route = context.route();
-        this.traits = context.traits();
         this.selector = context.selector();
         boolean streaming = route.kind().isStream() && !HttpMethod.HEAD.equals(request.method());
-        this.relay =
-                new ResponseRelay(gateway.headerCodec(), sink, traits.requestId(), streaming, traits.lastEventId());
+        this.relay = new ResponseRelay(gateway.headerCodec(), sink, context.traits(), streaming);
         this.recorder = new ExchangeRecorder(context);
         this.limits = new AttemptLimits(context, recorder);
-        this.continuity = new StreamContinuity(gateway.streamOrigins(), route, traits, context.service());
+        this.continuity = new StreamContinuity(gateway.streamOrigins(), route, context.traits(), context.service());
         this.sender = new AttemptSender(context, new OutgoingRequests(context, request), limits, recorder, continuity);
         this.replacement =
                 new TargetReplacement(context, sender, limits, recorder, continuity, relay, this::replaceSilentTarget);
@@ -74,7 +70,8 @@
         if (refuseIfCrashing()) {
             return;
         }
-        OptionalLong pauseMillis = gateway.statements().pauseMillis(context.service(), traits.requestId());
+        OptionalLong pauseMillis = gateway.statements()
+                .pauseMillis(context.service(), context.traits().requestId());
         if (pauseMillis.isPresent()) {
             giveUp("targets paused", pauseMillis.getAsLong());
             return;
@@ -386,7 +383,7 @@
     }
 
     private void fail(FailureCode code, String reason, long retryAfterMillis) {
-        sink.sendProblem(traits.requestId(), code, reason, retryAfterMillis);
+        sink.sendProblem(context.traits().requestId(), code, reason, retryAfterMillis);
         close("request-failed", "code", code.text(), "reason", reason, "retryAfterMillis", retryAfterMillis);
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.http.BodyDelimiter;
 
 /**
@@ -64,13 +65,12 @@
         COMPLETE
     }
 
-    ResponseRelay(
-            HeaderCodec headerCodec, ResponseSink sink, String requestId, boolean streaming, OptionalLong lastEventId) {
+    ResponseRelay(HeaderCodec headerCodec, ResponseSink sink, RequestTraits request, boolean streaming) {
         this.headerCodec = headerCodec;
         this.sink = sink;
-        this.requestId = requestId;
+        this.requestId = request.requestId();
         this.streaming = streaming;
-        this.splitter = new EventSplitter(lastEventId);
+        this.splitter = new EventSplitter(request.lastEventId());
     }
 
     void receiveHead(HttpResponse received) {
