--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -327,7 +326,7 @@
         exchange = null;
         current = null;
         if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            LingeringClose.closeAfter(written);
             return;
         }
         handleWaiting();
