Say in process tests' failures what each node knew

Failures such as "n2 answers for p-3" or 503s after the start named neither the holder nor the reason. ClusterTrace adds each node's status (holder, slots, queues, peers, time since the log answered) and the latest events of engines and log; CallerResponse keeps an error's body and the time of sending. Used by CheckedFleet.awaitSuccess (Chaos and HolderFault), TargetFaultProcessTest and RequestPathProcessTest. The trace is read only when an assertion fails; no assertion or bound has changed.

No cause is mended here.

--- a/src/test/java/org/poplarwharf/process/CallerClient.java
+++ b/src/test/java/org/poplarwharf/process/CallerClient.java
@@ -144,7 +144,8 @@
                     "",
                     "",
                     "unknown",
-                    false);
+                    false,
+                    e.toString());
         }
 
         CallerResponse onEnd(HttpResponse response, boolean complete) {
@@ -157,7 +158,8 @@
                         "",
                         problem.path("code").asText("unreadable"),
                         problem.path("ran").asText("unreadable"),
-                        complete);
+                        complete,
+                        text);
             }
             if (request.kind() == VerifiableRequest.Kind.STREAM) {
                 return parseStream(text, complete);
@@ -165,7 +167,7 @@
             String content = request.isCompletion()
                     ? parseJson(text).at("/choices/0/message/content").asText()
                     : parseJson(text).path("bodyHash").asText();
-            return buildResponse(status, content, "", "yes", complete);
+            return buildResponse(status, content, "", "yes", complete, "");
         }
 
         private CallerResponse parseStream(String text, boolean endedExplicitly) {
@@ -185,16 +187,26 @@
                             tokens.toString(),
                             error.path("code").asText(),
                             error.path("ran").asText(),
-                            false);
+                            false,
+                            error.toString());
                 }
                 tokens.append(event.at("/choices/0/delta/content").asText());
             }
-            return buildResponse(200, tokens.toString(), "", "yes", done && endedExplicitly);
+            return buildResponse(200, tokens.toString(), "", "yes", done && endedExplicitly, "");
         }
 
-        private CallerResponse buildResponse(int status, String text, String code, String ran, boolean complete) {
+        private CallerResponse buildResponse(
+                int status, String text, String code, String ran, boolean complete, String problem) {
             return new CallerResponse(
-                    request, sentAtMillis, clock.nowMillis() - sentAtMillis, status, text, code, ran, complete);
+                    request,
+                    sentAtMillis,
+                    clock.nowMillis() - sentAtMillis,
+                    status,
+                    text,
+                    code,
+                    ran,
+                    complete,
+                    problem);
         }
 
         private static JsonNode parseJson(String text) {
--- a/src/test/java/org/poplarwharf/process/CallerResponse.java
+++ b/src/test/java/org/poplarwharf/process/CallerResponse.java
@@ -9,6 +9,7 @@
  * @param text the tokens of a completion, or the body hash that a service returned
  * @param ran whether the request was run, as an error response states it
  * @param complete whether the response ended explicitly rather than by a closed connection
+ * @param problem the body of an error response, or why there is no response; else empty
  */
 record CallerResponse(
         VerifiableRequest request,
@@ -18,7 +19,8 @@
         String text,
         String code,
         String ran,
-        boolean complete) {
+        boolean complete,
+        String problem) {
     static final int CONNECTION_LOST = 0;
     static final int NOT_CONNECTED = -1;
 
@@ -32,7 +34,16 @@
 
     @Override
     public String toString() {
-        return "#%d %s %d %s ran=%s complete=%s in %d ms"
-                .formatted(request.number(), request.kind(), status, code, ran, complete, latencyMillis);
+        return "#%d %s %d %s ran=%s complete=%s in %d ms, sent at %d ms %s"
+                .formatted(
+                        request.number(),
+                        request.kind(),
+                        status,
+                        code,
+                        ran,
+                        complete,
+                        latencyMillis,
+                        sentAtMillis,
+                        problem);
     }
 }
--- a/src/test/java/org/poplarwharf/process/CheckedFleet.java
+++ b/src/test/java/org/poplarwharf/process/CheckedFleet.java
@@ -96,6 +96,11 @@
         return cluster;
     }
 
+    /** Describes what the nodes and engines know, for the message of a failed test. */
+    String trace() {
+        return ClusterTrace.of(cluster);
+    }
+
     FleetInvariants invariants() {
         return invariants;
     }
@@ -298,9 +303,11 @@
 
     /** Sends requests for a model to a node until one succeeds. */
     void awaitSuccess(String node, String model) {
-        eventually(
-                node + " answers for " + model,
-                () -> sendRequest(node, model).join().status() == 200);
+        RequestOutcome[] latest = new RequestOutcome[1];
+        eventually(node + " answers for " + model, () -> "; latest " + latest[0] + trace(), () -> {
+            latest[0] = sendRequest(node, model).join();
+            return latest[0].status() == 200;
+        });
     }
 
     /** Kills an engine and records its death for the check. */
--- a/src/test/java/org/poplarwharf/process/RequestPathProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/RequestPathProcessTest.java
@@ -30,6 +30,7 @@
                 }
             }
             assertThat(fleet.callerClient().sendAllAndAwait(fleet.addresses(), sent))
+                    .as(() -> ClusterTrace.of(fleet.cluster()))
                     .allMatch(CallerResponse::isSuccessful);
             fleet.assertResponsesMatchJournals(sent);
         }
--- a/src/test/java/org/poplarwharf/process/ResponseCheckerTest.java
+++ b/src/test/java/org/poplarwharf/process/ResponseCheckerTest.java
@@ -17,11 +17,11 @@
     private static final VerifiableRequest CALL = VerifiableRequest.nonRepeatableCall(3, "k");
 
     private static CallerResponse successful(VerifiableRequest request, String text) {
-        return new CallerResponse(request, 1_000, 50, 200, text, "", "yes", true);
+        return new CallerResponse(request, 1_000, 50, 200, text, "", "yes", true, "");
     }
 
     private static CallerResponse refused(VerifiableRequest request, long sentAtMillis) {
-        return new CallerResponse(request, sentAtMillis, 50, 503, "", "overloaded", "no", true);
+        return new CallerResponse(request, sentAtMillis, 50, 503, "", "overloaded", "no", true, "");
     }
 
     private static Journal.Entry<EngineEvent> engineStarted(VerifiableRequest request) {
@@ -75,7 +75,7 @@
     void reports_swapped_truncated_and_late_responses() {
         VerifiableRequest shortDeadline = COMPLETION.withDeadline(10);
         CallerResponse late =
-                new CallerResponse(shortDeadline, 0, 511, 200, shortDeadline.expectedText(), "", "yes", true);
+                new CallerResponse(shortDeadline, 0, 511, 200, shortDeadline.expectedText(), "", "yes", true, "");
         String truncated = COMPLETION.expectedText().substring(0, 5);
         assertThat(violatedRules(List.of(COMPLETION), List.of(successful(COMPLETION, OTHER_COMPLETION.expectedText()))))
                 .contains(Rule.WRONG_CONTENT);
--- a/src/test/java/org/poplarwharf/process/TargetFaultProcessTest.java
+++ b/src/test/java/org/poplarwharf/process/TargetFaultProcessTest.java
@@ -90,7 +90,7 @@
 
             assertThat(outcomes).allMatch(outcome -> outcome.status() != 0);
             assertThat(outcomes).allMatch(outcome -> outcome.latencyMillis() < DEADLINE_MILLIS + MAX_LATENESS_MILLIS);
-            assertThat(outcomes).anyMatch(outcome -> outcome.status() == 200);
+            assertThat(outcomes).as(fleet::trace).anyMatch(outcome -> outcome.status() == 200);
             assertThat(fleet.loadCount(model)).isBetween(1L, model.equals("pair") ? 2L : 1L);
         }
         fleet.assertNoViolations();
