Test that no stream changes its version after all nodes were killed

The users saw streams that were joined from two software versions after all nodes had been killed at once and come back.

--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -1,8 +1,10 @@
 package org.poplarwharf.internal.holder;
 
+import io.netty.channel.EventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -12,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.poplarwharf.internal.gateway.GatewaySettings;
@@ -174,6 +177,24 @@
                 .header("X-Request-Id", "r" + System.nanoTime());
     }
 
+    /** Ends all nodes at once as SIGKILL does: their connections close, and the holder doesn't resign its lease. */
+    void killNodes() throws ReflectiveOperationException {
+        List<EventLoopGroup> groups = new ArrayList<>();
+        for (Node node : nodes) {
+            Object gatewayNode = fieldOf(node.gateway(), "node");
+            groups.add((EventLoopGroup) fieldOf(gatewayNode, "group"));
+        }
+        groups.forEach(group -> group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
+        groups.forEach(group -> group.terminationFuture().awaitUninterruptibly());
+        nodes.clear();
+    }
+
+    private static Object fieldOf(Object owner, String name) throws ReflectiveOperationException {
+        Field field = owner.getClass().getDeclaredField(name);
+        field.setAccessible(true);
+        return field.get(owner);
+    }
+
     @Override
     public void close() throws IOException {
         nodes.forEach(node -> node.gateway().drainAndStop());
