Continue streams after all nodes have ended at once

What callers saw: after all nodes had been killed at once, each resumed stream was refused with stream-version-unavailable for 30 s, also where only one version had ever served. Cause: which version began a stream was known in memory only, and a node that has just started can't rule out that another version served before. Fix: the lease holder keeps on the platform's log the origins of streams while several versions may have begun some, and otherwise a statement of the versions as of an offset of the targets' entries. A new holder reads both once and adds the versions of all entries since. Nodes know targets only from these entries, so if they are all there, no other version can have been used; else nothing is certain, as before.

That was found by reading; the new tests of StreamOrigins state the rule, none shows a mixed stream on the code before.

The calls to the log were not measured.

--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -23,6 +23,7 @@
     private Optional<FleetPlan> plan = Optional.empty();
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
+    private final List<Runnable> loadListeners = new ArrayList<>();
     private final List<Consumer<Target>> removalListeners = new ArrayList<>();
     /** The incarnations that have stated that they leave, also those that are no longer known. */
     private final Map<String, Target> leavingById = new LinkedHashMap<>();
@@ -40,6 +41,11 @@
         removalListeners.add(listener);
     }
 
+    /** Registers a listener that is called each time that all targets have been loaded from the platform's log. */
+    public void onTargetsLoaded(Runnable listener) {
+        loadListeners.add(listener);
+    }
+
     /** Applies a plan and returns true, or returns false if the current plan has the same or a newer version. */
     public boolean apply(FleetPlan latest) {
         if (plan.isPresent() && plan.get().version() >= latest.version()) {
@@ -99,9 +105,10 @@
         }
     }
 
-    /** Marks the initial load of targets from the platform's log as complete. */
+    /** Marks a load of all targets from the platform's log as complete. */
     public void targetsLoaded() {
         targetsLoaded = true;
+        loadListeners.forEach(Runnable::run);
         notifyChange();
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -76,6 +77,7 @@
     private final TopicFollower planFollower;
     private final TopicFollower targetFollower;
     private final CrashContainment crashes;
+    private final StreamOriginRecords originRecords;
 
     /** The platform-specific functions that a node needs. */
     public record PlatformAdapter(
@@ -145,6 +147,22 @@
                 new LeaseListener());
         this.planFollower = newPlanFollower();
         this.targetFollower = newTargetFollower();
+        view.onTargetsLoaded(streamOrigins::restartWatching);
+        this.originRecords = newOriginRecords(streamOrigins);
+    }
+
+    private StreamOriginRecords newOriginRecords(StreamOrigins streamOrigins) {
+        return new StreamOriginRecords(
+                streamOrigins,
+                platformLog,
+                new TargetVersionHistory(adapter.targetTopic(), platformLog, adapter.targetDecoder()),
+                new StreamOriginRecords.Fleet(
+                        () -> view.plan().map(plan -> plan.services().keySet()).orElse(Set.of()),
+                        () -> targetFollower.position()),
+                timer,
+                clock::nowMillis,
+                log,
+                holderRole::isHolding);
     }
 
     private TargetLimits newTargetLimits(GatewayMetrics metrics) {
@@ -183,6 +201,7 @@
         log.log("log-restored", "eraBefore", previousEra, "era", era);
         registry.counter(LOG_RESTORES_COUNTER).inc();
         crashes.exchange().recordAgain();
+        originRecords.recordAgain();
     }
 
     /** Starts the node and returns once it accepts connections. */
@@ -267,6 +286,7 @@
         public void claimed(long fencingNumber) {
             log.log("lease-claimed", "fencingNumber", fencingNumber);
             holderRole.leaseClaimed(lease);
+            originRecords.leaseClaimed();
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/StreamOriginSearch.java
+++ b/src/main/java/org/poplarwharf/internal/holder/StreamOriginSearch.java
@@ -17,7 +17,7 @@
  *
  * <p>Invariant: each search has exactly one result, after a bounded time. Confined to the event loop.
  */
-final class StreamOriginSearch {
+final class StreamOriginSearch implements StreamOrigins.Listener {
     /** Longer than nodes take to learn of a new holder, to connect to it and to respond. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
@@ -39,6 +39,7 @@
         this.origins = origins;
         this.timer = timer;
         this.askNodes = askNodes;
+        origins.addListener(this);
     }
 
     /** Passes the software version that began the stream to the callback, or nothing if no node knows it. */
@@ -59,12 +60,27 @@
         return Set.copyOf(searchesByStreamId.keySet());
     }
 
-    /** Records the origin of a stream that a node has reported, and ends searches for it. */
+    /** Records the origin of a stream that a node has reported. */
     void record(StreamOrigin origin) {
         origins.record(origin);
+    }
+
+    @Override
+    public void recorded(StreamOrigin origin) {
         end(origin.streamId());
     }
 
+    @Override
+    public void versionsLearned() {
+        soughtStreamIds().forEach(streamId -> {
+            boolean isCertain = searchesByStreamId.getOrDefault(streamId, List.of()).stream()
+                    .anyMatch(search -> origins.onlyVersionOf(search.service()).isPresent());
+            if (isCertain) {
+                end(streamId);
+            }
+        });
+    }
+
     private void end(String streamId) {
         List<Search> searches = searchesByStreamId.remove(streamId);
         if (searches != null) {
--- a/src/main/java/org/poplarwharf/internal/stream/StreamOrigins.java
+++ b/src/main/java/org/poplarwharf/internal/stream/StreamOrigins.java
@@ -1,9 +1,11 @@
 package org.poplarwharf.internal.stream;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -15,7 +17,7 @@
  *
  * <p>A node knows the streams that it has forwarded. The lease holder knows those that nodes have reported to it, and asks
  * the nodes for others. Without any record, the version is known only if the service has had no other version for as long as
- * a stream can be resumed.
+ * a stream can be resumed. A node that has not followed the targets for so long must have learned their earlier versions.
  *
  * <p>Invariant: keeps a bounded number of streams, for a bounded time. Confined to one thread.
  */
@@ -28,23 +30,61 @@
 
     private final LongSupplier clock;
     private final ServiceVersions versions;
-    private final long createdMillis;
+    private final List<Listener> listeners = new ArrayList<>();
     private final Map<String, Entry> byStreamId = new LinkedHashMap<>();
     private final Map<String, Map<String, Long>> goneMillisByVersion = new HashMap<>();
 
-    /** Knows the targets that serve now. */
+    private long watchedSinceMillis;
+    private ServiceVersions earlierVersions = service -> Optional.empty();
+
+    /** Knows the software versions of targets. */
     public interface ServiceVersions {
-        /** Returns the software versions of the targets of a service; empty if this node's view may be out of date. */
-        Optional<Set<String>> currentVersions(String service);
+        /** Returns the software versions of the targets of a service; empty if some may be unknown. */
+        Optional<Set<String>> versionsOf(String service);
+    }
+
+    /** Receives what this node learns about streams. */
+    public interface Listener {
+        /** Called with each origin that is new to this node. */
+        void recorded(StreamOrigin origin);
+
+        /** Called when the versions of streams without a record may have become certain. */
+        void versionsLearned();
     }
 
     private record Entry(StreamOrigin origin, long recordedMillis) {}
 
-    /** Creates an empty table; the clock is the one of the node's other components. */
+    /**
+     * Creates an empty table; the clock is the one of the node's other components.
+     *
+     * @param versions knows the targets that serve now
+     */
     public StreamOrigins(LongSupplier clock, ServiceVersions versions) {
         this.clock = clock;
         this.versions = versions;
-        this.createdMillis = clock.getAsLong();
+        this.watchedSinceMillis = clock.getAsLong();
+    }
+
+    /** Registers a listener. */
+    public void addListener(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** Forgets for how long the targets have been followed, since changes between two snapshots of them are not seen. */
+    public void restartWatching() {
+        watchedSinceMillis = clock.getAsLong();
+        earlierVersions = service -> Optional.empty();
+    }
+
+    /** Returns since when the targets have been followed without a gap. */
+    public long watchedSinceMillis() {
+        return watchedSinceMillis;
+    }
+
+    /** Records which versions may have begun streams before the targets were followed. */
+    public void learnEarlierVersions(ServiceVersions earlier) {
+        earlierVersions = earlier;
+        listeners.forEach(Listener::versionsLearned);
     }
 
     /** Records the version that has begun a stream; returns whether that is new. */
@@ -57,6 +97,7 @@
         byStreamId.remove(origin.streamId());
         byStreamId.put(origin.streamId(), new Entry(origin, nowMillis));
         removeExpired(nowMillis);
+        listeners.forEach(listener -> listener.recorded(origin));
         return true;
     }
 
@@ -81,20 +122,41 @@
         return onlyVersionOf(service);
     }
 
-    private Optional<String> onlyVersionOf(String service) {
+    /** Returns the origins of a service's streams that this node has a record of, oldest first. */
+    public List<StreamOrigin> originsOf(String service) {
+        long nowMillis = clock.getAsLong();
+        return byStreamId.values().stream()
+                .filter(entry -> nowMillis - entry.recordedMillis() < RETENTION_MILLIS)
+                .map(Entry::origin)
+                .filter(origin -> origin.service().equals(service))
+                .toList();
+    }
+
+    /** Returns the version that must have begun each stream of the service that can still be resumed, if there is one. */
+    public Optional<String> onlyVersionOf(String service) {
+        return recentVersionsOf(service)
+                .filter(recent -> recent.size() == 1)
+                .flatMap(recent -> recent.stream().findFirst());
+    }
+
+    /** Returns all versions that may have begun streams that can still be resumed; empty if some may be unknown. */
+    public Optional<Set<String>> recentVersionsOf(String service) {
         long nowMillis = clock.getAsLong();
-        Optional<Set<String>> current = versions.currentVersions(service);
-        if (current.isEmpty() || nowMillis - createdMillis < RETENTION_MILLIS) {
+        Optional<Set<String>> current = versions.versionsOf(service);
+        Optional<Set<String>> earlier = nowMillis - watchedSinceMillis < RETENTION_MILLIS
+                ? earlierVersions.versionsOf(service)
+                : Optional.of(Set.of());
+        if (current.isEmpty() || earlier.isEmpty()) {
             return Optional.empty();
         }
-        Map<String, Long> gone = goneMillisByVersion.getOrDefault(service, Map.of());
         Set<String> recent = new HashSet<>(current.get());
-        gone.forEach((version, goneMillis) -> {
+        recent.addAll(earlier.get());
+        goneMillisByVersion.getOrDefault(service, Map.of()).forEach((version, goneMillis) -> {
             if (nowMillis - goneMillis < RETENTION_MILLIS) {
                 recent.add(version);
             }
         });
-        return recent.size() == 1 ? recent.stream().findFirst() : Optional.empty();
+        return Optional.of(recent);
     }
 
     private void removeExpired(long nowMillis) {
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -99,6 +99,11 @@
         }
     }
 
+    /** Returns the position before which all records have been passed on; empty while a snapshot is read. */
+    public Optional<KeyedLog.Position> position() {
+        return next;
+    }
+
     private void readSnapshotPage(Optional<String> afterKey) {
         log.readLatest(topic, afterKey, result -> {
             switch (result) {
--- a/src/test/java/org/poplarwharf/internal/holder/StreamRestartGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamRestartGatewayTest.java
@@ -305,4 +305,55 @@
         assertThat(streamsOf("a")).hasSize(STREAM_COUNT);
         assertThat(resumeStreams(ENGINE_PATH)).isEmpty();
     }
+
+    @Test
+    void all_streams_go_on_if_both_versions_serve() throws Exception {
+        start("lm", ENGINE, "a", "b");
+        beginStreams(ENGINE_PATH);
+        GatewayCluster.pause(RECORDING_MILLIS);
+        restartNodes();
+
+        assertThat(resumeStreams(ENGINE_PATH)).hasSize(STREAM_COUNT);
+    }
+
+    @Test
+    void all_streams_of_the_version_that_is_left_go_on() throws Exception {
+        start("lm", ENGINE, "a", "b");
+        beginStreams(ENGINE_PATH);
+        GatewayCluster.pause(RECORDING_MILLIS);
+        cluster.killNodes();
+        removeEntries("b");
+        startNodes();
+
+        assertThat(streamsOf("a")).isNotEmpty();
+        assertThat(resumeStreams(ENGINE_PATH)).isEqualTo(streamsOf("a"));
+    }
+
+    @Test
+    void all_streams_of_an_engine_go_on_if_there_was_only_one_version() throws Exception {
+        start("lm", ENGINE, "a");
+        beginStreams(ENGINE_PATH);
+        restartNodes();
+
+        assertThat(resumeStreams(ENGINE_PATH)).hasSize(STREAM_COUNT);
+    }
+
+    @Test
+    void all_streams_of_a_plain_service_go_on_if_there_was_only_one_version() throws Exception {
+        start("desk", "", "a");
+        beginStreams(PLAIN_PATH);
+        restartNodes();
+
+        assertThat(resumeStreams(PLAIN_PATH)).hasSize(STREAM_COUNT);
+    }
+
+    @Test
+    void all_streams_go_on_if_there_was_only_one_version_since_old_entries_of_targets_were_deleted() throws Exception {
+        start("lm", ENGINE, "a");
+        cluster.platform.truncateHistory();
+        beginStreams(ENGINE_PATH);
+        restartNodes();
+
+        assertThat(resumeStreams(ENGINE_PATH)).hasSize(STREAM_COUNT);
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/stream/StreamOriginsTest.java
+++ b/src/test/java/org/poplarwharf/internal/stream/StreamOriginsTest.java
@@ -63,6 +63,39 @@
         assertThat(origins.softwareVersionOf("s", "lm")).isEmpty();
     }
 
+    @Test
+    void unknown_stream_has_no_known_version_soon_after_a_snapshot_of_the_targets() {
+        nowMillis += StreamOrigins.RETENTION_MILLIS;
+        origins.restartWatching();
+        assertThat(origins.softwareVersionOf("s", "lm")).isEmpty();
+        nowMillis += StreamOrigins.RETENTION_MILLIS;
+
+        assertThat(origins.softwareVersionOf("s", "lm")).contains("v1");
+    }
+
+    @Test
+    void unknown_stream_has_the_only_version_at_once_if_the_earlier_versions_are_known() {
+        origins.learnEarlierVersions(service -> service.equals("lm") ? Optional.of(Set.of("v1")) : Optional.empty());
+
+        assertThat(origins.softwareVersionOf("s", "lm")).contains("v1");
+        assertThat(origins.softwareVersionOf("s", "other")).isEmpty();
+    }
+
+    @Test
+    void unknown_stream_has_no_known_version_if_an_earlier_version_may_have_begun_it() {
+        origins.learnEarlierVersions(service -> Optional.of(Set.of("v0")));
+
+        assertThat(origins.softwareVersionOf("s", "lm")).isEmpty();
+    }
+
+    @Test
+    void earlier_versions_are_forgotten_with_a_new_snapshot_of_the_targets() {
+        origins.learnEarlierVersions(service -> Optional.of(Set.of("v1")));
+        origins.restartWatching();
+
+        assertThat(origins.softwareVersionOf("s", "lm")).isEmpty();
+    }
+
     @Test
     void number_of_streams_is_bounded() {
         current = Optional.of(Set.of("v1", "v2"));
