--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -82,7 +82,7 @@
     }
 
     /** Returns whether the route allows another run that can continue the response from where the caller has it. */
-    private boolean isRerunAllowed(ResponseRelay response) {
+    boolean isRerunAllowed(ResponseRelay response) {
         boolean isResumable = request.route().kind() == RouteKind.RESUMABLE_STREAM && response.hasForwardedEvents();
         return request.route().kind().isRetryable() && (!response.started() || isResumable);
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -136,7 +136,10 @@
     public void onContent(Attempt attempt, ByteBuf chunk) {
         recorder.recordBytes();
         switch (relay.addChunk(chunk)) {
-            case INCOMPLETE -> pauseReadingIfFull(attempt);
+            case INCOMPLETE -> {
+                replacement.cancelIfNotAllowed();
+                pauseReadingIfFull(attempt);
+            }
             case EVENTS_FORWARDED -> onEventsForwarded(attempt);
             case INVALID -> handleBreak(attempt, "spoiled answer");
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -97,6 +97,13 @@
         });
     }
 
+    /** Ends the search or the attempt if the caller has a part of a response that no other target can continue. */
+    void cancelIfNotAllowed() {
+        if (!limits.isRerunAllowed(relay)) {
+            cancel();
+        }
+    }
+
     private void cancelSearch() {
         searchKey.ifPresent(key -> {
             searchKey = Optional.empty();
