--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -88,7 +88,12 @@
      * Returns whether a successful response lacks the target's digest or has a content encoding that was not requested.
      */
     private boolean isInvalid() {
-        return isSuccess() && (!traits.authentic() || head.headers().contains(HttpHeaderNames.CONTENT_ENCODING));
+        return isSuccess() && !isOfTarget(traits, head);
+    }
+
+    /** Returns whether a response has the target's digest and no content encoding, as no encoding was requested. */
+    static boolean isOfTarget(ResponseTraits traits, HttpResponse head) {
+        return traits.authentic() && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
     /**
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -152,7 +152,8 @@
         ResponseTraits response = gateway.headerCodec().readResponse(status, head.headers());
         boolean isOwn =
                 response.requestId().map(request.traits().requestId()::equals).orElse(true);
-        boolean isUsable = status / 100 == 2 || (status < 500 && !relay.started());
+        boolean isUsable =
+                status / 100 == 2 ? ResponseRelay.isOfTarget(response, head) : status < 500 && !relay.started();
         if (isOwn && isUsable && !response.notRun()) {
             replace(responding);
             responding.onHead(head);
