--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -64,6 +64,7 @@
     private OptionalInt refusalStatus = OptionalInt.empty();
     private FullHttpRequest current;
     private ProxyExchange exchange;
+    private Optional<ChannelFuture> lastResponse = Optional.empty();
     private boolean keepAlive = true;
     private boolean chunked;
     private Future<?> idleTimer;
@@ -83,8 +84,11 @@
         startIdleTimer();
     }
 
+    /** Returns whether a request is under way or has been read, or a response has not been sent in whole. */
     boolean isBusy() {
-        return exchange != null || hasWaiting();
+        return exchange != null
+                || hasWaiting()
+                || lastResponse.filter(written -> !written.isDone()).isPresent();
     }
 
     private boolean hasWaiting() {
@@ -303,11 +307,16 @@
     private void finishResponse(ChannelFuture written) {
         exchange = null;
         current = null;
+        lastResponse = Optional.of(written);
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
         handleWaiting();
+        written.addListener(done -> handleSent());
+    }
+
+    private void handleSent() {
         if (isBusy()) {
             return;
         }
@@ -315,7 +324,7 @@
         // A response head sent before the drain did not announce the close. Without a close now, the caller would send
         // its next request on this connection.
         if (server.isDraining()) {
-            written.addListener(done -> closeIfIdle());
+            channel.close();
         }
     }
 
