Soak: silent targets, pipelined requests and a check for lost requests

Four of the twelve callers send every other time a second request behind the first. LossCheck reports each request that ended without a response, was broken off or got 500 or 502, unless its deadline had passed or a fault of its gateway or of a target that it reached or may have reached excuses it.

The crash of a target under a request is now recorded before its connections are reset, so that no response ends before the recorded fault begins.

--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -36,7 +36,13 @@
     static final long FIRST_SEED_WITHOUT_FRAMING = 200_000;
 
     /** From this seed on, the log has no faults, since the check of crashing requests does not count beside them. */
-    static final long FIRST_SEED_WITHOUT_LOG_FAULTS = 400_000;
+    private static final long FIRST_SEED_WITHOUT_LOG_FAULTS = 400_000;
+
+    /** From this seed on, targets fall silent, some callers pipeline requests, and the log has faults again. */
+    static final long FIRST_SEED_WITH_SILENT_TARGETS = 500_000;
+
+    private static final int MIN_SILENCE_MILLIS = 1_000;
+    private static final int MAX_SILENCE_MILLIS = 2_500;
 
     private static final int MAX_LOST_MILLIS = 4_000;
 
@@ -49,6 +55,7 @@
     private final Random random;
     private final int kindCount;
     private final boolean hasLogFaults;
+    private final boolean prefersLatestKinds;
     private final Set<String> faultyComponents = new HashSet<>();
     private final List<ActiveFault> activeFaults = new ArrayList<>();
 
@@ -62,7 +69,7 @@
         TARGET
     }
 
-    private enum Kind {
+    enum Kind {
         GATEWAY_KILLED(FaultScope.GATEWAY),
         GATEWAY_TERMINATED(FaultScope.GATEWAY),
         GATEWAY_PAUSED(FaultScope.GATEWAY),
@@ -92,7 +99,8 @@
         ORDERS_DELAYED(FaultScope.TARGET),
         LOG_RESTORED(FaultScope.LOG),
         TARGET_LIMITED(FaultScope.TARGET),
-        TARGET_OMITS_FRAMING(FaultScope.TARGET);
+        TARGET_OMITS_FRAMING(FaultScope.TARGET),
+        TARGET_SILENT(FaultScope.TARGET);
 
         private final FaultScope scope;
 
@@ -107,7 +115,12 @@
         this.fleet = fleet;
         this.random = new Random(seed);
         this.kindCount = kindCount(seed);
-        this.hasLogFaults = seed < FIRST_SEED_WITHOUT_LOG_FAULTS;
+        this.hasLogFaults = !isWithoutLogFaults(seed);
+        this.prefersLatestKinds = seed >= FIRST_SEED_WITH_SILENT_TARGETS;
+    }
+
+    static boolean isWithoutLogFaults(long seed) {
+        return seed >= FIRST_SEED_WITHOUT_LOG_FAULTS && seed < FIRST_SEED_WITH_SILENT_TARGETS;
     }
 
     private static int kindCount(long seed) {
@@ -117,7 +130,16 @@
         if (seed < FIRST_SEED_WITH_LIMITS) {
             return Kind.TARGET_LIMITED.ordinal();
         }
-        return seed < FIRST_SEED_WITHOUT_FRAMING ? Kind.TARGET_OMITS_FRAMING.ordinal() : Kind.values().length;
+        if (seed < FIRST_SEED_WITHOUT_FRAMING) {
+            return Kind.TARGET_OMITS_FRAMING.ordinal();
+        }
+        return seed < FIRST_SEED_WITH_SILENT_TARGETS ? Kind.TARGET_SILENT.ordinal() : Kind.values().length;
+    }
+
+    /** Returns a random kind; from some seed on, half of them are the kinds that this seed added. */
+    private Kind randomKind() {
+        int first = prefersLatestKinds && random.nextBoolean() ? Kind.TARGET_SILENT.ordinal() : 0;
+        return Kind.values()[first + random.nextInt(kindCount - first)];
     }
 
     int randomMillis(int min, int max) {
@@ -130,7 +152,7 @@
 
     /** Starts the next random fault, or skips it if its component already has one or the seed excludes it. */
     void startNext(int minMillis, int maxMillis) {
-        Kind kind = Kind.values()[random.nextInt(kindCount)];
+        Kind kind = randomKind();
         SoakGateway gateway = fleet.gateways().get(random.nextInt(SoakFleet.GATEWAY_COUNT));
         SoakTarget target = fleet.targets().get(random.nextInt(fleet.targets().size()));
         long randomDurationMillis = randomMillis(minMillis, maxMillis);
@@ -239,6 +261,10 @@
             case TARGET_LIMITED ->
                 Optional.of(target.nameLimit(
                         REQUESTS_PER_SECOND_LIMITS[random.nextInt(REQUESTS_PER_SECOND_LIMITS.length)]));
+            case TARGET_SILENT -> {
+                target.setSilence(randomMillis(MIN_SILENCE_MILLIS, MAX_SILENCE_MILLIS));
+                yield Optional.of(() -> target.setSilence(0));
+            }
             case TARGET_LINK_SILENT -> setLinkFaults("any-" + target.name, LinkFaults.silent());
             case TARGET_LINK_ONE_WAY -> setLinkFaults("any-" + target.name, randomOneWayFault());
             case TARGET_LINK_SLOW -> setLinkFaults("any-" + target.name, LinkFaults.delayed(LINK_DELAY_MILLIS));
--- a/src/test/java/org/poplarwharf/soak/FaultTimeline.java
+++ b/src/test/java/org/poplarwharf/soak/FaultTimeline.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Records which fault affected which component and when. Thread-safe. */
 final class FaultTimeline {
@@ -49,6 +50,20 @@
                 .noneMatch(fault -> searched.contains(fault.component) && overlaps(fault, fromMillis, toMillis));
     }
 
+    /** Returns whether a fault of one of these kinds affected a component during the interval or shortly before it. */
+    synchronized boolean hasFault(Set<String> kinds, String component, long fromMillis, long toMillis) {
+        return faults.stream()
+                .filter(fault -> fault.component.equals(component) && kinds.contains(fault.kind))
+                .anyMatch(fault -> overlaps(fault, fromMillis, toMillis));
+    }
+
+    /** Returns whether a fault of a kind began at a component during the interval. */
+    synchronized boolean hasStart(FaultInjector.Kind kind, String component, long fromMillis, long toMillis) {
+        return faults.stream()
+                .filter(fault -> fault.component.equals(component) && fault.kind.equals(kind.name()))
+                .anyMatch(fault -> fault.startMillis >= fromMillis && fault.startMillis <= toMillis);
+    }
+
     /** Returns the latest end of the faults that ended by the given time. */
     synchronized Optional<Long> lastEndBefore(long beforeMillis) {
         return faults.stream()
--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -163,7 +163,7 @@
     private void checkResponseTimes() {
         List<RecordedCall> timedOut = calls.stream()
                 .filter(call -> call.durationMillis() >= call.kind().timeoutMillis)
-                .filter(call -> faults.hasNoFaultOn(call.sentMillis(), call.endMillis(), gatewayName(call)))
+                .filter(call -> faults.hasNoFaultOn(call.sentMillis(), call.endMillis(), call.gatewayName()))
                 .toList();
         List<RecordedCall> late = timedOut.stream()
                 .filter(call -> call.durationMillis() > call.kind().timeoutMillis + RESPONSE_MARGIN_MILLIS)
@@ -191,7 +191,10 @@
         List<TargetActivity.Run> late = crashes.stream()
                 .filter(run -> run.startMillis() > boundMillis)
                 .filter(run -> faults.hasNoFaultOn(
-                        run.startMillis(), run.startMillis(), gatewayName(crashingCalls.get(run.id())), "log"))
+                        run.startMillis(),
+                        run.startMillis(),
+                        crashingCalls.get(run.id()).gatewayName(),
+                        "log"))
                 .toList();
         if (late.size() > ALLOWED_LATE_CRASH_COUNT) {
             violations.add("requests that crash targets were still sent to targets: " + cause + " " + late);
@@ -218,8 +221,8 @@
             long toMillis = fromMillis + LIMIT_WINDOW_MILLIS;
             long count = arrivals.stream()
                     .filter(arrival -> arrival.arrivedMillis() >= fromMillis && arrival.arrivedMillis() < toMillis)
-                    .filter(arrival ->
-                            faults.hasNoFaultOn(fromMillis, toMillis, gatewayName(byId.get(arrival.requestId()))))
+                    .filter(arrival -> faults.hasNoFaultOn(
+                            fromMillis, toMillis, byId.get(arrival.requestId()).gatewayName()))
                     .count();
             if (fromMillis >= checkedFromMillis && count > allowed) {
                 violations.add("a target that named a limit got " + count + " requests from " + fromMillis
@@ -229,10 +232,6 @@
         }
     }
 
-    private static String gatewayName(RecordedCall call) {
-        return call.gatewayIncarnation().substring(0, call.gatewayIncarnation().indexOf('/'));
-    }
-
     /**
      * Checks that a target gets orders from one holder at a time: fencing numbers never decrease, differ between holders,
      * and orders of two holders are at least a lease duration apart.
@@ -289,7 +288,8 @@
         for (String gateway : new TreeSet<>(gateways)) {
             for (CallKind kind : CallKind.values()) {
                 List<RecordedCall> requests = callsAfterFaults.stream()
-                        .filter(call -> call.kind() == kind && gatewayName(call).equals(gateway))
+                        .filter(call ->
+                                call.kind() == kind && call.gatewayName().equals(gateway))
                         .toList();
                 long successCount =
                         requests.stream().filter(RecordedCall::isSuccessful).count();
--- /dev/null
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -0,0 +1,109 @@
+package org.poplarwharf.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.poplarwharf.soak.FaultInjector.Kind;
+
+/**
+ * Checks that no request is lost: one that its caller has sent whole gets a response or a refusal, and is not given up
+ * before its caller's deadline while its targets are sound.
+ *
+ * <p>Only a fault of the request's gateway, or one of a target that it has or may have reached, excuses its loss. Immutable.
+ */
+final class LossCheck {
+    private static final Set<String> GATEWAY_FAULTS =
+            names(Kind.GATEWAY_KILLED, Kind.GATEWAY_PAUSED, Kind.GATEWAY_PAUSED_LONG, Kind.POWER_LOST);
+
+    /** Faults under which a target breaks responses off to requests that it has recorded. */
+    private static final Set<String> RESPONSE_FAULTS = names(Kind.TARGET_ABORTS_RESPONSES, Kind.TARGET_OMITS_FRAMING);
+
+    /** Faults under which a target may have been sent requests that it has not recorded. */
+    private static final Set<String> REACHABILITY_FAULTS = names(
+            Kind.TARGET_CRASHES,
+            Kind.TARGET_DRAINS,
+            Kind.TARGET_LINK_SILENT,
+            Kind.TARGET_LINK_ONE_WAY,
+            Kind.TARGET_LINK_FROZEN,
+            Kind.TARGET_LINK_RESET);
+
+    /** Statuses by which a gateway says that it has given a request up. */
+    private static final Set<Integer> GIVEN_UP = Set.of(500, 502);
+
+    private static final long GRACE_MILLIS = SoakGateway.SHUTDOWN_GRACE_SECONDS * 1_000;
+
+    /** A gateway exits this long before the end of its shutdown grace period, with requests in flight. */
+    private static final long EXIT_MARGIN_MILLIS = 500;
+
+    /** A request sent while its gateway closes an idle connection is not read; its caller learns of the close at once. */
+    private static final long MAX_CLOSE_MILLIS = 200;
+
+    /** A gateway begins nothing for a request with less time left. */
+    private static final long DEADLINE_MARGIN_MILLIS = 20;
+
+    private final List<SoakTarget> targets;
+    private final Map<String, List<TargetActivity.Arrival>> arrivals;
+    private final FaultTimeline faults;
+
+    LossCheck(List<SoakTarget> targets, TargetActivity activity, FaultTimeline faults) {
+        this.targets = targets;
+        this.arrivals = activity.arrivalsByRequestId();
+        this.faults = faults;
+    }
+
+    private static Set<String> names(Kind... kinds) {
+        return Stream.of(kinds).map(Kind::name).collect(Collectors.toSet());
+    }
+
+    /** Returns the calls that were lost, one line each. */
+    List<String> violations(List<RecordedCall> calls) {
+        List<String> violations = new ArrayList<>();
+        calls.stream()
+                .filter(this::isLost)
+                .forEach(call ->
+                        violations.add("LOST: " + call + ", arrived: " + arrivals.getOrDefault(call.id(), List.of())));
+        return violations;
+    }
+
+    private boolean isLost(RecordedCall call) {
+        boolean isGivenUp = call.isIncomplete() || GIVEN_UP.contains(call.status());
+        long deadlineMillis = call.sentMillis() + call.kind().timeoutMillis - DEADLINE_MARGIN_MILLIS;
+        return isGivenUp
+                && call.turnMillis().isPresent()
+                && (call.status() == 0 || call.endMillis() < deadlineMillis)
+                && !isExcusedByGateway(call)
+                && !isExcusedByTarget(call);
+    }
+
+    private boolean isExcusedByGateway(RecordedCall call) {
+        if (faults.hasFault(GATEWAY_FAULTS, call.gatewayName(), call.sentMillis(), call.endMillis())) {
+            return true;
+        }
+        boolean mayBeUnread = call.status() == 0
+                && call.turnMillis().getAsLong() == call.sentMillis()
+                && call.durationMillis() < MAX_CLOSE_MILLIS
+                && !arrivals.containsKey(call.id());
+        long sinceMillis = call.sentMillis() - GRACE_MILLIS;
+        long untilMillis = call.endMillis() - (mayBeUnread ? 0 : GRACE_MILLIS - EXIT_MARGIN_MILLIS);
+        return faults.hasStart(Kind.GATEWAY_TERMINATED, call.gatewayName(), sinceMillis, untilMillis);
+    }
+
+    private boolean isExcusedByTarget(RecordedCall call) {
+        return targets.stream()
+                .filter(target -> target.engine.isPresent() == call.kind().streaming)
+                .anyMatch(target -> {
+                    boolean hasArrived = arrivals.getOrDefault(call.id(), List.of()).stream()
+                            .anyMatch(arrival -> arrival.target().equals(target.name));
+                    return hasFault(REACHABILITY_FAULTS, target, call)
+                            || hasFault(Set.of(SoakFleet.CRASHED_BY_REQUEST), target, call)
+                            || (hasArrived && hasFault(RESPONSE_FAULTS, target, call));
+                });
+    }
+
+    private boolean hasFault(Set<String> kinds, SoakTarget target, RecordedCall call) {
+        return faults.hasFault(kinds, target.name, call.sentMillis(), call.endMillis());
+    }
+}
--- a/src/test/java/org/poplarwharf/soak/RecordedCall.java
+++ b/src/test/java/org/poplarwharf/soak/RecordedCall.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.soak;
 
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -8,6 +9,8 @@
  * @param path the request's path and query
  * @param model the requested model; empty if the request names none
  * @param gatewayIncarnation the process run of the gateway that received the request
+ * @param turnMillis when the request had no other one before it on its connection; empty if it was not sent whole, or if
+ *     the response before it was not whole
  * @param status the response status; zero if no response arrived
  * @param hasDigest whether the response has the target's digest header
  * @param responseId the request id in the response
@@ -20,6 +23,7 @@
         String model,
         String gatewayIncarnation,
         long sentMillis,
+        OptionalLong turnMillis,
         long endMillis,
         int status,
         boolean hasDigest,
@@ -41,7 +45,12 @@
         return status == 0 || !complete;
     }
 
+    /** Returns the time from the request's turn to the end of its response; gateways count timeouts from there. */
     long durationMillis() {
-        return endMillis - sentMillis;
+        return endMillis - turnMillis.orElse(endMillis);
+    }
+
+    String gatewayName() {
+        return gatewayIncarnation.substring(0, gatewayIncarnation.indexOf('/'));
     }
 }
--- a/src/test/java/org/poplarwharf/soak/SoakCallers.java
+++ b/src/test/java/org/poplarwharf/soak/SoakCallers.java
@@ -7,15 +7,18 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /**
- * Callers that send requests of all kinds. Each one uses the same gateway until its connection closes.
+ * Callers that send requests of all kinds, some of them two at once. Each one uses the same gateway until its connection
+ * closes.
  *
  * <p>Invariant: each request has a unique id and is sent only once. Thread-safe.
  */
 final class SoakCallers {
     private static final int CALLER_COUNT = 12;
     private static final int CALLER_COUNT_WITHOUT_CHUNKS = 3;
+    private static final int PIPELINING_CALLER_COUNT = 4;
     private static final int MAX_PAUSE_MILLIS = 120;
     private static final long RECONNECT_DELAY_MILLIS = 50;
 
@@ -35,7 +38,9 @@
         for (int i = 0; i < CALLER_COUNT; i++) {
             Random random = new Random(seed * CALLER_COUNT + i);
             boolean takesChunks = seed < FaultInjector.FIRST_SEED_WITHOUT_FRAMING || i >= CALLER_COUNT_WITHOUT_CHUNKS;
-            threads.add(Thread.startVirtualThread(() -> send(random, takesChunks)));
+            boolean pipelines =
+                    seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS && i >= CALLER_COUNT - PIPELINING_CALLER_COUNT;
+            threads.add(Thread.startVirtualThread(() -> send(random, takesChunks, pipelines)));
         }
     }
 
@@ -51,7 +56,7 @@
         return List.copyOf(calls);
     }
 
-    private void send(Random random, boolean takesChunks) {
+    private void send(Random random, boolean takesChunks, boolean pipelines) {
         SoakHttpConnection connection = null;
         try {
             while (!stopping) {
@@ -60,7 +65,9 @@
                     connection = connect(random, takesChunks);
                     continue;
                 }
-                calls.add(call(connection, random));
+                int count = pipelines ? 1 + random.nextInt(2) : 1;
+                calls.addAll(connection.sendPipelined(
+                        Stream.generate(() -> request(random)).limit(count).toList()));
                 Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
             }
         } catch (InterruptedException e) {
@@ -70,11 +77,11 @@
         }
     }
 
-    private RecordedCall call(SoakHttpConnection connection, Random random) {
+    private SoakHttpConnection.Outgoing request(Random random) {
         CallKind kind = CallKind.values()[random.nextInt(CallKind.values().length)];
         String id = "r" + Long.toHexString(seed) + "-" + requestNumber.incrementAndGet();
         String model = kind.streaming ? fleet.randomModel(random) : "";
-        return connection.send(id, kind, kind.path + id, model);
+        return new SoakHttpConnection.Outgoing(id, kind, kind.path + id, model);
     }
 
     /** Connects to a random gateway; returns null if it refuses the connection. */
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -45,6 +45,9 @@
     volatile int slowdownFactor = 1;
     volatile boolean abortsResponses;
 
+    /** How long each stream is silent once, at a point that differs from stream to stream; zero if it is not. */
+    volatile int silenceMillis;
+
     /** Sends streams without chunks, and breaks some off. */
     volatile boolean omitsFraming;
 
@@ -55,6 +58,7 @@
     private final Map<String, ModelState> models = new LinkedHashMap<>();
     private final Set<String> onDisk = new LinkedHashSet<>();
     private final AtomicInteger unframedCount = new AtomicInteger();
+    private final AtomicInteger silentCount = new AtomicInteger();
     private long startedMillis = System.currentTimeMillis();
     private long seq;
     private long busyUntilMillis;
@@ -300,7 +304,9 @@
             streamWithoutChunks(request, out, incarnation, lastEventId);
             return;
         }
-        simulateWork(request, incarnation, FIRST_EVENT_DELAY_MILLIS);
+        int silence = silenceMillis;
+        long silentAfter = lastEventId + silentCount.getAndIncrement() % (EVENT_COUNT - lastEventId + 1);
+        simulateWork(request, incarnation, FIRST_EVENT_DELAY_MILLIS + (silentAfter == lastEventId ? silence : 0));
         ScriptedTarget.writeStreamHead(out, request);
         for (long number = lastEventId + 1; number <= EVENT_COUNT; number++) {
             String event = eventText(request.id(), number);
@@ -309,7 +315,7 @@
                 throw new IOException("engine aborts the response");
             }
             ScriptedTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-            simulateWork(request, incarnation, EVENT_INTERVAL_MILLIS);
+            simulateWork(request, incarnation, EVENT_INTERVAL_MILLIS + (silentAfter == number ? silence : 0));
         }
         ScriptedTarget.write(out, "0\r\n\r\n");
     }
--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -25,6 +25,9 @@
  * <p>Links are named after both ends: {@code g0-log}, {@code any-t0}. Thread-safe.
  */
 final class SoakFleet implements AutoCloseable {
+    /** The fault of a target under one of the requests that crash it. */
+    static final String CRASHED_BY_REQUEST = "CRASHED_BY_REQUEST";
+
     static final int GATEWAY_COUNT = 4;
     static final int MODEL_COUNT = 8;
     static final int ADAPTERS_PER_MODEL = 2;
@@ -194,8 +197,8 @@
     private void restartLater(SoakTarget target) {
         int startCount = target.startCount();
         FaultTimeline.InjectedFault fault =
-                faultTimeline.recordStart("CRASHED_BY_REQUEST", target.name, false, nowMillis());
-        System.out.println("soak: CRASHED_BY_REQUEST " + target.name + ", at " + nowMillis());
+                faultTimeline.recordStart(CRASHED_BY_REQUEST, target.name, false, nowMillis());
+        System.out.println("soak: " + CRASHED_BY_REQUEST + " " + target.name + ", at " + nowMillis());
         Thread.startVirtualThread(() -> {
             try {
                 Thread.sleep(CRASH_RESTART_MILLIS);
--- a/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
+++ b/src/test/java/org/poplarwharf/soak/SoakHttpConnection.java
@@ -8,9 +8,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
 /** A caller's connection to a gateway that writes and parses HTTP/1.1 itself. Not thread-safe. */
@@ -57,17 +60,51 @@
         return sendForEvents(id, kind, path, model, "", Integer.MAX_VALUE);
     }
 
+    /** A request to be sent. */
+    record Outgoing(String id, CallKind kind, String path, String model) {}
+
+    /** Sends whole requests at once, one behind another, and returns their calls in order. */
+    List<RecordedCall> sendPipelined(List<Outgoing> requests) {
+        long sentMillis = clock.getAsLong();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        requests.forEach(request ->
+                bytes.writeBytes(request(request.id(), request.kind(), request.path(), request.model(), "")));
+        OptionalLong turnMillis = write(bytes.toByteArray()) ? OptionalLong.of(sentMillis) : OptionalLong.empty();
+        List<RecordedCall> calls = new ArrayList<>();
+        for (Outgoing request : requests) {
+            RecordedCall call = receive(request, sentMillis, turnMillis, Integer.MAX_VALUE);
+            calls.add(call);
+            turnMillis = call.complete() ? OptionalLong.of(call.endMillis()) : OptionalLong.empty();
+        }
+        return calls;
+    }
+
     /** Sends a request with additional headers, and leaves after a number of events. */
     RecordedCall sendForEvents(
             String id, CallKind kind, String path, String model, String extraHeaders, int maxEvents) {
         long sentMillis = clock.getAsLong();
+        boolean isSent = write(request(id, kind, path, model, extraHeaders));
+        OptionalLong turnMillis = isSent ? OptionalLong.of(sentMillis) : OptionalLong.empty();
+        return receive(new Outgoing(id, kind, path, model), sentMillis, turnMillis, maxEvents);
+    }
+
+    private boolean write(byte[] bytes) {
+        try {
+            socket.getOutputStream().write(bytes);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Reads the response to a request unless its turn never came, and returns the call. */
+    private RecordedCall receive(Outgoing request, long sentMillis, OptionalLong turnMillis, int maxEvents) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         Map<String, String> headers = new HashMap<>();
         int status = 0;
         boolean complete = false;
         try {
-            socket.getOutputStream().write(request(id, kind, path, model, extraHeaders));
-            long endMillis = sentMillis + kind.timeoutMillis + EXTRA_WAIT_MILLIS;
+            long endMillis = turnMillis.orElseThrow() + request.kind().timeoutMillis + EXTRA_WAIT_MILLIS;
             status = Integer.parseInt(readLine(endMillis).split(" ")[1]);
             for (String line = readLine(endMillis); !line.isEmpty(); line = readLine(endMillis)) {
                 int colon = line.indexOf(':');
@@ -82,12 +119,13 @@
             isReusable = false;
         }
         return new RecordedCall(
-                id,
-                kind,
-                path,
-                model,
+                request.id(),
+                request.kind(),
+                request.path(),
+                request.model(),
                 gatewayIncarnation,
                 sentMillis,
+                turnMillis,
                 clock.getAsLong(),
                 status,
                 headers.containsKey("x-response-seal"),
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -133,6 +133,10 @@
                 }
             }
             violations.addAll(new InvariantChecker(calls, fleet.activity, fleet.faultTimeline).violations());
+            if (seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS) {
+                violations.addAll(
+                        new LossCheck(fleet.targets(), fleet.activity, fleet.faultTimeline).violations(calls));
+            }
             List<RecordedCall> callsAfterFaults = calls.stream()
                     .filter(call -> call.sentMillis() >= recoveredMillis)
                     .filter(call -> !CrashingCaller.isCallerOf(call.path()))
@@ -160,9 +164,9 @@
         return seed % CRASHING_CALLER_SEED_INTERVAL == 0 || crashCause(seed) == CrashingCaller.Cause.PROMPT_PART;
     }
 
-    /** From some seed on, every third seed has requests that crash targets by a part of their prompts. */
+    /** Every third seed without faults of the log has requests that crash targets by a part of their prompts. */
     private static CrashingCaller.Cause crashCause(long seed) {
-        return seed >= FaultInjector.FIRST_SEED_WITHOUT_LOG_FAULTS && seed % CRASHING_CALLER_SEED_INTERVAL == 1
+        return FaultInjector.isWithoutLogFaults(seed) && seed % CRASHING_CALLER_SEED_INTERVAL == 1
                 ? CrashingCaller.Cause.PROMPT_PART
                 : CrashingCaller.Cause.WHOLE_REQUEST;
     }
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.soak;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Optional;
@@ -27,9 +28,11 @@
     volatile boolean abortsResponses;
     volatile boolean rejectsRequests;
     private volatile boolean omitsFraming;
+    private volatile int silenceMillis;
     private final TargetActivity activity;
     private final LongSupplier clock;
     private final AtomicInteger unframedCount = new AtomicInteger();
+    private final AtomicInteger silentCount = new AtomicInteger();
     private int replacementCount;
     private long startedMillis = System.currentTimeMillis();
     private int startCount;
@@ -87,9 +90,9 @@
 
     /** Crashes under a request, and refuses connections until {@link #restartAfterRequest}. */
     private void crashByRequest() throws IOException {
+        crashedByRequest.accept(this);
         crash();
         server.crash();
-        crashedByRequest.accept(this);
     }
 
     synchronized int startCount() {
@@ -141,6 +144,8 @@
         }
         if (omitsFraming) {
             respondWithoutLength(request, out);
+        } else if (silenceMillis > 0) {
+            respondAfterSilence(request, out);
         } else {
             ScriptedTarget.writeResponse(out, request, "200 OK", responseBody(request.id()));
         }
@@ -158,6 +163,24 @@
         request.connection().close();
     }
 
+    /** Falls silent before the response, or in the middle of every other one, and goes on. */
+    private void respondAfterSilence(Request request, OutputStream out) throws IOException {
+        ByteArrayOutputStream response = new ByteArrayOutputStream();
+        ScriptedTarget.writeResponse(response, request, "200 OK", responseBody(request.id()));
+        int sentFirst = silentCount.getAndIncrement() % 2 * response.size() / 2;
+        out.write(response.toByteArray(), 0, sentFirst);
+        if (request.closedByPeerWithin(Math.max(1, silenceMillis))) {
+            throw new IOException("caller disconnected");
+        }
+        out.write(response.toByteArray(), sentFirst, response.size() - sentFirst);
+    }
+
+    /** Makes the target fall silent for this long in each response, and go on; zero ends that. */
+    void setSilence(int millis) {
+        silenceMillis = millis;
+        engine.ifPresent(running -> running.silenceMillis = millis);
+    }
+
     /** Makes the target respond without length or chunks, and break responses off, until switched off. */
     void setOmitsFraming(boolean on) {
         omitsFraming = on;
--- a/src/test/java/org/poplarwharf/soak/TargetActivity.java
+++ b/src/test/java/org/poplarwharf/soak/TargetActivity.java
@@ -74,6 +74,10 @@
         return List.copyOf(orders);
     }
 
+    Map<String, List<Arrival>> arrivalsByRequestId() {
+        return arrivals.stream().collect(Collectors.groupingBy(Arrival::requestId));
+    }
+
     List<Arrival> arrivalsAt(String target) {
         return arrivals.stream()
                 .filter(arrival -> arrival.target().equals(target))
