--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -38,11 +38,19 @@
     /** From this seed on, the log has no faults, since the check of crashing requests does not count beside them. */
     private static final long FIRST_SEED_WITHOUT_LOG_FAULTS = 400_000;
 
-    /** From this seed on, targets fall silent, some callers pipeline requests, and the log has faults again. */
+    /**
+     * From this seed on, targets fall silent, the configuration changes in series, some callers pipeline requests, and the
+     * log has faults again.
+     */
     static final long FIRST_SEED_WITH_SILENT_TARGETS = 500_000;
 
     private static final int MIN_SILENCE_MILLIS = 1_000;
     private static final int MAX_SILENCE_MILLIS = 2_500;
+    private static final int MIN_CONFIG_INTERVAL_MILLIS = 50;
+    private static final int MAX_CONFIG_INTERVAL_MILLIS = 400;
+
+    private static final List<Kind> LOSS_KINDS =
+            List.of(Kind.TARGET_SILENT, Kind.CONFIG_CHANGED_IN_SERIES, Kind.GATEWAY_TERMINATED);
 
     private static final int MAX_LOST_MILLIS = 4_000;
 
@@ -55,7 +63,7 @@
     private final Random random;
     private final int kindCount;
     private final boolean hasLogFaults;
-    private final boolean prefersLatestKinds;
+    private final boolean prefersLossKinds;
     private final Set<String> faultyComponents = new HashSet<>();
     private final List<ActiveFault> activeFaults = new ArrayList<>();
 
@@ -100,7 +108,8 @@
         LOG_RESTORED(FaultScope.LOG),
         TARGET_LIMITED(FaultScope.TARGET),
         TARGET_OMITS_FRAMING(FaultScope.TARGET),
-        TARGET_SILENT(FaultScope.TARGET);
+        TARGET_SILENT(FaultScope.TARGET),
+        CONFIG_CHANGED_IN_SERIES(FaultScope.CONFIG);
 
         private final FaultScope scope;
 
@@ -116,7 +125,7 @@
         this.random = new Random(seed);
         this.kindCount = kindCount(seed);
         this.hasLogFaults = !isWithoutLogFaults(seed);
-        this.prefersLatestKinds = seed >= FIRST_SEED_WITH_SILENT_TARGETS;
+        this.prefersLossKinds = seed >= FIRST_SEED_WITH_SILENT_TARGETS;
     }
 
     static boolean isWithoutLogFaults(long seed) {
@@ -136,10 +145,11 @@
         return seed < FIRST_SEED_WITH_SILENT_TARGETS ? Kind.TARGET_SILENT.ordinal() : Kind.values().length;
     }
 
-    /** Returns a random kind; from some seed on, half of them are the kinds that this seed added. */
+    /** Returns a random kind; from some seed on, half of them are those beside which no request may be lost. */
     private Kind randomKind() {
-        int first = prefersLatestKinds && random.nextBoolean() ? Kind.TARGET_SILENT.ordinal() : 0;
-        return Kind.values()[first + random.nextInt(kindCount - first)];
+        return prefersLossKinds && random.nextBoolean()
+                ? LOSS_KINDS.get(random.nextInt(LOSS_KINDS.size()))
+                : Kind.values()[random.nextInt(kindCount)];
     }
 
     int randomMillis(int min, int max) {
@@ -174,7 +184,7 @@
         System.out.println(
                 "soak: " + kind + " " + component + " for " + durationMillis + " ms, at " + fleet.nowMillis());
         boolean isPlanned =
-                kind == Kind.SETTINGS_CHANGED || kind == Kind.CONFIG_CHANGED || kind == Kind.GATEWAY_TERMINATED;
+                kind.scope == FaultScope.CONFIG || kind == Kind.SETTINGS_CHANGED || kind == Kind.GATEWAY_TERMINATED;
         List<FaultTimeline.InjectedFault> faults = new ArrayList<>();
         for (String each : components) {
             faults.add(fleet.faultTimeline.recordStart(kind.name(), each, isPlanned, fleet.nowMillis()));
@@ -253,6 +263,8 @@
                 fleet.publishConfig();
                 yield Optional.empty();
             }
+            case CONFIG_CHANGED_IN_SERIES ->
+                Optional.of(fleet.publishConfigs(randomMillis(MIN_CONFIG_INTERVAL_MILLIS, MAX_CONFIG_INTERVAL_MILLIS)));
             case INVALID_ENTRY -> putInvalidEntry();
             case TARGET_CRASHES -> crashTarget(target);
             case TARGET_DRAINS -> drainTarget(target);
--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -49,6 +49,8 @@
 
     private static final int MAX_COPY_COUNT = 50;
 
+    private static final int CONFIG_VARIANT_COUNT = 4;
+
     /** How long after a restore the operator and the targets write again what was lost. */
     private static final long REWRITE_DELAY_MILLIS = 400;
 
@@ -68,9 +70,18 @@
     private final Deque<FakePlatformLog.Copy> logCopies = new ArrayDeque<>();
     private final Thread registrationThread;
     private volatile boolean closing;
+
+    /** Whether versions of the configuration also differ in a timeout, a weight and the limits for callers. */
+    private final boolean variesConfig;
+
     private int configVersion;
 
     SoakFleet(Path directory) throws IOException {
+        this(directory, false);
+    }
+
+    SoakFleet(Path directory, boolean variesConfig) throws IOException {
+        this.variesConfig = variesConfig;
         List<ProxyStandin.LinkSpec> links = new ArrayList<>();
         for (int i = 0; i < GATEWAY_COUNT; i++) {
             links.add(ProxyStandin.LinkSpec.loopback("g" + i + "-log", platform.address()));
@@ -163,10 +174,26 @@
     /** Publishes the next version of the configuration, which adds a route, and returns its number. */
     synchronized int publishConfig() {
         configVersion++;
-        platform.put("op", "config", configJson(configVersion));
+        platform.put(
+                "op", "config", configJson(configVersion, variesConfig ? configVersion % CONFIG_VARIANT_COUNT : 0));
         return configVersion;
     }
 
+    /** Publishes versions of the configuration, one after each interval, until the returned action is run. */
+    Runnable publishConfigs(int intervalMillis) {
+        Thread operator = Thread.startVirtualThread(() -> {
+            try {
+                while (true) {
+                    publishConfig();
+                    Thread.sleep(intervalMillis);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return operator::interrupt;
+    }
+
     synchronized int configVersion() {
         return configVersion;
     }
@@ -255,7 +282,13 @@
         });
     }
 
-    private static String configJson(int version) {
+    /** Returns a version of the configuration; variants other than zero change what no request of a caller exceeds. */
+    private static String configJson(int version, int variant) {
+        String limits = variant == 0
+                ? ""
+                : ",'limits':{'maxHeaderBytes':" + (16_384 + variant * 1_024) + ",'maxBodyBytes':"
+                        + (1_048_576 - variant * 1_024) + ",'headerTimeoutMs':" + (5_000 + variant * 100)
+                        + ",'idleTimeoutMs':" + (30_000 - variant * 1_000) + "}";
         String added = IntStream.rangeClosed(1, version)
                 .mapToObj(each ->
                         routeJson("added-" + each, addedRoutePath(each), "'kind':'safe'", "desk", CallKind.SAFE, 2))
@@ -266,7 +299,8 @@
                         + ",'diskS':" + SoakEngine.DISK_LOAD_MILLIS / 1_000.0 + ",'adapters':" + ADAPTERS_PER_MODEL
                         + ",'adapterMb':" + SoakEngine.ADAPTER_MB + ".0}")
                 .collect(Collectors.joining(","));
-        return "{'version':" + version + ",'routes':["
+        return "{'version':" + version + limits + ",'routes':["
+                + (variant == 0 ? "" : unrelatedRouteJson(variant) + ",")
                 + routeJson("safe", CallKind.SAFE.path, "'kind':'safe'", "desk", CallKind.SAFE, 2) + ","
                 + routeJson("once", CallKind.ONCE.path, "'kind':'unsafe'", "desk", CallKind.ONCE, 1) + ","
                 + routeJson("stream", CallKind.STREAM.path, "'kind':'streaming'", "lm", CallKind.STREAM, 1) + ","
@@ -285,6 +319,13 @@
                 + ".0,'models':[" + models + "]}}]}";
     }
 
+    /** Returns a route that no caller uses; its timeout and the weights of its services differ between variants. */
+    private static String unrelatedRouteJson(int variant) {
+        return "{'name':'unrelated','host':'127.0.0.1','pathPrefix':'/unrelated/','kind':'safe','timeoutMs':"
+                + (1_000 + variant * 500) + ",'trafficSplit':[{'service':'desk','weight':" + (1 + variant)
+                + "},{'service':'lm','weight':1}]}";
+    }
+
     private static String routeJson(
             String name, String path, String kind, String service, CallKind limits, int maxAttempts) {
         return "{'name':'" + name + "','host':'127.0.0.1','pathPrefix':'" + path + "'," + kind
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -100,7 +100,7 @@
     /** Runs the soak test with a seed and returns the violated invariants. */
     private List<String> runSoak(long seed) throws IOException, InterruptedException {
         System.out.println("soak: seed " + seed);
-        try (SoakFleet fleet = new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)))) {
+        try (SoakFleet fleet = newFleet(seed)) {
             fleet.start();
             SoakCallers callers = new SoakCallers(fleet, seed);
             callers.start();
@@ -160,6 +160,11 @@
         }
     }
 
+    private SoakFleet newFleet(long seed) throws IOException {
+        boolean variesConfig = seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS;
+        return new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)), variesConfig);
+    }
+
     private static boolean hasCrashingCaller(long seed) {
         return seed % CRASHING_CALLER_SEED_INTERVAL == 0 || crashCause(seed) == CrashingCaller.Cause.PROMPT_PART;
     }
