--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -133,10 +133,7 @@
     public void onContent(Attempt attempt, ByteBuf chunk) {
         recorder.recordBytes();
         switch (relay.addChunk(chunk)) {
-            case INCOMPLETE -> {
-                replacement.cancelIfNotAllowed();
-                pauseReadingIfFull(attempt);
-            }
+            case INCOMPLETE -> onBytesForwarded(attempt);
             case EVENTS_FORWARDED -> onEventsForwarded(attempt);
             case INVALID -> handleBreak(attempt, "spoiled answer");
         }
@@ -146,7 +143,7 @@
         replacement.cancel();
         reportFirstEvent(attempt);
         progressTimer.restart(gateway.policy().eventGapTimeoutMillis(route, limits.possibleRunCount()));
-        pauseReadingIfFull(attempt);
+        onBytesForwarded(attempt);
     }
 
     private void reportFirstEvent(Attempt attempt) {
@@ -158,7 +155,8 @@
     }
 
     /** Stops reading from the target while the caller takes no more bytes; that is no silence of the target. */
-    private void pauseReadingIfFull(Attempt attempt) {
+    private void onBytesForwarded(Attempt attempt) {
+        replacement.cancelIfNotAllowed();
         if (!sink.isWritable()) {
             attempt.pauseReading();
             progressTimer.stop();
