Read what has arrived before a drain closes connections

If the loop was behind, connections were still waiting to be accepted, and those just accepted counted as idle, since their requests had not been read.

The drain now gives the loop one turn to accept before the listener closes, and one to read before idle connections do.

--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -20,6 +20,9 @@
 
     private static final long POLL_INTERVAL_MILLIS = 50;
 
+    /** Time for the event loop to read what has arrived before. */
+    private static final long READ_MILLIS = 50;
+
     /** Time reserved before the process would be killed. */
     private static final long KILL_MARGIN_MILLIS = 400;
 
@@ -40,10 +43,18 @@
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
         server.startDraining();
-        timer.schedule(Math.round(graceMillis * ACCEPTING_GRACE_RATIO), () -> {
-            server.stopAccepting();
-            pollInFlight(startMillis, clock, onDrained);
-        });
+        // If the event loop is behind, connections wait to be accepted, and then their requests wait to be read. The
+        // loop
+        // does one of the two between two timers.
+        timer.schedule(
+                Math.round(graceMillis * ACCEPTING_GRACE_RATIO),
+                () -> timer.schedule(READ_MILLIS, () -> {
+                    server.stopAccepting();
+                    timer.schedule(READ_MILLIS, () -> {
+                        server.closeIdle();
+                        pollInFlight(startMillis, clock, onDrained);
+                    });
+                }));
     }
 
     private void pollInFlight(long startMillis, MonotonicClock clock, Runnable onDrained) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -77,9 +77,13 @@
         draining = true;
     }
 
-    /** Stops accepting connections and closes those without a request. */
+    /** Stops accepting connections. */
     void stopAccepting() {
         listener.close();
+    }
+
+    /** Closes the connections without a request. */
+    void closeIdle() {
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
