Read a target's entry at once if it may have restarted after a lost run

Callers saw: nothing; three targets ended under one request where two are allowed.

Cause: a node knows that a target has crashed when its address refuses connections, or from the entry of its next incarnation. If the target accepts connections again before the node's probe reaches it, only the entry shows the crash, and entries are read at intervals (280 ms in the test). Meanwhile the same request reaches other nodes.

A probe that is accepted now brings the next read of the entries forward. At most every second read is brought forward, so that broken links at most double the reads.

--- a/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
@@ -43,6 +43,12 @@
     private final CrashDetector detector;
     private final TopicFollower follower;
 
+    /**
+     * Creates the parts.
+     *
+     * @param targetReader reads the targets' entries soon; called if a target that lost runs accepts connections, because it
+     *     may have restarted
+     */
     CrashContainment(
             GatewaySettings settings,
             FleetView view,
@@ -51,7 +57,8 @@
             TopicFollower.Timer timer,
             LongSupplier clock,
             DecisionLog log,
-            CrashExchange.Peers peers) {
+            CrashExchange.Peers peers,
+            Runnable targetReader) {
         this.timer = timer;
         CrashTopic topic = new CrashTopic(TOPIC, platformLog, timer, log, this::handleRecords);
         this.exchange = new CrashExchange(history, topic, clock, log, peers);
@@ -62,7 +69,7 @@
                 settings.nodeId(),
                 history,
                 view::target,
-                new RefusalProbe(loop)::connect,
+                probe(loop, targetReader),
                 clock,
                 entryRemovalMillis,
                 exchange::crashesDetected,
@@ -76,6 +83,16 @@
                 () -> peers.isHolding() || !peers.isHolderResponding());
     }
 
+    private static CrashDetector.ConnectionProbe probe(EventLoop loop, Runnable targetReader) {
+        RefusalProbe probe = new RefusalProbe(loop);
+        return (address, refused) -> probe.connect(address, isRefused -> {
+            refused.accept(isRefused);
+            if (!isRefused) {
+                targetReader.run();
+            }
+        });
+    }
+
     private void handleRecords(List<TargetCrash> crashes) {
         exchange.crashesRead(crashes);
     }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -99,8 +99,7 @@
         this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
         platformLog.onRestored(this::handleLogRestored);
-        this.crashes =
-                new CrashContainment(settings, view, loop, platformLog, timer, clock::nowMillis, log, new CrashPeers());
+        this.crashes = newCrashContainment();
         GatewayMetrics metrics = new GatewayMetrics(registry);
         TargetLimits targetLimits = newTargetLimits(metrics);
         StreamOrigins streamOrigins = new StreamOrigins(clock::nowMillis, view::softwareVersionsOf);
@@ -187,6 +186,23 @@
                 new PlanTopicListener(view, adapter.planDecoder(), log));
     }
 
+    private CrashContainment newCrashContainment() {
+        return new CrashContainment(
+                settings,
+                view,
+                loop,
+                platformLog,
+                timer,
+                clock::nowMillis,
+                log,
+                new CrashPeers(),
+                this::readTargetsSoon);
+    }
+
+    private void readTargetsSoon() {
+        targetFollower.readSoon();
+    }
+
     private TopicFollower newTargetFollower() {
         long targetReadGapMillis = Math.round(settings.targetRemovalMillis() * TARGET_READ_INTERVAL_RATIO);
         return new TopicFollower(
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -31,6 +31,9 @@
     private long highestOffset = -1;
     private boolean reachable = true;
     private int consecutiveFailures;
+    private long lastScheduledRead;
+    private boolean delaysRead;
+    private boolean broughtForward;
 
     /**
      * The delays between reads of a topic.
@@ -89,8 +92,10 @@
      * Reads the next records, or a snapshot if none has been read, and schedules the next read. Reading never stops.
      */
     public void start() {
+        broughtForward &= !delaysRead;
+        delaysRead = false;
         if (next.isPresent() && !enabled.getAsBoolean()) {
-            timer.schedule(timings.pollDelayMillis(), this::start);
+            scheduleRead(timings.pollDelayMillis());
         } else if (next.isPresent()) {
             readRecords(next.get());
         } else {
@@ -99,6 +104,32 @@
         }
     }
 
+    /**
+     * Reads without the delay between two reads, because a new record is likely. At most every second read is brought
+     * forward. Has no effect while a read is under way or has failed.
+     */
+    public void readSoon() {
+        if (delaysRead && !broughtForward) {
+            broughtForward = true;
+            delaysRead = false;
+            scheduleRead(0);
+        }
+    }
+
+    private void scheduleNextRead() {
+        delaysRead = true;
+        scheduleRead(timings.pollDelayMillis());
+    }
+
+    private void scheduleRead(long delayMillis) {
+        long number = ++lastScheduledRead;
+        timer.schedule(delayMillis, () -> {
+            if (number == lastScheduledRead) {
+                start();
+            }
+        });
+    }
+
     /** Returns the position before which all records have been passed on; empty while a snapshot is read. */
     public Optional<KeyedLog.Position> position() {
         return next;
@@ -149,7 +180,7 @@
         });
         next = Optional.of(snapshotEnd);
         listener.onCaughtUp();
-        timer.schedule(timings.pollDelayMillis(), this::start);
+        scheduleNextRead();
     }
 
     private void readRecords(KeyedLog.Position from) {
@@ -177,7 +208,11 @@
             records.records().forEach(this::apply);
         } finally {
             // An exception of the listener for one record must not stop the reading of later records.
-            timer.schedule(hasMore ? 0 : timings.pollDelayMillis(), this::start);
+            if (hasMore) {
+                scheduleRead(0);
+            } else {
+                scheduleNextRead();
+            }
         }
     }
 
@@ -211,6 +246,6 @@
         long delayMillis = Math.min(
                 timings.maxRetryDelayMillis(), timings.retryDelayMillis() << Math.min(consecutiveFailures, 10));
         consecutiveFailures++;
-        timer.schedule(delayMillis, this::start);
+        scheduleRead(delayMillis);
     }
 }
--- a/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/CrashingRequestGatewayTest.java
@@ -29,13 +29,17 @@
     private GatewayCluster cluster;
 
     private void start(String service, String extraFields) throws IOException {
+        start(service, extraFields, GatewayCluster.RESTART_MILLIS);
+    }
+
+    private void start(String service, String extraFields, long restartMillis) throws IOException {
         cluster = new GatewayCluster();
         for (int i = 0; i < NODE_COUNT; i++) {
             cluster.startNode();
         }
         for (int i = 0; i < TARGET_COUNT; i++) {
             cluster.addCrashingTarget(
-                    service, extraFields, request -> request.body().equals(CRASHING_BODY), crashCount);
+                    service, extraFields, request -> request.body().equals(CRASHING_BODY), crashCount, restartMillis);
         }
     }
 
@@ -49,7 +53,7 @@
         start("desk", "");
         HttpResponse<String> last = sendRepeatedly("/once/x");
 
-        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
         assertThat(last.statusCode()).isEqualTo(503);
         assertThat(send(0, "/once/x", "harmless").body()).isEqualTo("whole");
     }
@@ -59,17 +63,26 @@
         start("lm", MODELS);
         HttpResponse<String> last = sendRepeatedly("/lm/x");
 
-        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
         assertThat(last.statusCode()).isEqualTo(503);
         assertThat(send(0, "/lm/x", "harmless").body()).isEqualTo("whole");
     }
 
+    @Test
+    void request_is_refused_after_two_crashes_even_if_the_targets_accept_connections_again_at_once() throws Exception {
+        start("desk", "", 0);
+        HttpResponse<String> last = sendRepeatedly("/once/x");
+
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(last.statusCode()).isEqualTo(503);
+    }
+
     @Test
     void retryable_request_that_crashed_two_targets_in_one_attempt_is_refused_at_every_node() throws Exception {
         start("desk", "");
         HttpResponse<String> last = sendRepeatedly("/safe/x");
 
-        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
         assertThat(last.statusCode()).isEqualTo(503);
     }
 
@@ -86,7 +99,7 @@
             GatewayCluster.pause(REPEAT_INTERVAL_MILLIS);
         }
 
-        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
         assertThat(last.statusCode()).isEqualTo(503);
     }
 
@@ -102,7 +115,7 @@
         }
         HttpResponse<String> last = sendRepeatedly("/once/x");
 
-        assertThat(crashCount).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
+        assertThat(crashCount).as(() -> cluster.logs()).hasValueLessThanOrEqualTo(MAX_CRASH_COUNT);
         assertThat(last.statusCode()).isEqualTo(503);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -53,7 +53,7 @@
             (request, out) -> ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
 
     /** A crashed target is back in less time than the platform needs to remove its entry. */
-    private static final long RESTART_MILLIS = 150;
+    static final long RESTART_MILLIS = 150;
 
     final FakePlatformLog platform = new FakePlatformLog();
     final List<ScriptedTarget> targets = new ArrayList<>();
@@ -138,6 +138,17 @@
     ScriptedTarget addCrashingTarget(
             String service, String extraFields, Predicate<ScriptedTarget.Request> crashes, AtomicInteger crashCount)
             throws IOException {
+        return addCrashingTarget(service, extraFields, crashes, crashCount, RESTART_MILLIS);
+    }
+
+    /** Adds a target that crashes under some requests, and starts again under its id after the given time. */
+    ScriptedTarget addCrashingTarget(
+            String service,
+            String extraFields,
+            Predicate<ScriptedTarget.Request> crashes,
+            AtomicInteger crashCount,
+            long restartMillis)
+            throws IOException {
         long firstStartMillis = System.currentTimeMillis();
         ScriptedTarget target = addTarget(service, ",'born':" + firstStartMillis + extraFields);
         AtomicInteger restartCount = new AtomicInteger();
@@ -148,10 +159,10 @@
             }
             crashCount.incrementAndGet();
             target.crash();
-            Thread.sleep(RESTART_MILLIS);
-            target.restart();
+            Thread.sleep(restartMillis);
             long startMillis = firstStartMillis + restartCount.incrementAndGet();
             platform.put("servers", target.id, target.topicEntry(service, ",'born':" + startMillis + extraFields));
+            target.restart();
         };
         return target;
     }
@@ -182,6 +193,13 @@
                 .header("X-Request-Id", "r" + System.nanoTime());
     }
 
+    /** Returns what all nodes have logged, for a failure's message. */
+    String logs() {
+        StringBuilder logs = new StringBuilder();
+        nodes.forEach(node -> logs.append('\n').append(node.log()));
+        return logs.toString();
+    }
+
     /** Ends all nodes at once as SIGKILL does: their connections close, and the holder doesn't resign its lease. */
     void killNodes() throws ReflectiveOperationException {
         List<EventLoopGroup> groups = new ArrayList<>();
--- a/src/test/java/org/poplarwharf/internal/holder/StreamRestartGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamRestartGatewayTest.java
@@ -145,14 +145,14 @@
         for (Thread caller : callers) {
             caller.join(RESUMING_MILLIS + MAX_RESPONSE_MILLIS);
             assertThat(caller.isAlive())
-                    .as(() -> Arrays.toString(caller.getStackTrace()) + logs())
+                    .as(() -> Arrays.toString(caller.getStackTrace()) + cluster.logs())
                     .isFalse();
         }
         bodies.forEach((id, body) -> {
             String version = versionsByStreamId.get(id);
             assertThat(body).as(id).isEqualTo("id: 3\ndata: " + version + "\n\nid: 4\ndata: " + version + "\n\n");
         });
-        assertThat(broken).as(this::logs).isEmpty();
+        assertThat(broken).as(cluster::logs).isEmpty();
         return versionsByStreamId.keySet().stream().filter(bodies::containsKey).toList();
     }
 
@@ -189,13 +189,6 @@
         }
     }
 
-    /** Returns what all nodes have logged, for a failure's message. */
-    private String logs() {
-        StringBuilder logs = new StringBuilder();
-        cluster.nodes.forEach(node -> logs.append('\n').append(node.log()));
-        return logs.toString();
-    }
-
     private List<String> streamsOf(String version) {
         return versionsByStreamId.keySet().stream()
                 .filter(id -> versionsByStreamId.get(id).equals(version))
--- a/src/test/java/org/poplarwharf/internal/holder/StreamVersionGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamVersionGatewayTest.java
@@ -109,17 +109,12 @@
     }
 
     private void assertContinues(HttpResponse<String> response, String version) {
-        assertThat(response.statusCode()).as(() -> response.body() + logs()).isEqualTo(200);
+        assertThat(response.statusCode())
+                .as(() -> response.body() + cluster.logs())
+                .isEqualTo(200);
         assertThat(response.body()).isEqualTo("id: 3\ndata: " + version + "\n\nid: 4\ndata: " + version + "\n\n");
     }
 
-    /** Returns what all nodes have logged, for a failure's message. */
-    private String logs() {
-        StringBuilder logs = new StringBuilder();
-        cluster.nodes.forEach(node -> logs.append('\n').append(node.log()));
-        return logs.toString();
-    }
-
     @Test
     void stream_of_an_engine_is_resumed_at_any_node_by_the_version_that_began_it() throws Exception {
         start("lm", MODELS);
--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -39,6 +39,39 @@
         assertThat(events).containsExactly("caught up");
     }
 
+    @Test
+    void record_that_is_expected_is_read_before_the_delay_between_two_reads_is_over() {
+        log.latestResults.add(page(List.of(), false, 0));
+        log.readResults.add(records(List.of(record(0, "a", "1")), 1, 1));
+        log.readResults.add(records(List.of(), 1, 1));
+        follower.start();
+        Runnable regularRead = tasks.remove();
+        follower.readSoon();
+        runNextTask();
+        assertThat(latestValues).containsEntry("a", "1");
+
+        regularRead.run();
+        assertThat(log.readOffsets).containsExactly(0L);
+    }
+
+    @Test
+    void reads_that_are_brought_forward_are_at_most_every_second_one() {
+        log.latestResults.add(page(List.of(), false, 0));
+        for (int i = 0; i < 3; i++) {
+            log.readResults.add(records(List.of(), 0, 0));
+        }
+        follower.start();
+        tasks.remove();
+        follower.readSoon();
+        runNextTask();
+        follower.readSoon();
+        assertThat(tasks).hasSize(1);
+        runNextTask();
+        follower.readSoon();
+
+        assertThat(tasks).hasSize(2);
+    }
+
     @Test
     void removes_a_key_that_is_missing_from_a_new_snapshot() {
         log.latestResults.add(page(List.of(record(1, "a", "1"), record(2, "b", "2")), false, 3));
