Close a caller's connection only after a read turn in which nothing arrived

Callers saw: beside a drain, a connection ended in order (EOF) without a response to a whole request that had arrived. PipelinedRequestGatewayTest (requests_that_wait_when_a_drain_starts...) failed so once in five runs.

Cause: CallerConnection judged whether a request waits by what it had been handed. A request could still be in the socket's buffer, since the loop had not read it or reading was off, or in the decoder behind one that was refused at once. The connection then closed after a stream whose head was older than the drain, when it counted as idle (drain, idle time), or announced the close with the response before and dropped the request. While such a request was unread, the drain also counted the connection as not in flight.

Fix: ReadTurn runs an action after a whole turn of the loop in which nothing was read from the connection, or enough was. An unannounced close and a response that may announce the close in a drain both wait for such a turn; meanwhile the connection is busy, so that the drain waits too. The unannounced close ends the output first (LingeringClose), so that late bytes cannot reset the response before. ResponseWriter takes the writing of responses out of CallerConnection, and keeps the parts of a response that is held back.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -7,12 +7,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -20,10 +16,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
@@ -39,9 +32,10 @@
 /**
  * A caller's connection. Handles one exchange at a time and sends responses in the order of the requests.
  *
- * <p>Invariant: the connection is closed after a response that did not follow its announced framing. A response that its
- * caller can delimit only by the end of the connection is followed by a reset unless it is complete. Confined to its event
- * loop.
+ * <p>Invariants: the connection is closed after a response that did not follow its announced framing. A response that its
+ * caller can delimit only by the end of the connection is followed by a reset unless it is complete. The node closes the
+ * connection of its own accord, or announces that, only after a turn of the event loop in which nothing arrived. Confined to
+ * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
     /** Pipelined requests after which reading from the caller stops. */
@@ -50,13 +44,13 @@
     /** A node is ready within a second or two of its start, so callers are told to retry soon. */
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
-    private static final int LINGER_DISABLED = -1;
-
     private final GatewayContext gateway;
     private final ProxyServer server;
     private final EventLoop loop;
     private final PipelinedRequests pipelined;
     private final RequestReader reader;
+    private final ReadTurn readTurn;
+    private ResponseWriter writer;
     private Channel channel;
     private boolean takesNoMore;
     private boolean handlingWaiting;
@@ -65,7 +59,6 @@
     private ProxyExchange exchange;
     private Optional<ChannelFuture> lastResponse = Optional.empty();
     private boolean keepAlive = true;
-    private boolean chunked;
     private Future<?> idleTimer;
 
     CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop) {
@@ -74,11 +67,13 @@
         this.loop = loop;
         this.pipelined = new PipelinedRequests(gateway);
         this.reader = new RequestReader(loop, this::limits, this);
+        this.readTurn = new ReadTurn(loop);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        writer = new ResponseWriter(channel, readTurn);
         server.addConnection(this);
         startIdleTimer();
     }
@@ -87,6 +82,7 @@
     boolean isBusy() {
         return exchange != null
                 || hasWaiting()
+                || readTurn.isAwaited()
                 || lastResponse.filter(written -> !written.isDone()).isPresent();
     }
 
@@ -94,9 +90,17 @@
         return !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
     }
 
+    /** Closes the connection unless it is busy or a request has arrived. */
     void closeIfIdle() {
+        if (!isBusy() && !takesNoMore) {
+            readTurn.await(this::isBusy, this::closeAfterReadTurn);
+        }
+    }
+
+    private void closeAfterReadTurn() {
         if (!isBusy()) {
-            channel.close();
+            takesNoMore = true;
+            LingeringClose.closeAfter(channel.newSucceededFuture());
         }
     }
 
@@ -117,6 +121,11 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        readTurn.onRead();
+    }
+
     @Override
     public void onHead() {
         cancelIdleTimer();
@@ -148,23 +157,26 @@
         }
         handlingWaiting = true;
         try {
-            while (exchange == null && !pipelined.isEmpty()) {
+            while (isFree() && !pipelined.isEmpty()) {
                 pipelined.take().ifPresent(this::startExchange);
             }
         } finally {
             handlingWaiting = false;
         }
         channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
-        if (exchange == null && refusalStatus.isPresent()) {
+        if (isFree() && refusalStatus.isPresent()) {
             refuseInvalid(refusalStatus.getAsInt());
-        } else if (exchange == null && reader.awaitsContinue()) {
+        } else if (isFree() && reader.awaitsContinue()) {
             sendContinue();
         }
     }
 
+    private boolean isFree() {
+        return exchange == null && !writer.isHolding();
+    }
+
     private void sendContinue() {
-        channel.writeAndFlush(
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        writer.writeContinue();
         reader.expectRest();
     }
 
@@ -244,63 +256,53 @@
 
     @Override
     public void sendResponse(int status, HttpHeaders headers, ByteBuf body) {
+        sendAfterReadTurn(() -> sendWhole(status, headers, body));
+    }
+
+    /** Sends a response, if it may announce the close, only once it is known whether a request waits behind it. */
+    private void sendAfterReadTurn(Runnable start) {
+        if (!keepAlive || !server.isDraining() || hasWaiting()) {
+            start.run();
+        } else {
+            writer.holdUntilRead(start, this::hasWaiting);
+        }
+    }
+
+    private void sendWhole(int status, HttpHeaders headers, ByteBuf body) {
         boolean headOnly = current != null && HttpMethod.HEAD.equals(current.method());
         if (!headOnly) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         applyCloseHeader(headers);
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                headOnly ? Unpooled.EMPTY_BUFFER : body,
-                headers,
-                new DefaultHttpHeaders());
-        finishResponse(channel.writeAndFlush(response));
+        finishResponse(writer.writeWhole(status, headers, headOnly ? Unpooled.EMPTY_BUFFER : body));
     }
 
     @Override
     public void startResponse(int status, HttpHeaders headers) {
-        chunked = current.protocolVersion().isKeepAliveDefault();
+        sendAfterReadTurn(() -> sendHead(status, headers));
+    }
+
+    private void sendHead(int status, HttpHeaders headers) {
+        boolean chunked = current.protocolVersion().isKeepAliveDefault();
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        if (chunked) {
-            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
-            keepAlive = false;
-            setResetOnClose(true);
-        }
+        keepAlive &= chunked;
         applyCloseHeader(headers);
-        channel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
+        writer.writeHead(status, headers, chunked);
     }
 
     @Override
     public void writeChunk(ByteBuf chunk) {
-        if (chunk.isReadable()) {
-            channel.write(new DefaultHttpContent(chunk));
-        } else {
-            chunk.release();
-        }
+        writer.writeChunk(chunk);
     }
 
     @Override
     public void flush() {
-        channel.flush();
-    }
-
-    /** Makes any close of the connection a reset, also that by the end of the process. */
-    private void setResetOnClose(boolean enabled) {
-        // A closed channel takes no options.
-        if (channel.isActive()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : LINGER_DISABLED);
-        }
+        writer.runInOrder(channel::flush);
     }
 
     @Override
     public void endResponse() {
-        ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        if (!chunked) {
-            written.addListener(done -> setResetOnClose(!done.isSuccess()));
-        }
-        finishResponse(written);
+        writer.runInOrder(() -> finishResponse(writer.writeEnd()));
     }
 
     @Override
@@ -346,7 +348,7 @@
         // A response head sent before the drain did not announce the close. Without a close now, the caller would send
         // its next request on this connection.
         if (server.isDraining()) {
-            channel.close();
+            closeIfIdle();
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/LingeringClose.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/LingeringClose.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -15,8 +16,18 @@
     /** Long enough for a caller on the same network to read a response and close the connection. */
     private static final long MAX_LINGER_MILLIS = 500;
 
+    private static final int LINGER_DISABLED = -1;
+
     private LingeringClose() {}
 
+    /** Makes any close of the connection a reset, also that by the end of the process. */
+    static void setResetOnClose(Channel channel, boolean enabled) {
+        // A closed channel takes no options.
+        if (channel.isActive()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : LINGER_DISABLED);
+        }
+    }
+
     /** Closes the connection once the response has been written, or at once if that fails. */
     static void closeAfter(ChannelFuture written) {
         written.addListener(done -> close(written.channel(), done.isSuccess()));
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -17,7 +17,8 @@
  * Accepts connections from callers.
  *
  * <p>Invariant: while draining, the last response of each connection asks its caller to close it, and idle connections
- * are closed once the server stops accepting new ones. Confined to the event loop, except for its construction.
+ * are closed once the server stops accepting new ones and has read what had arrived. Confined to the event loop, except
+ * for its construction.
  */
 final class ProxyServer {
     /** Large enough for a burst of new connections within one iteration of the event loop. */
