Count the unsent attempt at a silent target as a run

Callers could have a request run at one more target than its route allows. While the connection to the first target is still being opened, the attempt there is not counted as a possible run. The progress timer allows for it when it is set, but not when it fires again: after a replacement that had run the request and failed, another one was sent, and then the first attempt as well.

Evidence: with at most two targets, a first connection that opens late, and a first replacement that answers 500, the new test saw the request run at three targets. This needs intervals below half of the time limit for opening a connection (300 ms), so a route with an objective below about 115 ms.

A replacement is now sought, and its retry taken, only if a run is left beside the attempt that goes on. Both checks get that attempt, since it may be sent between the search and its result. The test then sees two runs.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -8,7 +8,8 @@
  * Counts the attempts of one exchange and decides whether another target may be tried.
  *
  * <p>Invariant: another target is tried only with time left and a retry taken from the budget, and after a possible run
- * only as often as the route allows. A request that has crashed targets is not sent again. Confined to the event loop.
+ * only as often as the route allows, where a current attempt that is not sent yet counts as a run. A request that has
+ * crashed targets is not sent again. Confined to the event loop.
  */
 final class AttemptLimits {
     /** A request is not sent with less time left, because no target could produce a useful result. */
@@ -71,16 +72,26 @@
         return isRerunAllowed(response) && possibleRunCount < request.route().maxTargets() && tryReserveRetry();
     }
 
-    /** Returns whether a request that may have run could be sent to one more target now. */
-    boolean allowsRerun(ResponseRelay response) {
+    /** Returns whether the request can be sent to one more target while the attempt at a silent one goes on. */
+    boolean tryReserveRerunBeside(Attempt silent, ResponseRelay response) {
+        return isRerunAllowed(response) && hasRunLeftBeside(silent) && tryReserveRetry();
+    }
+
+    /** Returns whether the request could be sent to one more target now, while the attempt at a silent one goes on. */
+    boolean allowsRerunBeside(Attempt silent, ResponseRelay response) {
         return isRerunAllowed(response)
-                && possibleRunCount < request.route().maxTargets()
+                && hasRunLeftBeside(silent)
                 && attemptCount < context.policy().maxAttemptCount()
                 && hasTimeLeft()
                 && crashRefusal().isEmpty()
                 && context.retryBudget().hasRetryLeft(request.service(), context.nowMillis());
     }
 
+    private boolean hasRunLeftBeside(Attempt silent) {
+        int pendingRunCount = silent.wasSent() ? 0 : 1;
+        return possibleRunCount + pendingRunCount < request.route().maxTargets();
+    }
+
     /** Returns whether the route allows another run that can continue the response from where the caller has it. */
     boolean isRerunAllowed(ResponseRelay response) {
         boolean isResumable = request.route().kind() == RouteKind.RESUMABLE_STREAM && response.hasForwardedEvents();
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -300,7 +300,7 @@
     /** Looks for another target. The request goes on running at the silent one, which may be sound. */
     private void handleNoProgress() {
         current.ifPresent(silent -> {
-            replacement.seek(silent.target());
+            replacement.seek(silent);
             progressTimer.repeat();
         });
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -26,7 +26,7 @@
     private final StreamContinuity continuity;
     private final ResponseRelay relay;
     private final Consumer<Attempt> onReplaced;
-    private Optional<Target> silentTarget = Optional.empty();
+    private Optional<Attempt> silentAttempt = Optional.empty();
     private Optional<String> searchKey = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
     private Optional<Future<?>> overlapTimer = Optional.empty();
@@ -51,14 +51,14 @@
     }
 
     /** Starts to look for another target, unless that is under way or the request may not run at one more. */
-    void seek(Target silent) {
-        boolean seeks = searchKey.isEmpty() && attempt.isEmpty() && limits.allowsRerun(relay);
-        recorder.recordSilent(silent, seeks);
+    void seek(Attempt silent) {
+        boolean seeks = searchKey.isEmpty() && attempt.isEmpty() && limits.allowsRerunBeside(silent, relay);
+        recorder.recordSilent(silent.target(), seeks);
         if (!seeks) {
             return;
         }
-        sender.exclude(silent);
-        silentTarget = Optional.of(silent);
+        sender.exclude(silent.target());
+        silentAttempt = Optional.of(silent);
         String key = gateway.nextKey();
         searchKey = Optional.of(key);
         sender.search(key, this);
@@ -67,15 +67,16 @@
     @Override
     public void onSelected(Target selected, Optional<Target> backup, String by) {
         String key = searchKey.orElseThrow();
+        Attempt silent = silentAttempt.orElseThrow();
         searchKey = Optional.empty();
         boolean isUsable = continuity.allows(selected) && gateway.statements().accepts(selected);
-        if (!isUsable || !limits.tryReserveRerun(relay)) {
+        if (!isUsable || !limits.tryReserveRerunBeside(silent, relay)) {
             request.selector().reportOutcome(key, new RunOutcome.Abandoned());
             recorder.recordNotReplaced("target not usable or no retry left");
             return;
         }
         Attempt created = new Attempt(key, selected, backup, gateway.nowMillis(), this);
-        created.setReplaced(silentTarget);
+        created.setReplaced(Optional.of(silent.target()));
         attempt = Optional.of(created);
         sender.sendReplacement(created, relay.lastEventId(), by);
     }
