Keep searches that sent nothing from using up the attempts of a request

Callers got "overloaded" from a request that a silent target had declined in the end, although another target was free, and time and retries were left. While a target is silent, another one is sought at each interval, and each search counted as one of the six attempts, also if it found no target. After five intervals none were left for the time after the decline.

Evidence: a target that is silent until another one was sought five times in vain, and then declines while another target is free: the new test got "overloaded".

A search of TargetReplacement that is refused, finds a target that is not usable, or is cancelled is now taken back from the count. The searches remain bounded by time: at most one at each interval of at least 100 ms, where there were five at most before. The test then gets 200.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -31,6 +31,11 @@
         attemptCount++;
     }
 
+    /** Records that the latest attempt ended with its search, so that nothing was sent. */
+    void recordNotAttempted() {
+        attemptCount--;
+    }
+
     void recordPossibleRun() {
         possibleRunCount++;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -12,7 +12,8 @@
  * Looks for another target of a request whose target is silent, while the request goes on running there.
  *
  * <p>Invariants: the silent target is replaced only by one that has begun to respond or, for a stream, to which the
- * request was sent a short time before. There is at most one search or attempt at a time. Confined to the event loop.
+ * request was sent a short time before. There is at most one search or attempt at a time. A search that ends
+ * without an attempt uses up none of the attempts that the request is allowed. Confined to the event loop.
  */
 final class TargetReplacement implements TargetSelector.Callback, Attempt.Listener {
     /** A stream that continues at one target must not run on at another for longer. */
@@ -71,6 +72,7 @@
         searchKey = Optional.empty();
         boolean isUsable = continuity.allows(selected) && gateway.statements().accepts(selected);
         if (!isUsable || !limits.tryReserveRerunBeside(silent, relay)) {
+            limits.recordNotAttempted();
             request.selector().reportOutcome(key, new RunOutcome.Abandoned());
             recorder.recordNotReplaced("target not usable or no retry left");
             return;
@@ -84,6 +86,7 @@
     @Override
     public void onRejected(String reason, long retryAfterMillis) {
         searchKey = Optional.empty();
+        limits.recordNotAttempted();
         recorder.recordNotReplaced(reason);
     }
 
@@ -111,6 +114,7 @@
     private void cancelSearch() {
         searchKey.ifPresent(key -> {
             searchKey = Optional.empty();
+            limits.recordNotAttempted();
             request.selector().cancel(key);
             request.selector().reportOutcome(key, new RunOutcome.Abandoned());
         });
--- a/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -48,6 +49,7 @@
 import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.platform.PlatformHeaderCodec;
 import org.poplarwharf.internal.stream.StreamOrigins;
+import org.poplarwharf.support.Eventually;
 import org.poplarwharf.support.ScriptedTarget;
 
 /** The limits of an exchange whose target is silent, with the targets in the order in which the test adds them. */
@@ -58,7 +60,10 @@
     /** So short that another target is sought at the shortest intervals, of 100 ms. */
     private static final long OBJECTIVE_MILLIS = 50;
 
+    private static final long SEARCH_INTERVAL_MILLIS = 100;
+
     private static final int MAX_TARGETS = 2;
+    private static final int MAX_ATTEMPT_COUNT = 6;
 
     /**
      * How long after the first replacement has failed the first connection opens: longer than the interval, and short
@@ -184,8 +189,11 @@
 
     /** Selects the first target that is not excluded. */
     private final class FirstTargetSelector implements TargetSelector {
+        private final AtomicInteger searchCount = new AtomicInteger();
+
         @Override
         public void select(DispatchRequest request, Callback callback) {
+            searchCount.incrementAndGet();
             targets.stream()
                     .map(SilentTargetExchangeTest::stateOf)
                     .filter(request::accepts)
@@ -285,4 +293,44 @@
         assertThat(response).as(logOutput::toString).isEqualTo("200");
         assertThat(runCount()).as(logOutput::toString).isEqualTo(MAX_TARGETS);
     }
+
+    @Test
+    void request_that_a_silent_target_declines_is_not_given_up_after_searches_that_found_no_other_target()
+            throws Exception {
+        addTarget((request, out) -> {
+            Eventually.eventually(
+                    "another target was sought in vain", () -> selector.searchCount.get() >= MAX_ATTEMPT_COUNT);
+            addTarget((again, other) -> ScriptedTarget.writeResponse(other, again, "200 OK", "whole"));
+            ScriptedTarget.writeNotExecuted(out, request, "503 Service Unavailable");
+        });
+
+        assertThat(respond(loop)).as(logOutput::toString).isEqualTo("200");
+    }
+
+    @Test
+    void another_target_is_not_sought_more_often_than_at_each_interval() throws Exception {
+        addTarget((request, out) -> {
+            Thread.sleep(10 * SEARCH_INTERVAL_MILLIS);
+            ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+        });
+        long startMillis = clock.nowMillis();
+
+        assertThat(respond(loop)).as(logOutput::toString).isEqualTo("200");
+        long intervalCount = (clock.nowMillis() - startMillis) / SEARCH_INTERVAL_MILLIS;
+        assertThat((long) selector.searchCount.get()).isLessThanOrEqualTo(1 + intervalCount);
+    }
+
+    @Test
+    void request_is_not_sent_more_often_than_allowed_where_all_other_targets_decline() throws Exception {
+        addTarget((request, out) -> {
+            Thread.sleep(10 * SEARCH_INTERVAL_MILLIS);
+            ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+        });
+        for (int i = 0; i < 2 * MAX_ATTEMPT_COUNT; i++) {
+            addTarget((request, out) -> ScriptedTarget.writeNotExecuted(out, request, "503 Service Unavailable"));
+        }
+
+        assertThat(respond(loop)).as(logOutput::toString).isEqualTo("200");
+        assertThat(runCount()).isLessThanOrEqualTo(MAX_ATTEMPT_COUNT);
+    }
 }
