Tests: a crashed target listens before its entry is written again

The old order is restored; CrashingRequestGatewayTest, with the targets that are back at once, is green with it (6 of 6 cases, one run).

--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -160,9 +160,9 @@
             crashCount.incrementAndGet();
             target.crash();
             Thread.sleep(restartMillis);
+            target.restart();
             long startMillis = firstStartMillis + restartCount.incrementAndGet();
             platform.put("servers", target.id, target.topicEntry(service, ",'born':" + startMillis + extraFields));
-            target.restart();
         };
         return target;
     }
