Keep a connection open if a request was read when its idle time ended

Callers could get a close of a connection on which a response without "Connection: close" had just arrived, so that a request sent then was dropped.

Cause: the idle time starts a wait for one read turn, and the connection closes after it unless it is busy. A request that is read in that turn and refused at once is over by then.

The connection now closes only if no request was read since the wait began; else the idle time starts again.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,7 +22,6 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -93,12 +91,15 @@
     /** Closes the connection unless it is busy or a request has arrived. */
     void closeIfIdle() {
         if (!isBusy() && !takesNoMore) {
-            readTurn.await(this::isBusy, this::closeAfterReadTurn);
+            long countBefore = pipelined.addedCount();
+            readTurn.await(this::isBusy, () -> closeUnlessRequested(countBefore));
         }
     }
 
-    private void closeAfterReadTurn() {
-        if (!isBusy()) {
+    private void closeUnlessRequested(long countBefore) {
+        if (pipelined.addedCount() > countBefore) {
+            handleSent();
+        } else if (!isBusy()) {
             takesNoMore = true;
             LingeringClose.closeAfter(channel.newSucceededFuture());
         }
@@ -218,7 +219,8 @@
             refuse(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
             return;
         }
-        exchange = new ProxyExchange(RequestContext.of(gateway, route.get(), traits, identify(request)), this, request);
+        exchange = new ProxyExchange(
+                RequestContext.of(gateway, route.get(), traits, RequestContext.identityOf(request)), this, request);
         exchange.start();
     }
 
@@ -238,14 +240,6 @@
         sendProblem(requestId, code, reason, retryAfterMillis);
     }
 
-    private static RequestIdentity identify(FullHttpRequest request) {
-        return RequestIdentity.of(
-                request.headers().get(HttpHeaderNames.AUTHORIZATION, ""),
-                request.method().name(),
-                request.uri(),
-                ByteBufUtil.getBytes(request.content()));
-    }
-
     @Override
     public void sendProblem(String requestId, FailureCode code, String reason, long retryAfterMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
@@ -14,6 +14,7 @@
 final class PipelinedRequests {
     private final GatewayContext gateway;
     private final Deque<FullHttpRequest> requests = new ArrayDeque<>();
+    private long addedCount;
 
     PipelinedRequests(GatewayContext gateway) {
         this.gateway = gateway;
@@ -21,9 +22,15 @@
 
     /** Adds a request, and takes ownership of it. */
     void add(FullHttpRequest request) {
+        addedCount++;
         requests.addLast(request);
     }
 
+    /** Returns how many requests have been added since the connection was accepted. */
+    long addedCount() {
+        return addedCount;
+    }
+
     /** Removes and returns the oldest request. */
     Optional<FullHttpRequest> take() {
         return Optional.ofNullable(requests.pollFirst());
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -1,5 +1,8 @@
 package org.poplarwharf.internal.gateway;
 
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -42,6 +45,15 @@
                 arrivedMillis + Math.min(callerMillis, route.timeoutMillis()));
     }
 
+    /** Returns by what a request is recognized when it comes again. */
+    static RequestIdentity identityOf(FullHttpRequest request) {
+        return RequestIdentity.of(
+                request.headers().get(HttpHeaderNames.AUTHORIZATION, ""),
+                request.method().name(),
+                request.uri(),
+                ByteBufUtil.getBytes(request.content()));
+    }
+
     /** Returns how much of the caller's time is left, in milliseconds; negative after the deadline. */
     long millisLeft() {
         return deadlineMillis - gateway.nowMillis();
--- a/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
@@ -334,6 +334,16 @@
         assertResponses(List.of(503, 503));
     }
 
+    @Test
+    void request_that_follows_one_read_when_the_idle_time_of_its_connection_ends_is_answered() throws Exception {
+        holding = false;
+        runBeforeReading(request("first"), () -> connection.closeIfIdle());
+        loop.schedule(() -> {}, ARRIVAL_MILLIS, TimeUnit.MILLISECONDS).sync();
+        send(request("last").replace("Host", "Connection: close\r\nHost"));
+
+        assertResponses(List.of(503, 503));
+    }
+
     @Test
     void connection_on_which_nothing_arrives_closes_after_its_response_in_a_drain() throws Exception {
         startRequest();
