--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -12,7 +12,8 @@
  * Looks for another target of a request whose target is silent, while the request goes on running there.
  *
  * <p>Invariants: the silent target is replaced only by one that has begun to respond or, for a stream, to which the
- * request was sent a short time before. There is at most one search or attempt at a time. Confined to the event loop.
+ * request was sent a short time before. There is at most one search or attempt at a time. A search that ends
+ * without an attempt uses up none of the attempts that the request is allowed. Confined to the event loop.
  */
 final class TargetReplacement implements TargetSelector.Callback, Attempt.Listener {
     /** A stream that continues at one target must not run on at another for longer. */
@@ -26,7 +27,7 @@
     private final StreamContinuity continuity;
     private final ResponseRelay relay;
     private final Consumer<Attempt> onReplaced;
-    private Optional<Target> silentTarget = Optional.empty();
+    private Optional<Attempt> silentAttempt = Optional.empty();
     private Optional<String> searchKey = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
     private Optional<Future<?>> overlapTimer = Optional.empty();
@@ -51,14 +52,14 @@
     }
 
     /** Starts to look for another target, unless that is under way or the request may not run at one more. */
-    void seek(Target silent) {
-        boolean seeks = searchKey.isEmpty() && attempt.isEmpty() && limits.allowsRerun(relay);
-        recorder.recordSilent(silent, seeks);
+    void seek(Attempt silent) {
+        boolean seeks = searchKey.isEmpty() && attempt.isEmpty() && limits.allowsRerunBeside(silent, relay);
+        recorder.recordSilent(silent.target(), seeks);
         if (!seeks) {
             return;
         }
-        sender.exclude(silent);
-        silentTarget = Optional.of(silent);
+        sender.exclude(silent.target());
+        silentAttempt = Optional.of(silent);
         String key = gateway.nextKey();
         searchKey = Optional.of(key);
         sender.search(key, this);
@@ -67,15 +68,17 @@
     @Override
     public void onSelected(Target selected, Optional<Target> backup, String by) {
         String key = searchKey.orElseThrow();
+        Attempt silent = silentAttempt.orElseThrow();
         searchKey = Optional.empty();
         boolean isUsable = continuity.allows(selected) && gateway.statements().accepts(selected);
-        if (!isUsable || !limits.tryReserveRerun(relay)) {
+        if (!isUsable || !limits.tryReserveRerunBeside(silent, relay)) {
+            limits.recordNotAttempted();
             request.selector().reportOutcome(key, new RunOutcome.Abandoned());
             recorder.recordNotReplaced("target not usable or no retry left");
             return;
         }
         Attempt created = new Attempt(key, selected, backup, gateway.nowMillis(), this);
-        created.setReplaced(silentTarget);
+        created.setReplaced(Optional.of(silent.target()));
         attempt = Optional.of(created);
         sender.sendReplacement(created, relay.lastEventId(), by);
     }
@@ -83,6 +86,7 @@
     @Override
     public void onRejected(String reason, long retryAfterMillis) {
         searchKey = Optional.empty();
+        limits.recordNotAttempted();
         recorder.recordNotReplaced(reason);
     }
 
@@ -110,6 +114,7 @@
     private void cancelSearch() {
         searchKey.ifPresent(key -> {
             searchKey = Optional.empty();
+            limits.recordNotAttempted();
             request.selector().cancel(key);
             request.selector().reportOutcome(key, new RunOutcome.Abandoned());
         });
