--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -43,9 +43,8 @@
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
         server.startDraining();
-        // If the event loop is behind, connections wait to be accepted, and then their requests wait to be read. The
-        // loop
-        // does one of the two between two timers.
+        // An event loop that is behind has connections to accept and then their requests to read. It does one of the
+        // two between two timers.
         timer.schedule(
                 Math.round(graceMillis * ACCEPTING_GRACE_RATIO),
                 () -> timer.schedule(READ_MILLIS, () -> {
--- a/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
+++ b/src/main/java/org/poplarwharf/internal/holder/CrashContainment.java
@@ -46,8 +46,8 @@
     /**
      * Creates the parts.
      *
-     * @param targetReader reads the targets' entries soon; called if a target that lost runs accepts connections, because it
-     *     may have restarted
+     * @param targetReader reads the targets' entries soon; called if a target that lost a run does not refuse connections,
+     *     because it may have restarted
      */
     CrashContainment(
             GatewaySettings settings,
