End requests with a response before the grace period of a node is over

What callers saw: a request that was in flight when the grace period of a stopping node was nearly over got neither a response nor a refusal. The process ended, and its connections with it. Requests that waited behind such a request on its connection were lost too, though they had not run.

Cause: GracefulDrain waits for requests in flight until 400 ms before the kill, and then ends the node without telling their callers.

Why this works: at that moment each request in flight is ended with outcome-unknown if it may have run, and with shutting-down, which says "not run", if not. Those behind it are refused in the same way. The node ends once the responses are written, at the latest 200 ms before the kill. A stream that has begun is cut as before. The three places at which an exchange ended with one of two codes now share one method.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -108,13 +108,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (takesNoMore) {
-                if (message instanceof HttpRequest request) {
-                    pipelined.logDropped(request, "connection takes no more requests");
-                }
-                return;
-            }
-            if (message instanceof HttpObject part) {
+            if (takesNoMore && message instanceof HttpRequest request) {
+                pipelined.logDropped(request, "connection takes no more requests");
+            } else if (!takesNoMore && message instanceof HttpObject part) {
                 reader.read(part);
             }
         } finally {
@@ -202,13 +198,24 @@
     private void handleDefect(FullHttpRequest request, String requestId, RuntimeException cause) {
         gateway.log().log("request-handling-failed", "requestId", requestId, "reason", String.valueOf(cause));
         if (exchange != null) {
-            exchange.handleDefect("defect of the node");
+            exchange.end(FailureCode.INTERNAL, "defect of the node", 0);
         } else if (current == request) {
             refuse(requestId, FailureCode.INTERNAL, "defect of the node", 0);
         }
     }
 
+    /** Responds to the request under way without a result, since the node is about to end. */
+    void endExchange() {
+        if (exchange != null) {
+            exchange.end(FailureCode.SHUTTING_DOWN, "node ends", 0);
+        }
+    }
+
     private void startExchange(FullHttpRequest request, RequestTraits traits) {
+        if (server.isEnding()) {
+            refuse(traits.requestId(), FailureCode.SHUTTING_DOWN, "node ends", 0);
+            return;
+        }
         if (!gateway.view().isComplete()) {
             refuse(traits.requestId(), FailureCode.NOT_READY, "no plan or targets yet", NOT_READY_RETRY_AFTER_MILLIS);
             return;
--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -6,7 +6,8 @@
 
 /**
  * Shuts a node down gracefully. The node immediately reports itself as not ready, but keeps accepting connections until
- * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight.
+ * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight. Those
+ * that are still in flight shortly before the grace period is over get a response without a result.
  *
  * <p>Confined to the event loop.
  */
@@ -23,8 +24,11 @@
     /** Time for the event loop to read what has arrived before. */
     private static final long READ_MILLIS = 50;
 
+    /** Time before the process would be killed, at which requests in flight are ended. */
+    private static final long END_MARGIN_MILLIS = 400;
+
     /** Time reserved before the process would be killed. */
-    private static final long KILL_MARGIN_MILLIS = 400;
+    private static final long KILL_MARGIN_MILLIS = 200;
 
     private final ProxyServer server;
     private final TopicFollower.Timer timer;
@@ -58,12 +62,16 @@
 
     private void pollInFlight(long startMillis, MonotonicClock clock, Runnable onDrained) {
         int inFlight = server.inFlightCount();
-        boolean timedOut = clock.nowMillis() - startMillis > graceMillis - KILL_MARGIN_MILLIS;
-        if (inFlight == 0 || timedOut) {
+        long graceLeftMillis = graceMillis - (clock.nowMillis() - startMillis);
+        if (inFlight == 0 || graceLeftMillis < KILL_MARGIN_MILLIS) {
             log.log("node-drained", "underWay", inFlight);
             onDrained.run();
             return;
         }
+        if (graceLeftMillis < END_MARGIN_MILLIS && !server.isEnding()) {
+            log.log("requests-ended", "underWay", inFlight);
+            server.endExchanges();
+        }
         timer.schedule(POLL_INTERVAL_MILLIS, () -> pollInFlight(startMillis, clock, onDrained));
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -314,13 +314,17 @@
     }
 
     private void giveUp(String reason, long retryAfterMillis) {
+        end(FailureCode.TARGET_FAILED, continuity.failureCode(), reason, retryAfterMillis);
+    }
+
+    private void end(FailureCode codeIfRun, FailureCode codeIfNotRun, String reason, long retryAfterMillis) {
         if (relay.started()) {
             sink.abortResponse();
             close("request-cut", "reason", reason);
         } else if (limits.mayHaveRun()) {
-            fail(FailureCode.TARGET_FAILED, reason, 0);
+            fail(codeIfRun, reason, 0);
         } else {
-            fail(continuity.failureCode(), reason, retryAfterMillis);
+            fail(codeIfNotRun, reason, retryAfterMillis);
         }
     }
 
@@ -345,19 +349,15 @@
     private void expire() {
         if (!done) {
             releaseTarget();
-            if (limits.mayHaveRun() && !relay.started()) {
-                fail(FailureCode.DEADLINE_EXCEEDED_RUNNING, "deadline", 0);
-            } else {
-                giveUp("deadline", 0);
-            }
+            end(FailureCode.DEADLINE_EXCEEDED_RUNNING, continuity.failureCode(), "deadline", 0);
         }
     }
 
-    /** Ends the exchange, whose start has thrown an exception, with a response. */
-    void handleDefect(String reason) {
+    /** Ends the exchange with the given failure, or with an unknown outcome if the request may have run. */
+    void end(FailureCode codeIfNotRun, String reason, long retryAfterMillis) {
         if (!done) {
             releaseTarget();
-            fail(limits.mayHaveRun() ? FailureCode.OUTCOME_UNKNOWN : FailureCode.INTERNAL, reason, 0);
+            end(FailureCode.OUTCOME_UNKNOWN, codeIfNotRun, reason, retryAfterMillis);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -36,6 +36,7 @@
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean draining;
+    private boolean ending;
 
     ProxyServer(GatewayContext context) {
         this.context = context;
@@ -88,6 +89,16 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Responds to all requests under way, and to those behind them, without a result. */
+    void endExchanges() {
+        ending = true;
+        List.copyOf(connections).forEach(CallerConnection::endExchange);
+    }
+
+    boolean isEnding() {
+        return ending;
+    }
+
     int inFlightCount() {
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
