Don't count time in which a node doesn't read a connection against its caller

Callers saw: 408 with a close for a request that they had sent in time, behind four whole ones that waited for the response before them. Cause: the node turns off reading from a connection once four whole requests wait on it. The header timer of a request whose head came in the same read as the fourth one started at once, though the rest of the request lay unread in the socket. Evidence: PipelinedRequestGatewayTest.time_in_which_the_node_does_not_read_is_not_the_callers, red on the code before with "expected: 200 but was: 408". The timer now starts only while the node reads, and at the latest when reading resumes. Reading can't stop again before that request is whole, so that the timer need never be stopped. A second test checks that a request that isn't sent in time after that still gets 408; it was green before as well.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -130,9 +130,6 @@
     @Override
     public void onHead() {
         cancelIdleTimer();
-        if (!reader.awaitsContinue()) {
-            reader.expectRest();
-        }
         handleWaiting();
     }
 
@@ -164,7 +161,11 @@
         } finally {
             handlingWaiting = false;
         }
-        channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
+        boolean reading = pipelined.count() < MAX_PIPELINED_COUNT;
+        channel.config().setAutoRead(reading);
+        if (reading && reader.isReading() && !reader.awaitsContinue()) {
+            reader.expectRest();
+        }
         if (isFree() && refusalStatus.isPresent()) {
             refuseInvalid(refusalStatus.getAsInt());
         } else if (isFree() && reader.awaitsContinue()) {
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -64,7 +64,7 @@
         return awaitsContinue;
     }
 
-    /** Starts the time within which the caller must send the rest of the request. */
+    /** Starts the time within which the caller must send the rest of the request, unless it has been started. */
     void expectRest() {
         awaitsContinue = false;
         if (timer.isEmpty()) {
--- a/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
@@ -21,6 +21,9 @@
     /** Over the default limit of a plan, and under that of the decoder. */
     private static final String LARGE_HEADER = "X-Large: " + "x".repeat(80_000) + "\r\n";
 
+    /** Three such requests and a fourth one are enough to make a node stop reading from their connection. */
+    private static final String LARGE_BODY = "x".repeat(100_000);
+
     private static final String OVERSIZED_BODY = "Content-Length: 9000000\r\n\r\n";
     private static final String UNREADABLE_REQUEST = "no request at all\r\n\r\n";
 
@@ -238,6 +241,48 @@
         assertAnswered("second");
     }
 
+    private static String largeRequest(String id) {
+        return RawCaller.post("/once/x", id, "").replace("Length: 0", "Length: " + LARGE_BODY.length()) + LARGE_BODY;
+    }
+
+    /** Starts a stream, and sends requests behind it until the node stops reading. The last one has just begun. */
+    private void stopReadingWithinRequest() throws IOException {
+        changePlan(2, "'limits':{'headerTimeoutMs':500}");
+        startStream();
+        caller.send(largeRequest("w1") + largeRequest("w2") + largeRequest("w3"));
+        GatewayCluster.pause(200);
+        caller.send(RawCaller.post("/once/x", "w4", "") + RawCaller.postWithBody("/once/x", "last", "") + "one ");
+        GatewayCluster.pause(100);
+    }
+
+    private void assertWaitingRequestsAreAnswered() throws IOException {
+        for (int i = 1; i <= 4; i++) {
+            assertAnswered("w" + i);
+        }
+    }
+
+    @Test
+    void time_in_which_the_node_does_not_read_is_not_the_callers() throws Exception {
+        stopReadingWithinRequest();
+        caller.send("two");
+        GatewayCluster.pause(1_000);
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertWaitingRequestsAreAnswered();
+        assertAnswered("last");
+    }
+
+    @Test
+    void request_that_is_not_sent_in_time_after_the_node_reads_again_is_refused() throws Exception {
+        stopReadingWithinRequest();
+        streamMayEnd.countDown();
+
+        assertStreamIsWhole();
+        assertWaitingRequestsAreAnswered();
+        assertRefusedAndClosed(408);
+    }
+
     @Test
     void response_after_an_interim_one_keeps_its_body_where_a_head_request_follows() throws Exception {
         caller.send(RawCaller.postWithBody("/once/x", "first", "Expect: 100-continue\r\n"));
