Notice that a caller with four waiting requests has closed its connection

Cause: once four whole requests waited on a connection, the node turned off reading from it. With the NIO transport the end of a connection is only noticed by reading. Evidence: PipelinedRequestGatewayTest.caller_that_closes_its_connection_with_four_requests_waiting_is_noticed, red on the code before: "timed out waiting until: logged: "caller-left"" (the stream has a deadline of 5 s). A node now goes on reading until at least four requests with 256 KiB together wait; a kilobyte is counted for each one besides its text. So never more memory is taken than by four requests of the largest size or by that bound and one more request. NIO has no other way to learn of the close: with bytes unread, the end lies behind them. A caller with more than that waiting is still not noticed; reading must stop somewhere, since a refusal would lose requests that a node can still answer.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -36,9 +36,6 @@
  * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
-    /** Pipelined requests after which reading from the caller stops. */
-    private static final int MAX_PIPELINED_COUNT = 4;
-
     /** A node is ready within a second or two of its start, so callers are told to retry soon. */
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
@@ -161,7 +158,7 @@
         } finally {
             handlingWaiting = false;
         }
-        boolean reading = pipelined.count() < MAX_PIPELINED_COUNT;
+        boolean reading = !pipelined.isFull();
         channel.config().setAutoRead(reading);
         if (reading && reader.isReading() && !reader.awaitsContinue()) {
             reader.expectRest();
--- a/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
@@ -12,9 +12,19 @@
  * <p>Invariant: a request that leaves the queue without a response is logged. Confined to the event loop.
  */
 final class PipelinedRequests {
+    /** Fewer requests are never too many, however large they are. */
+    private static final int MIN_FULL_COUNT = 4;
+
+    /** Far more than a caller sends ahead, as the end of a connection goes unnoticed while nothing is read from it. */
+    private static final int MIN_FULL_BYTES = 256 * 1024;
+
+    /** Approximate memory that a request takes besides its text. */
+    private static final int OVERHEAD_BYTES = 1024;
+
     private final GatewayContext gateway;
     private final Deque<FullHttpRequest> requests = new ArrayDeque<>();
     private long addedCount;
+    private long waitingBytes;
 
     PipelinedRequests(GatewayContext gateway) {
         this.gateway = gateway;
@@ -23,6 +33,7 @@
     /** Adds a request, and takes ownership of it. */
     void add(FullHttpRequest request) {
         addedCount++;
+        waitingBytes += sizeOf(request);
         requests.addLast(request);
     }
 
@@ -33,11 +44,20 @@
 
     /** Removes and returns the oldest request. */
     Optional<FullHttpRequest> take() {
-        return Optional.ofNullable(requests.pollFirst());
+        Optional<FullHttpRequest> oldest = Optional.ofNullable(requests.pollFirst());
+        oldest.ifPresent(request -> waitingBytes -= sizeOf(request));
+        return oldest;
+    }
+
+    private static int sizeOf(FullHttpRequest request) {
+        return OVERHEAD_BYTES
+                + RequestReader.headBytes(request)
+                + request.content().readableBytes();
     }
 
-    int count() {
-        return requests.size();
+    /** Returns whether so much waits that nothing more should be read from the caller. */
+    boolean isFull() {
+        return requests.size() >= MIN_FULL_COUNT && waitingBytes >= MIN_FULL_BYTES;
     }
 
     boolean isEmpty() {
@@ -51,6 +71,7 @@
             request.release();
         });
         requests.clear();
+        waitingBytes = 0;
     }
 
     /** Logs a request that gets no response. */
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -99,11 +99,7 @@
     private void readHead(HttpRequest request) {
         head = request;
         limits = latestLimits.get();
-        int size = request.uri().length();
-        for (var header : request.headers()) {
-            size += header.getKey().length() + header.getValue().length() + 4;
-        }
-        if (size > limits.maxHeaderBytes()) {
+        if (headBytes(request) > limits.maxHeaderBytes()) {
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers over the limit");
         } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
@@ -113,6 +109,15 @@
         }
     }
 
+    /** Returns the size of the request target and the headers. */
+    static int headBytes(HttpRequest request) {
+        int size = request.uri().length();
+        for (var header : request.headers()) {
+            size += header.getKey().length() + header.getValue().length() + 4;
+        }
+        return size;
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf chunk = content.content();
         if (chunk.isReadable()) {
--- a/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/PipelinedRequestGatewayTest.java
@@ -283,6 +283,21 @@
         assertRefusedAndClosed(408);
     }
 
+    @Test
+    void caller_that_closes_its_connection_with_four_requests_waiting_is_noticed() throws Exception {
+        startStream();
+        for (int i = 1; i <= 4; i++) {
+            caller.send(RawCaller.post("/once/x", "w" + i, ""));
+        }
+        GatewayCluster.pause(200);
+        caller.close();
+
+        awaitLog("\"caller-left\"", "\"requestId\":\"stream\"");
+        streamMayEnd.countDown();
+        Eventually.eventually("the connection to the target is closed", () -> target.closedByPeerCount.get() > 0);
+        assertThat(target.executedRequestIds).containsExactly("stream");
+    }
+
     @Test
     void response_after_an_interim_one_keeps_its_body_where_a_head_request_follows() throws Exception {
         caller.send(RawCaller.postWithBody("/once/x", "first", "Expect: 100-continue\r\n"));
