--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -36,9 +36,6 @@
  * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
-    /** Pipelined requests after which reading from the caller stops. */
-    private static final int MAX_PIPELINED_COUNT = 4;
-
     /** A node is ready within a second or two of its start, so callers are told to retry soon. */
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
@@ -126,9 +123,6 @@
     @Override
     public void onHead() {
         cancelIdleTimer();
-        if (!reader.awaitsContinue()) {
-            reader.expectRest();
-        }
         handleWaiting();
     }
 
@@ -160,7 +154,11 @@
         } finally {
             handlingWaiting = false;
         }
-        channel.config().setAutoRead(pipelined.count() < MAX_PIPELINED_COUNT);
+        boolean reading = !pipelined.isFull();
+        channel.config().setAutoRead(reading);
+        if (reading && reader.isReading() && !reader.awaitsContinue()) {
+            reader.expectRest();
+        }
         if (isFree() && refusalStatus.isPresent()) {
             refuseInvalid(refusalStatus.getAsInt());
         } else if (isFree() && reader.awaitsContinue()) {
