Tests: end the event loops of gateways when their cluster is closed

GatewayNodeTest failed beside load: a target got four requests in place of one, three of them without an id; two targets got 7 in place of 1.

Cause: a gateway that has drained leaves its event loop to the end of its process, which in production follows at once. In a test's JVM it does not: each node of a closed GatewayCluster went on reading three topics of its log, every 0.25 to 0.8 s, at an address on which nobody listened any more. The system gave that address to a target or log of a later test, or of another run. These requests have no X-Request-Id, and a target counts all that are no orders or reports.

GatewayCluster now ends the loops of all nodes that it started, also of those that a test has stopped itself. No check of a test is changed.

--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -58,6 +58,10 @@
     final FakePlatformLog platform = new FakePlatformLog();
     final List<ScriptedTarget> targets = new ArrayList<>();
     final List<Node> nodes = new ArrayList<>();
+
+    /** The event loops of all nodes that were started, also of those that a test has stopped itself. */
+    private final List<EventLoopGroup> loops = new ArrayList<>();
+
     private final HttpClient caller = HttpClient.newHttpClient();
 
     /** A running gateway node and what it has logged. */
@@ -104,6 +108,7 @@
         ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
         PlatformGateway gateway =
                 PlatformGateway.start(Path.of("no-such-file"), settings, new PrintStream(logOutput, true));
+        loops.add(loopOf(gateway));
         Node node = new Node(
                 gateway,
                 settings,
@@ -201,26 +206,38 @@
     }
 
     /** Ends all nodes at once as SIGKILL does: their connections close, and the holder doesn't resign its lease. */
-    void killNodes() throws ReflectiveOperationException {
-        List<EventLoopGroup> groups = new ArrayList<>();
-        for (Node node : nodes) {
-            Object gatewayNode = fieldOf(node.gateway(), "node");
-            groups.add((EventLoopGroup) fieldOf(gatewayNode, "group"));
-        }
-        groups.forEach(group -> group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
-        groups.forEach(group -> group.terminationFuture().awaitUninterruptibly());
+    void killNodes() {
+        endLoops(nodes.stream().map(node -> loopOf(node.gateway())).toList());
         nodes.clear();
     }
 
+    private static EventLoopGroup loopOf(PlatformGateway gateway) {
+        try {
+            return (EventLoopGroup) fieldOf(fieldOf(gateway, "node"), "group");
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("a gateway has no event loop", e);
+        }
+    }
+
     private static Object fieldOf(Object owner, String name) throws ReflectiveOperationException {
         Field field = owner.getClass().getDeclaredField(name);
         field.setAccessible(true);
         return field.get(owner);
     }
 
+    private static void endLoops(List<EventLoopGroup> ended) {
+        ended.forEach(loop -> loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
+        ended.forEach(loop -> loop.terminationFuture().awaitUninterruptibly());
+    }
+
+    /**
+     * Stops the nodes and ends their event loops. A node that has stopped would otherwise read its log until this process
+     * ends, at an address that a later test may listen on.
+     */
     @Override
     public void close() throws IOException {
         nodes.forEach(node -> node.gateway().drainAndStop());
+        endLoops(loops);
         platform.close();
         for (ScriptedTarget target : targets) {
             target.close();
