Tests: scripted targets and fake logs listen on drawn ports

They listened on ports that the system assigns. While a target had crashed, for 150 ms in most tests, another run's target could be given its port: it got the requests meant for the crashed one, which could not listen again. A port of a closed target or log could also be given to another one at once.

They now draw their ports as the nodes of tests do (FreePorts): from blocks that their process locks, and none twice.

FreePortsTest has a test for it, red on the code before: "Expecting all elements of: [34705, 42221] to match given predicate".

--- a/src/test/java/org/poplarwharf/process/FreePorts.java
+++ b/src/test/java/org/poplarwharf/process/FreePorts.java
@@ -24,7 +24,7 @@
 public final class FreePorts {
     private static final int LOWEST_PORT = 12_000;
     /** The system assigns ports from here on to outgoing connections. */
-    private static final int LOWEST_EPHEMERAL_PORT = 32_000;
+    static final int LOWEST_EPHEMERAL_PORT = 32_000;
 
     private static final int BLOCK_SIZE = 100;
     private static final int BLOCK_COUNT = (LOWEST_EPHEMERAL_PORT - LOWEST_PORT) / BLOCK_SIZE;
@@ -41,15 +41,22 @@
     public static synchronized List<String> addresses(int count) {
         List<String> addresses = new ArrayList<>();
         while (addresses.size() < count) {
+            addresses.add("127.0.0.1:" + port());
+        }
+        return addresses;
+    }
+
+    /** Returns a port that no process listens on and that no test draws while this process runs. */
+    public static synchronized int port() {
+        while (true) {
             if (nextPort >= endPort) {
                 lockBlock();
             }
             int port = nextPort++;
             if (isFree(port)) {
-                addresses.add("127.0.0.1:" + port);
+                return port;
             }
         }
-        return addresses;
     }
 
     /** Locks a block that no running process has locked. */
--- a/src/test/java/org/poplarwharf/process/FreePortsTest.java
+++ b/src/test/java/org/poplarwharf/process/FreePortsTest.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.support.FakePlatformLog;
+import org.poplarwharf.support.ScriptedTarget;
 
 class FreePortsTest {
     private static final int ADDRESS_COUNT = 1_000;
@@ -53,6 +55,16 @@
         }
     }
 
+    /** Another run could be given the address of a target that had crashed, and get the requests meant for it. */
+    @Test
+    void targets_and_logs_of_tests_do_not_listen_on_ports_that_the_system_assigns() throws Exception {
+        try (FakePlatformLog log = new FakePlatformLog();
+                ScriptedTarget target = new ScriptedTarget("i-0")) {
+            assertThat(List.of(port(log.address()), target.port()))
+                    .allMatch(port -> port < FreePorts.LOWEST_EPHEMERAL_PORT);
+        }
+    }
+
     private static int port(String address) {
         return Integer.parseInt(address.substring(address.indexOf(':') + 1));
     }
--- a/src/test/java/org/poplarwharf/support/FakePlatformLog.java
+++ b/src/test/java/org/poplarwharf/support/FakePlatformLog.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
+import org.poplarwharf.process.FreePorts;
 
 /**
  * An in-memory implementation of the platform's log over HTTP, limited to what a gateway uses, with injectable faults.
@@ -68,7 +69,7 @@
     }
 
     public FakePlatformLog() throws IOException {
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server = HttpServer.create(new InetSocketAddress("127.0.0.1", FreePorts.port()), 0);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.createContext("/", this::handle);
         server.start();
--- a/src/test/java/org/poplarwharf/support/ScriptedTarget.java
+++ b/src/test/java/org/poplarwharf/support/ScriptedTarget.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import org.poplarwharf.process.FreePorts;
 
 /** A target whose responses are written byte for byte by a script. Thread-safe. */
 public final class ScriptedTarget implements AutoCloseable {
@@ -90,15 +91,15 @@
 
     public ScriptedTarget(String id) throws IOException {
         this.id = id;
-        listen(0);
-        port = socket.getLocalPort();
+        port = FreePorts.port();
+        listen();
     }
 
-    private void listen(int requestedPort) throws IOException {
+    private void listen() throws IOException {
         socket = new ServerSocket();
         socket.setReuseAddress(true);
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), requestedPort), 200);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
         Thread.startVirtualThread(this::accept);
     }
 
@@ -114,7 +115,7 @@
 
     /** Listens again at the same address. */
     public void restart() throws IOException {
-        listen(port);
+        listen();
     }
 
     public String topicEntry(String service, String extraFields) {
