Close connections to targets on which bytes arrive that belong to no request

A caller whose request may not be repeated got 502 "unreadable answer", ran unknown, though its target had run the request and answered it whole, if the response before it on the same connection was followed by bytes beyond its length, such as one byte.

Cause: TargetConnection promises that data which belongs to no request closes the connection, but saw only what the decoder had made of it. Fewer bytes than make an unreadable line (4,096), or the beginning of a head, stayed in the decoder; the connection went to the pool and they were read as the beginning of the next response.

ResponseDecoder, in place of the client codec's, tells whether bytes are left when a response ends and whether bytes arrive while no response is expected; either closes the connection. It takes over what the codec knew of HEAD and CONNECT. Bytes that arrive after the next request was sent can still not be told from its response.

Evidence: SurplusBytesGatewayTest, on the code before 3 of 4 red: expected "whole" but was "unreadable answer", "ran":"unknown"; and twice "timed out waiting until: the connection is closed". The cost was not measured. A target that sends bytes after each response now gets a new connection for each request.

--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -41,6 +41,7 @@
 
     private final String targetId;
     private final TargetConnectionPool pool;
+    private final ResponseDecoder decoder;
     private Channel channel;
     private ResponseListener listener;
     private boolean written;
@@ -50,9 +51,10 @@
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceNanos;
 
-    TargetConnection(String targetId, TargetConnectionPool pool) {
+    TargetConnection(String targetId, TargetConnectionPool pool, ResponseDecoder decoder) {
         this.targetId = targetId;
         this.pool = pool;
+        this.decoder = decoder;
     }
 
     String targetId() {
@@ -84,6 +86,7 @@
         written = false;
         reusable = true;
         informationalCount = 0;
+        decoder.expectResponse(request.method());
         listener.onSending();
         channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
     }
@@ -165,7 +168,8 @@
             return;
         }
         listener = null;
-        if (reusable && written && channel.isActive()) {
+        decoder.endResponse();
+        if (reusable && written && channel.isActive() && !decoder.hasSurplusBytes()) {
             channel.config().setAutoRead(true);
             idleSinceNanos = System.nanoTime();
             pool.release(this);
@@ -178,6 +182,9 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         if (listener != null) {
             listener.onReadComplete();
+        } else if (decoder.hasSurplusBytes()) {
+            pool.removeIdle(this);
+            channel.close();
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
@@ -5,8 +5,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -50,15 +50,16 @@
     /** Sends the request on a new connection. */
     public InFlightRequest sendOnNewConnection(
             ConnectionSpec spec, FullHttpRequest request, ResponseListener listener) {
-        TargetConnection connection = new TargetConnection(spec.targetId(), this);
+        ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
+        TargetConnection connection = new TargetConnection(spec.targetId(), this, decoder);
         ChannelFuture connecting = SocketBootstraps.client(loop, spec.connectTimeoutMillis())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new InputEndVerifier())
-                                .addLast(new HttpClientCodec(
-                                        new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), false, false))
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 })
