Keep a drained node up until its callers could read their last responses

Callers saw: a response that broke off with a reset, if it was the last one of a drained node, its caller read it late and had sent more (the rest of a refused body, or another request). Cause: the drain ended with the last request. A connection whose last response has been handed to the system lingers for up to 500 ms, and such a connection did not count. The process ended, and bytes that arrive at a closed socket are answered with a reset, which also discards what the caller has not received. Evidence: GracefulDrainTest.last_response_of_a_drain_reaches_a_caller_that_reads_late_and_has_sent_more, red on the code before with "Connection reset" after a part of the response. The test closes the node's channels when the drain ends, as the end of the process does. The drain now also waits for connections that take no more requests and are still open. Each of them is closed by its caller or 500 ms after its last response; the grace period bounds the wait as before. An idle connection whose caller does not close it in a drain can so delay the end by those 500 ms. Measured: GracefulDrainTest 2 of 2, UnreadRequestTest 12, CallerConnectionTest 1, PipelinedRequestGatewayTest 16 and GatewayNodeTest 16, all green. StreamRestartGatewayTest 11 of 12 at a machine load of 26: all_streams_go_on_if_there_was_only_one_version_since_old_entries_of_targets_were_deleted failed; its nodes are killed and not drained.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -81,6 +81,11 @@
                 || lastResponse.filter(written -> !written.isDone()).isPresent();
     }
 
+    /** Returns whether the connection closes after its last response. Its caller may not have read that yet. */
+    boolean isClosing() {
+        return takesNoMore;
+    }
+
     private boolean hasWaiting() {
         return !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -6,7 +6,8 @@
 
 /**
  * Shuts a node down gracefully. The node immediately reports itself as not ready, but keeps accepting connections until
- * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight.
+ * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight and for
+ * connections that close after their last response.
  *
  * <p>Confined to the event loop.
  */
@@ -38,7 +39,7 @@
         this.graceMillis = graceMillis;
     }
 
-    /** Starts the drain. Runs the action when no request is in flight or the grace period is nearly over. */
+    /** Starts the drain. Runs the action when all is done or the grace period is nearly over. */
     void start(MonotonicClock clock, Runnable onDrained) {
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
@@ -59,7 +60,8 @@
     private void pollInFlight(long startMillis, MonotonicClock clock, Runnable onDrained) {
         int inFlight = server.inFlightCount();
         boolean timedOut = clock.nowMillis() - startMillis > graceMillis - KILL_MARGIN_MILLIS;
-        if (inFlight == 0 || timedOut) {
+        // The end of the process would reset a connection on which more arrives, and its caller lose the last response.
+        if (inFlight == 0 && !server.hasClosingConnections() || timedOut) {
             log.log("node-drained", "underWay", inFlight);
             onDrained.run();
             return;
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -91,4 +91,9 @@
     int inFlightCount() {
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
+
+    /** Returns whether a connection that is closing is still open. */
+    boolean hasClosingConnections() {
+        return connections.stream().anyMatch(CallerConnection::isClosing);
+    }
 }
