Write a held refusal in a drain though its caller has ended its output

Callers saw: no response to a whole request that a draining node had refused at once, if they had ended their output right after it. Outside a drain the same caller gets its refusal. Cause: while draining, a response behind which nothing waits is held back until what has arrived has been read. If that is the end of the caller's output, the channel closed by itself, and what was held was dropped. Evidence: GracefulDrainTest.refusal_in_a_drain_reaches_a_caller_that_has_ended_its_output, red on the code before: an empty text in place of "HTTP/1.1 503". The same test outside a drain was green before. The connection now learns of the end of the output before it closes: it writes what is held, since nothing more can arrive that would have to wait for it, and closes. A caller whose response has not begun still counts as gone. A request that is cut off by the end of the output is now answered with 400, where the answer failed on the closed channel before; this is not tested.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,10 +18,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
@@ -41,10 +40,10 @@
 
     private final GatewayContext gateway;
     private final ProxyServer server;
-    private final EventLoop loop;
     private final PipelinedRequests pipelined;
     private final RequestReader reader;
     private final ReadTurn readTurn;
+    private final IdleTimer idleTimer;
     private ResponseWriter writer;
     private Channel channel;
     private boolean takesNoMore;
@@ -54,15 +53,14 @@
     private ProxyExchange exchange;
     private Optional<ChannelFuture> lastResponse = Optional.empty();
     private boolean keepAlive = true;
-    private Future<?> idleTimer;
 
     CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop) {
         this.gateway = gateway;
         this.server = server;
-        this.loop = loop;
         this.pipelined = new PipelinedRequests(gateway);
         this.reader = new RequestReader(loop, this::limits, this);
         this.readTurn = new ReadTurn(loop);
+        this.idleTimer = new IdleTimer(loop, this::closeIfIdle);
     }
 
     @Override
@@ -131,7 +129,7 @@
 
     @Override
     public void onHead() {
-        cancelIdleTimer();
+        idleTimer.cancel();
         handleWaiting();
     }
 
@@ -144,7 +142,7 @@
     @Override
     public void onInvalid(int status, String reason) {
         gateway.log().log("request-refused", "requestId", "", "reason", reason, "status", status);
-        cancelIdleTimer();
+        idleTimer.cancel();
         takesNoMore = true;
         refusalStatus = OptionalInt.of(status);
         handleWaiting();
@@ -356,9 +354,18 @@
         }
     }
 
+    /** Treats a caller that has ended its output as gone. A response that is only held back is written before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            writer.writeHeldParts();
+            channel.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelIdleTimer();
+        idleTimer.cancel();
         server.removeConnection(this);
         pipelined.dropAll("connection closed");
         reader.discard();
@@ -383,14 +390,6 @@
     }
 
     private void startIdleTimer() {
-        cancelIdleTimer();
-        idleTimer = loop.schedule(this::closeIfIdle, limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private void cancelIdleTimer() {
-        if (idleTimer != null) {
-            idleTimer.cancel(false);
-            idleTimer = null;
-        }
+        idleTimer.restart(limits().idleTimeoutMillis());
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -44,6 +44,8 @@
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = SocketBootstraps.server(group)
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG_COUNT)
+                // Leaves it to the connection when it closes after the end of its caller's output.
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseWriter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseWriter.java
@@ -45,7 +45,8 @@
         readTurn.await(hasReadEnough, this::writeHeldParts);
     }
 
-    private void writeHeldParts() {
+    /** Writes what is held back. */
+    void writeHeldParts() {
         List<Runnable> parts = List.copyOf(heldParts);
         heldParts.clear();
         parts.forEach(Runnable::run);
--- a/src/test/java/org/poplarwharf/internal/gateway/GracefulDrainTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/GracefulDrainTest.java
@@ -155,6 +155,34 @@
         assertThat(drained.await(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
     }
 
+    @Test
+    void refusal_reaches_a_caller_that_has_ended_its_output() throws Exception {
+        assertRefusedAfterEndOfOutput(() -> {});
+    }
+
+    @Test
+    void refusal_in_a_drain_reaches_a_caller_that_has_ended_its_output() throws Exception {
+        assertRefusedAfterEndOfOutput(server::startDraining);
+    }
+
+    private void assertRefusedAfterEndOfOutput(Runnable before) throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        loop.execute(() -> {
+            before.run();
+            awaitThenStayBusy(arrived);
+        });
+        try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
+            caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+            send(caller, "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
+            caller.shutdownOutput();
+            arrived.countDown();
+
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 503")
+                    .endsWith("}");
+        }
+    }
+
     private static void awaitThenStayBusy(CountDownLatch arrived) {
         try {
             arrived.await();
