--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,10 +18,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
@@ -41,10 +40,10 @@
 
     private final GatewayContext gateway;
     private final ProxyServer server;
-    private final EventLoop loop;
     private final PipelinedRequests pipelined;
     private final RequestReader reader;
     private final ReadTurn readTurn;
+    private final IdleTimer idleTimer;
     private ResponseWriter writer;
     private Channel channel;
     private boolean takesNoMore;
@@ -54,15 +53,14 @@
     private ProxyExchange exchange;
     private Optional<ChannelFuture> lastResponse = Optional.empty();
     private boolean keepAlive = true;
-    private Future<?> idleTimer;
 
     CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop) {
         this.gateway = gateway;
         this.server = server;
-        this.loop = loop;
         this.pipelined = new PipelinedRequests(gateway);
         this.reader = new RequestReader(loop, this::limits, this);
         this.readTurn = new ReadTurn(loop);
+        this.idleTimer = new IdleTimer(loop, this::closeIfIdle);
     }
 
     @Override
@@ -70,7 +68,7 @@
         channel = context.channel();
         writer = new ResponseWriter(channel, readTurn);
         server.addConnection(this);
-        startIdleTimer();
+        idleTimer.restart(limits().idleTimeoutMillis());
     }
 
     /** Returns whether a request is under way or has been read, or a response has not been sent in whole. */
@@ -81,6 +79,11 @@
                 || lastResponse.filter(written -> !written.isDone()).isPresent();
     }
 
+    /** Returns whether the connection closes after its last response. Its caller may not have read that yet. */
+    boolean isClosing() {
+        return takesNoMore;
+    }
+
     private boolean hasWaiting() {
         return !pipelined.isEmpty() || refusalStatus.isPresent() || reader.isReading();
     }
@@ -122,7 +125,7 @@
 
     @Override
     public void onHead() {
-        cancelIdleTimer();
+        idleTimer.cancel();
         handleWaiting();
     }
 
@@ -135,7 +138,7 @@
     @Override
     public void onInvalid(int status, String reason) {
         gateway.log().log("request-refused", "requestId", "", "reason", reason, "status", status);
-        cancelIdleTimer();
+        idleTimer.cancel();
         takesNoMore = true;
         refusalStatus = OptionalInt.of(status);
         handleWaiting();
@@ -343,7 +346,7 @@
         if (isBusy()) {
             return;
         }
-        startIdleTimer();
+        idleTimer.restart(limits().idleTimeoutMillis());
         // A response head sent before the drain did not announce the close. Without a close now, the caller would send
         // its next request on this connection.
         if (server.isDraining()) {
@@ -358,9 +361,18 @@
         }
     }
 
+    /** Treats a caller that has ended its output as gone. A response that is only held back is written before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            writer.writeHeldParts();
+            channel.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelIdleTimer();
+        idleTimer.cancel();
         server.removeConnection(this);
         pipelined.dropAll("connection closed");
         reader.discard();
@@ -383,16 +395,4 @@
     private CallerLimits limits() {
         return gateway.view().plan().map(FleetPlan::limits).orElse(CallerLimits.DEFAULTS);
     }
-
-    private void startIdleTimer() {
-        cancelIdleTimer();
-        idleTimer = loop.schedule(this::closeIfIdle, limits().idleTimeoutMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private void cancelIdleTimer() {
-        if (idleTimer != null) {
-            idleTimer.cancel(false);
-            idleTimer = null;
-        }
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -6,8 +6,9 @@
 
 /**
  * Shuts a node down gracefully. The node immediately reports itself as not ready, but keeps accepting connections until
- * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight. Those
- * that are still in flight shortly before the grace period is over get a response without a result.
+ * the load balancer has noticed. It then stops accepting, closes idle connections and waits for requests in flight and for
+ * connections that close after their last response. Requests that are still in flight shortly before the grace period is
+ * over get a response without a result.
  *
  * <p>Confined to the event loop.
  */
@@ -42,7 +43,7 @@
         this.graceMillis = graceMillis;
     }
 
-    /** Starts the drain. Runs the action when no request is in flight or the grace period is nearly over. */
+    /** Starts the drain. Runs the action when all is done or the grace period is nearly over. */
     void start(MonotonicClock clock, Runnable onDrained) {
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
@@ -63,12 +64,14 @@
     private void pollInFlight(long startMillis, MonotonicClock clock, Runnable onDrained) {
         int inFlight = server.inFlightCount();
         long graceLeftMillis = graceMillis - (clock.nowMillis() - startMillis);
-        if (inFlight == 0 || graceLeftMillis < KILL_MARGIN_MILLIS) {
+        // The end of the process would reset a connection on which more arrives, and its caller lose the last response.
+        boolean isDone = inFlight == 0 && !server.hasClosingConnections();
+        if (isDone || graceLeftMillis < KILL_MARGIN_MILLIS) {
             log.log("node-drained", "underWay", inFlight);
             onDrained.run();
             return;
         }
-        if (graceLeftMillis < END_MARGIN_MILLIS && !server.isEnding()) {
+        if (inFlight > 0 && graceLeftMillis < END_MARGIN_MILLIS && !server.isEnding()) {
             log.log("requests-ended", "underWay", inFlight);
             server.endExchanges();
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -45,6 +45,8 @@
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = SocketBootstraps.server(group)
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG_COUNT)
+                // Leaves it to the connection when it closes after the end of its caller's output.
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -102,4 +104,9 @@
     int inFlightCount() {
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
+
+    /** Returns whether a connection that is closing is still open. */
+    boolean hasClosingConnections() {
+        return connections.stream().anyMatch(CallerConnection::isClosing);
+    }
 }
