Don't look for models at targets that have none while no holder responds

While no holder responded, a stream of a plain service that was resumed with a model's name in its request was refused (stream-version-unavailable, no-holder), even if its version was known.

The node picks a target by its own view then, and among those whose entries list the requested model. Targets of services without an engine list none. The holder doesn't ask for models there, nor does the selector for plain services; the picker now does so for engines only.

StreamWithoutHolderGatewayTest, on the code before: "began1 at n3 expected id: 3 data: b ... but was stream-version-unavailable, no-holder"; green now, with the other tests of holder, stream and gateway.

--- a/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
+++ b/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
@@ -6,13 +6,14 @@
 import java.util.function.ToLongFunction;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.fleet.RequestTraits;
+import org.poplarwharf.internal.fleet.RoutedService;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.limit.TargetLimits;
 
 /**
- * Picks targets for a node without a holder, among those whose entries list the requested model and adapter. Confined to
- * the event loop.
+ * Picks targets for a node without a holder, of engines among those whose entries list the requested model and adapter. Other
+ * services have no models, whatever requests name. Confined to the event loop.
  *
  * <p>Invariant: a target that has named a limit is not picked, since only the holder issues permits for it.
  */
@@ -36,11 +37,12 @@
     Optional<Target> pick(DispatchRequest request, ToLongFunction<String> runCountByTarget, long nowMillis) {
         Target best = null;
         long bestCost = Long.MAX_VALUE;
+        boolean runsEngine = runsEngine(request.service());
         for (Target target : view.targetsOf(request.service())) {
             if (target.leaving()
                     || !request.accepts(target)
                     || limits.isLimited(target.id())
-                    || !hasLoaded(target, request.traits())) {
+                    || (runsEngine && !hasLoaded(target, request.traits()))) {
                 continue;
             }
             long cost = runCountByTarget.applyAsLong(target.id()) * RUN_COST
@@ -62,6 +64,13 @@
         backoffUntilMillis.remove(targetId);
     }
 
+    private boolean runsEngine(String service) {
+        return view.plan()
+                .map(plan -> plan.services().get(service))
+                .flatMap(RoutedService::engine)
+                .isPresent();
+    }
+
     private static boolean hasLoaded(Target target, RequestTraits traits) {
         if (traits.model().isEmpty()) {
             return true;
--- a/src/test/java/org/poplarwharf/internal/holder/StreamWithoutHolderGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamWithoutHolderGatewayTest.java
@@ -118,13 +118,13 @@
     }
 
     private HttpResponse<String> resume(GatewayCluster.Node node, String path, String id) throws Exception {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.frontPort() + path))
+        return cluster.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.frontPort() + path))
                 .header("X-Request-Id", "resumed-" + id + "-at-" + node.frontPort())
+                .header("X-Model", "m1")
                 .header("X-Token-Counts", "10,10")
                 .header("Last-Event-Id", "2")
                 .header("Resumes", id)
-                .POST(HttpRequest.BodyPublishers.noBody());
-        return cluster.send(path.equals(ENGINE_PATH) ? request.header("X-Model", "m1") : request);
+                .POST(HttpRequest.BodyPublishers.noBody()));
     }
 
     /** Resumes each stream once at each node that doesn't hold the lease, all at the same time. */
@@ -167,7 +167,7 @@
     }
 
     @Test
-    void streams_of_plain_targets_go_on_while_the_holder_is_frozen() throws Exception {
+    void streams_of_plain_targets_go_on_whatever_model_they_name_while_the_holder_is_frozen() throws Exception {
         start("desk", "");
         beginAtEachNode(PLAIN_PATH);
         GatewayCluster.pause(RECORDING_MILLIS);
