--- a/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayNodeTest.java
@@ -16,7 +16,6 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.internal.platform.PlatformGateway;
@@ -53,7 +52,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void responses_are_forwarded_unchanged_and_unknown_paths_are_refused() throws Exception {
         ScriptedTarget target = addTarget("desk", "");
 
@@ -67,7 +65,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void non_retryable_request_is_not_retried_after_its_target_closed_the_connection() throws Exception {
         ScriptedTarget first = addTarget("desk", "");
         ScriptedTarget second = addTarget("desk", "");
