End requests also where the event loop is behind at the end of a drain

What callers saw: no byte of a response from a stopping node, if its event loop did not run between 400 and 200 ms before the kill.

Cause: the poll looked whether the time was over before it ended the requests in flight. Found by review.

Evidence: DrainEndGatewayTest.request_that_runs_while_the_event_loop_is_ behind_at_the_end_is_not_left_without_a_response, red in the review: "" in place of "HTTP/1.1 502".

Why this works: time alone ends the drain only in a poll after the one that ended the requests.

--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -66,12 +66,12 @@
         long graceLeftMillis = graceMillis - (clock.nowMillis() - startMillis);
         // The end of the process would reset a connection on which more arrives, and its caller lose the last response.
         boolean isDone = inFlight == 0 && !server.hasClosingConnections();
-        if (isDone || graceLeftMillis < KILL_MARGIN_MILLIS) {
+        if (isDone || server.isEnding() && graceLeftMillis < KILL_MARGIN_MILLIS) {
             log.log("node-drained", "underWay", inFlight);
             onDrained.run();
             return;
         }
-        if (inFlight > 0 && graceLeftMillis < END_MARGIN_MILLIS && !server.isEnding()) {
+        if (graceLeftMillis < END_MARGIN_MILLIS && !server.isEnding()) {
             log.log("requests-ended", "underWay", inFlight);
             server.endExchanges();
         }
--- a/src/test/java/org/poplarwharf/internal/holder/DrainEndGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/DrainEndGatewayTest.java
@@ -18,6 +18,12 @@
 @Timeout(60)
 class DrainEndGatewayTest {
     private static final int SILENT_MILLIS = 5_000;
+
+    /** The stall begins before the time at which requests are ended, 600 ms after the start of a drain, and lasts until after the last poll. */
+    private static final long BEFORE_STALL_MILLIS = 540;
+
+    private static final long STALL_MILLIS = 310;
+
     private static final int READ_TIMEOUT_MILLIS = 200;
 
     private GatewayCluster cluster;
@@ -53,6 +59,22 @@
         assertThat(target.executedRequestIds).containsExactly("r1");
     }
 
+    @Test
+    void request_that_runs_while_the_event_loop_is_behind_at_the_end_is_not_left_without_a_response() throws Exception {
+        Thread staller = Thread.startVirtualThread(() -> {
+            Eventually.eventually("the node drains", () -> node.log().contains("node-draining"));
+            GatewayCluster.pause(BEFORE_STALL_MILLIS);
+            Runnable thaw = GatewayCluster.freeze(node);
+            GatewayCluster.pause(STALL_MILLIS);
+            thaw.run();
+        });
+
+        String response = sendAndDrain(request("r1"));
+
+        staller.join();
+        assertThat(response).as(node.log()).startsWith("HTTP/1.1 502");
+    }
+
     private static String request(String id) {
         return "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
     }
