Refuse a resumed stream in time where the log is slow or silent

Cause: each read of the log that ended without a result began the next one just before the request's time to wait was checked, so that a read was always under way. Reads for other streams held it up as well.

Why this works: a request whose time to wait is over awaits the read that is under way then, and none after it. After a successful read the next one begins 5 s later, in place of 0.5 s, since only a holder appends; so a node without a holder does not read the whole topic again and again. A record that decodes to null no longer keeps the others from being learned.

The test of reads in each interval now also demands that none begins in the first 5 s after a read.

--- a/src/main/java/org/poplarwharf/internal/cli/ClassArchiveTraining.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ClassArchiveTraining.java
@@ -22,26 +22,49 @@
  */
 public final class ClassArchiveTraining {
     private static final int ADDRESS_COUNT = 4;
+    private static final int READ_TIMEOUT_MILLIS = 5_000;
+    private static final long TIMEOUT_MILLIS = 60_000;
 
     private ClassArchiveTraining() {}
 
-    /** Runs the training. Takes no arguments; throws if no gateway can be started. */
-    public static void main(String[] arguments) throws IOException {
-        List<Integer> ports = freePorts();
-        Path settingsFile = Files.createTempFile("gateway", ".yaml");
+    /**
+     * Runs the training, and ends the process with code 0 in any case: without an archive, or with one of fewer classes, a
+     * gateway only starts more slowly.
+     *
+     * @param arguments the path of the settings file to write
+     */
+    public static void main(String[] arguments) {
+        // A build must not wait for a gateway that doesn't respond.
+        Thread watchdog = new Thread(ClassArchiveTraining::haltAfterTimeout, "watchdog");
+        watchdog.setDaemon(true);
+        watchdog.start();
         try {
-            Files.writeString(settingsFile, settings(ports));
-            PrintStream log = new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
-            PlatformGateway gateway =
-                    PlatformGateway.start(settingsFile, GatewaySettingsReader.read(settingsFile), log);
-            sendRequest(ports.get(0));
-            sendRequest(ports.get(1));
-            gateway.drainAndStop();
+            train(Path.of(arguments[0]));
+        } catch (IOException | RuntimeException e) {
+            System.err.println("The class archive is incomplete: " + e);
         } finally {
-            Files.delete(settingsFile);
+            // The event loops of a gateway end with its process.
+            System.exit(Command.EXIT_OK);
+        }
+    }
+
+    private static void haltAfterTimeout() {
+        try {
+            Thread.sleep(TIMEOUT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        // The event loops of a gateway end with its process.
-        System.exit(Command.EXIT_OK);
+        Runtime.getRuntime().halt(Command.EXIT_OK);
+    }
+
+    private static void train(Path settingsFile) throws IOException {
+        List<Integer> ports = freePorts();
+        Files.writeString(settingsFile, settings(ports));
+        PrintStream log = new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
+        PlatformGateway gateway = PlatformGateway.start(settingsFile, GatewaySettingsReader.read(settingsFile), log);
+        sendRequest(ports.get(0));
+        sendRequest(ports.get(1));
+        gateway.drainAndStop();
     }
 
     private static List<Integer> freePorts() throws IOException {
@@ -76,6 +99,7 @@
 
     private static void sendRequest(int port) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             String request = "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             socket.getInputStream().readAllBytes();
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -377,7 +377,7 @@
             if (pendingRequest.decider == Decider.NO_HOLDER
                     && pending.containsKey(pendingRequest.request.key())
                     && nowMillis - pendingRequest.submittedMillis > maxWaitMillis
-                    && !originLookup.isResolving(pendingRequest.request)) {
+                    && !pendingRequest.awaitsRead(originLookup.readFor(pendingRequest.request))) {
                 refused(pendingRequest.request.key(), "no-holder", RETRY_AFTER_MILLIS);
             }
         }
--- a/src/main/java/org/poplarwharf/internal/holder/StreamOriginLookup.java
+++ b/src/main/java/org/poplarwharf/internal/holder/StreamOriginLookup.java
@@ -18,16 +18,19 @@
  * send. A version that the log doesn't show stays unknown. Confined to the event loop.
  */
 final class StreamOriginLookup {
-    /** Holders append no more often. */
-    private static final long MIN_INTERVAL_MILLIS = 500;
+    private static final long RETRY_INTERVAL_MILLIS = 500;
+
+    /** Only holders append, so another read shows more only to a node that is cut off from the holder. */
+    private static final long REPEAT_INTERVAL_MILLIS = 5_000;
 
     private final StreamOrigins origins;
     private final KeyedLog platformLog;
     private final LongSupplier clock;
     private final DecisionLog log;
     private final BooleanSupplier holding;
-    private Optional<Long> startedMillis = Optional.empty();
+    private long nextReadMillis = Long.MIN_VALUE;
     private boolean reading;
+    private long readCount;
 
     StreamOriginLookup(
             StreamOrigins origins, KeyedLog platformLog, LongSupplier clock, DecisionLog log, BooleanSupplier holding) {
@@ -46,34 +49,41 @@
         if (!request.hasUnknownStreamOrigin()) {
             return request;
         }
-        String streamId = request.continuation().orElseThrow().streamId();
-        Optional<String> version = origins.softwareVersionOf(streamId, request.service());
+        Optional<String> version = versionOf(request);
         if (version.isEmpty()) {
             read();
         }
         return version.map(request::withSoftwareVersion).orElse(request);
     }
 
-    /** Returns whether a read that is under way may show the version that the request needs. */
-    boolean isResolving(DispatchRequest request) {
-        return reading && request.hasUnknownStreamOrigin();
+    /** Returns the number of the read that is under way, if it may show the version that the request needs. */
+    Optional<Long> readFor(DispatchRequest request) {
+        if (!reading || !request.hasUnknownStreamOrigin()) {
+            return Optional.empty();
+        }
+        boolean isKnown = versionOf(request).isPresent();
+        return isKnown ? Optional.empty() : Optional.of(readCount);
+    }
+
+    private Optional<String> versionOf(DispatchRequest request) {
+        String streamId = request.continuation().orElseThrow().streamId();
+        return origins.softwareVersionOf(streamId, request.service());
     }
 
     private void read() {
         long nowMillis = clock.getAsLong();
-        boolean isTooSoon = startedMillis
-                .filter(started -> nowMillis - started < MIN_INTERVAL_MILLIS)
-                .isPresent();
-        if (reading || isTooSoon) {
+        if (reading || nowMillis < nextReadMillis) {
             return;
         }
-        startedMillis = Optional.of(nowMillis);
+        nextReadMillis = nowMillis + RETRY_INTERVAL_MILLIS;
         reading = true;
+        readCount++;
         StreamTopic.read(platformLog, content -> {
             reading = false;
             // A holder reads the topic itself, and would record again what it learns here.
-            if (!holding.getAsBoolean()) {
-                content.ifPresent(this::learn);
+            if (content.isPresent() && !holding.getAsBoolean()) {
+                nextReadMillis = clock.getAsLong() + REPEAT_INTERVAL_MILLIS;
+                learn(content.get());
             }
         });
     }
--- a/src/main/java/org/poplarwharf/internal/holder/StreamOriginRing.java
+++ b/src/main/java/org/poplarwharf/internal/holder/StreamOriginRing.java
@@ -1,7 +1,7 @@
 package org.poplarwharf.internal.holder;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -40,7 +40,6 @@
     private static final int BYTES_PER_CHARACTER = 2;
 
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final TypeReference<Map<String, Map<String, List<String>>>> BATCH_TYPE = new TypeReference<>() {};
 
     private final String topic;
     private final KeyedLog platformLog;
@@ -138,9 +137,13 @@
     static List<StreamOrigin> decode(byte[] value) {
         List<StreamOrigin> origins = new ArrayList<>();
         try {
-            JSON.readValue(value, BATCH_TYPE)
-                    .forEach((service, idsByVersion) -> idsByVersion.forEach(
-                            (version, ids) -> ids.forEach(id -> origins.add(new StreamOrigin(id, service, version)))));
+            for (Map.Entry<String, JsonNode> idsByVersion : JSON.readTree(value).properties()) {
+                for (Map.Entry<String, JsonNode> ids : idsByVersion.getValue().properties()) {
+                    ids.getValue()
+                            .forEach(id ->
+                                    origins.add(new StreamOrigin(id.asText(), idsByVersion.getKey(), ids.getKey())));
+                }
+            }
         } catch (IOException e) {
             return List.of();
         }
--- a/src/test/java/org/poplarwharf/internal/holder/StreamOriginLookupTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamOriginLookupTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -22,6 +23,7 @@
 
 /** Looks up streams on a log whose responses the test gives. */
 class StreamOriginLookupTest {
+    private static final long REPEAT_INTERVAL_MILLIS = 5_000;
     private static final long INTERVAL_MILLIS = 500;
 
     private long nowMillis = 10_000;
@@ -104,11 +106,14 @@
             assertThat(versionOf("made-up" + i)).isEmpty();
         }
         assertThat(platformLog.readCount).isEqualTo(1);
-        nowMillis += 2 * INTERVAL_MILLIS;
+        nowMillis += 2 * REPEAT_INTERVAL_MILLIS;
         versionOf("during the read");
         assertThat(platformLog.readCount).isEqualTo(1);
         platformLog.respond(false);
         versionOf("after the read");
+        assertThat(platformLog.readCount).isEqualTo(1);
+        nowMillis += REPEAT_INTERVAL_MILLIS;
+        versionOf("after the interval");
         versionOf("again");
         assertThat(platformLog.readCount).isEqualTo(2);
     }
@@ -116,9 +121,9 @@
     @Test
     void read_that_failed_leaves_the_version_unknown_and_is_repeated() {
         assertThat(versionOf("s1")).isEmpty();
-        assertThat(lookup.isResolving(resumption("s1"))).isTrue();
+        assertThat(lookup.readFor(resumption("s1"))).isPresent();
         platformLog.fail();
-        assertThat(lookup.isResolving(resumption("s1"))).isFalse();
+        assertThat(lookup.readFor(resumption("s1"))).isEmpty();
         assertThat(versionOf("s1")).isEmpty();
         nowMillis += INTERVAL_MILLIS;
         assertThat(versionOf("s1")).isEmpty();
@@ -136,6 +141,17 @@
         assertThat(origins.find("s1")).isEmpty();
     }
 
+    @Test
+    void record_with_null_in_it_does_not_hide_the_other_records() {
+        versionOf("s1");
+        platformLog.respond(
+                false,
+                new KeyedLog.KeyedRecord(0, StreamOriginRing.KEY_PREFIX + 0, "null".getBytes(StandardCharsets.UTF_8)),
+                record(1, 1, new StreamOrigin("s1", "lm", "a")));
+
+        assertThat(versionOf("s1")).contains("a");
+    }
+
     /** A log that responds to a read when the test says so. */
     private static final class PendingReads implements KeyedLog {
         private final Deque<Consumer<LatestResult>> callbacks = new ArrayDeque<>();
--- a/src/test/java/org/poplarwharf/internal/holder/StreamWithoutHolderGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamWithoutHolderGatewayTest.java
@@ -32,6 +32,12 @@
     private static final int EVENT_COUNT = 4;
     private static final long CONNECTING_MILLIS = 1_500;
 
+    /** Longer than a node waits for a response of the log. */
+    private static final long NO_RESPONSE_MILLIS = 3_000;
+
+    /** More than the share of a route's 5 s for which a request waits, and one read of the log. */
+    private static final long MAX_REFUSAL_MILLIS = 3_500;
+
     /** Longer than the holder needs to record the origin of a stream on the log. */
     private static final long RECORDING_MILLIS = 1_200;
 
@@ -208,4 +214,23 @@
 
         assertRefusedAsNotRun(resume(followers.get(1), ENGINE_PATH, idAtOtherNode));
     }
+
+    @Test
+    void stream_is_refused_in_time_while_the_log_gives_no_response() throws Exception {
+        start("lm", MODELS);
+        beginAtEachNode(ENGINE_PATH);
+        GatewayCluster.pause(RECORDING_MILLIS);
+        cluster.platform.responseDelayMillis = NO_RESPONSE_MILLIS;
+        freezeHolder();
+        GatewayCluster.pause(SILENCE_MILLIS);
+        String idAtOtherNode = "began" + cluster.nodes.indexOf(followers.get(0));
+        long startNanos = System.nanoTime();
+
+        HttpResponse<String> response = resume(followers.get(1), ENGINE_PATH, idAtOtherNode);
+
+        assertThat((System.nanoTime() - startNanos) / 1_000_000)
+                .as(response.statusCode() + response.body() + followers.get(1).log())
+                .isLessThan(MAX_REFUSAL_MILLIS);
+        assertRefusedAsNotRun(response);
+    }
 }
