Close the callers' connections of a node in its drain, after a turn without reads

Callers saw: a whole request on a kept connection to a draining `node` got neither a response nor a refusal, since the process ended. A connection that the node had not accepted yet was reset with the request in its socket.

Cause: the drain of EntryRole ended once a poll found no connection in the pools for reading, writing and serving. A request that a loop had not read was not counted, new and kept connections were not counted, and the loops were counted at different moments. Nothing closed these connections: ActiveJ does not close after a response whose Connection: close was set by the servlet, so callers that had heard of no close went on until the process was gone. The acceptor closed in a task that may run before the loop accepts what has arrived. Responses whose head is built in the drain do announce the close, and did before.

That any of this is what the users saw is not shown.

Fix: CallerConnections closes each connection once it has been idle for 200 ms and a whole turn of its loop has read nothing from it; the drain of a thread ends when all its connections are closed, for each thread on its own. The acceptor closes after a turn, too. LoopTurn marks the turn: a local task, which runs last in a turn, queues an external one, which runs after the reads of the next. The sockets come from ActiveJ's public inspectors, since a connection itself can't be closed through its public API. The 200 ms were a fixed wait before; now they let a caller send its next request right behind a stream that began before the drain and announced nothing.

--- a/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
+++ b/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
@@ -26,15 +26,14 @@
  * Serves the HTTP requests of callers. One acceptor on the first traffic thread distributes connections to HTTP servers,
  * one on each traffic thread.
  *
- * <p>Invariant: once {@link #drain} has completed, no connection is accepted, and every accepted request has got its
- * complete response. The role is confined to the control thread, each server to its traffic thread.
+ * <p>Invariant: once {@link #drain} has completed, no connection is accepted, every accepted request has got its
+ * complete response, and all connections are closed. The role is confined to the control thread, each server to its
+ * traffic thread.
  */
 public final class EntryRole implements Role {
-    private static final long IDLE_CONNECTION_GRACE_MILLIS = 200;
-    private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(20);
-
     private final NodeContext context;
     private final List<HttpServer> servers = new ArrayList<>();
+    private final List<CallerConnections> connections = new ArrayList<>();
     private final List<TrafficThreadContext> threads = new ArrayList<>();
     private final DrainState drainState = new DrainState();
     private final RequestIdGenerator requestIds;
@@ -62,7 +61,9 @@
             TrafficThreadContext thread =
                     new TrafficThreadContext(context, loop, requestIds, admission, createDialect(loop), drainState);
             threads.add(thread);
-            servers.add(createServer(loop, new CallerServlet(thread, config, calls)));
+            CallerConnections accepted = new CallerConnections(loop);
+            connections.add(accepted);
+            servers.add(createServer(loop, new CallerServlet(thread, config, calls), accepted));
         }
         Eventloop first = context.trafficLoops().get(0);
         return CrossLoopCalls.call(context.controlLoop(), first, this::listen);
@@ -78,8 +79,7 @@
         drainState.begin();
         return Promises.delay(Duration.ofMillis(context.settings().drainNoticeMillis()))
                 .then(this::stopAccepting)
-                .then(() -> Promises.delay(Duration.ofMillis(IDLE_CONNECTION_GRACE_MILLIS)))
-                .then(this::awaitIdle);
+                .then(this::closeConnections);
     }
 
     @Override
@@ -88,34 +88,18 @@
         return stopAccepting();
     }
 
+    /** Accepts the connections that have arrived, and no other one. */
     private Promise<Void> stopAccepting() {
+        Eventloop first = context.trafficLoops().get(0);
         return CrossLoopCalls.call(
                 context.controlLoop(),
-                context.trafficLoops().get(0),
-                () -> acceptor.close().toVoid());
-    }
-
-    /**
-     * Waits until no connection has a request in flight. Polls the servers instead of closing them, because a server
-     * that doesn't listen itself can't be closed.
-     */
-    private Promise<Void> awaitIdle() {
-        List<Promise<Integer>> busyCounts = new ArrayList<>();
-        for (int i = 0; i < servers.size(); i++) {
-            HttpServer server = servers.get(i);
-            Eventloop loop = context.trafficLoops().get(i);
-            busyCounts.add(CrossLoopCalls.call(context.controlLoop(), loop, () -> Promise.of(busyConnections(server))));
-        }
-        return Promises.toList(busyCounts.stream()).then(values -> {
-            boolean idle = values.stream().allMatch(count -> count == 0);
-            return idle
-                    ? Promise.complete()
-                    : Promises.delay(IDLE_POLL_INTERVAL).then(this::awaitIdle);
-        });
+                first,
+                () -> LoopTurn.next(first).then(() -> acceptor.close().toVoid()));
     }
 
-    private static int busyConnections(HttpServer server) {
-        return server.getConnectionsReadWriteCount() + server.getConnectionsServingCount();
+    private Promise<Void> closeConnections() {
+        return Promises.all(connections.stream()
+                .map(ofThread -> CrossLoopCalls.call(context.controlLoop(), ofThread.loop(), ofThread::closeAll)));
     }
 
     private Promise<Void> listen() {
@@ -134,8 +118,8 @@
         return Promise.complete();
     }
 
-    private HttpServer createServer(Eventloop loop, CallerServlet servlet) {
-        return HttpServer.builder(loop, servlet)
+    private HttpServer createServer(Eventloop loop, CallerServlet servlet, CallerConnections accepted) {
+        return accepted.track(HttpServer.builder(loop, servlet))
                 .withReadWriteTimeout(Duration.ZERO)
                 .withHttpErrorFormatter(this::onHttpError)
                 .build();
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/entry/DrainEntryTest.java
@@ -0,0 +1,200 @@
+package org.poplarwharf.internal.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.poplarwharf.internal.target.RawHttpTarget.chunk;
+import static org.poplarwharf.internal.target.RawHttpTarget.chunkedResponseHead;
+import static org.poplarwharf.internal.target.RawHttpTarget.tokenEvent;
+import static org.poplarwharf.support.Eventually.eventually;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.poplarwharf.internal.target.RawHttpTarget;
+
+/** Guards against connections whose requests get no response, since the process ends after the drain. */
+@Timeout(30)
+class DrainEntryTest {
+    private static final int READ_TIMEOUT_MILLIS = 3_000;
+
+    /** Time in which a drain would do all that does not wait for a blocked thread. */
+    private static final long DRAIN_STEPS_MILLIS = 500;
+
+    private static final String INVALID_REQUEST = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private final EntryFixture entry = new EntryFixture(true, 2);
+    private final List<Socket> callers = new ArrayList<>();
+    private final CountDownLatch blocked = new CountDownLatch(1);
+
+    @AfterEach
+    void close() throws IOException {
+        blocked.countDown();
+        for (Socket caller : callers) {
+            caller.close();
+        }
+        entry.close();
+    }
+
+    @Test
+    void request_unread_when_its_thread_is_asked_for_requests_in_flight_is_answered_before_the_drain_ends()
+            throws Exception {
+        connect();
+        Socket caller = connect();
+        send(caller, INVALID_REQUEST);
+        readResponse(caller);
+        blockThread(1);
+        CompletableFuture<Void> drained = entry.drain();
+        send(caller, completion("{\"model\":\"llama\"}", 2_000));
+        Thread.sleep(DRAIN_STEPS_MILLIS);
+
+        blocked.countDown();
+        eventually("request read", () -> entry.admission.permitRequests.size() == 1);
+
+        assertThat(drained).failsWithin(Duration.ofMillis(300)).withThrowableOfType(TimeoutException.class);
+        assertThat(readResponse(caller)).startsWith("HTTP/1.1 504 ").contains("connection: close");
+        drained.join();
+        assertClosed(caller);
+    }
+
+    @Test
+    void request_on_a_connection_not_accepted_when_a_drain_stops_accepting_is_answered() throws Exception {
+        blockThread(0);
+        Socket caller = connect();
+        send(caller, INVALID_REQUEST);
+        CompletableFuture<Void> drained = entry.drain();
+        Thread.sleep(DRAIN_STEPS_MILLIS);
+
+        blocked.countDown();
+
+        assertThat(readResponse(caller)).contains("connection: close");
+        drained.join();
+        assertClosed(caller);
+    }
+
+    @Test
+    void idle_connection_does_not_stay_open_while_a_drain_waits_for_another_thread() throws Exception {
+        Socket caller = connect();
+        send(caller, INVALID_REQUEST);
+        readResponse(caller);
+        connect();
+        blockThread(1);
+
+        CompletableFuture<Void> drained = entry.drain();
+
+        assertClosed(caller);
+        assertThat(drained).isNotDone();
+    }
+
+    @Test
+    void connection_between_two_requests_does_not_stay_open_after_a_drain() throws Exception {
+        Socket caller = connect();
+        send(caller, INVALID_REQUEST);
+        readResponse(caller);
+
+        entry.drain().join();
+
+        assertClosed(caller);
+    }
+
+    @Test
+    void connection_without_a_request_does_not_stay_open_after_a_drain() throws Exception {
+        Socket caller = connect();
+
+        entry.drain().join();
+
+        assertClosed(caller);
+    }
+
+    @Test
+    void connection_whose_stream_began_before_the_drain_does_not_stay_open_after_it() throws Exception {
+        CountDownLatch finishStream = new CountDownLatch(1);
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            out.write(chunkedResponseHead());
+            out.write(chunk(tokenEvent(0)));
+            out.flush();
+            finishStream.await();
+            out.write(chunk("data: [DONE]\n\n"));
+            out.write(chunk(""));
+            return true;
+        })) {
+            entry.admission.targetAddresses.add(target.address());
+            Socket caller = connect();
+            send(caller, completion("{\"model\":\"llama\",\"stream\":true}", 10_000));
+            assertThat(readUntil(caller, "\r\n\r\n")).doesNotContain("connection: close");
+
+            CompletableFuture<Void> drained = entry.drain();
+            assertThat(drained).failsWithin(Duration.ofMillis(300)).withThrowableOfType(TimeoutException.class);
+            finishStream.countDown();
+
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .endsWith("0\r\n\r\n");
+            drained.join();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        String address = entry.listenAddress();
+        int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+        Socket caller = new Socket(InetAddress.getLoopbackAddress(), port);
+        caller.setSoTimeout(READ_TIMEOUT_MILLIS);
+        callers.add(caller);
+        return caller;
+    }
+
+    /** Keeps a traffic thread from accepting and reading until {@code blocked} is counted down. */
+    private void blockThread(int index) throws InterruptedException {
+        CountDownLatch busy = new CountDownLatch(1);
+        entry.trafficLoops().get(index).execute(() -> {
+            busy.countDown();
+            try {
+                blocked.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        busy.await();
+    }
+
+    private static String completion(String body, long deadlineMillis) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nX-Deadline-Millis: "
+                + deadlineMillis + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static void send(Socket caller, String request) throws IOException {
+        caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads a response with a body, and returns its head. */
+    private static String readResponse(Socket caller) throws IOException {
+        String head = readUntil(caller, "\r\n\r\n");
+        int start = head.indexOf("content-length: ") + "content-length: ".length();
+        caller.getInputStream().readNBytes(Integer.parseInt(head.substring(start, head.indexOf("\r\n", start))));
+        return head;
+    }
+
+    private static String readUntil(Socket caller, String end) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        while (!bytes.toString(StandardCharsets.US_ASCII).endsWith(end)) {
+            int next = caller.getInputStream().read();
+            assertThat(next).as("next byte of a response").isNotNegative();
+            bytes.write(next);
+        }
+        String head = bytes.toString(StandardCharsets.US_ASCII);
+        return head.substring(0, 9) + head.substring(9).toLowerCase(Locale.ROOT);
+    }
+
+    private static void assertClosed(Socket caller) throws IOException {
+        assertThat(caller.getInputStream().read()).as("end of the connection").isNegative();
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.admission.AdmissionController;
 import org.poplarwharf.internal.admission.Grant;
@@ -57,7 +58,7 @@
     final FakeConfig config = new FakeConfig();
     final EntryRole role;
     private final Eventloop control = startLoop("control");
-    private final Eventloop traffic = startLoop("traffic");
+    private final List<Eventloop> traffic;
     private final Map<Class<?>, Object> services = new HashMap<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final HttpClient client =
@@ -68,7 +69,15 @@
     }
 
     EntryFixture(boolean ready) {
+        this(ready, 1);
+    }
+
+    /** Starts a role whose connections go to the traffic threads in turn. */
+    EntryFixture(boolean ready, int trafficThreads) {
         config.ready = ready;
+        traffic = IntStream.range(0, trafficThreads)
+                .mapToObj(i -> startLoop("traffic"))
+                .toList();
         registerService(AdmissionClient.class, admission);
         registerService(ConfigView.class, config);
         NoCells cells = new NoCells();
@@ -136,7 +145,8 @@
     @Override
     public void close() {
         runOnControlThread(role::stop);
-        List.of(control, traffic).forEach(loop -> loop.execute(loop::breakEventloop));
+        traffic.forEach(loop -> loop.execute(loop::breakEventloop));
+        control.execute(control::breakEventloop);
         client.shutdownNow();
     }
 
@@ -183,7 +193,7 @@
 
     @Override
     public List<Eventloop> trafficLoops() {
-        return List.of(traffic);
+        return traffic;
     }
 
     @Override
