Tests: killed nodes close their listening sockets

StreamRestartGatewayTest failed four times in some twenty runs beside load: no stream went on, all refused with no-holder.

Cause: the end of an event loop left the listening sockets of its node open now and then (ss: LISTEN by the test's process after the loop had terminated). The next nodes' connections to the killed holder were accepted, as by a frozen one, so that they waited for the end of its lease of 6.5 s, longer than the callers come back. A process that ends closes its sockets.

Evidence: GatewayClusterTest.killed_nodes_refuse_connections, red on the fixture before. GatewayCluster now closes the channels before it ends a loop.

--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -10,10 +10,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -241,10 +244,30 @@
     }
 
     private static void endLoops(List<EventLoopGroup> ended) {
+        ended.forEach(GatewayCluster::closeChannels);
         ended.forEach(loop -> loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
         ended.forEach(loop -> loop.terminationFuture().awaitUninterruptibly());
     }
 
+    /** Closes all channels. The end of a loop alone leaves its listening sockets open now and then. */
+    private static void closeChannels(EventLoopGroup group) {
+        group.forEach(loop -> {
+            if (loop.isShuttingDown()) {
+                return;
+            }
+            loop.submit(() -> {
+                        Selector selector = (Selector) fieldOf(fieldOf(loop, "ioHandler"), "unwrappedSelector");
+                        for (SelectionKey key : Set.copyOf(selector.keys())) {
+                            key.channel().close();
+                        }
+                        return null;
+                    })
+                    .syncUninterruptibly();
+            // A socket is closed in the selection that follows; each turn of the loop has one before its tasks.
+            loop.submit(() -> {}).syncUninterruptibly();
+        });
+    }
+
     /**
      * Stops the nodes and ends their event loops. A node that has stopped would otherwise read its log until this process
      * ends, at an address that a later test may listen on.
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayClusterTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayClusterTest.java
@@ -1,10 +1,12 @@
 package org.poplarwharf.internal.holder;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,6 +24,8 @@
     /** Longer than a node pauses between two reads of a log that it can't reach. */
     private static final int MAX_PAUSE_MILLIS = 2_000;
 
+    private static final int KILL_COUNT = 50;
+
     private static int port(String address) {
         return Integer.parseInt(address.substring(address.indexOf(':') + 1));
     }
@@ -69,4 +73,22 @@
 
         assertThat(receivedAt(port(cluster.platform.address()))).isEmpty();
     }
+
+    @Test
+    void killed_nodes_refuse_connections() throws Exception {
+        try (GatewayCluster cluster = new GatewayCluster()) {
+            for (int i = 0; i < KILL_COUNT; i++) {
+                GatewayCluster.Node node = cluster.startNode();
+                cluster.killNodes();
+
+                assertThatThrownBy(() -> connect(node.settings().peerAddress())).isInstanceOf(ConnectException.class);
+            }
+        }
+    }
+
+    private static void connect(InetSocketAddress address) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(address);
+        }
+    }
 }
