--- a/src/main/java/org/poplarwharf/internal/cli/ClassArchiveTraining.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ClassArchiveTraining.java
@@ -16,7 +16,7 @@
 
 /**
  * Starts a gateway without a platform, sends it a request and stops it. The build runs this once to archive the classes
- * that a gateway loads at its start, because loading them takes half of the processor time of a start.
+ * that a gateway loads at its start, because loading them takes much of the processor time of a start.
  *
  * <p>Confined to one thread.
  */
