--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -76,10 +76,16 @@
         void run() throws Exception;
     }
 
-    /** Takes ports that are free now. */
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Returns a port that is free now, below those that connections get by themselves. */
+    static int freePort() {
+        while (true) {
+            int port = 20_000 + java.util.concurrent.ThreadLocalRandom.current().nextInt(12_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("127.0.0.1", port));
+                return port;
+            } catch (IOException e) {
+                // The port is in use.
+            }
         }
     }
 
