--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -320,10 +320,16 @@
         final String service;
         final String zone;
         final Store store;
-        final long born = System.currentTimeMillis();
         final List<String> models = new CopyOnWriteArrayList<>();
+        final List<String> copies = new CopyOnWriteArrayList<>();
         final Map<String, Integer> runs = new ConcurrentHashMap<>();
-        private final ServerSocket socket;
+        volatile String version = "v1";
+        volatile boolean reachesStore = true;
+        private final java.util.Set<Socket> connections = ConcurrentHashMap.newKeySet();
+        private final int port;
+        private volatile long born;
+        private volatile ServerSocket socket;
+        private volatile boolean busy;
         private volatile int orders;
         private volatile int beats;
 
@@ -333,21 +339,53 @@
             this.zone = zone;
             this.store = store;
             this.models.addAll(List.of(models));
-            socket = new ServerSocket();
-            socket.bind(new InetSocketAddress("127.0.0.1", 0), 500);
+            copies.addAll(List.of(models));
+            port = freePort();
+            start();
+            daemon(id + "-beat", () -> {
+                for (int i = 0; true; i++) {
+                    if (reachesStore && socket != null) {
+                        beats++;
+                        store.put("keyed.servers", id, entry());
+                    }
+                    sleep(1200);
+                }
+            });
+        }
+
+        /** Starts to serve, as a process that knows nothing of before. */
+        final void start() throws IOException {
+            born = System.currentTimeMillis();
+            orders = 0;
+            beats = 0;
+            busy = false;
+            ServerSocket listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress("127.0.0.1", port), 500);
+            socket = listener;
             daemon(id, () -> {
                 while (true) {
-                    Socket connection = socket.accept();
+                    Socket connection = listener.accept();
                     daemon(id + "-connection", () -> serve(connection));
                 }
             });
-            daemon(id + "-beat", () -> {
-                while (true) {
-                    beats++;
-                    store.put("keyed.servers", id, entry());
-                    sleep(1200);
+        }
+
+        /** Ends as a crashed process does: its channels are reset, and its address refuses new ones. */
+        void crash() throws IOException {
+            ServerSocket listener = socket;
+            socket = null;
+            listener.close();
+            for (Socket connection : connections) {
+                try {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
+                } catch (IOException e) {
+                    // The gateway has closed it.
                 }
-            });
+            }
+            connections.clear();
+            models.clear();
         }
 
         private String modelList() {
@@ -356,19 +394,26 @@
             return String.join(",", listed);
         }
 
+        private String atHand() {
+            List<String> listed = new ArrayList<>();
+            copies.forEach(name -> listed.add("\"" + name + "\""));
+            return "{\"inMemory\":[],\"onDisk\":[" + String.join(",", listed) + "]}";
+        }
+
         String entry() {
-            return "{\"service\":\"" + service + "\",\"addr\":\"127.0.0.1:" + socket.getLocalPort() + "\",\"zone\":\""
-                    + zone + "\",\"version\":\"v1\",\"slots\":96,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\","
-                    + "\"born\":" + born + ",\"models\":[" + modelList() + "],\"seq\":" + beats + "}";
+            return "{\"service\":\"" + service + "\",\"addr\":\"127.0.0.1:" + port + "\",\"zone\":\""
+                    + zone + "\",\"version\":\"" + version + "\",\"slots\":96,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\","
+                    + "\"born\":" + born + ",\"models\":[" + modelList() + "],\"atHand\":" + atHand() + ",\"seq\":" + beats + "}";
         }
 
         String report() {
             return "{\"stage\":\"both\",\"born\":" + born + ",\"models\":[" + modelList()
-                    + "],\"busy\":false,\"seq\":" + orders
+                    + "],\"atHand\":" + atHand() + ",\"busy\":" + busy + ",\"seq\":" + orders
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":200000,\"handles\":0}";
         }
 
         private void serve(Socket connection) throws Exception {
+            connections.add(connection);
             try (connection) {
                 connection.setTcpNoDelay(true);
                 InputStream in = new java.io.BufferedInputStream(connection.getInputStream());
@@ -402,15 +447,24 @@
         private synchronized void order(String body, OutputStream out) throws IOException {
             note("order at " + id + ": " + body);
             String model = body.replaceAll(".*\"model\":\"([^\"]*)\".*", "$1");
-            if (!body.contains("\"precondition\":" + orders + ",") || body.contains("\"adapter\"")) {
+            if (busy || !body.contains("\"precondition\":" + orders + ",") || body.contains("\"adapter\"")) {
                 json(out, 409, "{}");
                 return;
             }
             orders++;
-            if (body.contains("\"load\"")) {
-                models.add(model);
-            } else {
+            if (body.contains("\"unload\"")) {
                 models.remove(model);
+            } else {
+                busy = true;
+                ServerSocket process = socket;
+                daemon(id + "-load", () -> {
+                    sleep(copies.contains(model) ? 350 : 6000);
+                    if (socket == process) {
+                        models.add(model);
+                        copies.add(model);
+                        busy = false;
+                    }
+                });
             }
             json(out, 202, "{}");
         }
