--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -185,8 +185,16 @@
     static final class Store {
         private final ServerSocket socket;
         private final Map<String, List<byte[][]>> topics = new HashMap<>();
+        private final Map<String, List<Long>> writtenNanos = new HashMap<>();
+        private final long keepSeconds;
 
         Store() throws IOException {
+            this(300);
+        }
+
+        /** Creates a store whose records expire after some time; the newest of each key stays. */
+        Store(long keepSeconds) throws IOException {
+            this.keepSeconds = keepSeconds;
             socket = new ServerSocket();
             socket.bind(new InetSocketAddress("127.0.0.1", 0), 500);
             daemon("store", () -> {
@@ -203,11 +211,25 @@
 
         /** Writes a record as the operator and the servers do; without a value, the key is dropped. */
         synchronized void put(String topic, String key, String value) {
-            records(topic)
-                    .add(new byte[][] {key.getBytes(StandardCharsets.UTF_8), value.getBytes(StandardCharsets.UTF_8)});
+            add(topic, key.getBytes(StandardCharsets.UTF_8), value.getBytes(StandardCharsets.UTF_8));
             notifyAll();
         }
 
+        private void add(String topic, byte[] key, byte[] value) {
+            records(topic).add(new byte[][] {key, value});
+            writtenNanos.computeIfAbsent(topic, name -> new ArrayList<>()).add(System.nanoTime());
+        }
+
+        /** Returns the offset of the oldest record that has not expired. */
+        private int firstOffset(String topic) {
+            List<Long> written = writtenNanos.getOrDefault(topic, List.of());
+            int first = 0;
+            while (first < written.size() && System.nanoTime() - written.get(first) > keepSeconds * 1_000_000_000L) {
+                first++;
+            }
+            return first;
+        }
+
         private List<byte[][]> records(String topic) {
             return topics.computeIfAbsent(topic, name -> new ArrayList<>());
         }
@@ -234,7 +256,10 @@
             if (path.equals("/log-newest")) {
                 send(out, 200, newest(topic));
             } else if (path.equals("/log-read")) {
-                send(out, 200, records(query));
+                byte[] found = records(query);
+                int first = ByteBuffer.wrap(found).getInt(12);
+                boolean expired = Integer.parseInt(query.get("from")) < first;
+                send(out, expired ? 410 : 200, expired ? ("{\"first\":" + first + "}").getBytes() : found);
             } else if (topic.equals("keyed.op") || topic.equals("keyed.servers")) {
                 send(out, 403, new byte[0]);
             } else {
@@ -271,7 +296,7 @@
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             DataOutputStream out = new DataOutputStream(bytes);
             out.writeLong(records.size());
-            out.writeLong(0);
+            out.writeLong(firstOffset(query.get("topic")));
             for (byte[][] record : records.subList(Math.min(from, records.size()), records.size())) {
                 out.writeInt(1 + record[0].length + record[1].length);
                 out.writeByte(record[0].length);
@@ -295,10 +320,8 @@
                     byte[] record = new byte[buffer.getInt()];
                     buffer.get(record);
                     int keyLength = Byte.toUnsignedInt(record[0]);
-                    records.add(new byte[][] {
-                        Arrays.copyOfRange(record, 1, 1 + keyLength),
-                        Arrays.copyOfRange(record, 1 + keyLength, record.length)
-                    });
+                    byte[] key = Arrays.copyOfRange(record, 1, 1 + keyLength);
+                    add(topic, key, Arrays.copyOfRange(record, 1 + keyLength, record.length));
                 }
                 notifyAll();
             }
