--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -394,6 +394,13 @@
             });
         }
 
+        /** Waits until the server has just written its entry. */
+        void awaitBeat() {
+            for (int before = beats; beats == before; ) {
+                sleep(5);
+            }
+        }
+
         /** Ends as a crashed process does: its channels are reset, and its address refuses new ones. */
         void crash() throws IOException {
             ServerSocket listener = socket;
