--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -33,6 +33,7 @@
     static final int BROKEN = 10;
 
     private static final int FAILED = 2;
+    private static final long MAX_CASE_MILLIS = 117_000;
     private static final StringBuilder RECORD = new StringBuilder();
 
     private Lab() {}
@@ -614,7 +615,10 @@
             builder.environment().put("POPLARWHARF_BOOT", settings.getPath());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(output));
-            process = builder.start();
+            Process started = builder.start();
+            process = started;
+            // Also if the case ends before its time.
+            Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
             note("process " + name + " started, pid " + process.pid());
         }
 
@@ -699,6 +703,11 @@
     }
 
     static void runCase(Path folder, Case body) {
+        daemon("watch", () -> {
+            Thread.sleep(MAX_CASE_MILLIS);
+            System.out.println("could not run in time");
+            Runtime.getRuntime().exit(FAILED);
+        });
         int code = FAILED;
         List<Gateway> gateways = Collections.synchronizedList(new ArrayList<>());
         try {
