Send a request at most once on a connection

Cause: responses are matched by the id of their request, and all sends of a request have the same id. A target that shares prompts and declines is not excluded at once, and the connection of the declined send is the first one in the pool. A late copy of the refusal on that connection was taken for the response to the second send, which runs.

Evidence: in the test the second refusal is logged 2 ms after the second send, before the target has responded to it. Without the copy nothing is broken, so neither the count of possible runs nor the choice of the target is at fault.

Why the fix works: a connection carries a request at most once, so a copy arrives on a connection that carries other requests, whose ids differ, or none. The connection stays in the pool.

Test: LateRefusalGatewayTest, red before ("expected: 200", 503 and 429), green after. It also holds that no connection is closed after the refusals of a sound target, which held before.

--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
@@ -11,11 +12,18 @@
 import org.poplarwharf.internal.http.TargetConnectionPool;
 import org.poplarwharf.internal.stream.StreamContinuation;
 
-/** Builds and sends what an exchange asks of selectors and targets. Confined to the event loop. */
+/**
+ * Builds and sends what an exchange asks of selectors and targets.
+ *
+ * <p>Invariant: a connection carries the exchange's request at most once. All sends of a request have the same id, so that
+ * on one connection a late copy of the response to the first send could not be told from the response to the second.
+ * Confined to the event loop.
+ */
 final class OutgoingRequests {
     private final RequestContext context;
     private final GatewayContext gateway;
     private final FullHttpRequest request;
+    private final Set<InFlightRequest> usedConnections = new HashSet<>();
 
     OutgoingRequests(RequestContext context, FullHttpRequest request) {
         this.context = context;
@@ -45,22 +53,27 @@
         return Set.copyOf(all);
     }
 
-    /** Sends the caller's request to a target, on a connection that suits its route. */
+    /** Sends the caller's request to a target, on a connection that suits its route and has not carried this request. */
     InFlightRequest send(Target target, ForwardingTraits traits, ResponseListener listener) {
-        return gateway.connections()
+        InFlightRequest connection = gateway.connections()
                 .send(
                         connectionSpec(target, traits),
                         HttpMessages.forTarget(request, gateway.headerCodec(), traits),
-                        listener);
+                        listener,
+                        usedConnections);
+        usedConnections.add(connection);
+        return connection;
     }
 
     /** Sends the caller's request to a target on a connection that no other request has used. */
     InFlightRequest sendOnNewConnection(Target target, ForwardingTraits traits, ResponseListener listener) {
-        return gateway.connections()
+        InFlightRequest connection = gateway.connections()
                 .sendOnNewConnection(
                         connectionSpec(target, traits),
                         HttpMessages.forTarget(request, gateway.headerCodec(), traits),
                         listener);
+        usedConnections.add(connection);
+        return connection;
     }
 
     private TargetConnectionPool.ConnectionSpec connectionSpec(Target target, ForwardingTraits traits) {
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A pool of connections to targets, with a list of idle connections for each target.
@@ -37,9 +38,14 @@
     public record ConnectionSpec(
             String targetId, InetSocketAddress address, int connectTimeoutMillis, long maxIdleMillis) {}
 
-    /** Sends the request on a pooled connection that was idle for no longer than allowed, or on a new one. */
-    public InFlightRequest send(ConnectionSpec spec, FullHttpRequest request, ResponseListener listener) {
-        TargetConnection pooled = takeIdle(spec);
+    /**
+     * Sends the request on a pooled connection that was idle for no longer than allowed, or on a new one.
+     *
+     * @param unsuitable connections on which the request must not be sent; they stay in the pool
+     */
+    public InFlightRequest send(
+            ConnectionSpec spec, FullHttpRequest request, ResponseListener listener, Set<InFlightRequest> unsuitable) {
+        TargetConnection pooled = takeIdle(spec, unsuitable);
         if (pooled != null) {
             pooled.send(request, listener);
             return pooled;
@@ -76,13 +82,16 @@
         }
     }
 
-    private TargetConnection takeIdle(ConnectionSpec spec) {
+    private TargetConnection takeIdle(ConnectionSpec spec, Set<InFlightRequest> unsuitable) {
         Deque<TargetConnection> idle = idleByTarget.get(spec.targetId());
         if (idle == null) {
             return null;
         }
         for (Iterator<TargetConnection> connections = idle.iterator(); connections.hasNext(); ) {
             TargetConnection connection = connections.next();
+            if (unsuitable.contains(connection)) {
+                continue;
+            }
             connections.remove();
             if (connection.isReusable(spec.maxIdleMillis())) {
                 return connection;
