Count an event as delivered only when it is passed on

Cause: EventSplitter noted the id of each whole event while it searched a chunk, and returned nothing of the chunk once an id did not increase. The events before it were dropped, but the next target was asked to go on after them.

Evidence: the next target's Last-Event-Id is that of the dropped event; only repetitions that come in one write with an event before them break a stream, those in a write of their own do not.

Why the fix works: the events before an invalid one are returned and passed on, and only returned events count. The software version that began a stream is recorded with its first event, also if the rest of that write is invalid. What was passed on is flushed before the search for another target.

The assertions of EventSplitterTest on an empty result are now on isInvalid() and on nothing being returned; one test more. The path of node counts an event when the caller takes it: BrokenResponseEntryTest, green before and after.

--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -9,8 +9,9 @@
  * Splits a server-sent event stream into complete events and tracks their ids, so that the stream can be resumed after
  * the last one.
  *
- * <p>Invariant: returns only complete events, whose ids strictly increase. Confined to the event loop. The owner must
- * call {@link #release()}.
+ * <p>Invariants: returns only complete events, whose ids strictly increase. An event counts, and its id is the last one,
+ * only if it was returned. Nothing is returned after an invalid event, until the stream continues from another target.
+ * Confined to the event loop. The owner must call {@link #release()}.
  */
 final class EventSplitter {
     /** Far above the size of any event; bounds what is buffered of one that doesn't end. */
@@ -24,37 +25,40 @@
     private OptionalLong lastEventId;
     private int scannedBytes;
     private int eventCount;
+    private boolean invalid;
 
     EventSplitter(OptionalLong lastEventId) {
         this.lastEventId = lastEventId;
     }
 
-    /**
-     * Adds bytes and returns the events that are now complete, or an empty optional if event ids do not increase or an
-     * event is too long.
-     */
-    java.util.Optional<ByteBuf> add(ByteBuf bytes) {
+    /** Adds bytes and returns the events that are now complete, up to the first invalid one. */
+    ByteBuf add(ByteBuf bytes) {
+        if (invalid) {
+            return Unpooled.EMPTY_BUFFER;
+        }
         buffered.writeBytes(bytes);
-        int end = -1;
         int start = buffered.readerIndex();
+        int end = start;
         for (int newline = findNewline(scannedBytes + start); newline >= 0; newline = findNewline(newline + 1)) {
-            if (isBlankLineEnd(newline)) {
-                if (!acceptEventId(end < 0 ? start : end, newline)) {
-                    return java.util.Optional.empty();
-                }
-                end = newline + 1;
+            if (!isBlankLineEnd(newline)) {
+                continue;
             }
-        }
-        if (end < 0) {
-            scannedBytes = Math.max(0, buffered.readableBytes() - 2);
-            return buffered.readableBytes() > MAX_EVENT_BYTES
-                    ? java.util.Optional.empty()
-                    : java.util.Optional.of(Unpooled.EMPTY_BUFFER);
+            if (!acceptEvent(end, newline)) {
+                invalid = true;
+                break;
+            }
+            end = newline + 1;
         }
         ByteBuf wholeEvents = buffered.readBytes(end - start);
         buffered.discardReadBytes();
         scannedBytes = Math.max(0, buffered.readableBytes() - 2);
-        return java.util.Optional.of(wholeEvents);
+        invalid |= buffered.readableBytes() > MAX_EVENT_BYTES;
+        return wholeEvents;
+    }
+
+    /** Returns whether an event's id did not increase, or an event is too long. */
+    boolean isInvalid() {
+        return invalid;
     }
 
     /** Returns the number of bytes after the last complete event. */
@@ -77,10 +81,11 @@
         return buffered.readBytes(buffered.readableBytes());
     }
 
-    /** Discards an incomplete event after its target failed. The next bytes come from another target. */
-    void discardPartialEvent() {
+    /** Discards what follows the last valid event after its target failed. The next bytes come from another target. */
+    void discardRemainder() {
         buffered.clear();
         scannedBytes = 0;
+        invalid = false;
     }
 
     OptionalLong lastEventId() {
@@ -108,26 +113,28 @@
         return before >= buffered.readerIndex() && buffered.getByte(before) == NEWLINE;
     }
 
-    private boolean acceptEventId(int from, int to) {
+    /** Counts an event, or returns false if its id does not increase. */
+    private boolean acceptEvent(int from, int to) {
         String event = buffered.toString(from, to - from, StandardCharsets.UTF_8);
-        if (hasFields(event)) {
-            eventCount++;
+        OptionalLong id = eventId(event);
+        if (id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
+            return false;
         }
-        for (String line : event.split("\n")) {
-            if (!line.startsWith(ID_FIELD_PREFIX)) {
-                continue;
-            }
-            OptionalLong id =
-                    DecimalParser.parse(line.substring(ID_FIELD_PREFIX.length()).strip());
-            if (id.isEmpty()) {
-                return true;
-            }
-            if (lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
-                return false;
-            }
+        if (id.isPresent()) {
             lastEventId = id;
-            return true;
+        }
+        if (hasFields(event)) {
+            eventCount++;
         }
         return true;
     }
+
+    private static OptionalLong eventId(String event) {
+        return event.lines()
+                .filter(line -> line.startsWith(ID_FIELD_PREFIX))
+                .findFirst()
+                .map(line -> DecimalParser.parse(
+                        line.substring(ID_FIELD_PREFIX.length()).strip()))
+                .orElse(OptionalLong.empty());
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -135,6 +135,10 @@
         switch (relay.addChunk(chunk)) {
             case INCOMPLETE -> onBytesForwarded(attempt);
             case EVENTS_FORWARDED -> onEventsForwarded(attempt);
+            case INVALID_AFTER_EVENTS -> {
+                onEventsForwarded(attempt);
+                handleBreak(attempt, "spoiled answer");
+            }
             case INVALID -> handleBreak(attempt, "spoiled answer");
         }
     }
@@ -248,6 +252,7 @@
     /** Ends an attempt whose response is broken, and continues or fails the request. */
     private void handleBreak(Attempt attempt, String reason) {
         attempt.cancel();
+        relay.flush();
         endAttempt();
         if (reserveRerun()) {
             rerun(attempt, reason);
@@ -335,13 +340,11 @@
             return false;
         }
         releaseTarget();
+        String reason = refusal.get().reason();
         if (limits.mayHaveRun()) {
-            giveUp(refusal.get().reason(), 0);
+            giveUp(reason, 0);
         } else {
-            fail(
-                    FailureCode.CRASH_SUSPECTED,
-                    refusal.get().reason(),
-                    refusal.get().remainingMillis());
+            fail(FailureCode.CRASH_SUSPECTED, reason, refusal.get().remainingMillis());
         }
         return true;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -45,6 +45,8 @@
         INCOMPLETE,
         /** Complete events were forwarded. */
         EVENTS_FORWARDED,
+        /** Complete events were forwarded, and what follows them is invalid. */
+        INVALID_AFTER_EVENTS,
         /** The response does not come from a target, its event ids do not increase, or a part of it is too long. */
         INVALID
     }
@@ -186,8 +188,10 @@
 
     private ChunkResult addStreamChunk(ByteBuf chunk) {
         int eventCountBefore = splitter.eventCount();
-        ByteBuf wholeEvents = splitter.add(chunk).orElse(null);
-        if (wholeEvents == null) {
+        ByteBuf wholeEvents = splitter.add(chunk);
+        boolean hasEvents = splitter.eventCount() > eventCountBefore;
+        if (splitter.isInvalid() && !hasEvents) {
+            wholeEvents.release();
             return ChunkResult.INVALID;
         }
         if (!wholeEvents.isReadable()) {
@@ -197,7 +201,10 @@
             start();
         }
         sink.writeChunk(wholeEvents);
-        return splitter.eventCount() > eventCountBefore ? ChunkResult.EVENTS_FORWARDED : ChunkResult.INCOMPLETE;
+        if (splitter.isInvalid()) {
+            return ChunkResult.INVALID_AFTER_EVENTS;
+        }
+        return hasEvents ? ChunkResult.EVENTS_FORWARDED : ChunkResult.INCOMPLETE;
     }
 
     private void start() {
@@ -249,7 +256,7 @@
     void discardUnsent() {
         buffered.release();
         buffered = Unpooled.EMPTY_BUFFER;
-        splitter.discardPartialEvent();
+        splitter.discardRemainder();
     }
 
     OptionalLong lastEventId() {
--- a/src/test/java/org/poplarwharf/internal/entry/BrokenResponseEntryTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/BrokenResponseEntryTest.java
@@ -84,6 +84,19 @@
                 .isEqualTo(EVENT + DONE);
     }
 
+    private static String token(int index) {
+        return "data: {\"token_index\":" + index + "}\n\n";
+    }
+
+    /** An event that its target repeats in the same write must neither be missing nor come twice. */
+    @Test
+    void repeated_event_is_passed_on_once() {
+        respond(HEAD + token(0) + token(1) + token(1) + token(2) + DONE, false);
+
+        assertThat(entry.send(entry.completion(STREAMED_COMPLETION_BODY)).join().body())
+                .isEqualTo(token(0) + token(1) + token(2) + DONE);
+    }
+
     @Test
     void stream_without_chunks_that_ends_inside_an_event_is_aborted() {
         respond(HEAD + EVENT + "data: [DONE]\n", false);
--- a/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
@@ -34,22 +34,43 @@
     void an_event_id_that_repeats_makes_the_stream_invalid() {
         add("id: 1\n\nid: 2\n\n");
 
-        assertThat(splitter.add(bytes("id: 2\n\n"))).isEmpty();
+        assertThat(add("id: 2\n\n")).isEmpty();
+        assertThat(splitter.isInvalid()).isTrue();
+    }
+
+    /** An event that counts without having been returned is missing for the caller once another target continues. */
+    @Test
+    void events_before_an_invalid_one_are_returned_however_the_stream_is_split() {
+        String stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+        for (int splitAt = 1; splitAt <= stream.length(); splitAt++) {
+            EventSplitter freshSplitter = new EventSplitter(OptionalLong.empty());
+            String first = text(freshSplitter, stream.substring(0, splitAt));
+            String returned = first + text(freshSplitter, stream.substring(splitAt));
+
+            assertThat(returned).as("split at %d", splitAt).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(freshSplitter.isInvalid()).isTrue();
+            assertThat(freshSplitter.lastEventId()).hasValue(2);
+            assertThat(freshSplitter.eventCount()).isEqualTo(2);
+            freshSplitter.discardRemainder();
+            assertThat(text(freshSplitter, "id: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
+            assertThat(freshSplitter.isInvalid()).isFalse();
+        }
     }
 
     @Test
     void a_resumed_stream_accepts_only_events_after_the_last_event_of_its_caller() {
         EventSplitter resumed = new EventSplitter(OptionalLong.of(5));
 
-        assertThat(resumed.add(bytes("id: 5\n\n"))).isEmpty();
-        resumed.discardPartialEvent();
+        assertThat(text(resumed, "id: 5\n\n")).isEmpty();
+        assertThat(resumed.isInvalid()).isTrue();
+        resumed.discardRemainder();
         assertThat(text(resumed, "id: 6\n\n")).isNotEmpty();
     }
 
     @Test
     void a_partial_event_is_discarded_before_another_target_continues() {
         add("id: 1\n\nid: 2\ndat");
-        splitter.discardPartialEvent();
+        splitter.discardRemainder();
 
         assertThat(add("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     }
@@ -80,7 +101,7 @@
     }
 
     private static String text(EventSplitter splitter, String text) {
-        return splitter.add(bytes(text)).orElseThrow().toString(StandardCharsets.UTF_8);
+        return splitter.add(bytes(text)).toString(StandardCharsets.UTF_8);
     }
 
     private static ByteBuf bytes(String text) {
