Do not continue a stream whose events came in the wrong order

A target that sends the events 4, 6 and 5 made the stream go on at another target after 6. It looked whole and lacked 5.

Cause: an id that does not increase was taken for that of a repeated event, whatever events the caller had.

Evidence: with 2,1 and 4,3 swapped, in one write or in several, the next target is asked to go on after the later event, and the response ends as complete.

Why the fix works: from the first id of a contiguous run up to the last one no id is missing, so an event with one of them is a repeated one. Any other lower id came too late, and a stream that goes on after the last event would lack it: it is cut. Ids that have gaps stay valid.

Test: RepeatedEventGatewayTest, 6 new cases, 6 red before, green after; one more in EventSplitterTest.

--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -10,7 +10,8 @@
  * the last one.
  *
  * <p>Invariants: returns only complete events, whose ids strictly increase. An event counts, and its id is the last one,
- * only if it was returned. Nothing is returned after an invalid event, until the stream continues from another target.
+ * only if it was returned. Nothing is returned after an invalid event, until the stream continues from another target. A
+ * stream with an event that arrived after a later one cannot continue.
  * Confined to the event loop. The owner must call {@link #release()}.
  */
 final class EventSplitter {
@@ -23,9 +24,13 @@
 
     private final ByteBuf buffered = Unpooled.buffer();
     private OptionalLong lastEventId;
+    /** From this id up to the last one, no id is missing, so that an event with one of them is a repeated one. */
+    private long firstContiguousId = Long.MIN_VALUE;
+
     private int scannedBytes;
     private int eventCount;
     private boolean invalid;
+    private boolean outOfOrder;
 
     EventSplitter(OptionalLong lastEventId) {
         this.lastEventId = lastEventId;
@@ -81,6 +86,11 @@
         return buffered.readBytes(buffered.readableBytes());
     }
 
+    /** Returns whether an event arrived after a later one, which has been returned already. */
+    boolean isOutOfOrder() {
+        return outOfOrder;
+    }
+
     /** Discards what follows the last valid event after its target failed. The next bytes come from another target. */
     void discardRemainder() {
         buffered.clear();
@@ -118,9 +128,14 @@
         String event = buffered.toString(from, to - from, StandardCharsets.UTF_8);
         OptionalLong id = eventId(event);
         if (id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
+            outOfOrder |= id.getAsLong() < firstContiguousId;
             return false;
         }
         if (id.isPresent()) {
+            boolean isNext = lastEventId.isPresent() && id.getAsLong() == lastEventId.getAsLong() + 1;
+            if (!isNext) {
+                firstContiguousId = id.getAsLong();
+            }
             lastEventId = id;
         }
         if (hasFields(event)) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -219,7 +219,7 @@
 
     /** Returns whether a stream that breaks now can continue with the event after those that the caller has. */
     boolean hasForwardedEvents() {
-        return started && lastEventId().isPresent();
+        return started && lastEventId().isPresent() && !splitter.isOutOfOrder();
     }
 
     /** Flushes what has been written to the caller. */
--- a/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
@@ -57,6 +57,26 @@
         }
     }
 
+    /** A gap before an event that comes later can't be told from ids that are not contiguous, but its late arrival can. */
+    @Test
+    void an_event_that_arrives_after_a_later_one_is_told_from_a_repeated_one() {
+        assertThat(isOutOfOrder(OptionalLong.empty(), 1, 2, 3, 2)).isFalse();
+        assertThat(isOutOfOrder(OptionalLong.empty(), 1, 2, 4, 3)).isTrue();
+        assertThat(isOutOfOrder(OptionalLong.empty(), 2, 1)).isTrue();
+        assertThat(isOutOfOrder(OptionalLong.empty(), 10, 20, 20)).isFalse();
+        assertThat(isOutOfOrder(OptionalLong.of(5), 6, 7, 5)).isFalse();
+        assertThat(isOutOfOrder(OptionalLong.of(5), 7, 6)).isTrue();
+    }
+
+    private static boolean isOutOfOrder(OptionalLong lastEventId, int... ids) {
+        EventSplitter events = new EventSplitter(lastEventId);
+        for (int id : ids) {
+            text(events, "id: " + id + "\ndata: x\n\n");
+        }
+        assertThat(events.isInvalid()).isTrue();
+        return events.isOutOfOrder();
+    }
+
     @Test
     void a_resumed_stream_accepts_only_events_after_the_last_event_of_its_caller() {
         EventSplitter resumed = new EventSplitter(OptionalLong.of(5));
--- a/src/test/java/org/poplarwharf/internal/holder/RepeatedEventGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/RepeatedEventGatewayTest.java
@@ -147,6 +147,19 @@
         assertThat(received).doesNotEndWith("0\r\n\r\n");
     }
 
+    /** A stream that continues after the later one of two swapped events would lack the earlier one. */
+    @ParameterizedTest
+    @CsvSource({"'2,1,3,4,5',1", "'2,1,3,4,5',6", "'1,2,4,3,5',1", "'1,2,4,3,5',2", "'1,2,4,3,5',6", "'1,3,2,4,5',3"})
+    void stream_whose_events_are_out_of_order_does_not_look_complete(String numbers, int writeSize) throws Exception {
+        List<Integer> spoiledNumbers =
+                List.of(numbers.split(",")).stream().map(Integer::valueOf).toList();
+        cluster.addTarget("desk", "").script = script(spoiledNumbers, writeSize);
+        cluster.addTarget("desk", "").script = script(spoiledNumbers, writeSize);
+
+        assertThatThrownBy(() -> post("/resume/x")).isInstanceOf(IOException.class);
+        assertThat(resumedAfter).isEmpty();
+    }
+
     /** The version of a stream is that of its first event, also if the write with that event is spoiled. */
     @Test
     void stream_whose_first_write_is_spoiled_does_not_continue_at_another_software_version() throws Exception {
