Match responses of engines to orders and reports by their id

A late copy of a report, taken for the response to an order, would tell the holder that a refused order already holds.

Cause: calls over pooled connections had no ids and matched responses by their place on the connection only. Bytes beyond a response were taken for the beginning of the next one.

Evidence: with a copy before the next response, with its own response or as a partial head on an idle connection, a refused order has the result HOLDS or UNKNOWN.

Why the fix works: each order and each request for a report has an id in X-Request-Id, which targets repeat; a response with another id is skipped. Surplus bytes close the connection, as on the connections for requests.

--- a/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
+++ b/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
@@ -12,10 +12,11 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -23,6 +24,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -30,7 +32,9 @@
  * An HTTP client for short calls over pooled connections, with one call at a time on each connection.
  *
  * <p>Invariant: each call has exactly one result, no later than its timeout. A response without a length is complete only
- * if the peer ended its connection. A connection whose call got no response is never reused. Confined to its event loop.
+ * if the peer ended its connection. A response with the id of another call is the result of none. A connection is not
+ * reused after a call that got no response, nor after a response or bytes that belong to no call. Confined to its event
+ * loop.
  */
 public final class PooledHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -49,14 +53,22 @@
         this.loop = loop;
     }
 
-    /** A request and its timeout. Immutable. The body is not copied. */
+    /**
+     * A request and its timeout. Immutable. The body is not copied.
+     *
+     * @param id sent with the request, to tell its response from those to other calls
+     */
     public record Call(
             InetSocketAddress address,
             HttpMethod method,
             String uri,
             Map<String, String> headers,
             byte[] body,
-            long timeoutMillis) {}
+            long timeoutMillis,
+            Optional<CallId> id) {}
+
+    /** The name and the value of a header that is different for each call, and that the peer repeats in its response. */
+    public record CallId(String headerName, String value) {}
 
     /** Sends the call and passes its result to the callback on the event loop. */
     public void send(Call call, Consumer<HttpCallResult> onResult) {
@@ -80,7 +92,8 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(connection.inputEnd)
-                                .addLast(new HttpClientCodec())
+                                .addLast(connection.decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                                 .addLast(connection);
                     }
@@ -100,6 +113,9 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
         private final InputEndVerifier inputEnd = new InputEndVerifier();
+        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
+        private Optional<CallId> callId = Optional.empty();
+        private boolean reusable;
         private Channel channel;
         private Consumer<HttpCallResult> callback;
         private io.netty.util.concurrent.Future<?> timeout;
@@ -110,11 +126,15 @@
 
         void send(Call call, Consumer<HttpCallResult> onResult) {
             callback = onResult;
+            callId = call.id();
+            reusable = true;
+            decoder.expectResponse(call.method());
             timeout = loop.schedule(() -> fail("no answer in time"), call.timeoutMillis(), TimeUnit.MILLISECONDS);
             ByteBuf body = Unpooled.wrappedBuffer(call.body());
             DefaultFullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), body);
             call.headers().forEach(request.headers()::set);
+            call.id().ifPresent(id -> request.headers().set(id.headerName(), id.value()));
             request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
             if (call.method() != HttpMethod.GET) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
@@ -128,16 +148,21 @@
                 fail("unreadable answer");
                 return;
             }
+            if (isForOtherCall(response)) {
+                reusable = false;
+                return;
+            }
             Consumer<HttpCallResult> onResult = takeCallback();
             if (onResult == null) {
                 channel.close();
                 return;
             }
+            decoder.endResponse();
             HttpCallResult.Response result = new HttpCallResult.Response(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
             Deque<Connection> idle = idleByAddress.computeIfAbsent(address, key -> new ArrayDeque<>());
-            boolean isReusable = HttpUtil.isKeepAlive(response) && !inputEnd.isInputEnded();
-            if (isReusable && idle.size() < MAX_IDLE_PER_ADDRESS_COUNT) {
+            reusable &= HttpUtil.isKeepAlive(response) && !inputEnd.isInputEnded() && !decoder.hasSurplusBytes();
+            if (reusable && idle.size() < MAX_IDLE_PER_ADDRESS_COUNT) {
                 idle.push(this);
             } else {
                 channel.close();
@@ -145,6 +170,20 @@
             onResult.accept(result);
         }
 
+        /** Returns whether a response is a late one to an earlier call. A peer that repeats no id can't be told. */
+        private boolean isForOtherCall(FullHttpResponse response) {
+            return callId.map(id -> response.headers().get(id.headerName()))
+                    .filter(repeated -> !repeated.equals(callId.get().value()))
+                    .isPresent();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (callback == null && decoder.hasSurplusBytes()) {
+                fail("bytes after the response");
+            }
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             if (event instanceof ChannelInputShutdownEvent) {
--- a/src/main/java/org/poplarwharf/internal/platform/HttpEngineClient.java
+++ b/src/main/java/org/poplarwharf/internal/platform/HttpEngineClient.java
@@ -35,8 +35,10 @@
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
     private static final byte[] NO_BODY = new byte[0];
+    private static final String CALL_ID_PREFIX = "call-";
 
     private final PooledHttpClient httpClient;
+    private long callCount;
 
     public HttpEngineClient(PooledHttpClient httpClient) {
         this.httpClient = httpClient;
@@ -61,7 +63,8 @@
                         PlatformHeaderCodec.EXPECTED_TARGET,
                         order.target().id()),
                 encode(body),
-                ORDER_TIMEOUT_MILLIS);
+                ORDER_TIMEOUT_MILLIS,
+                newCallId());
         httpClient.send(
                 call,
                 result -> callback.accept(
@@ -86,7 +89,8 @@
                 "/report",
                 Map.of(PlatformHeaderCodec.EXPECTED_TARGET, target.id()),
                 NO_BODY,
-                REPORT_TIMEOUT_MILLIS);
+                REPORT_TIMEOUT_MILLIS,
+                newCallId());
         httpClient.send(
                 call,
                 result -> callback.accept(
@@ -95,6 +99,13 @@
                                 : Optional.empty()));
     }
 
+    /** Returns an id that no other call on a connection of this client has. */
+    private Optional<PooledHttpClient.CallId> newCallId() {
+        callCount++;
+        return Optional.of(new PooledHttpClient.CallId(
+                PlatformHeaderCodec.REQUEST_ID, CALL_ID_PREFIX + Long.toHexString(callCount)));
+    }
+
     private static Optional<EngineReport> decodeReport(byte[] body) {
         try {
             JsonNode node = JsonFields.parse(body, "a target's report");
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -17,7 +17,9 @@
  * thread-safe.
  */
 public final class PlatformHeaderCodec implements HeaderCodec {
-    private static final String REQUEST_ID = "X-Request-Id";
+    /** Targets repeat it in their responses. */
+    static final String REQUEST_ID = "X-Request-Id";
+
     private static final String DEADLINE_MILLIS = "X-Deadline-Ms";
     private static final String MODEL = "X-Model";
     private static final String TOKEN_COUNTS = "X-Token-Counts";
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformKeyedLog.java
@@ -105,7 +105,8 @@
                 uri,
                 Map.of("Content-Type", "application/octet-stream"),
                 encodeRecords(entries),
-                RESPONSE_TIMEOUT_MILLIS);
+                RESPONSE_TIMEOUT_MILLIS,
+                Optional.empty());
         httpClient.send(
                 call,
                 result -> callback.accept(
@@ -211,7 +212,9 @@
     private void get(String uri, long waitMillis, Consumer<HttpCallResult> callback) {
         long timeoutMillis = waitMillis + RESPONSE_TIMEOUT_MILLIS;
         httpClient.send(
-                new PooledHttpClient.Call(address, HttpMethod.GET, uri, Map.of(), NO_BODY, timeoutMillis), callback);
+                new PooledHttpClient.Call(
+                        address, HttpMethod.GET, uri, Map.of(), NO_BODY, timeoutMillis, Optional.empty()),
+                callback);
     }
 
     private static LatestResult decodePage(byte[] body, long era) {
--- a/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
+++ b/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -49,7 +50,8 @@
 
     private PooledHttpClient.Call newCall(int bodyBytes) {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
-        return new PooledHttpClient.Call(address, HttpMethod.POST, "/x", Map.of(), new byte[bodyBytes], TIMEOUT_MILLIS);
+        return new PooledHttpClient.Call(
+                address, HttpMethod.POST, "/x", Map.of(), new byte[bodyBytes], TIMEOUT_MILLIS, Optional.empty());
     }
 
     private HttpCallResult call(int bodyBytes) throws Exception {
