--- a/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/EventSplitter.java
@@ -11,8 +11,8 @@
  *
  * <p>Invariants: returns only complete events, whose ids strictly increase. An event counts, and its id is the last one,
  * only if it was returned. Nothing is returned after an invalid event, until the stream continues from another target. A
- * stream with an event that arrived after a later one cannot continue.
- * Confined to the event loop. The owner must call {@link #release()}.
+ * stream with an event that arrived after a later one cannot continue. Confined to the event loop. The owner must call
+ * {@link #release()}.
  */
 final class EventSplitter {
     /** Far above the size of any event; bounds what is buffered of one that doesn't end. */
@@ -24,6 +24,7 @@
 
     private final ByteBuf buffered = Unpooled.buffer();
     private OptionalLong lastEventId;
+
     /** From this id up to the last one, no id is missing, so that an event with one of them is a repeated one. */
     private long firstContiguousId = Long.MIN_VALUE;
 
