Tests: release the events that EventSplitterTest reads

The leak detector reported buffers that only the test read and did not release; code in src/main releases or passes on each.

--- a/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/EventSplitterTest.java
@@ -121,7 +121,10 @@
     }
 
     private static String text(EventSplitter splitter, String text) {
-        return splitter.add(bytes(text)).toString(StandardCharsets.UTF_8);
+        ByteBuf wholeEvents = splitter.add(bytes(text));
+        String returned = wholeEvents.toString(StandardCharsets.UTF_8);
+        wholeEvents.release();
+        return returned;
     }
 
     private static ByteBuf bytes(String text) {
