A connection begun to an earlier holder shows nothing of the next one

Two holders could decide and order at once.

Cause: HolderLink.follow did nothing while a connection to the former holder was being opened. If that one succeeded, its first heartbeat carried another incarnation than that of the new holder, which was taken for another process at the new holder's address, and so for the end of the new holder.

Fix: each connection belongs to the holder it was begun to. One that opens after the node follows another holder is closed, and its messages are dropped.

Test: HolderEndTest.connection_that_was_being_opened_to_an_earlier_holder_shows_nothing_of_the_next_one, red before (the next holder counted as ended), green after; EngineTargetSelectorTest and GatewayNodeTest green.

--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -288,7 +288,6 @@
 
     @Override
     public void opened(HolderConnections.Connection openedConnection) {
-        link.opened(openedConnection);
         targetLimits.requestsPerSecondByTarget().forEach(this::reportLimit);
         view.statedLeaving().forEach(this::reportLeaving);
         unsharedOrigins.takeAll().forEach(origin -> send(HolderMessage.originMessage(origin)));
@@ -296,9 +295,6 @@
 
     @Override
     public void received(HolderConnections.Connection sender, HolderMessage message) {
-        if (!link.isCurrent(sender)) {
-            return;
-        }
         lastMessageMillis = clock.nowMillis();
         switch (message) {
             case HolderMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat);
@@ -318,11 +314,6 @@
     }
 
     private void handleHeartbeat(HolderMessage.Heartbeat heartbeat) {
-        if (!heartbeat.incarnation().equals(link.incarnation())) {
-            remoteHolding = false;
-            listener.holderEnded(link.incarnation());
-            return;
-        }
         remoteHolding = heartbeat.holding();
         heartbeat.origin().ifPresent(streamOrigins::record);
         heartbeat
@@ -342,10 +333,7 @@
 
     @Override
     public void closed(HolderConnections.Connection closedConnection) {
-        if (link.isCurrent(closedConnection)) {
-            remoteHolding = false;
-            link.closed();
-        }
+        remoteHolding = false;
     }
 
     private void checkPending() {
--- a/src/main/java/org/poplarwharf/internal/holder/HolderLink.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderLink.java
@@ -5,14 +5,15 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.poplarwharf.internal.http.RefusalProbe;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * The connection of a node to the lease holder that it follows; opened again when it has been closed.
+ * The connection of a node to the lease holder that it follows; opened again when it has been closed. The holder counts as
+ * ended if its address refuses connections, or if another process responds there.
  *
- * <p>Invariant: at most one connection is open or being opened. Confined to the event loop.
+ * <p>Invariant: at most one connection is in use; one that was begun to an earlier holder is closed and shows nothing of
+ * the next one. Confined to the event loop.
  */
 final class HolderLink {
     private static final long RECONNECT_DELAY_MILLIS = 250;
@@ -21,24 +22,27 @@
     private final TopicFollower.Timer timer;
     private final HolderConnections.Handler handler;
     private final BooleanSupplier wantsConnection;
-    private final Consumer<String> onRefused;
+    private final EndListener endListener;
     private Optional<InetSocketAddress> address = Optional.empty();
     private String incarnation = "";
-    private Optional<HolderConnections.Connection> connection = Optional.empty();
-    private boolean connecting;
+    private Optional<Attempt> current = Optional.empty();
+
+    /** Receives the end of the followed holder's process. */
+    interface EndListener {
+        void holderEnded(String incarnation);
+    }
 
-    /** Creates a link; {@code onRefused} gets the incarnation of a holder at whose address nobody listens. */
     HolderLink(
             EventLoop loop,
             TopicFollower.Timer timer,
             HolderConnections.Handler handler,
             BooleanSupplier wantsConnection,
-            Consumer<String> onRefused) {
+            EndListener endListener) {
         this.loop = loop;
         this.timer = timer;
         this.handler = handler;
         this.wantsConnection = wantsConnection;
-        this.onRefused = onRefused;
+        this.endListener = endListener;
     }
 
     /** Connects to a holder, unless it is the one that is followed already. */
@@ -48,7 +52,12 @@
         }
         incarnation = holderIncarnation;
         address = Optional.of(holderAddress);
-        connection.ifPresent(HolderConnections.Connection::close);
+        Optional<Attempt> previous = current;
+        current = Optional.empty();
+        previous.flatMap(attempt -> attempt.connection).ifPresent(connection -> {
+            connection.close();
+            handler.closed(connection);
+        });
         connect();
     }
 
@@ -58,45 +67,86 @@
     }
 
     boolean isConnected() {
-        return connection.isPresent();
-    }
-
-    boolean isCurrent(HolderConnections.Connection other) {
-        return connection.filter(current -> current == other).isPresent();
+        return current.flatMap(attempt -> attempt.connection).isPresent();
     }
 
     /** Sends a message, if there is a connection. */
     void send(HolderMessage message) {
-        connection.ifPresent(open -> open.send(message));
+        current.flatMap(attempt -> attempt.connection).ifPresent(open -> open.send(message));
     }
 
-    void opened(HolderConnections.Connection openedConnection) {
-        connection = Optional.of(openedConnection);
-        connecting = false;
+    private void connect() {
+        if (current.isPresent() || address.isEmpty() || !wantsConnection.getAsBoolean()) {
+            return;
+        }
+        Attempt attempt = new Attempt(incarnation);
+        current = Optional.of(attempt);
+        ChannelFuture connecting = HolderConnections.connect(loop, address.get(), attempt);
+        connecting.addListener(result -> {
+            if (!result.isSuccess()) {
+                attempt.failed(result.cause());
+            }
+        });
     }
 
-    /** Forgets the closed connection and connects again after a delay. */
-    void closed() {
-        connection = Optional.empty();
+    private void reconnectLater() {
+        current = Optional.empty();
         timer.schedule(RECONNECT_DELAY_MILLIS, this::connect);
     }
 
-    private void connect() {
-        if (connecting || connection.isPresent() || address.isEmpty() || !wantsConnection.getAsBoolean()) {
-            return;
+    /** One connection, open or being opened, to the holder that was followed when it was begun. */
+    private final class Attempt implements HolderConnections.Handler {
+        private final String expectedIncarnation;
+        private Optional<HolderConnections.Connection> connection = Optional.empty();
+
+        Attempt(String expectedIncarnation) {
+            this.expectedIncarnation = expectedIncarnation;
+        }
+
+        private boolean isCurrent() {
+            return current.filter(attempt -> attempt == this).isPresent();
+        }
+
+        void failed(Throwable cause) {
+            if (!isCurrent()) {
+                return;
+            }
+            if (RefusalProbe.isRefused(cause)) {
+                endListener.holderEnded(expectedIncarnation);
+            }
+            reconnectLater();
+        }
+
+        @Override
+        public void opened(HolderConnections.Connection opened) {
+            if (!isCurrent()) {
+                opened.close();
+                return;
+            }
+            connection = Optional.of(opened);
+            handler.opened(opened);
         }
-        connecting = true;
-        String expectedIncarnation = incarnation;
-        ChannelFuture attempt = HolderConnections.connect(loop, address.get(), handler);
-        attempt.addListener(result -> {
-            if (result.isSuccess()) {
+
+        @Override
+        public void received(HolderConnections.Connection sender, HolderMessage message) {
+            if (!isCurrent()) {
                 return;
             }
-            connecting = false;
-            if (RefusalProbe.isRefused(result.cause())) {
-                onRefused.accept(expectedIncarnation);
+            if (message instanceof HolderMessage.Heartbeat heartbeat
+                    && !heartbeat.incarnation().equals(expectedIncarnation)) {
+                endListener.holderEnded(expectedIncarnation);
+                return;
             }
-            timer.schedule(RECONNECT_DELAY_MILLIS, this::connect);
-        });
+            handler.received(sender, message);
+        }
+
+        @Override
+        public void closed(HolderConnections.Connection closed) {
+            if (!isCurrent()) {
+                return;
+            }
+            reconnectLater();
+            handler.closed(closed);
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
@@ -0,0 +1,186 @@
+package org.poplarwharf.internal.holder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.crash.RequestSuspects;
+import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.EngineOrder;
+import org.poplarwharf.internal.dispatch.EngineReport;
+import org.poplarwharf.internal.dispatch.OrderResult;
+import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.gateway.FleetView;
+import org.poplarwharf.internal.gateway.GatewaySettings;
+import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.limit.TargetLimits;
+import org.poplarwharf.internal.stream.StreamOrigins;
+import org.poplarwharf.support.Eventually;
+import org.poplarwharf.support.FakeKeyedLog;
+
+/** Tests what shows a node that the process of the holder has ended, with sockets that the test resets and ends. */
+@Timeout(30)
+class HolderEndTest {
+    private static final String HOLDER = "holder/1";
+
+    /** Several attempts to connect again. */
+    private static final long OBSERVATION_MILLIS = 1_500;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final List<String> ended = new CopyOnWriteArrayList<>();
+    private final FleetView view = new FleetView();
+    private EngineTargetSelector selector;
+
+    @BeforeEach
+    void start() {
+        DecisionLog log = new DecisionLog("n1", "z1", new PrintStream(OutputStream.nullOutputStream()));
+        TargetLimits limits = new TargetLimits(() -> false, (target, requestsPerSecond) -> {});
+        StreamOrigins origins = new StreamOrigins(clock::nowMillis, service -> Optional.empty());
+        HolderRole localHolder = new HolderRole(
+                GatewaySettings.DEFAULTS,
+                "n1/1",
+                view,
+                new NoEngines(),
+                clock,
+                this::schedule,
+                log,
+                new NoCrashes(),
+                limits,
+                origins);
+        StreamOriginLookup lookup =
+                new StreamOriginLookup(origins, new FakeKeyedLog(), clock::nowMillis, log, localHolder::isHolding);
+        selector = new EngineTargetSelector(
+                localHolder, view, loop, clock, this::schedule, log, limits, origins, lookup, new EndRecorder());
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully();
+    }
+
+    /** Guards against the heartbeat of an earlier holder being taken for another process at the address of the next. */
+    @Test
+    void connection_that_was_being_opened_to_an_earlier_holder_shows_nothing_of_the_next_one() throws Exception {
+        RawHolder earlier = new RawHolder();
+        RawHolder next = new RawHolder();
+        loop.execute(() -> {
+            selector.start();
+            selector.followHolder(earlier.address(), "earlier/1");
+            selector.followHolder(next.address(), HOLDER);
+        });
+        Socket stale = earlier.accept();
+        trySendHeartbeat(stale, "earlier/1");
+        GatewayCluster.pause(OBSERVATION_MILLIS / 3);
+
+        assertThat(ended).isEmpty();
+        sendHeartbeat(next.accept(), HOLDER);
+        Eventually.eventually("the next holder responds", selector::isHolderResponding);
+        assertThat(ended).isEmpty();
+        earlier.stopListening();
+        next.stopListening();
+    }
+
+    private static void sendHeartbeat(Socket connection, String incarnation) throws IOException {
+        byte[] frame = new MessagePackCodec<>(HolderMessage.class)
+                .encode(new HolderMessage.Heartbeat(
+                        "holder", incarnation, true, 2, Optional.empty(), Optional.empty(), Optional.empty()));
+        DataOutputStream out = new DataOutputStream(connection.getOutputStream());
+        out.writeInt(frame.length);
+        out.write(frame);
+        out.flush();
+    }
+
+    private static void trySendHeartbeat(Socket connection, String incarnation) {
+        try {
+            sendHeartbeat(connection, incarnation);
+        } catch (IOException e) {
+            // The node has closed the connection already.
+        }
+    }
+
+    private void schedule(long delayMillis, Runnable task) {
+        loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static final class RawHolder {
+        private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+
+        RawHolder() throws IOException {}
+
+        InetSocketAddress address() {
+            return (InetSocketAddress) server.getLocalSocketAddress();
+        }
+
+        Socket accept() throws IOException {
+            return server.accept();
+        }
+
+        void stopListening() throws IOException {
+            server.close();
+        }
+    }
+
+    private final class EndRecorder implements HolderListener {
+        @Override
+        public void holderEnded(String incarnation) {
+            ended.add(incarnation);
+        }
+
+        @Override
+        public void nodeCountReported(int nodeCount) {
+            // Not checked here.
+        }
+
+        @Override
+        public void crashesAnnounced(HolderMessage.TargetCrashes announcement) {
+            // Not checked here.
+        }
+    }
+
+    private static final class NoEngines implements EngineClient {
+        @Override
+        public void sendOrder(EngineOrder order, String holder, long fencingNumber, Consumer<OrderResult> callback) {
+            throw new UnsupportedOperationException("the node does not hold the lease");
+        }
+
+        @Override
+        public void fetchReport(Target target, Consumer<Optional<EngineReport>> callback) {
+            throw new UnsupportedOperationException("the node does not hold the lease");
+        }
+    }
+
+    private static final class NoCrashes implements CrashListener {
+        @Override
+        public void runSucceeded(RequestSuspects suspects) {}
+
+        @Override
+        public void crashesReported(List<TargetCrash> crashes) {}
+
+        @Override
+        public List<TargetCrash> knownCrashes() {
+            return List.of();
+        }
+    }
+}
