--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -50,17 +50,12 @@
     private long recordNumber;
     private long fencingNumber;
     private long ordersAllowedFromMillis;
-    private TermStart termStart = TermStart.EXPIRED;
+    private LeaseTerm term = LeaseTerm.EXPIRED;
     private Optional<Claim> pendingClaim = Optional.empty();
     private boolean stopped;
 
-    /** The time at which this node sent the claim or the renewal that began the current term. */
-    private record TermStart(long steadyMillis, long wallMillis) {
-        private static final TermStart EXPIRED = new TermStart(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
-    }
-
     /** A claim that was sent and may be appended to the log now or later. The number of its record is unique. */
-    private record Claim(long recordNumber, long fencingNumber, TermStart termStart) {}
+    private record Claim(long recordNumber, long fencingNumber, LeaseTerm term) {}
 
     /** The monotonic clock and the wall clock. */
     public interface Clocks {
@@ -111,9 +106,7 @@
 
     /** Returns whether this node holds the lease at this moment. */
     public boolean isHeld() {
-        return holding
-                && clocks.steadyMillis() - termStart.steadyMillis() < timings.termMillis()
-                && clocks.wallMillis() - termStart.wallMillis() < timings.termMillis();
+        return holding && term.isValid(clocks, timings.termMillis());
     }
 
     /** Returns whether this node holds the lease and the holder before it can decide nothing any more. */
@@ -274,7 +267,8 @@
         // If a claim is retried at the same end of the log, either append may succeed: the term counts from the first.
         Claim claim = pendingClaim
                 .filter(sent -> sent.recordNumber() == newNumber)
-                .orElseGet(() -> new Claim(newNumber, isLatestHolder() ? fencingNumber : newNumber, currentTime()));
+                .orElseGet(() -> new Claim(
+                        newNumber, isLatestHolder() ? fencingNumber : newNumber, LeaseTerm.startingNow(clocks)));
         pendingClaim = Optional.of(claim);
         append(record(newNumber, false), response -> {
             switch (response) {
@@ -301,7 +295,7 @@
         }
         recordNumber = claim.recordNumber();
         fencingNumber = claim.fencingNumber();
-        termStart = claim.termStart();
+        term = claim.term();
         pendingClaim = Optional.empty();
         holding = true;
         if (!isHeld()) {
@@ -314,10 +308,6 @@
         schedulePoll(timings.renewIntervalMillis());
     }
 
-    private TermStart currentTime() {
-        return new TermStart(clocks.steadyMillis(), clocks.wallMillis());
-    }
-
     private void renewOrExpire() {
         if (!isHeld()) {
             holding = false;
@@ -326,7 +316,7 @@
             schedulePoll(0);
             return;
         }
-        TermStart renewalStart = currentTime();
+        LeaseTerm renewedTerm = LeaseTerm.startingNow(clocks);
         append(record(recordNumber, false), response -> {
             if (!holding) {
                 schedulePoll(timings.retryMillis());
@@ -336,7 +326,7 @@
                 case KeyedLog.Appended appended -> {
                     recordAppended(appended);
                     currentRecord = Optional.of(record(recordNumber, false));
-                    termStart = renewalStart;
+                    term = renewedTerm;
                     schedulePoll(timings.renewIntervalMillis());
                 }
                 case KeyedLog.EndMoved moved -> checkOwnRecord();
