The term of a claim counts from its first send, also after a refused repetition

A holder could count a longer term than the other nodes, and with it order beside its successor.

Cause: a claim whose response is lost may still be appended later, so its term counts from the first send. When a repeated send was refused or answered 503, the lease forgot the first one. If that one was appended after all, the node took it for a third send, and counted the term from there.

Fix: a refusal shows only that this send was not carried out. What was sent before stays pending.

Test: HolderLeaseTest.term_counts_from_the_first_send_of_a_claim_even_if_a_repeated_send_was_refused, red before (held the lease 6.5 s after its first send), green after. FakeKeyedLog can delay an append for it.

--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -265,10 +265,9 @@
         }
         long newNumber = nextRecordNumber();
         // If a claim is retried at the same end of the log, either append may succeed: the term counts from the first.
-        Claim claim = pendingClaim
-                .filter(sent -> sent.recordNumber() == newNumber)
-                .orElseGet(() -> new Claim(
-                        newNumber, isLatestHolder() ? fencingNumber : newNumber, LeaseTerm.startingNow(clocks)));
+        Optional<Claim> sentBefore = pendingClaim.filter(sent -> sent.recordNumber() == newNumber);
+        Claim claim = sentBefore.orElseGet(() ->
+                new Claim(newNumber, isLatestHolder() ? fencingNumber : newNumber, LeaseTerm.startingNow(clocks)));
         pendingClaim = Optional.of(claim);
         append(record(newNumber, false), response -> {
             switch (response) {
@@ -281,8 +280,8 @@
                 case KeyedLog.Restored restored -> schedulePoll(0);
                 case KeyedLog.OutcomeUnknown unknown -> schedulePoll(timings.retryMillis());
                 case KeyedLog.Unavailable unavailable -> {
-                    // The log has not appended the claim and will not append it later.
-                    pendingClaim = Optional.empty();
+                    // The log will not append what was sent now, but may append later what was sent before.
+                    pendingClaim = sentBefore;
                     schedulePoll(timings.retryMillis());
                 }
             }
--- a/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
@@ -159,6 +159,27 @@
         assertThat(first.claimCount).isEqualTo(1);
     }
 
+    /** Guards against a term that outlasts the one that other nodes count, after a repeated claim was refused. */
+    @Test
+    void term_counts_from_the_first_send_of_a_claim_even_if_a_repeated_send_was_refused() {
+        log.delayNextAppend = true;
+        first.start();
+        long firstSentMillis = first.now();
+        log.rejectAppends = true;
+        first.advance(500);
+        log.rejectAppends = false;
+        first.advance(500);
+        first.advance(10);
+        assertThat(first.lease.isHeld()).isTrue();
+
+        log.unavailable = true;
+        while (first.now() < firstSentMillis + TERM_MILLIS) {
+            first.advance(10);
+        }
+
+        assertThat(first.lease.isHeld()).isFalse();
+    }
+
     @Test
     void claim_whose_response_was_lost_takes_effect_once_its_record_is_read() {
         log.loseNextResponse = true;
--- a/src/test/java/org/poplarwharf/support/FakeKeyedLog.java
+++ b/src/test/java/org/poplarwharf/support/FakeKeyedLog.java
@@ -10,12 +10,20 @@
 import java.util.function.Consumer;
 import org.poplarwharf.internal.topic.KeyedLog;
 
-/** An in-memory log with a single topic. A test can make it unavailable, reject appends, lose responses or restore it. */
+/**
+ * An in-memory log with a single topic. A test can make it unavailable, reject appends, lose responses, delay an append or
+ * restore the log.
+ */
 public final class FakeKeyedLog implements KeyedLog {
     public boolean unavailable;
     public boolean rejectAppends;
     public boolean loseNextResponse;
+
+    /** The next append gets no response, and is carried out when the one after it that is not rejected arrives. */
+    public boolean delayNextAppend;
+
     private final List<KeyedRecord> records = new ArrayList<>();
+    private Optional<KeyedRecord> delayedAppend = Optional.empty();
     private long era = 1;
 
     public int recordCount() {
@@ -83,8 +91,17 @@
             callback.accept(new Unavailable("away"));
             return;
         }
+        KeyedRecord record = new KeyedRecord(end.offset(), key, value);
+        if (delayNextAppend) {
+            delayNextAppend = false;
+            delayedAppend = Optional.of(record);
+            callback.accept(new OutcomeUnknown("delayed"));
+            return;
+        }
+        delayedAppend.filter(delayed -> delayed.offset() == records.size()).ifPresent(records::add);
+        delayedAppend = Optional.empty();
         if (end.offset() == records.size()) {
-            records.add(new KeyedRecord(end.offset(), key, value));
+            records.add(record);
         } else if (end.era() == era) {
             callback.accept(new EndMoved());
             return;
