A restarted node does not wait for the term of its own earlier process

A process that listens at the address that the holder's record names, under the holder's node id, shows that the holder's process has ended: an address has one listener. The restarted node itself now counts that as the end, without any connection. The id or the address alone shows nothing.

--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -99,7 +99,7 @@
         this.listener = listener;
     }
 
-    /** Starts to poll the lease and to claim it when it is free. */
+    /** Starts to poll the lease and to claim it when it is free. This node must listen at its address already. */
     public void start() {
         poll();
     }
@@ -124,7 +124,7 @@
         return fencingNumber;
     }
 
-    /** Records that the holder issues no more orders: its process has ended, or another process runs at its address. */
+    /** Records that the holder issues no more orders, because its process is known to have ended. */
     public void holderEnded(String incarnation) {
         if (holderEndedMillis == Long.MIN_VALUE
                 && currentRecord
@@ -240,7 +240,7 @@
             appendedClaim.ifPresentOrElse(this::acquire, this::claim);
             return;
         }
-        if (holder.resigned()) {
+        if (holder.resigned() || isOwnPredecessor(holder)) {
             holderEnded(holder.incarnation());
         } else {
             listener.holderFound(holder);
@@ -258,6 +258,11 @@
         claim();
     }
 
+    /** Returns whether a holder was a process of this node before its restart: this one listens at its address now. */
+    private boolean isOwnPredecessor(LeaseRecord holder) {
+        return holder.holder().equals(self.holder()) && holder.address().equals(self.address());
+    }
+
     private void claim() {
         if (mayHaveLostHolder()) {
             ordersAllowedFromMillis =
--- a/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/HolderLeaseTest.java
@@ -132,6 +132,39 @@
         assertThat(thirdHolder.now()).isGreaterThanOrEqualTo(ordersAllowedFromMillis - 200);
     }
 
+    /** Guards against a wait for the term of a process that this node has replaced. */
+    @Test
+    void restarted_node_does_not_wait_for_the_term_of_its_earlier_process() {
+        first.start();
+        advanceFirstAndSecond(5_000);
+        LeaseTestNode restarted = new LeaseTestNode("n1", 2, "address of n1", log);
+        restarted.start();
+        restarted.advance(600);
+
+        assertThat(restarted.lease.isHeld()).isTrue();
+        assertThat(restarted.lease.mayOrder()).isFalse();
+        restarted.advance(ORDER_GAP_MILLIS);
+        assertThat(restarted.lease.mayOrder()).isTrue();
+    }
+
+    /** Guards against a claim beside a holder that has only the id or the address of this node. */
+    @Test
+    void node_with_the_id_or_the_address_of_a_running_holder_waits_for_its_term() {
+        first.start();
+        advanceFirstAndSecond(5_000);
+        LeaseTestNode sameId = new LeaseTestNode("n1", 2, "another address", log);
+        LeaseTestNode sameAddress = new LeaseTestNode("n3", 1, "address of n1", log);
+        sameId.start();
+        sameAddress.start();
+        for (int millis = 0; millis < TERM_MILLIS - 1_000; millis += 500) {
+            sameId.advance(500);
+            sameAddress.advance(500);
+        }
+
+        assertThat(sameId.lease.isHeld()).isFalse();
+        assertThat(sameAddress.lease.isHeld()).isFalse();
+    }
+
     @Test
     void holder_may_issue_orders_again_after_a_log_outage_without_a_new_gap() {
         first.start();
--- a/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
@@ -14,6 +14,7 @@
     int claimCount;
     String followedHolder = "";
     private final String id;
+    private final int startNumber;
     private final List<Task> tasks = new ArrayList<>();
     private long steadyMillis = START_MILLIS;
     private long wallMillis = 5_000_000;
@@ -21,8 +22,14 @@
     private record Task(long atMillis, Runnable action) {}
 
     LeaseTestNode(String id, FakeKeyedLog log) {
+        this(id, 1, "address of " + id, log);
+    }
+
+    /** Creates a process of a node. */
+    LeaseTestNode(String id, int startNumber, String address, FakeKeyedLog log) {
         this.id = id;
-        LeaseRecord self = new LeaseRecord(id, incarnation(), "127.0.0.1:1", 0, 0, 0, false);
+        this.startNumber = startNumber;
+        LeaseRecord self = new LeaseRecord(id, incarnation(), address, 0, 0, 0, false);
         lease = new HolderLease(
                 "lease",
                 self,
@@ -34,7 +41,7 @@
     }
 
     String incarnation() {
-        return id + "/1";
+        return id + "/" + startNumber;
     }
 
     void start() {
