--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -115,7 +115,7 @@
                 defaults.heartbeatIntervalMillis());
     }
 
-    /** Starts nodes that were killed again, at their addresses. */
+    /** Starts killed nodes again, at their addresses. */
     void restart(List<Node> killed) {
         killed.forEach(node -> startNode(node.settings()));
     }
--- a/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
@@ -84,10 +84,7 @@
     @Test
     void holder_whose_connections_are_reset_and_refused_does_not_count_as_ended() throws Exception {
         RawHolder holder = new RawHolder();
-        follow(holder, HOLDER);
-        Socket connection = holder.accept();
-        sendHeartbeat(connection, HOLDER);
-        Eventually.eventually("the holder responds", selector::isHolderResponding);
+        Socket connection = followResponding(holder);
 
         holder.stopListening();
         reset(connection);
@@ -111,10 +108,7 @@
     @Test
     void holder_that_ended_its_connection_and_refuses_others_has_ended() throws Exception {
         RawHolder holder = new RawHolder();
-        follow(holder, HOLDER);
-        Socket connection = holder.accept();
-        sendHeartbeat(connection, HOLDER);
-        Eventually.eventually("the holder responds", selector::isHolderResponding);
+        Socket connection = followResponding(holder);
 
         holder.stopListening();
         connection.close();
@@ -126,10 +120,7 @@
     @Test
     void holder_that_responded_after_an_ended_connection_does_not_count_as_ended_when_it_is_cut_off() throws Exception {
         RawHolder holder = new RawHolder();
-        follow(holder, HOLDER);
-        Socket first = holder.accept();
-        sendHeartbeat(first, HOLDER);
-        Eventually.eventually("the holder responds", selector::isHolderResponding);
+        Socket first = followResponding(holder);
         first.close();
         Socket second = holder.accept();
         sendHeartbeat(second, HOLDER);
@@ -146,10 +137,7 @@
     @Test
     void holder_at_whose_address_another_process_responds_has_ended() throws Exception {
         RawHolder holder = new RawHolder();
-        follow(holder, HOLDER);
-        Socket connection = holder.accept();
-        sendHeartbeat(connection, HOLDER);
-        Eventually.eventually("the holder responds", selector::isHolderResponding);
+        Socket connection = followResponding(holder);
         reset(connection);
         sendHeartbeat(holder.accept(), "holder/2");
 
@@ -201,6 +189,15 @@
         });
     }
 
+    /** Follows a holder until it has responded, and returns its end of the connection. */
+    private Socket followResponding(RawHolder holder) throws IOException {
+        follow(holder, HOLDER);
+        Socket connection = holder.accept();
+        sendHeartbeat(connection, HOLDER);
+        Eventually.eventually("the holder responds", selector::isHolderResponding);
+        return connection;
+    }
+
     private static void sendHeartbeat(Socket connection, String incarnation) throws IOException {
         byte[] frame = new MessagePackCodec<>(HolderMessage.class)
                 .encode(new HolderMessage.Heartbeat(
