Read at once after a failed read of a topic

Cause: a follower that asks the log to hold its response back for up to 2 s did so after a failed read too. A read that the log never receives fails only 0.7 s after that time, so a read that was begun while the log was silent could outlast the silence by 2.7 s.

Fix: after a failure, reads ask for a response at once until one succeeds. They then fail after 0.7 s and are repeated after at most 0.8 s. Calls to a log that works do not change.

Test: TopicFollowerTest.reads_after_a_failed_one_ask_for_a_response_at_once_until_one_succeeds, red before with waits of 2,000 ms in place of 0; green now with the eight others of its class.

--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -39,7 +39,8 @@
      * The delays between reads of a topic.
      *
      * @param pollDelayMillis delay between two reads
-     * @param maxWaitMillis maximum time that the log may delay its response until there is a record
+     * @param maxWaitMillis maximum time that the log may delay its response until there is a record; after a failed read
+     *     the log responds at once until a read succeeds
      * @param retryDelayMillis delay after a failed read; doubles with each failure up to {@code maxRetryDelayMillis}
      */
     public record PollTimings(
@@ -184,7 +185,10 @@
     }
 
     private void readRecords(KeyedLog.Position from) {
-        log.read(topic, from, timings.maxWaitMillis(), result -> {
+        // A read that is delayed by the log fails as late as it would respond, so after an outage the next one would be
+        // late.
+        long maxWaitMillis = consecutiveFailures == 0 ? timings.maxWaitMillis() : 0;
+        log.read(topic, from, maxWaitMillis, result -> {
             switch (result) {
                 case KeyedLog.Records records -> applyRecords(records);
                 case KeyedLog.Trimmed trimmed -> restart();
--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -14,6 +14,7 @@
 
 class TopicFollowerTest {
     private static final long ERA = 1;
+    private static final long MAX_WAIT_MILLIS = 2_000;
 
     private final ScriptedLog log = new ScriptedLog();
     private final TreeMap<String, String> latestValues = new TreeMap<>();
@@ -22,7 +23,7 @@
     private final TopicFollower follower = new TopicFollower(
             "t",
             log,
-            new TopicFollower.PollTimings(10, 0, 10, 100),
+            new TopicFollower.PollTimings(10, MAX_WAIT_MILLIS, 10, 100),
             (delay, task) -> tasks.add(task),
             new RecordingListener());
 
@@ -132,6 +133,22 @@
         assertThat(latestValues).containsEntry("a", "2");
     }
 
+    /** Guards against reads that still wait for a record of the outage's time when the log is back. */
+    @Test
+    void reads_after_a_failed_one_ask_for_a_response_at_once_until_one_succeeds() {
+        log.latestResults.add(page(List.of(), false, 0));
+        log.readResults.add(new KeyedLog.Unavailable("silent"));
+        log.readResults.add(new KeyedLog.Unavailable("silent"));
+        log.readResults.add(records(List.of(record(0, "a", "1")), 1, 1));
+        log.readResults.add(records(List.of(), 1, 1));
+        follower.start();
+        for (int i = 0; i < 4; i++) {
+            runNextTask();
+        }
+
+        assertThat(log.readWaitsMillis).containsExactly(MAX_WAIT_MILLIS, 0L, 0L, MAX_WAIT_MILLIS);
+    }
+
     private void runNextTask() {
         tasks.remove().run();
     }
@@ -183,6 +200,7 @@
         private final Deque<LatestResult> latestResults = new ArrayDeque<>();
         private final Deque<ReadResult> readResults = new ArrayDeque<>();
         private final List<Long> readOffsets = new ArrayList<>();
+        private final List<Long> readWaitsMillis = new ArrayList<>();
 
         @Override
         public void onRestored(RestoreListener listener) {
@@ -200,6 +218,7 @@
         public void read(String topic, Position from, long waitMillis, Consumer<ReadResult> callback) {
             if (!readResults.isEmpty()) {
                 readOffsets.add(from.offset());
+                readWaitsMillis.add(waitMillis);
                 callback.accept(readResults.remove());
             }
         }
