--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -304,7 +304,7 @@
                 .collect(Collectors.groupingBy(RecordedCall::model));
         byModel.forEach((model, requests) -> {
             if (requests.size() >= 4 && requests.stream().noneMatch(RecordedCall::isSuccessful)) {
-                unrecovered.add("no gateway served " + model + " in " + requests.size() + " requests");
+                unrecovered.add("no gateway served " + model + " in " + requests.size() + " requests: " + requests);
             }
         });
         return unrecovered;
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -73,7 +73,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1_000, 30_000, 100_003, 100_011, 400_002, 500_001})
     void promises_hold_through_seeds_that_failed_before(long seed) throws Exception {
-        assertThat(runSoak(seed)).isEmpty();
+        assertThat(runSoak(seed)).as("seed %d", seed).isEmpty();
     }
 
     /**
