Use an adapter once a report shows its load

What callers saw: all requests for one adapter were refused at the end of their time, though a target had loaded it, until that target restarted.

Cause: the holder marks an adapter whose load it has ordered as not ready until the response arrives. If a report shows the load before, the response is outdated and changes nothing. A report set models to ready, but not adapters that were marked already. Since a target that holds or loads the adapter costs least, its requests were all placed there.

Evidence: DispatcherAdapterTest, red before in 5 of 6 cases, with each result of the order: the request is never granted. It needs one lost response to an order for an adapter.

Fix: a report sets the adapters that it lists to ready, as it does with models.

Result: DispatcherAdapterTest, DispatcherTest and the other tests of the dispatcher green.

--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -171,9 +171,12 @@
             instance.unconfirmed = false;
             instance.readyAtMillis = Math.min(instance.readyAtMillis, nowMillis);
             instance.adapters.keySet().retainAll(model.adapters());
-            model.adapters()
-                    .forEach(name ->
-                            instance.adapters.computeIfAbsent(name, key -> new ModelInstance.AdapterInstance()));
+            for (String name : model.adapters()) {
+                ModelInstance.AdapterInstance adapter =
+                        instance.adapters.computeIfAbsent(name, key -> new ModelInstance.AdapterInstance());
+                // The response to the order that loaded it may come later, and is not applied then.
+                adapter.readyAtMillis = Math.min(adapter.readyAtMillis, nowMillis);
+            }
         }
         models.keySet().removeIf(name -> {
             boolean removed = !names.contains(name);
