--- a/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
+++ b/src/test/java/org/poplarwharf/internal/topic/TopicFollowerTest.java
@@ -133,7 +133,7 @@
         assertThat(latestValues).containsEntry("a", "2");
     }
 
-    /** Guards against reads that still wait for a record of the outage's time when the log is back. */
+    /** Guards against a read that was begun while the log was silent and still waits when it responds again. */
     @Test
     void reads_after_a_failed_one_ask_for_a_response_at_once_until_one_succeeds() {
         log.latestResults.add(page(List.of(), false, 0));
