Read client accounts, keys and public routes from the configuration

Change: AccountTable finds the account of a key by the key's digest. A route that isn't public needs a key, else the request gets 401 (unknown-key). Targets get the account's name and never the key. An account's priority precedes that of the route. A plan without accounts is handled as before. Requests for targets also state their account and the longest pause between events, for the parts that build on them.

--- a/src/main/java/org/poplarwharf/internal/dispatch/DispatchRequest.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/DispatchRequest.java
@@ -16,6 +16,8 @@
  * @param wantsBackup whether a second target should keep a copy of the run's state, so that the run can continue there
  * @param excluded IDs of targets that have already failed this request
  * @param continuation the stream that the request continues; empty if it begins one or is no stream
+ * @param account the name of the client account of the request; empty if it belongs to none
+ * @param maxEventGapMillis the maximum time between two events of a stream that meets its objective; zero if it has none
  */
 public record DispatchRequest(
         String key,
@@ -27,7 +29,9 @@
         long objectiveMillis,
         boolean wantsBackup,
         Set<String> excluded,
-        Optional<StreamContinuation> continuation) {
+        Optional<StreamContinuation> continuation,
+        Optional<String> account,
+        long maxEventGapMillis) {
 
     Optional<String> model() {
         return traits.model();
@@ -57,6 +61,8 @@
                 objectiveMillis,
                 wantsBackup,
                 excluded,
-                continuation.map(stream -> new StreamContinuation(stream.streamId(), Optional.of(version))));
+                continuation.map(stream -> new StreamContinuation(stream.streamId(), Optional.of(version))),
+                account,
+                maxEventGapMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/fleet/Route.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Route.java
@@ -14,6 +14,7 @@
  * @param destinations services that receive the requests, in proportion to their weights; never empty
  * @param maxTargets maximum number of targets that may run one request
  * @param sharesPrompts whether requests carry prompts that have parts in common
+ * @param isPublic whether requests need no key of a client account
  */
 public record Route(
         String name,
@@ -26,7 +27,8 @@
         int priority,
         List<Destination> destinations,
         int maxTargets,
-        boolean sharesPrompts) {
+        boolean sharesPrompts,
+        boolean isPublic) {
 
     /** A service and its weight among the destinations of a route. Immutable and thread-safe. */
     public record Destination(String service, double weight) {}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/AccountSettings.java
@@ -0,0 +1,16 @@
+package org.poplarwharf.internal.gateway;
+
+/**
+ * How exactly keys and allotments of client accounts must be kept. Immutable and thread-safe.
+ *
+ * @param strictRevocation whether a node refuses requests with keys once it can't tell that its plan is the latest
+ * @param revocationMillis how long such a node may go on by the plan that it knows
+ * @param windowMillis the window over which the use of an allotment is counted
+ * @param excessRatio the ratio by which the use within a window may exceed the allotment
+ * @param slackUnits units by which the use within a window may exceed the allotment, in addition to the ratio
+ */
+public record AccountSettings(
+        boolean strictRevocation, long revocationMillis, long windowMillis, double excessRatio, double slackUnits) {
+    /** Defaults for settings that a deployment omits. */
+    public static final AccountSettings DEFAULTS = new AccountSettings(false, 5_000, 8_000, 0.1, 0);
+}
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
@@ -76,7 +76,8 @@
                 request.route().kind().isStream() ? lastEventId : OptionalLong.empty(),
                 resumeAddress.isEmpty() ? attempt.backup().map(Target::address) : Optional.empty(),
                 resumeAddress,
-                OptionalInt.of(request.route().priority()));
+                OptionalInt.of(request.priority()),
+                request.caller());
     }
 
     /**
--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -24,7 +24,6 @@
 import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
-import org.poplarwharf.internal.fleet.Route;
 
 /**
  * A caller's connection. Handles one exchange at a time and sends responses in the order of the requests.
@@ -35,9 +34,6 @@
  * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
-    /** A node is ready within a second or two of its start, so callers are told to retry soon. */
-    private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
-
     private final GatewayContext gateway;
     private final ProxyServer server;
     private final PipelinedRequests pipelined;
@@ -217,19 +213,14 @@
             refuse(traits.requestId(), FailureCode.SHUTTING_DOWN, "node ends", 0);
             return;
         }
-        if (!gateway.view().isComplete()) {
-            refuse(traits.requestId(), FailureCode.NOT_READY, "no plan or targets yet", NOT_READY_RETRY_AFTER_MILLIS);
-            return;
-        }
-        FleetPlan plan = gateway.view().plan().orElseThrow();
-        Optional<Route> route = plan.routes().find(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
-        if (route.isEmpty()) {
-            refuse(traits.requestId(), FailureCode.UNKNOWN_PATH, "no route", 0);
-            return;
+        switch (RequestIntake.check(gateway, request, traits)) {
+            case RequestIntake.Refused refused ->
+                refuse(traits.requestId(), refused.code(), refused.reason(), refused.retryAfterMillis());
+            case RequestIntake.Accepted accepted -> {
+                exchange = new ProxyExchange(accepted.context(), this, request);
+                exchange.start();
+            }
         }
-        exchange = new ProxyExchange(
-                RequestContext.of(gateway, route.get(), traits, RequestContext.identityOf(request)), this, request);
-        exchange.start();
     }
 
     /** Refuses the current request before its exchange begins. */
--- a/src/main/java/org/poplarwharf/internal/gateway/ForwardingTraits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ForwardingTraits.java
@@ -13,6 +13,7 @@
  * @param backupAddress the address that the target copies the state of the run to as it grows
  * @param resumeAddress the address of the target that has such a copy, from which the run resumes
  * @param priority the priority of the request; zero is the highest
+ * @param caller whose request it is; the target gets the name of the account and never a key
  */
 public record ForwardingTraits(
         String targetId,
@@ -20,4 +21,5 @@
         OptionalLong lastEventId,
         Optional<InetSocketAddress> backupAddress,
         Optional<InetSocketAddress> resumeAddress,
-        OptionalInt priority) {}
+        OptionalInt priority,
+        CallerIdentity caller) {}
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -21,6 +21,8 @@
  * @param loadWindowMillis the window over which loads from the weight store are counted
  * @param loadWindowFactor the ratio by which loads within that window may exceed the weight store's rate
  * @param heartbeatIntervalMillis the interval between heartbeats of a target
+ * @param accounts how exactly keys and allotments of client accounts must be kept
+ * @param ranksByCost whether requests that must wait, or be refused, are chosen by what that costs their callers
  */
 public record GatewaySettings(
         String nodeId,
@@ -38,12 +40,30 @@
         long orderGapMillis,
         long loadWindowMillis,
         double loadWindowFactor,
-        long heartbeatIntervalMillis) {
+        long heartbeatIntervalMillis,
+        AccountSettings accounts,
+        boolean ranksByCost) {
 
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
     /** Defaults for settings that a deployment omits: the values of the users' first two sites. */
     public static final GatewaySettings DEFAULTS = new GatewaySettings(
-            "node", "zone", ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, 2_000, 2_000, 8_000, 0.2, 50, 10_000, 3_000, 5_000,
-            1.1, 1_200);
+            "node",
+            "zone",
+            ANY_PORT,
+            ANY_PORT,
+            ANY_PORT,
+            ANY_PORT,
+            2_000,
+            2_000,
+            8_000,
+            0.2,
+            50,
+            10_000,
+            3_000,
+            5_000,
+            1.1,
+            1_200,
+            AccountSettings.DEFAULTS,
+            false);
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/HeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/HeaderCodec.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import org.poplarwharf.internal.fleet.RequestTraits;
 
 /**
@@ -11,6 +12,9 @@
     /** Reads the metadata that a caller attaches to its request. */
     RequestTraits readRequest(HttpHeaders headers);
 
+    /** Reads the key of a client account; empty unless the headers state exactly one. */
+    Optional<String> readKey(HttpHeaders headers);
+
     /** Reads the metadata that a target attaches to its response. */
     ResponseTraits readResponse(int status, HttpHeaders headers);
 
--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
+import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.InFlightRequest;
@@ -39,12 +40,14 @@
                 gateway.settings().zone(),
                 context.service(),
                 context.traits(),
-                route.priority(),
+                context.priority(),
                 Math.min(context.deadlineMillis(), context.arrivedMillis() + route.callerTimeoutMillis()),
                 context.arrivedMillis() + route.objectiveMillis(),
                 gateway.policy().wantsBackup(route, context.traits()),
                 withPaused(excluded),
-                continuation);
+                continuation,
+                context.caller().knownAccount().map(ClientAccount::name),
+                route.maxEventGapMillis());
     }
 
     private Set<String> withPaused(Set<String> excluded) {
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -3,8 +3,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.OptionalInt;
 import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.crash.RequestSuspects;
+import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 
@@ -12,6 +14,7 @@
  * What is known of a request when its exchange begins. The data is immutable; the collaborators are confined to the event
  * loop.
  *
+ * @param caller whose request it is
  * @param service the service whose targets run the request
  * @param selector selects these targets
  * @param arrivedMillis when the request was read, on the clock of the gateway
@@ -20,6 +23,7 @@
 record RequestContext(
         GatewayContext gateway,
         Route route,
+        CallerIdentity caller,
         RequestTraits traits,
         RequestIdentity identity,
         String service,
@@ -29,13 +33,19 @@
         long deadlineMillis) {
 
     /** Returns the context of a request that arrives now. */
-    static RequestContext of(GatewayContext gateway, Route route, RequestTraits traits, RequestIdentity identity) {
+    static RequestContext of(
+            GatewayContext gateway,
+            Route route,
+            CallerIdentity caller,
+            RequestTraits traits,
+            RequestIdentity identity) {
         String service = route.serviceFor(traits.requestId());
         long arrivedMillis = gateway.nowMillis();
         long callerMillis = traits.remainingMillis().orElse(route.timeoutMillis());
         return new RequestContext(
                 gateway,
                 route,
+                caller,
                 traits,
                 identity,
                 service,
@@ -54,6 +64,14 @@
                 ByteBufUtil.getBytes(request.content()));
     }
 
+    /** Returns the priority of the request: that of its account, or of its route; zero is the highest. */
+    int priority() {
+        return caller.knownAccount()
+                .map(ClientAccount::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.priority());
+    }
+
     /** Returns how much of the caller's time is left, in milliseconds; negative after the deadline. */
     long millisLeft() {
         return deadlineMillis - gateway.nowMillis();
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
@@ -0,0 +1,48 @@
+package org.poplarwharf.internal.gateway;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Optional;
+import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.fleet.FleetPlan;
+import org.poplarwharf.internal.fleet.RequestTraits;
+import org.poplarwharf.internal.fleet.Route;
+
+/**
+ * Decides by the plan in force whether a request is handled: whether it has a route, and a key if its route needs one.
+ *
+ * <p>Stateless; confined to the event loop of the gateway that it reads.
+ */
+final class RequestIntake {
+    /** A node is ready within a second or two of its start, so callers are told to retry soon. */
+    private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
+
+    private RequestIntake() {}
+
+    /** The decision on a request that arrives. */
+    sealed interface Decision {}
+
+    /** The request is handled in the given context. */
+    record Accepted(RequestContext context) implements Decision {}
+
+    /** The request is refused without being run. */
+    record Refused(FailureCode code, String reason, long retryAfterMillis) implements Decision {}
+
+    static Decision check(GatewayContext gateway, FullHttpRequest request, RequestTraits traits) {
+        if (!gateway.view().isComplete()) {
+            return new Refused(FailureCode.NOT_READY, "no plan or targets yet", NOT_READY_RETRY_AFTER_MILLIS);
+        }
+        FleetPlan plan = gateway.view().plan().orElseThrow();
+        Optional<Route> route = plan.routes().find(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
+        if (route.isEmpty()) {
+            return new Refused(FailureCode.UNKNOWN_PATH, "no route", 0);
+        }
+        Optional<CallerIdentity> caller =
+                CallerIdentification.identify(plan, route.get(), request.headers(), gateway.headerCodec());
+        if (caller.isEmpty()) {
+            return new Refused(FailureCode.UNKNOWN_KEY, "no key of a client account", 0);
+        }
+        return new Accepted(
+                RequestContext.of(gateway, route.get(), caller.get(), traits, RequestContext.identityOf(request)));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -60,7 +60,7 @@
         }
     }
 
-    /** Asks the holder for a target for a request. */
+    /** Asks the holder for a target for a request. Earlier releases state neither an account nor a gap between events. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Submit(
             String key,
@@ -77,10 +77,14 @@
             long objectiveMillisLeft,
             boolean wantsBackup,
             List<String> excluded,
-            Optional<StreamContinuation> continuation)
+            Optional<StreamContinuation> continuation,
+            Optional<String> account,
+            Optional<Long> maxEventGapMillis)
             implements HolderMessage {
         public Submit {
             continuation = orEmpty(continuation);
+            account = orEmpty(account);
+            maxEventGapMillis = orEmpty(maxEventGapMillis);
         }
     }
 
@@ -233,7 +237,9 @@
                 request.objectiveMillis() - nowMillis,
                 request.wantsBackup(),
                 List.copyOf(request.excluded()),
-                request.continuation());
+                request.continuation(),
+                request.account(),
+                Optional.of(request.maxEventGapMillis()));
     }
 
     /** Returns the request that a node has submitted. */
@@ -258,7 +264,9 @@
                 nowMillis + submit.objectiveMillisLeft(),
                 submit.wantsBackup(),
                 Set.copyOf(submit.excluded()),
-                submit.continuation());
+                submit.continuation(),
+                submit.account(),
+                submit.maxEventGapMillis().orElse(0L));
     }
 
     /** Returns the message that reports the outcome of a run to the holder. */
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/platform/AccountDecoder.java
@@ -0,0 +1,60 @@
+package org.poplarwharf.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.StreamSupport;
+import org.poplarwharf.internal.fleet.AccountTable;
+import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.ClientAccount;
+
+/**
+ * Decodes the client accounts of the operator's configuration. Stateless and thread-safe.
+ */
+final class AccountDecoder {
+    private static final String TENANTS = "tenants";
+    private static final double DEFAULT_PLAIN_TOKENS = 1;
+
+    private AccountDecoder() {}
+
+    /** Decodes the accounts; empty if the configuration has none, so that requests need no key. Skips accounts without a name. */
+    static Optional<AccountTable> decode(JsonNode configuration) {
+        if (!configuration.path(TENANTS).isArray()) {
+            return Optional.empty();
+        }
+        AccountTable.Builder accounts = new AccountTable.Builder();
+        for (JsonNode tenant : JsonFields.getObjects(configuration, TENANTS)) {
+            JsonFields.getString(tenant, "name")
+                    .ifPresent(name -> accounts.add(
+                            new ClientAccount(name, decodePriority(tenant), decodeAllotment(tenant)),
+                            StreamSupport.stream(tenant.path("apiKeys").spliterator(), false)
+                                    .filter(JsonNode::isTextual)
+                                    .map(JsonNode::textValue)
+                                    .filter(key -> !key.isEmpty())
+                                    .toList()));
+        }
+        return Optional.of(accounts.build());
+    }
+
+    private static OptionalInt decodePriority(JsonNode tenant) {
+        return tenant.path("priority").isIntegralNumber()
+                ? OptionalInt.of(tenant.path("priority").intValue())
+                : OptionalInt.empty();
+    }
+
+    private static Optional<Allotment> decodeAllotment(JsonNode tenant) {
+        double perSecond = JsonFields.getDouble(tenant, "ratePerS", 0);
+        if (perSecond <= 0) {
+            return Optional.empty();
+        }
+        Allotment.Unit unit = JsonFields.getString(tenant, "unit")
+                .filter("tokens"::equals)
+                .map(name -> Allotment.Unit.TOKENS)
+                .orElse(Allotment.Unit.REQUESTS);
+        return Optional.of(new Allotment(
+                unit,
+                perSecond,
+                Math.max(0, JsonFields.getDouble(tenant, "burst", 0)),
+                Math.max(0, JsonFields.getDouble(tenant, "plainTokens", DEFAULT_PLAIN_TOKENS))));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.poplarwharf.internal.failure.Reporter;
+import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 
 /**
@@ -40,7 +41,28 @@
                 JsonFields.getLong(bounds, "leaseMs").orElse(defaults.orderGapMillis()),
                 JsonFields.getLong(bounds, "ceilingWindowS").orElse(defaults.loadWindowMillis() / 1_000) * 1_000,
                 JsonFields.getDouble(bounds, "ceilingFactor", defaults.loadWindowFactor()),
-                JsonFields.getLong(node, "heartbeatMs").orElse(defaults.heartbeatIntervalMillis()));
+                JsonFields.getLong(node, "heartbeatMs").orElse(defaults.heartbeatIntervalMillis()),
+                readAccounts(bounds),
+                hasContract(node, "pressure"));
+    }
+
+    private static AccountSettings readAccounts(JsonNode bounds) {
+        AccountSettings defaults = AccountSettings.DEFAULTS;
+        return new AccountSettings(
+                JsonFields.getBoolean(bounds, "strictRevoke"),
+                JsonFields.getLong(bounds, "revokeMs").orElse(defaults.revocationMillis()),
+                JsonFields.getLong(bounds, "quotaWindowS").orElse(defaults.windowMillis() / 1_000) * 1_000,
+                JsonFields.getDouble(bounds, "quotaExcess", defaults.excessRatio()),
+                JsonFields.getDouble(bounds, "quotaSlack", defaults.slackUnits()));
+    }
+
+    private static boolean hasContract(JsonNode node, String name) {
+        for (JsonNode contract : node.path("contracts")) {
+            if (name.equals(contract.textValue())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private static JsonNode parse(Path file) {
--- a/src/main/java/org/poplarwharf/internal/platform/PlanDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlanDecoder.java
@@ -43,7 +43,12 @@
         for (JsonNode service : JsonFields.getObjects(node, "services")) {
             JsonFields.getString(service, "name").ifPresent(name -> services.put(name, decodeService(name, service)));
         }
-        return new FleetPlan(version, new RouteTable(routes), services, decodeLimits(node.path("limits")));
+        return new FleetPlan(
+                version,
+                new RouteTable(routes),
+                services,
+                decodeLimits(node.path("limits")),
+                AccountDecoder.decode(node));
     }
 
     private static Optional<Route> decodeRoute(JsonNode node) {
@@ -64,7 +69,8 @@
                 (int) JsonFields.getLong(node, "priority").orElse(LOWEST_PRIORITY),
                 destinations,
                 (int) Math.max(1, JsonFields.getLong(node, "maxAttempts").orElse(1)),
-                JsonFields.getBoolean(node, "sticky")));
+                JsonFields.getBoolean(node, "sticky"),
+                JsonFields.getBoolean(node, "public")));
     }
 
     private static RouteKind decodeKind(JsonNode node) {
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.poplarwharf.internal.fleet.RequestTraits;
+import org.poplarwharf.internal.gateway.CallerIdentity;
 import org.poplarwharf.internal.gateway.DecimalParser;
 import org.poplarwharf.internal.gateway.ForwardingTraits;
 import org.poplarwharf.internal.gateway.HeaderCodec;
@@ -41,6 +42,12 @@
     /** Address of the target with the backup of a run, followed by a slash and the id of the request. */
     private static final String RESUME_FROM = "Kv-From";
 
+    private static final String AUTHORIZATION = "Authorization";
+    private static final String KEY_SCHEME = "Bearer ";
+
+    /** Name of the account of a request. */
+    private static final String ACCOUNT = "X-Tenant";
+
     private static final String RESPONSE_DIGEST = "X-Response-Seal";
     private static final String NOT_EXECUTED = "X-Not-Executed";
 
@@ -93,6 +100,16 @@
                         .filter(id -> !id.isEmpty() && id.length() <= MAX_REQUEST_ID_CHARS));
     }
 
+    @Override
+    public Optional<String> readKey(HttpHeaders headers) {
+        List<String> credentials = headers.getAll(AUTHORIZATION);
+        if (credentials.size() != 1 || !credentials.get(0).regionMatches(true, 0, KEY_SCHEME, 0, KEY_SCHEME.length())) {
+            return Optional.empty();
+        }
+        return Optional.of(credentials.get(0).substring(KEY_SCHEME.length()).strip())
+                .filter(key -> !key.isEmpty());
+    }
+
     @Override
     public ResponseTraits readResponse(int status, HttpHeaders headers) {
         return new ResponseTraits(
@@ -119,6 +136,16 @@
         if (traits.priority().isPresent()) {
             headers.set(PRIORITY, Math.clamp(traits.priority().getAsInt(), 0, LOWEST_PRIORITY));
         }
+        rewriteCaller(headers, traits.caller());
+    }
+
+    private static void rewriteCaller(HttpHeaders headers, CallerIdentity caller) {
+        if (caller instanceof CallerIdentity.Unmanaged) {
+            return;
+        }
+        headers.remove(AUTHORIZATION);
+        headers.remove(ACCOUNT);
+        caller.knownAccount().ifPresent(account -> headers.set(ACCOUNT, account.name()));
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
@@ -219,7 +219,9 @@
                         nowMillis + caller.callerClass().objectiveMillis(),
                         false,
                         excluded,
-                        Optional.empty()),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0),
                 nowMillis);
     }
 
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -170,7 +170,9 @@
                         nowMillis + 2_000,
                         true,
                         Set.of(),
-                        continuation),
+                        continuation,
+                        Optional.empty(),
+                        0),
                 nowMillis);
     }
 
--- a/src/test/java/org/poplarwharf/internal/fleet/RouteTableTest.java
+++ b/src/test/java/org/poplarwharf/internal/fleet/RouteTableTest.java
@@ -38,6 +38,7 @@
                 0,
                 List.of(new Route.Destination("s1", 90), new Route.Destination("s2", 10)),
                 1,
+                false,
                 false);
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < 2_000; i++) {
@@ -52,7 +53,18 @@
     @Test
     void caller_timeout_of_a_stream_is_the_longest_of_minimum_objectives_and_gaps() {
         Route stream = new Route(
-                "r", "a", "/", RouteKind.STREAM, 15_000, 500, 400, 0, List.of(new Route.Destination("s", 1)), 1, true);
+                "r",
+                "a",
+                "/",
+                RouteKind.STREAM,
+                15_000,
+                500,
+                400,
+                0,
+                List.of(new Route.Destination("s", 1)),
+                1,
+                true,
+                false);
 
         assertThat(stream.callerTimeoutMillis()).isEqualTo(3_200);
     }
@@ -69,6 +81,7 @@
                 0,
                 List.of(new Route.Destination("s", 1)),
                 2,
+                false,
                 false);
     }
 }
--- a/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
@@ -118,6 +118,7 @@
                     0,
                     List.of(new Route.Destination("desk", 1)),
                     MAX_TARGETS,
+                    false,
                     false);
             RequestTraits traits = new RequestTraits(
                     "r1",
@@ -133,7 +134,11 @@
             FullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
             request.headers().set("X-Request-Id", traits.requestId());
-            new ProxyExchange(RequestContext.of(context, route, traits, identity), sink, request).start();
+            new ProxyExchange(
+                            RequestContext.of(context, route, new CallerIdentity.Unmanaged(), traits, identity),
+                            sink,
+                            request)
+                    .start();
         });
         String response = sink.response.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         log.flush();
--- a/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
@@ -112,8 +112,19 @@
                 "n1", history, id -> Optional.empty(), null, clock::nowMillis, 1_000, crashes -> {}, suspects -> {});
         FleetView view = new FleetView();
         Route route = new Route(
-                "r", "h", "/", RouteKind.ONCE, 20_000, 100, 0, 0, List.of(new Route.Destination("desk", 1)), 1, false);
-        view.apply(new FleetPlan(1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULTS));
+                "r",
+                "h",
+                "/",
+                RouteKind.ONCE,
+                20_000,
+                100,
+                0,
+                0,
+                List.of(new Route.Destination("desk", 1)),
+                1,
+                false,
+                false);
+        view.apply(new FleetPlan(1, new RouteTable(List.of(route)), Map.of(), CallerLimits.DEFAULTS, Optional.empty()));
         view.targetsLoaded();
         GatewayContext context = new GatewayContext(
                 GatewaySettings.DEFAULTS,
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -110,7 +110,18 @@
                 OptionalLong.empty(),
                 Optional.empty());
         DispatchRequest request = new DispatchRequest(
-                key, "z1", "lm", traits, 0, nowMillis + 10_000, nowMillis + 500, false, Set.of(), Optional.empty());
+                key,
+                "z1",
+                "lm",
+                traits,
+                0,
+                nowMillis + 10_000,
+                nowMillis + 500,
+                false,
+                Set.of(),
+                Optional.empty(),
+                Optional.empty(),
+                0);
         loop.execute(() -> selector.select(request, new RecordingCallback()));
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -112,7 +112,9 @@
                 defaults.orderGapMillis(),
                 defaults.loadWindowMillis(),
                 defaults.loadWindowFactor(),
-                defaults.heartbeatIntervalMillis());
+                defaults.heartbeatIntervalMillis(),
+                defaults.accounts(),
+                defaults.ranksByCost());
     }
 
     /** Starts killed nodes again, at their addresses. */
--- a/src/test/java/org/poplarwharf/internal/holder/StreamOriginLookupTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/StreamOriginLookupTest.java
@@ -62,7 +62,9 @@
                 10_500,
                 false,
                 Set.of(),
-                Optional.of(new StreamContinuation(streamId, Optional.empty())));
+                Optional.of(new StreamContinuation(streamId, Optional.empty())),
+                Optional.empty(),
+                0);
     }
 
     private static KeyedLog.KeyedRecord record(long offset, int slot, StreamOrigin... recorded) {
--- a/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
@@ -21,6 +21,7 @@
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.RouteKind;
 import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.gateway.CallerIdentity;
 import org.poplarwharf.internal.gateway.ForwardingTraits;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 
@@ -141,7 +142,8 @@
                                 OptionalLong.empty(),
                                 Optional.empty(),
                                 Optional.empty(),
-                                OptionalInt.of(2)));
+                                OptionalInt.of(2),
+                                new CallerIdentity.Unmanaged()));
 
         assertThat(headers.contains("X-Hold")).isFalse();
         assertThat(headers.contains("X-Pin-Ms")).isFalse();
