Keep the allotments of client accounts over all nodes, and learn of withdrawn keys from other nodes

Change: the lease holder hands out units of each account's allotment to the nodes that are connected to it, in the share of those nodes among all known ones; a node without a holder uses an even share that accrues from the holder's last message. Nodes state the plan version whose keys they know; one that is behind gets the digests of the keys in force.

--- a/src/main/java/org/poplarwharf/internal/fleet/AccountTable.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/AccountTable.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds the client account that holds a key.
@@ -22,6 +23,9 @@
     /** A longer text is no key, so that callers can't make a node hash large headers. */
     private static final int MAX_KEY_CHARS = 1_024;
 
+    /** Enough that no two keys of a deployment have the same digest, and few enough that nodes can exchange all digests. */
+    private static final int DIGEST_BYTES = 12;
+
     private final Map<String, ClientAccount> accountsByName;
     private final Map<String, ClientAccount> accountsByKeyDigest;
 
@@ -30,12 +34,22 @@
         this.accountsByKeyDigest = accountsByKeyDigest;
     }
 
-    /** Returns the account that holds the key; empty if none or more than one does. */
-    public Optional<ClientAccount> findByKey(String key) {
+    /**
+     * Returns the account that holds the key; empty if none or more than one does.
+     *
+     * @param isWithdrawn whether a later plan than that of this table has withdrawn the key with the given digest
+     */
+    public Optional<ClientAccount> findByKey(String key, Predicate<String> isWithdrawn) {
         if (key.isEmpty() || key.length() > MAX_KEY_CHARS) {
             return Optional.empty();
         }
-        return Optional.ofNullable(accountsByKeyDigest.get(digest(key)));
+        String digest = digest(key);
+        return Optional.ofNullable(accountsByKeyDigest.get(digest)).filter(account -> !isWithdrawn.test(digest));
+    }
+
+    /** Returns the digests of the keys that belong to an account. */
+    public Set<String> keyDigests() {
+        return accountsByKeyDigest.keySet();
     }
 
     /** Returns the account with the name. */
@@ -48,15 +62,10 @@
         return accountsByName;
     }
 
-    /** Returns the number of keys that belong to an account. */
-    public int keyCount() {
-        return accountsByKeyDigest.size();
-    }
-
     private static String digest(String key) {
         try {
             byte[] hash = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(hash);
+            return HexFormat.of().formatHex(hash, 0, DIGEST_BYTES);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java platform has SHA-256", e);
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -7,7 +7,9 @@
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.RequestSuspects;
+import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.fleet.FleetPlan;
+import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.TargetConnectionPool;
 import org.poplarwharf.internal.kernel.DecisionLog;
@@ -33,6 +35,9 @@
     private final TargetStatements statements;
     private TargetSelector plainSelector;
     private TargetSelector engineSelector;
+    private final KeysInForce keysInForce = new KeysInForce();
+    private final CallerIdentification callers;
+    private AllotmentGate allotmentGate;
     private TargetLimits targetLimits;
     private StreamOrigins streamOrigins;
     private long keyCount;
@@ -60,6 +65,7 @@
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
         this.statements = new TargetStatements(view, clock::nowMillis, log);
+        this.callers = new CallerIdentification(view, keysInForce, settings.accounts());
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
@@ -68,6 +74,20 @@
         retryBudget.setLimits(latest.retryRatio(), latest.minRetryCount(), latest.retryWindowMillis());
     }
 
+    void setAllotmentGate(AllotmentGate gate) {
+        allotmentGate = gate;
+    }
+
+    /** Identifies callers by the keys that their requests carry. */
+    CallerIdentification callers() {
+        return callers;
+    }
+
+    /** What other nodes have stated of the keys in force. */
+    KeysInForce keysInForce() {
+        return keysInForce;
+    }
+
     void setSelectors(
             TargetSelector forPlainServices, TargetSelector forEngines, TargetLimits limits, StreamOrigins origins) {
         streamOrigins = origins;
@@ -85,7 +105,20 @@
         return !targetLimits.isLimited(target.id()) && statements.accepts(target);
     }
 
-    TargetSelector selectorFor(String service) {
+    /** Returns the selector of targets for one request. */
+    TargetSelector selectorFor(String service, CallerIdentity caller, RequestTraits traits, long deadlineMillis) {
+        TargetSelector targets = selectorFor(service);
+        Optional<ClientAccount> limited =
+                caller.knownAccount().filter(account -> account.allotment().isPresent());
+        if (limited.isEmpty()) {
+            return targets;
+        }
+        ClientAccount account = limited.get();
+        double units = account.allotment().orElseThrow().cost(traits);
+        return new AllottedSelector(targets, allotmentGate, account, units, () -> deadlineMillis - nowMillis());
+    }
+
+    private TargetSelector selectorFor(String service) {
         boolean hasEngine = view.plan()
                 .map(FleetPlan::services)
                 .map(services -> services.get(service))
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -54,6 +54,16 @@
                 origins);
     }
 
+    /** Sets the gate that admits the requests of client accounts within their allotments. */
+    public void setAllotmentGate(AllotmentGate gate) {
+        context.setAllotmentGate(gate);
+    }
+
+    /** Returns what other nodes have stated of the keys in force. */
+    public KeysInForce keysInForce() {
+        return context.keysInForce();
+    }
+
     /** Listens for readiness checks and metrics requests. */
     public ChannelFuture listenForReadiness(EventLoopGroup group) {
         return readinessServer.listen(group, context.settings().readinessAddress());
--- a/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
@@ -9,7 +9,7 @@
  * <p>Invariants: the first estimate is the highest count of a settling time; it falls only after all counts have been
  * lower for a hold time. Confined to one thread.
  */
-final class NodeCountEstimate {
+public final class NodeCountEstimate {
     /** All nodes reconnect to a new holder within this time. */
     private static final long SETTLING_MILLIS = 2_000;
 
@@ -21,11 +21,12 @@
     private int highestLowerCount;
 
     /** Returns the estimate, or zero if it is not known yet. */
-    int count() {
+    public int count() {
         return settled ? count : 0;
     }
 
-    void recordReport(int reportedCount, long nowMillis, long holdMillis) {
+    /** Records the number of nodes that the lease holder has reported. */
+    public void recordReport(int reportedCount, long nowMillis, long holdMillis) {
         if (firstReportMillis.isEmpty()) {
             firstReportMillis = OptionalLong.of(nowMillis);
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.kernel.DecisionLog;
@@ -16,9 +17,11 @@
 
     private final FleetView view;
     private final Function<byte[], FleetPlan> decoder;
+    private final LongSupplier clock;
     private final DecisionLog log;
 
-    public PlanTopicListener(FleetView view, Function<byte[], FleetPlan> decoder, DecisionLog log) {
+    public PlanTopicListener(FleetView view, Function<byte[], FleetPlan> decoder, LongSupplier clock, DecisionLog log) {
+        this.clock = clock;
         this.view = view;
         this.decoder = decoder;
         this.log = log;
@@ -65,6 +68,7 @@
 
     @Override
     public void onReachabilityChanged(boolean reachable, String reason) {
+        view.setPlanReachable(reachable, clock.getAsLong());
         log.log(reachable ? "log-regained" : "log-lost", "topic", "plan", "reason", reason);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -118,6 +118,11 @@
         }
     }
 
+    @Override
+    public void onRefused(FailureCode code, String reason, long retryAfterMillis) {
+        end(code, reason, retryAfterMillis);
+    }
+
     @Override
     public void onSending(Attempt attempt) {
         limits.recordPossibleRun();
@@ -336,17 +341,11 @@
     /** Refuses a request that has crashed targets, or a part of whose prompt has, and returns whether it did. */
     private boolean refuseIfCrashing() {
         Optional<CrashHistory.Refusal> refusal = limits.crashRefusal();
-        if (refusal.isEmpty()) {
-            return false;
-        }
-        releaseTarget();
-        String reason = refusal.get().reason();
-        if (limits.mayHaveRun()) {
-            giveUp(reason, 0);
-        } else {
-            fail(FailureCode.CRASH_SUSPECTED, reason, refusal.get().remainingMillis());
-        }
-        return true;
+        refusal.ifPresent(found -> {
+            releaseTarget();
+            end(FailureCode.TARGET_FAILED, FailureCode.CRASH_SUSPECTED, found.reason(), found.remainingMillis());
+        });
+        return refusal.isPresent();
     }
 
     private void expire() {
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -42,6 +42,7 @@
         String service = route.serviceFor(traits.requestId());
         long arrivedMillis = gateway.nowMillis();
         long callerMillis = traits.remainingMillis().orElse(route.timeoutMillis());
+        long deadlineMillis = arrivedMillis + Math.min(callerMillis, route.timeoutMillis());
         return new RequestContext(
                 gateway,
                 route,
@@ -50,9 +51,9 @@
                 identity,
                 service,
                 new RequestSuspects(identity.fingerprint(), service, traits),
-                gateway.selectorFor(service),
+                gateway.selectorFor(service, caller, traits, deadlineMillis),
                 arrivedMillis,
-                arrivedMillis + Math.min(callerMillis, route.timeoutMillis()));
+                deadlineMillis);
     }
 
     /** Returns by what a request is recognized when it comes again. */
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
@@ -37,12 +37,13 @@
         if (route.isEmpty()) {
             return new Refused(FailureCode.UNKNOWN_PATH, "no route", 0);
         }
-        Optional<CallerIdentity> caller =
-                CallerIdentification.identify(plan, route.get(), request.headers(), gateway.headerCodec());
-        if (caller.isEmpty()) {
-            return new Refused(FailureCode.UNKNOWN_KEY, "no key of a client account", 0);
-        }
-        return new Accepted(
-                RequestContext.of(gateway, route.get(), caller.get(), traits, RequestContext.identityOf(request)));
+        return switch (gateway.callers()
+                .identify(plan, route.get(), request.headers(), gateway.headerCodec(), gateway.nowMillis())) {
+            case CallerIdentification.Rejected rejected ->
+                new Refused(rejected.code(), rejected.reason(), rejected.retryAfterMillis());
+            case CallerIdentification.Identified identified ->
+                new Accepted(RequestContext.of(
+                        gateway, route.get(), identified.caller(), traits, RequestContext.identityOf(request)));
+        };
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.Optional;
+import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.Target;
@@ -41,5 +42,10 @@
 
         /** Called when no target is available in time. The caller should retry after the given time. */
         void onRejected(String reason, long retryAfterMillis);
+
+        /** Called when the request may not run now, whichever targets there are. The caller should retry after the given time. */
+        default void onRefused(FailureCode code, String reason, long retryAfterMillis) {
+            onRejected(reason, retryAfterMillis);
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/AccountMessage.java
@@ -0,0 +1,45 @@
+package org.poplarwharf.internal.holder;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.Set;
+
+/**
+ * A message between a node and the lease holder about client accounts; sent only while the plan has accounts, since earlier
+ * releases don't know such messages. Immutable and thread-safe.
+ */
+public sealed interface AccountMessage extends HolderMessage {
+    /**
+     * Asks the holder for units of an account's allotment.
+     *
+     * @param number identifies the request among those of the node for the account
+     * @param minUnits the units that the first waiting request uses; fewer are of no use
+     * @param wantedUnits the units that all waiting requests use, and some for the next ones
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record AllotmentRequest(String account, long number, double minUnits, double wantedUnits)
+            implements AccountMessage {}
+
+    /**
+     * Hands out units to a node.
+     *
+     * @param units zero if the account has used up its allotment
+     * @param retryAfterMillis when there is room again, if no units are handed out
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record AllotmentGrant(String account, long number, double units, long retryAfterMillis) implements AccountMessage {}
+
+    /** Gives units back to the holder that the node has not used. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record AllotmentReturn(String account, double units) implements AccountMessage {}
+
+    /**
+     * States the latest version of the plan of which the sender knows the keys. Nodes send it to the holder in response to
+     * heartbeats, which also shows that they are connected; the holder sends it to a node that knows a later version.
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PlanHeld(long version) implements AccountMessage {}
+
+    /** States the digests of all keys that the plan of the given version holds. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record KeysHeld(long version, Set<String> digests) implements AccountMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
@@ -0,0 +1,176 @@
+package org.poplarwharf.internal.holder;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.allotment.AllotmentCredits;
+import org.poplarwharf.internal.allotment.AllotmentPool;
+import org.poplarwharf.internal.allotment.SilentHolderShare;
+import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.gateway.AccountSettings;
+import org.poplarwharf.internal.gateway.AllotmentGate;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.topic.TopicFollower;
+
+/**
+ * Acquires units of allotments for this node's requests: from the pool of the lease holder, which may be this node, or from
+ * this node's own share while no holder responds.
+ *
+ * <p>Invariants: a request runs only with the units that it uses. The holder is asked for the requests of an account that
+ * wait, and not for each of them. Confined to the event loop.
+ */
+final class AllotmentExchange implements AllotmentGate {
+    private static final long CHECK_INTERVAL_MILLIS = 50;
+
+    /** A holder in reach responds much sooner; until it does, this node's own share may be used. */
+    private static final long MAX_RESPONSE_MILLIS = 150;
+
+    /** Requests wait for a holder for at most this time, so that their callers can come back at another node. */
+    private static final long MAX_HOLDER_WAIT_MILLIS = 1_000;
+
+    private static final long RETRY_AFTER_MILLIS = 700;
+
+    private final HolderPath path;
+    private final AllotmentIssuer localIssuer;
+    private final MonotonicClock clock;
+    private final TopicFollower.Timer timer;
+    private final AllotmentCredits credits = new AllotmentCredits();
+    private final SilentHolderShare silentShare;
+    private final Map<String, AllotmentQueue> queues = new HashMap<>();
+
+    /**
+     * How this node reaches the lease holder.
+     *
+     * @param isLocal whether this node is the holder
+     * @param isResponding whether a holder, which may be this node, decides for this node now
+     * @param send sends a message to another node that is the holder
+     */
+    record HolderPath(BooleanSupplier isLocal, BooleanSupplier isResponding, Consumer<HolderMessage> send) {}
+
+    AllotmentExchange(
+            HolderPath path,
+            AllotmentIssuer localIssuer,
+            AccountSettings settings,
+            MonotonicClock clock,
+            TopicFollower.Timer timer) {
+        this.path = path;
+        this.localIssuer = localIssuer;
+        this.clock = clock;
+        this.timer = timer;
+        this.silentShare = new SilentHolderShare(settings.windowMillis(), clock.nowMillis());
+    }
+
+    /** Starts the periodic check of waiting requests and unused units. */
+    void start() {
+        check();
+        timer.schedule(CHECK_INTERVAL_MILLIS, this::start);
+    }
+
+    /** Records that a holder decides for this node now, and the number of nodes that are known; zero if it is unknown. */
+    void recordContact(int nodeCount) {
+        silentShare.recordContact(clock.nowMillis());
+        silentShare.setNodeCount(nodeCount);
+    }
+
+    @Override
+    public Acquisition acquire(ClientAccount account, double units, long millisLeft, Callback callback) {
+        long nowMillis = clock.nowMillis();
+        AllotmentQueue queue = queues.computeIfAbsent(account.name(), name -> new AllotmentQueue(account));
+        queue.setAccount(account);
+        AllotmentQueue.Waiting request = new AllotmentQueue.Waiting(units, nowMillis, millisLeft, callback);
+        queue.add(request, nowMillis);
+        serve(queue);
+        return request;
+    }
+
+    /** Handles units that the holder hands out, or its statement that there are none. */
+    void handleGrant(AccountMessage.AllotmentGrant grant) {
+        long nowMillis = clock.nowMillis();
+        if (grant.units() > 0) {
+            credits.add(grant.account(), grant.units(), nowMillis);
+        }
+        AllotmentQueue queue = queues.get(grant.account());
+        if (queue == null) {
+            return;
+        }
+        queue.recordResponse(grant.number());
+        if (grant.units() <= 0) {
+            queue.refuseLate(grant.retryAfterMillis(), nowMillis);
+        }
+        serve(queue);
+    }
+
+    /** Lets waiting requests run, as far as there are units, and asks for more. */
+    private void serve(AllotmentQueue queue) {
+        while (!queue.isEmpty() && tryTakeHere(queue)) {
+            queue.takeFirst().callback().onAcquired();
+        }
+        if (path.isLocal().getAsBoolean()) {
+            serveFromPool(queue);
+        } else if (!queue.isEmpty()
+                && queue.mayAsk(clock.nowMillis())
+                && path.isResponding().getAsBoolean()) {
+            ask(queue);
+        }
+    }
+
+    /** Uses what this node has of the account's units, and returns whether it was enough for the first request. */
+    private boolean tryTakeHere(AllotmentQueue queue) {
+        long nowMillis = clock.nowMillis();
+        String account = queue.account().name();
+        double units = queue.first().units();
+        if (credits.tryTake(account, units, nowMillis)) {
+            return true;
+        }
+        boolean isSilent =
+                !path.isResponding().getAsBoolean() || queue.unansweredMillis(nowMillis) > MAX_RESPONSE_MILLIS;
+        return isSilent && silentShare.tryTake(account, queue.allotment(), units, nowMillis);
+    }
+
+    private void serveFromPool(AllotmentQueue queue) {
+        while (!queue.isEmpty() && queue.mayAsk(clock.nowMillis())) {
+            double units = queue.first().units();
+            if (localIssuer.take(queue.account().name(), units, units) instanceof AllotmentPool.Exhausted exhausted) {
+                queue.refuseLate(exhausted.retryAfterMillis(), clock.nowMillis());
+            } else {
+                queue.takeFirst().callback().onAcquired();
+            }
+        }
+    }
+
+    private void ask(AllotmentQueue queue) {
+        long nowMillis = clock.nowMillis();
+        String account = queue.account().name();
+        double wantedUnits = queue.waitingUnits() + credits.unitsAhead(account, queue.allotment(), nowMillis);
+        path.send()
+                .accept(new AccountMessage.AllotmentRequest(
+                        account, queue.recordAsked(nowMillis), queue.first().units(), wantedUnits));
+    }
+
+    private void check() {
+        long nowMillis = clock.nowMillis();
+        silentShare.tick(nowMillis);
+        credits.takeExpired(nowMillis).forEach(this::giveBack);
+        for (AllotmentQueue queue : List.copyOf(queues.values())) {
+            if (queue.unansweredMillis(nowMillis) > MAX_HOLDER_WAIT_MILLIS) {
+                queue.forgetAsk();
+            }
+            serve(queue);
+            while (!queue.isEmpty() && queue.first().waitedMillis(nowMillis) > MAX_HOLDER_WAIT_MILLIS) {
+                queue.takeFirst().callback().onRefused(FailureCode.NO_HOLDER, "no-holder", RETRY_AFTER_MILLIS);
+            }
+        }
+        queues.values().removeIf(queue -> queue.isDisposable(nowMillis));
+    }
+
+    private void giveBack(String account, double units) {
+        if (path.isLocal().getAsBoolean()) {
+            localIssuer.giveBack(account, units);
+        } else {
+            path.send().accept(new AccountMessage.AllotmentReturn(account, units));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
@@ -0,0 +1,178 @@
+package org.poplarwharf.internal.holder;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.poplarwharf.FailureCode;
+import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.gateway.AllotmentGate;
+
+/**
+ * The requests of one client account that wait at this node for units, in the order in which they arrived.
+ *
+ * <p>Invariants: at most one request for units is under way. Refused requests are told to come back one after the other.
+ * Confined to the event loop.
+ */
+final class AllotmentQueue {
+    /** A request waits for units rather than being refused, if its wait is short against the caller's time. */
+    private static final double MAX_WAIT_RATIO = 0.15;
+
+    private static final long MAX_WAIT_MILLIS = 300;
+
+    /** Callers are told to come back after at most this time. */
+    private static final long MAX_RETRY_AFTER_MILLIS = 4_000;
+
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private ClientAccount account;
+    private long askNumber;
+    private boolean asking;
+    private long askedMillis;
+    private long retryMillis;
+
+    /** The time at which the last refused request was told to come back, plus the time in which its units accrue. */
+    private double promisedMillis;
+
+    /** A request that waits. */
+    static final class Waiting implements AllotmentGate.Acquisition {
+        private final double units;
+        private final long arrivedMillis;
+        private final long maxWaitMillis;
+        private final AllotmentGate.Callback callback;
+        private boolean cancelled;
+
+        Waiting(double units, long arrivedMillis, long millisLeft, AllotmentGate.Callback callback) {
+            this.units = units;
+            this.arrivedMillis = arrivedMillis;
+            this.maxWaitMillis = Math.min(MAX_WAIT_MILLIS, Math.round(millisLeft * MAX_WAIT_RATIO));
+            this.callback = callback;
+        }
+
+        double units() {
+            return units;
+        }
+
+        long waitedMillis(long nowMillis) {
+            return nowMillis - arrivedMillis;
+        }
+
+        AllotmentGate.Callback callback() {
+            return callback;
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+        }
+    }
+
+    AllotmentQueue(ClientAccount account) {
+        this.account = account;
+    }
+
+    ClientAccount account() {
+        return account;
+    }
+
+    /** Replaces the account by a later state of it, with its present allotment. */
+    void setAccount(ClientAccount latest) {
+        account = latest;
+    }
+
+    Allotment allotment() {
+        return account.allotment().orElseThrow();
+    }
+
+    /** Adds a request; refuses it if units are available too late for it. */
+    void add(Waiting request, long nowMillis) {
+        waiting.addLast(request);
+        if (retryMillis > nowMillis) {
+            refuseLate(retryMillis - nowMillis, nowMillis);
+        }
+    }
+
+    /** Returns whether no request waits, apart from cancelled ones. */
+    boolean isEmpty() {
+        waiting.removeIf(request -> request.cancelled);
+        return waiting.isEmpty();
+    }
+
+    /** Returns whether nothing is left to be known of this queue. */
+    boolean isDisposable(long nowMillis) {
+        return isEmpty() && !asking && promisedMillis <= nowMillis;
+    }
+
+    /** Returns the request that has waited longest. */
+    Waiting first() {
+        return waiting.getFirst();
+    }
+
+    Waiting takeFirst() {
+        return waiting.removeFirst();
+    }
+
+    double waitingUnits() {
+        return waiting.stream().mapToDouble(Waiting::units).sum();
+    }
+
+    /** Returns whether the holder may be asked now. */
+    boolean mayAsk(long nowMillis) {
+        return !asking && nowMillis >= retryMillis;
+    }
+
+    /** Records that the holder is asked, and returns the number of the request for units. */
+    long recordAsked(long nowMillis) {
+        asking = true;
+        askedMillis = nowMillis;
+        askNumber++;
+        return askNumber;
+    }
+
+    /** Records the response to a request for units; one to an earlier request changes nothing. */
+    void recordResponse(long number) {
+        asking &= number != askNumber;
+    }
+
+    /** Forgets a request for units to which no response comes. */
+    void forgetAsk() {
+        asking = false;
+    }
+
+    /** Returns how long a request for units has had no response; zero if none is under way. */
+    long unansweredMillis(long nowMillis) {
+        return asking ? nowMillis - askedMillis : 0;
+    }
+
+    /**
+     * Refuses the requests that can't have units soon. Each is told to come back behind those before it; the others wait.
+     *
+     * @param retryAfterMillis when the first request can have units
+     */
+    void refuseLate(long retryAfterMillis, long nowMillis) {
+        retryMillis = nowMillis + retryAfterMillis;
+        double unitsPerMilli = allotment().perSecond() / 1_000;
+        double dueMillis = Math.max(retryMillis, promisedMillis);
+        List<Runnable> refusals = new ArrayList<>();
+        List<Waiting> kept = new ArrayList<>();
+        for (Waiting request : waiting) {
+            if (request.cancelled) {
+                continue;
+            }
+            long readyMillis = Math.min(MAX_RETRY_AFTER_MILLIS, Math.round(dueMillis - nowMillis));
+            dueMillis += request.units() / unitsPerMilli;
+            if (request.waitedMillis(nowMillis) + readyMillis <= request.maxWaitMillis) {
+                kept.add(request);
+            } else {
+                refusals.add(() -> request.callback()
+                        .onRefused(FailureCode.ALLOTMENT_EXCEEDED, "account over its allotment", readyMillis));
+            }
+        }
+        if (!refusals.isEmpty()) {
+            promisedMillis = Math.min(dueMillis, nowMillis + MAX_RETRY_AFTER_MILLIS);
+        }
+        waiting.clear();
+        waiting.addAll(kept);
+        refusals.forEach(Runnable::run);
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -305,6 +305,7 @@
             case HolderMessage.Withdraw withdraw -> closeUnexpected(sender);
             case HolderMessage.Outcome outcome -> closeUnexpected(sender);
             case HolderMessage.Ended ended -> closeUnexpected(sender);
+            case AccountMessage account -> listener.accountMessageReceived(account);
         }
     }
 
@@ -379,7 +380,8 @@
         }
     }
 
-    private void send(HolderMessage message) {
+    /** Sends a message to the holder that this node follows, if it is connected. */
+    void send(HolderMessage message) {
         link.send(message);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -8,23 +8,17 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
-import java.util.function.Function;
 import org.poplarwharf.internal.admin.PrometheusText;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.failure.Reporter;
-import org.poplarwharf.internal.fleet.FleetPlan;
-import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.GatewayMetrics;
 import org.poplarwharf.internal.gateway.GatewayServer;
 import org.poplarwharf.internal.gateway.GatewaySettings;
-import org.poplarwharf.internal.gateway.HeaderCodec;
 import org.poplarwharf.internal.gateway.PlanTopicListener;
 import org.poplarwharf.internal.gateway.TargetTopicListener;
 import org.poplarwharf.internal.http.PooledHttpClient;
@@ -78,18 +72,7 @@
     private final TopicFollower targetFollower;
     private final CrashContainment crashes;
     private final StreamOriginRecords originRecords;
-
-    /** The platform-specific functions that a node needs. */
-    public record PlatformAdapter(
-            HeaderCodec headerNames,
-            Function<PooledHttpClient, KeyedLog> logFactory,
-            Function<PooledHttpClient, EngineClient> engineClientFactory,
-            BiFunction<String, byte[], Optional<Target>> targetDecoder,
-            Function<byte[], FleetPlan> planDecoder,
-            Function<String, InetSocketAddress> addressParser,
-            Function<InetSocketAddress, String> addressFormatter,
-            String planTopic,
-            String targetTopic) {}
+    private final ClientAccounts accounts;
 
     public GatewayNode(GatewaySettings settings, PlatformAdapter adapter, PrintStream out) {
         this.settings = settings;
@@ -127,6 +110,9 @@
                 streamOrigins);
         this.engineTargets = newEngineTargets(targetLimits, streamOrigins);
         front.setHolderSelector(engineTargets, targetLimits, streamOrigins);
+        this.accounts = new ClientAccounts(
+                settings.accounts(), view, front.keysInForce(), holderRole, engineTargets, clock, timer, log);
+        front.setAllotmentGate(accounts.gate());
         LeaseRecord self = new LeaseRecord(
                 settings.nodeId(),
                 incarnation,
@@ -196,7 +182,7 @@
                 new TopicFollower.PollTimings(
                         PLAN_READ_GAP_MILLIS, settings.planUpdateMillis(), RETRY_MILLIS, MAX_RETRY_MILLIS),
                 timer,
-                new PlanTopicListener(view, adapter.planDecoder(), log));
+                new PlanTopicListener(view, adapter.planDecoder(), clock::nowMillis, log));
     }
 
     private CrashContainment newCrashContainment() {
@@ -236,7 +222,7 @@
     /** Starts the node and returns once it accepts connections. */
     public void start() {
         awaitBinding(settings.readinessAddress(), front.listenForReadiness(group));
-        awaitBinding(settings.peerAddress(), holderRole.listen(group, settings.peerAddress()));
+        awaitBinding(settings.peerAddress(), holderRole.listen(group, settings.peerAddress(), accounts));
         awaitBinding(settings.callerAddress(), front.listen(group));
         loop.execute(() -> {
             log.log("node-started", "front", settings.callerAddress(), "log", settings.logAddress());
@@ -244,6 +230,7 @@
             targetFollower.start();
             crashes.start();
             engineTargets.start();
+            accounts.start();
             lease.start();
         });
     }
@@ -315,6 +302,7 @@
         public void claimed(long fencingNumber) {
             log.log("lease-claimed", "fencingNumber", fencingNumber);
             holderRole.leaseClaimed(lease);
+            accounts.leaseClaimed();
             originRecords.leaseClaimed();
         }
 
@@ -349,6 +337,12 @@
         @Override
         public void nodeCountReported(int nodeCount) {
             front.recordNodeCount(nodeCount);
+            accounts.recordNodeCount(nodeCount);
+        }
+
+        @Override
+        public void accountMessageReceived(AccountMessage message) {
+            accounts.receivedFromHolder(message);
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/HolderListener.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderListener.java
@@ -8,6 +8,9 @@
     /** Called with the number of nodes that the holder, which may be this node, is connected to, itself included. */
     void nodeCountReported(int nodeCount);
 
+    /** Called with a message of the holder about client accounts. */
+    void accountMessageReceived(AccountMessage message);
+
     /** Called with the suspects that the holder refuses, or no longer refuses. */
     void crashesAnnounced(HolderMessage.TargetCrashes announcement);
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -34,8 +34,22 @@
     @JsonSubTypes.Type(value = HolderMessage.Granted.class, name = "g"),
     @JsonSubTypes.Type(value = HolderMessage.Refused.class, name = "r"),
     @JsonSubTypes.Type(value = HolderMessage.TargetCrashes.class, name = "c"),
+    @JsonSubTypes.Type(value = AccountMessage.AllotmentRequest.class, name = "ar"),
+    @JsonSubTypes.Type(value = AccountMessage.AllotmentGrant.class, name = "ag"),
+    @JsonSubTypes.Type(value = AccountMessage.AllotmentReturn.class, name = "au"),
+    @JsonSubTypes.Type(value = AccountMessage.PlanHeld.class, name = "ph"),
+    @JsonSubTypes.Type(value = AccountMessage.KeysHeld.class, name = "kh"),
 })
-public sealed interface HolderMessage {
+public sealed interface HolderMessage
+        permits HolderMessage.Heartbeat,
+                HolderMessage.Submit,
+                HolderMessage.Withdraw,
+                HolderMessage.Outcome,
+                HolderMessage.Ended,
+                HolderMessage.Granted,
+                HolderMessage.Refused,
+                HolderMessage.TargetCrashes,
+                AccountMessage {
     /**
      * States that the sender is up. In a message of the holder, {@code holding} states whether it holds the lease and
      * {@code nodes} is the number of nodes, the holder included. {@code targetLimits} has the limits of all targets, in
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -92,10 +92,10 @@
         view.onChange(this::scheduleViewUpdate);
     }
 
-    /** Starts to accept connections from other nodes and to send heartbeats to them. */
-    public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    /** Starts to accept connections from other nodes, whose events go to the handler, and to send heartbeats to them. */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, HolderConnections.Handler handler) {
         announcer.start();
-        return HolderConnections.listen(group, address, this);
+        return HolderConnections.listen(group, address, handler);
     }
 
     /**
@@ -217,6 +217,7 @@
             case HolderMessage.Heartbeat heartbeat -> closeUnexpected(connection);
             case HolderMessage.Granted granted -> closeUnexpected(connection);
             case HolderMessage.Refused refused -> closeUnexpected(connection);
+            case AccountMessage account -> closeUnexpected(connection);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
@@ -9,6 +9,7 @@
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.holder.GatewayNode;
+import org.poplarwharf.internal.holder.PlatformAdapter;
 
 /**
  * A gateway node that uses this platform's protocols and formats.
@@ -39,7 +40,7 @@
      * Starts a gateway, which reloads its settings if the file changes. Throws if an address cannot be bound.
      */
     public static PlatformGateway start(Path settingsFile, GatewaySettings settings, PrintStream out) {
-        GatewayNode.PlatformAdapter adapter = new GatewayNode.PlatformAdapter(
+        PlatformAdapter adapter = new PlatformAdapter(
                 new PlatformHeaderCodec(),
                 httpClient -> new PlatformKeyedLog(httpClient, settings.logAddress()),
                 HttpEngineClient::new,
--- a/src/test/java/org/poplarwharf/ArchitectureTest.java
+++ b/src/test/java/org/poplarwharf/ArchitectureTest.java
@@ -54,6 +54,7 @@
                     "holder",
                     List.of(
                             "admin",
+                            "allotment",
                             "codec",
                             "crash",
                             "dispatch",
@@ -67,6 +68,7 @@
                             "stream",
                             "topic")),
             Map.entry("platform", List.of("dispatch", "failure", "fleet", "gateway", "holder", "http", "topic")),
+            Map.entry("allotment", List.of("fleet")),
             Map.entry("simulation", List.of("dispatch", "fleet", "limit")),
             Map.entry("log", List.of("codec", "failure", "kernel")),
             Map.entry("state", List.of("codec", "failure", "log")),
@@ -80,6 +82,7 @@
         "org.poplarwharf.plugins..",
         packageOf("admin"),
         packageOf("admission"),
+        packageOf("allotment"),
         packageOf("cell"),
         packageOf("claim"),
         packageOf("cli"),
--- a/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
@@ -21,7 +21,7 @@
     private final FleetView view = new FleetView();
     private final TargetTopicListener targets =
             new TargetTopicListener(view, TargetEntryDecoder::decode, () -> 0, (delayMillis, task) -> {}, log);
-    private final PlanTopicListener plans = new PlanTopicListener(view, PlanDecoder::decode, log);
+    private final PlanTopicListener plans = new PlanTopicListener(view, PlanDecoder::decode, () -> 0, log);
 
     @Test
     void an_invalid_target_entry_is_logged_and_other_targets_are_kept() {
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -287,6 +287,9 @@
             // Not checked here.
         }
 
+        @Override
+        public void accountMessageReceived(AccountMessage message) {}
+
         @Override
         public void crashesAnnounced(HolderMessage.TargetCrashes announcement) {
             // Not checked here.
--- a/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
@@ -266,6 +266,9 @@
             // Not checked here.
         }
 
+        @Override
+        public void accountMessageReceived(AccountMessage message) {}
+
         @Override
         public void crashesAnnounced(HolderMessage.TargetCrashes announcement) {
             // Not checked here.
