Serve small requests of an account before large ones, and count and log what accounts are refused

Change: requests for units are ordered by size, and one smaller than the refused one may ask at once. Counters by account, and one log record when an account begins and ends to be limited at a node.

--- a/src/main/java/org/poplarwharf/internal/admin/SeriesName.java
+++ b/src/main/java/org/poplarwharf/internal/admin/SeriesName.java
@@ -17,7 +17,10 @@
             "refusals", "code",
             "loads", "outcome",
             "lease_state", "cell",
-            "idle_accelerator_seconds", "target");
+            "idle_accelerator_seconds", "target",
+            "account_requests_admitted", "account",
+            "account_units_used", "account",
+            "account_requests_over_allotment", "account");
 
     /** Returns the series for a registry name. A name that matches no known pattern gets no labels. */
     static SeriesName parse(String name) {
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -10,7 +10,8 @@
 /**
  * Counters and latencies of a gateway. Thread-safe.
  *
- * <p>Invariant: the number of metrics does not grow with the number of routes or targets. Latencies are recorded by
+ * <p>Invariant: the number of metrics does not grow with the number of routes, targets or requests; it grows with the
+ * client accounts of the plan. Latencies are recorded by
  * route kind.
  */
 public final class GatewayMetrics {
@@ -41,6 +42,19 @@
         registry.counter("gateway.target_limit_changes").inc();
     }
 
+    /** Counts a request of a client account within its allotment, and the units that it uses. */
+    public void countAdmitted(String account, long units) {
+        registry.counter(MetricRegistry.name("account_requests_admitted", account))
+                .inc();
+        registry.counter(MetricRegistry.name("account_units_used", account)).inc(units);
+    }
+
+    /** Counts a request of a client account that is refused since the account has used up its allotment. */
+    public void countOverAllotment(String account) {
+        registry.counter(MetricRegistry.name("account_requests_over_allotment", account))
+                .inc();
+    }
+
     /** Records the end of a request under the name of its final log event. */
     void recordEnd(Route route, String event, long millis) {
         registry.counter(MetricRegistry.name("gateway.ended", event)).inc();
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
@@ -39,6 +39,7 @@
     private final TopicFollower.Timer timer;
     private final AllotmentCredits credits = new AllotmentCredits();
     private final SilentHolderShare silentShare;
+    private final AllotmentRecorder recorder;
     private final Map<String, AllotmentQueue> queues = new HashMap<>();
 
     /**
@@ -55,7 +56,9 @@
             AllotmentIssuer localIssuer,
             AccountSettings settings,
             MonotonicClock clock,
-            TopicFollower.Timer timer) {
+            TopicFollower.Timer timer,
+            AllotmentRecorder recorder) {
+        this.recorder = recorder;
         this.path = path;
         this.localIssuer = localIssuer;
         this.clock = clock;
@@ -78,7 +81,7 @@
     @Override
     public Acquisition acquire(ClientAccount account, double units, long millisLeft, Callback callback) {
         long nowMillis = clock.nowMillis();
-        AllotmentQueue queue = queues.computeIfAbsent(account.name(), name -> new AllotmentQueue(account));
+        AllotmentQueue queue = queues.computeIfAbsent(account.name(), name -> new AllotmentQueue(account, recorder));
         queue.setAccount(account);
         AllotmentQueue.Waiting request = new AllotmentQueue.Waiting(units, nowMillis, millisLeft, callback);
         queue.add(request, nowMillis);
@@ -106,7 +109,7 @@
     /** Lets waiting requests run, as far as there are units, and asks for more. */
     private void serve(AllotmentQueue queue) {
         while (!queue.isEmpty() && tryTakeHere(queue)) {
-            queue.takeFirst().callback().onAcquired();
+            admitFirst(queue);
         }
         if (path.isLocal().getAsBoolean()) {
             serveFromPool(queue);
@@ -117,6 +120,12 @@
         }
     }
 
+    private void admitFirst(AllotmentQueue queue) {
+        AllotmentQueue.Waiting request = queue.takeFirst();
+        recorder.recordAdmitted(queue.account().name(), request.units());
+        request.admit();
+    }
+
     /** Uses what this node has of the account's units, and returns whether it was enough for the first request. */
     private boolean tryTakeHere(AllotmentQueue queue) {
         long nowMillis = clock.nowMillis();
@@ -136,7 +145,7 @@
             if (localIssuer.take(queue.account().name(), units, units) instanceof AllotmentPool.Exhausted exhausted) {
                 queue.refuseLate(exhausted.retryAfterMillis(), clock.nowMillis());
             } else {
-                queue.takeFirst().callback().onAcquired();
+                admitFirst(queue);
             }
         }
     }
@@ -153,14 +162,15 @@
     private void check() {
         long nowMillis = clock.nowMillis();
         silentShare.tick(nowMillis);
+        recorder.check(nowMillis);
         credits.takeExpired(nowMillis).forEach(this::giveBack);
         for (AllotmentQueue queue : List.copyOf(queues.values())) {
             if (queue.unansweredMillis(nowMillis) > MAX_HOLDER_WAIT_MILLIS) {
                 queue.forgetAsk();
             }
             serve(queue);
-            while (!queue.isEmpty() && queue.first().waitedMillis(nowMillis) > MAX_HOLDER_WAIT_MILLIS) {
-                queue.takeFirst().callback().onRefused(FailureCode.NO_HOLDER, "no-holder", RETRY_AFTER_MILLIS);
+            for (AllotmentQueue.Waiting overdue : queue.takeOverdue(MAX_HOLDER_WAIT_MILLIS, nowMillis)) {
+                overdue.refuse(FailureCode.NO_HOLDER, "no-holder", RETRY_AFTER_MILLIS);
             }
         }
         queues.values().removeIf(queue -> queue.isDisposable(nowMillis));
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
@@ -1,8 +1,6 @@
 package org.poplarwharf.internal.holder;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.fleet.Allotment;
@@ -10,7 +8,10 @@
 import org.poplarwharf.internal.gateway.AllotmentGate;
 
 /**
- * The requests of one client account that wait at this node for units, in the order in which they arrived.
+ * The requests of one client account that wait at this node for units, those that use fewest first.
+ *
+ * <p>Load: short calls beside prompts that use fifty times as much. A call that can have its units at once does not wait for
+ * those of a prompt; the prompts get what is left, which is nearly all.
  *
  * <p>Invariants: at most one request for units is under way. Refused requests are told to come back one after the other.
  * Confined to the event loop.
@@ -24,13 +25,17 @@
     /** Callers are told to come back after at most this time. */
     private static final long MAX_RETRY_AFTER_MILLIS = 4_000;
 
-    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final AllotmentRecorder recorder;
     private ClientAccount account;
     private long askNumber;
     private boolean asking;
     private long askedMillis;
     private long retryMillis;
 
+    /** The units of the request that the holder has refused last; smaller ones may have their units before. */
+    private double refusedUnits;
+
     /** The time at which the last refused request was told to come back, plus the time in which its units accrue. */
     private double promisedMillis;
 
@@ -57,8 +62,16 @@
             return nowMillis - arrivedMillis;
         }
 
-        AllotmentGate.Callback callback() {
-            return callback;
+        /** Lets the request run. */
+        void admit() {
+            callback.onAcquired();
+        }
+
+        /** Refuses the request, unless it was cancelled. */
+        void refuse(FailureCode code, String reason, long retryAfterMillis) {
+            if (!cancelled) {
+                callback.onRefused(code, reason, retryAfterMillis);
+            }
         }
 
         @Override
@@ -67,8 +80,9 @@
         }
     }
 
-    AllotmentQueue(ClientAccount account) {
+    AllotmentQueue(ClientAccount account, AllotmentRecorder recorder) {
         this.account = account;
+        this.recorder = recorder;
     }
 
     ClientAccount account() {
@@ -86,8 +100,12 @@
 
     /** Adds a request; refuses it if units are available too late for it. */
     void add(Waiting request, long nowMillis) {
-        waiting.addLast(request);
-        if (retryMillis > nowMillis) {
+        int position = waiting.size();
+        while (position > 0 && waiting.get(position - 1).units() > request.units()) {
+            position--;
+        }
+        waiting.add(position, request);
+        if (retryMillis > nowMillis && waiting.get(0).units() >= refusedUnits) {
             refuseLate(retryMillis - nowMillis, nowMillis);
         }
     }
@@ -103,22 +121,31 @@
         return isEmpty() && !asking && promisedMillis <= nowMillis;
     }
 
-    /** Returns the request that has waited longest. */
+    /** Returns the request that uses fewest units. */
     Waiting first() {
-        return waiting.getFirst();
+        return waiting.get(0);
     }
 
     Waiting takeFirst() {
-        return waiting.removeFirst();
+        return waiting.remove(0);
+    }
+
+    /** Removes and returns the requests that have waited longer than the given time. */
+    List<Waiting> takeOverdue(long maxMillis, long nowMillis) {
+        List<Waiting> overdue = waiting.stream()
+                .filter(request -> request.waitedMillis(nowMillis) > maxMillis)
+                .toList();
+        waiting.removeAll(overdue);
+        return overdue;
     }
 
     double waitingUnits() {
         return waiting.stream().mapToDouble(Waiting::units).sum();
     }
 
-    /** Returns whether the holder may be asked now. */
+    /** Returns whether the holder may be asked for the first request now. */
     boolean mayAsk(long nowMillis) {
-        return !asking && nowMillis >= retryMillis;
+        return !asking && (nowMillis >= retryMillis || first().units() < refusedUnits);
     }
 
     /** Records that the holder is asked, and returns the number of the request for units. */
@@ -151,6 +178,7 @@
      */
     void refuseLate(long retryAfterMillis, long nowMillis) {
         retryMillis = nowMillis + retryAfterMillis;
+        refusedUnits = waiting.isEmpty() ? 0 : waiting.get(0).units();
         double unitsPerMilli = allotment().perSecond() / 1_000;
         double dueMillis = Math.max(retryMillis, promisedMillis);
         List<Runnable> refusals = new ArrayList<>();
@@ -164,8 +192,10 @@
             if (request.waitedMillis(nowMillis) + readyMillis <= request.maxWaitMillis) {
                 kept.add(request);
             } else {
-                refusals.add(() -> request.callback()
-                        .onRefused(FailureCode.ALLOTMENT_EXCEEDED, "account over its allotment", readyMillis));
+                refusals.add(() -> {
+                    recorder.recordRefused(account.name(), nowMillis);
+                    request.refuse(FailureCode.ALLOTMENT_EXCEEDED, "account over its allotment", readyMillis);
+                });
             }
         }
         if (!refusals.isEmpty()) {
--- a/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
+++ b/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
@@ -6,6 +6,7 @@
 import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.AllotmentGate;
 import org.poplarwharf.internal.gateway.FleetView;
+import org.poplarwharf.internal.gateway.GatewayMetrics;
 import org.poplarwharf.internal.gateway.KeysInForce;
 import org.poplarwharf.internal.gateway.NodeCountEstimate;
 import org.poplarwharf.internal.kernel.DecisionLog;
@@ -39,6 +40,7 @@
             EngineTargetSelector holderPath,
             MonotonicClock clock,
             TopicFollower.Timer timer,
+            GatewayMetrics metrics,
             DecisionLog log) {
         this.view = view;
         this.holderRole = holderRole;
@@ -52,7 +54,8 @@
                 issuer,
                 settings,
                 clock,
-                timer);
+                timer,
+                new AllotmentRecorder(metrics, log));
     }
 
     private Optional<AccountTable> accounts() {
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -111,7 +111,7 @@
         this.engineTargets = newEngineTargets(targetLimits, streamOrigins);
         front.setHolderSelector(engineTargets, targetLimits, streamOrigins);
         this.accounts = new ClientAccounts(
-                settings.accounts(), view, front.keysInForce(), holderRole, engineTargets, clock, timer, log);
+                settings.accounts(), view, front.keysInForce(), holderRole, engineTargets, clock, timer, metrics, log);
         front.setAllotmentGate(accounts.gate());
         LeaseRecord self = new LeaseRecord(
                 settings.nodeId(),
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
@@ -1,5 +1,8 @@
 package org.poplarwharf.internal.holder;
 
+import com.codahale.metrics.MetricRegistry;
+import java.io.OutputStream;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +15,8 @@
 import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.AllotmentGate;
+import org.poplarwharf.internal.gateway.GatewayMetrics;
+import org.poplarwharf.internal.kernel.DecisionLog;
 
 /**
  * Nodes that acquire units for requests of one account, in virtual time and without a network. A test decides which node is
@@ -57,7 +62,10 @@
                     issuer,
                     new AccountSettings(false, 5_000, WINDOW_MILLIS, 0.1, 0),
                     time::nowMillis,
-                    this::schedule);
+                    this::schedule,
+                    new AllotmentRecorder(
+                            new GatewayMetrics(new MetricRegistry()),
+                            new DecisionLog("n", "z", new PrintStream(OutputStream.nullOutputStream()))));
             issuer.start();
             exchange.start();
             sendHeartbeats();
