Ask the holder for units again as soon as it can have some, and keep few ahead

Change: the holder's response says when units are available and, apart from that, when callers should come back. What nodes keep ahead is a tenth of a second's units over all of them.

--- a/src/main/java/org/poplarwharf/internal/allotment/AllotmentCredits.java
+++ b/src/main/java/org/poplarwharf/internal/allotment/AllotmentCredits.java
@@ -19,8 +19,8 @@
     /** Use is expected for this time ahead. */
     private static final double AHEAD_MILLIS = 250;
 
-    /** At most this part of what an account may use in a second is kept by one node, as other nodes can't use it. */
-    private static final double MAX_AHEAD_RATIO = 0.02;
+    /** At most this part of what an account may use in a second is kept by all nodes, as other nodes can't use it. */
+    private static final double MAX_AHEAD_RATIO = 0.1;
 
     private static final double USE_DECAY_MILLIS = 1_000;
 
@@ -55,14 +55,14 @@
     }
 
     /** Returns the units to ask for beyond those of the requests that wait. */
-    public double unitsAhead(String account, Allotment allotment, long nowMillis) {
+    public double unitsAhead(String account, Allotment allotment, int nodeCount, long nowMillis) {
         Credit credit = byAccount.get(account);
         if (credit == null) {
             return 0;
         }
         credit.decayTo(nowMillis);
         double expected = credit.recentUse / USE_DECAY_MILLIS * AHEAD_MILLIS;
-        return Math.min(expected, allotment.perSecond() * MAX_AHEAD_RATIO);
+        return Math.min(expected, allotment.perSecond() * MAX_AHEAD_RATIO / Math.max(1, nodeCount));
     }
 
     /** Adds units that the holder has handed out. */
--- a/src/main/java/org/poplarwharf/internal/allotment/AllotmentPool.java
+++ b/src/main/java/org/poplarwharf/internal/allotment/AllotmentPool.java
@@ -46,8 +46,13 @@
     /** The units are handed out. */
     public record Granted(double units) implements Decision {}
 
-    /** Nothing is handed out; there is room again after the given time. */
-    public record Exhausted(long retryAfterMillis) implements Decision {}
+    /**
+     * Nothing is handed out.
+     *
+     * @param availableMillis when the units that were asked for are available, if nobody else asks before
+     * @param retryAfterMillis when callers should come back, behind all that were told to come back before
+     */
+    public record Exhausted(long availableMillis, long retryAfterMillis) implements Decision {}
 
     /** The account has no allotment, so that its requests are not counted. */
     public record Unlimited() implements Decision {}
@@ -130,7 +135,7 @@
         }
         double capacity = entry.bucket.capacity();
         if (minUnits > capacity + maxDebt) {
-            return new Exhausted(MAX_PROMISE_MILLIS);
+            return new Exhausted(MAX_PROMISE_MILLIS, MAX_PROMISE_MILLIS);
         }
         // A request that uses more than can be saved is admitted once all is saved that can be, and the rest is a debt.
         double requiredUnits = Math.min(minUnits, capacity);
@@ -139,17 +144,19 @@
             entry.bucket.take(units, nowMillis);
             return new Granted(units);
         }
-        return new Exhausted(promise(entry, requiredUnits, Math.max(minUnits, wantedUnits), nowMillis));
+        double waitMillis =
+                Math.max(1, Math.min(MAX_PROMISE_MILLIS, entry.bucket.waitMillis(requiredUnits, nowMillis)));
+        return new Exhausted(
+                (long) Math.ceil(waitMillis), promise(entry, waitMillis, Math.max(minUnits, wantedUnits), nowMillis));
     }
 
     /** Returns when to come back, behind all that were told to come back before, and reserves that time. */
-    private long promise(Entry entry, double requiredUnits, double wantedUnits, long nowMillis) {
-        double freeMillis = nowMillis + entry.bucket.waitMillis(requiredUnits, nowMillis);
-        double dueMillis = Math.max(freeMillis, entry.promisedMillis);
+    private long promise(Entry entry, double waitMillis, double wantedUnits, long nowMillis) {
+        double dueMillis = Math.max(nowMillis + waitMillis, entry.promisedMillis);
         double latestMillis = nowMillis + MAX_PROMISE_MILLIS;
         double useMillis = wantedUnits / (share * entry.allotment.perSecond()) * 1_000;
         entry.promisedMillis = Math.min(latestMillis, dueMillis + useMillis);
-        return (long) Math.ceil(Math.max(1, Math.min(latestMillis, dueMillis) - nowMillis));
+        return (long) Math.ceil(Math.min(latestMillis, dueMillis) - nowMillis);
     }
 
     /** Takes back units that were handed out and not used. */
--- a/src/main/java/org/poplarwharf/internal/holder/AccountMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AccountMessage.java
@@ -23,10 +23,12 @@
      * Hands out units to a node.
      *
      * @param units zero if the account has used up its allotment
-     * @param retryAfterMillis when there is room again, if no units are handed out
+     * @param availableMillis when units are available, if none are handed out and nobody else asks before
+     * @param retryAfterMillis when callers should come back, if no units are handed out
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record AllotmentGrant(String account, long number, double units, long retryAfterMillis) implements AccountMessage {}
+    record AllotmentGrant(String account, long number, double units, long availableMillis, long retryAfterMillis)
+            implements AccountMessage {}
 
     /** Gives units back to the holder that the node has not used. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
@@ -41,6 +41,7 @@
     private final SilentHolderShare silentShare;
     private final AllotmentRecorder recorder;
     private final Map<String, AllotmentQueue> queues = new HashMap<>();
+    private int nodeCount;
 
     /**
      * How this node reaches the lease holder.
@@ -73,9 +74,10 @@
     }
 
     /** Records that a holder decides for this node now, and the number of nodes that are known; zero if it is unknown. */
-    void recordContact(int nodeCount) {
+    void recordContact(int latestNodeCount) {
+        nodeCount = latestNodeCount;
         silentShare.recordContact(clock.nowMillis());
-        silentShare.setNodeCount(nodeCount);
+        silentShare.setNodeCount(latestNodeCount);
     }
 
     @Override
@@ -101,7 +103,7 @@
         }
         queue.recordResponse(grant.number());
         if (grant.units() <= 0) {
-            queue.refuseLate(grant.retryAfterMillis(), nowMillis);
+            queue.recordExhausted(grant.availableMillis(), grant.retryAfterMillis(), nowMillis);
         }
         serve(queue);
     }
@@ -143,7 +145,7 @@
         while (!queue.isEmpty() && queue.mayAsk(clock.nowMillis())) {
             double units = queue.first().units();
             if (localIssuer.take(queue.account().name(), units, units) instanceof AllotmentPool.Exhausted exhausted) {
-                queue.refuseLate(exhausted.retryAfterMillis(), clock.nowMillis());
+                queue.recordExhausted(exhausted.availableMillis(), exhausted.retryAfterMillis(), clock.nowMillis());
             } else {
                 admitFirst(queue);
             }
@@ -153,7 +155,8 @@
     private void ask(AllotmentQueue queue) {
         long nowMillis = clock.nowMillis();
         String account = queue.account().name();
-        double wantedUnits = queue.waitingUnits() + credits.unitsAhead(account, queue.allotment(), nowMillis);
+        double wantedUnits =
+                queue.waitingUnits() + credits.unitsAhead(account, queue.allotment(), nodeCount, nowMillis);
         path.send()
                 .accept(new AccountMessage.AllotmentRequest(
                         account, queue.recordAsked(nowMillis), queue.first().units(), wantedUnits));
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentIssuer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentIssuer.java
@@ -105,13 +105,19 @@
         AllotmentPool.Decision decision = take(request.account(), request.minUnits(), request.wantedUnits());
         connection.send(
                 switch (decision) {
-                    case AllotmentPool.Granted granted -> grant(request, granted.units(), 0);
-                    case AllotmentPool.Unlimited unlimited -> grant(request, request.wantedUnits(), 0);
-                    case AllotmentPool.Exhausted exhausted -> grant(request, 0, exhausted.retryAfterMillis());
+                    case AllotmentPool.Granted granted -> grant(request, granted.units());
+                    case AllotmentPool.Unlimited unlimited -> grant(request, request.wantedUnits());
+                    case AllotmentPool.Exhausted exhausted ->
+                        new AccountMessage.AllotmentGrant(
+                                request.account(),
+                                request.number(),
+                                0,
+                                exhausted.availableMillis(),
+                                exhausted.retryAfterMillis());
                 });
     }
 
-    private static AccountMessage grant(AccountMessage.AllotmentRequest request, double units, long retryAfterMillis) {
-        return new AccountMessage.AllotmentGrant(request.account(), request.number(), units, retryAfterMillis);
+    private static AccountMessage grant(AccountMessage.AllotmentRequest request, double units) {
+        return new AccountMessage.AllotmentGrant(request.account(), request.number(), units, 0, 0);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
@@ -22,6 +22,9 @@
 
     private static final long MAX_WAIT_MILLIS = 300;
 
+    /** A node asks for an account's units at most this often while there are none. */
+    private static final long MIN_ASK_INTERVAL_MILLIS = 100;
+
     /** Callers are told to come back after at most this time. */
     private static final long MAX_RETRY_AFTER_MILLIS = 4_000;
 
@@ -106,7 +109,7 @@
         }
         waiting.add(position, request);
         if (retryMillis > nowMillis && waiting.get(0).units() >= refusedUnits) {
-            refuseLate(retryMillis - nowMillis, nowMillis);
+            refuseLate(Math.max(retryMillis, Math.round(promisedMillis)) - nowMillis, nowMillis);
         }
     }
 
@@ -172,15 +175,21 @@
     }
 
     /**
-     * Refuses the requests that can't have units soon. Each is told to come back behind those before it; the others wait.
+     * Records that the holder has no units for the first request, and refuses the requests that can't have units soon.
      *
-     * @param retryAfterMillis when the first request can have units
+     * @param availableMillis when the holder may be asked again
+     * @param retryAfterMillis when the first request can have units, behind those that were refused before
      */
-    void refuseLate(long retryAfterMillis, long nowMillis) {
-        retryMillis = nowMillis + retryAfterMillis;
+    void recordExhausted(long availableMillis, long retryAfterMillis, long nowMillis) {
+        retryMillis = nowMillis + Math.max(MIN_ASK_INTERVAL_MILLIS, availableMillis);
         refusedUnits = waiting.isEmpty() ? 0 : waiting.get(0).units();
+        refuseLate(retryAfterMillis, nowMillis);
+    }
+
+    /** Refuses the requests that wait too long. Each is told to come back behind those before it. */
+    private void refuseLate(long retryAfterMillis, long nowMillis) {
         double unitsPerMilli = allotment().perSecond() / 1_000;
-        double dueMillis = Math.max(retryMillis, promisedMillis);
+        double dueMillis = Math.max(nowMillis + retryAfterMillis, promisedMillis);
         List<Runnable> refusals = new ArrayList<>();
         List<Waiting> kept = new ArrayList<>();
         for (Waiting request : waiting) {
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
@@ -62,6 +62,20 @@
         assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
     }
 
+    @Property(tries = 10)
+    void account_far_over_its_allotment_still_gets_nearly_all_of_it(
+            @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        AllotmentNodes fleet = withHolder();
+        Random random = new Random(seed);
+        long startMillis = fleet.time.nowMillis();
+
+        play(fleet, 16_000, 7 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+
+        double used = fleet.usedUnits(startMillis, startMillis + 16_000);
+        assertThat(used).isGreaterThanOrEqualTo(MIN_USE_RATIO * PER_SECOND * 16);
+        assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
+    }
+
     @Property(tries = 10)
     void demand_within_the_allotment_is_not_refused(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
         AllotmentNodes fleet = withHolder();
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
@@ -120,14 +120,19 @@
         private void respond(Node node, AccountMessage.AllotmentRequest request) {
             issuer.recordHeard(node.connection);
             AllotmentPool.Decision decision = issuer.take(request.account(), request.minUnits(), request.wantedUnits());
-            double granted = decision instanceof AllotmentPool.Granted grant ? grant.units() : 0;
-            long retryAfterMillis =
-                    decision instanceof AllotmentPool.Exhausted exhausted ? exhausted.retryAfterMillis() : 0;
-            deliver(
-                    this,
-                    node,
-                    () -> node.exchange.handleGrant(new AccountMessage.AllotmentGrant(
-                            request.account(), request.number(), granted, retryAfterMillis)));
+            AccountMessage.AllotmentGrant grant = switch (decision) {
+                case AllotmentPool.Granted granted -> grant(request, granted.units(), 0, 0);
+                case AllotmentPool.Unlimited unlimited -> throw new AssertionError("the account is limited");
+                case AllotmentPool.Exhausted exhausted ->
+                    grant(request, 0, exhausted.availableMillis(), exhausted.retryAfterMillis());
+            };
+            deliver(this, node, () -> node.exchange.handleGrant(grant));
+        }
+
+        private static AccountMessage.AllotmentGrant grant(
+                AccountMessage.AllotmentRequest request, double units, long availableMillis, long retryAfterMillis) {
+            return new AccountMessage.AllotmentGrant(
+                    request.account(), request.number(), units, availableMillis, retryAfterMillis);
         }
 
         /** A request arrives at this node. */
