Give back units of requests that have not run

Cause: a request used its units when it arrived, also if it was refused a moment later since no target could take it. Change: what a request has not used within a second goes back to the holder.

--- a/src/main/java/org/poplarwharf/internal/gateway/AllotmentGate.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AllotmentGate.java
@@ -14,6 +14,9 @@
      */
     Acquisition acquire(ClientAccount account, double units, long millisLeft, Callback callback);
 
+    /** Gives back what was acquired for a request that has not run. */
+    void giveBack(ClientAccount account, double units);
+
     /** An acquisition that has not ended. */
     interface Acquisition {
         /** Ends the acquisition; has no effect once a callback was called. */
--- a/src/main/java/org/poplarwharf/internal/gateway/AllottedSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AllottedSelector.java
@@ -12,15 +12,20 @@
  * Selects targets for one request of a client account with an allotment.
  *
  * <p>Invariant: what the request uses is acquired once, before the first search for a target; further attempts of the
- * request use nothing more. Confined to the event loop.
+ * request use nothing more. What a request has not used is given back, unless that is so late that the account
+ * could use more than its allotment within a window. Confined to the event loop.
  */
 final class AllottedSelector implements TargetSelector {
+    /** Short against the windows over which use is counted. */
+    private static final long MAX_GIVE_BACK_MILLIS = 1_000;
+
     private final TargetSelector targets;
     private final AllotmentGate gate;
     private final ClientAccount account;
     private final double units;
     private final LongSupplier millisLeft;
     private boolean acquired;
+    private long acquiredMillisLeft;
     private Optional<PendingSearch> pending = Optional.empty();
 
     /** A search that waits for the allotment. */
@@ -38,6 +43,7 @@
         public void onAcquired() {
             pending = Optional.empty();
             acquired = true;
+            acquiredMillisLeft = millisLeft.getAsLong();
             targets.select(request, callback);
         }
 
@@ -89,6 +95,14 @@
         targets.reportEnd(key, successful);
     }
 
+    @Override
+    public void reportRequestEnd(boolean mayHaveRun) {
+        boolean isRecent = acquiredMillisLeft - millisLeft.getAsLong() <= MAX_GIVE_BACK_MILLIS;
+        if (acquired && !mayHaveRun && isRecent) {
+            gate.giveBack(account, units);
+        }
+    }
+
     @Override
     public void reportLeaving(Target target) {
         targets.reportLeaving(target);
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -392,6 +392,7 @@
         deadlineTimer.cancel(false);
         progressTimer.stop();
         replacement.cancel();
+        selector.reportRequestEnd(limits.mayHaveRun());
         recorder.recordEnd(event, fields);
         relay.release();
         request.release();
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetSelector.java
@@ -26,6 +26,13 @@
     /** Reports that a request with a selected target has ended normally, and whether its response was certainly a success. */
     void reportEnd(String key, boolean successful);
 
+    /**
+     * Reports that the request needs no target any more.
+     *
+     * @param mayHaveRun whether a target may have run it
+     */
+    default void reportRequestEnd(boolean mayHaveRun) {}
+
     /** Reports that a target states that it leaves. */
     void reportLeaving(Target target);
 
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
@@ -91,6 +91,11 @@
         return request;
     }
 
+    @Override
+    public void giveBack(ClientAccount account, double units) {
+        giveBack(account.name(), units);
+    }
+
     /** Handles units that the holder hands out, or its statement that there are none. */
     void handleGrant(AccountMessage.AllotmentGrant grant) {
         long nowMillis = clock.nowMillis();
