Learn how fast each target is, and keep it over a change of the holder

Cause: the time to the first event was expected from constants for all targets, and one ratio for each target decayed to normal within four seconds. A target that is always slow was taken for a normal one after each quiet spell, and a new holder, or a node without one, knew nothing. Change: TargetSpeed learns a robust ratio with an uncertainty for each incarnation of a target; TargetSpeeds compares it with the median target of the service. The holder places by it, sends it to all nodes with every fourth heartbeat, and nodes without a holder pick by it. A slow target is tried every half second with a request that has time to spare. Where targets are even, slowness is exactly 1 and placement is as before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -48,6 +48,7 @@
     private final DemandEstimator demand = new DemandEstimator();
     private final DispatchActions actions;
     private final TargetLimits targetLimits;
+    private final TargetSpeeds speeds;
     private final EngineSelector selector;
     private final EngineOrderController orders;
     private final AdapterLoader adapterLoader;
@@ -59,10 +60,16 @@
     private long lastPlacementMillis = Long.MIN_VALUE / 2;
     private boolean demandSeeded;
 
-    public Dispatcher(EngineSpec spec, LoadLimits limits, TargetLimits targetLimits, DispatchActions actions) {
+    public Dispatcher(
+            EngineSpec spec,
+            LoadLimits limits,
+            TargetLimits targetLimits,
+            TargetSpeeds speeds,
+            DispatchActions actions) {
         this.spec = spec;
         this.actions = actions;
         this.targetLimits = targetLimits;
+        this.speeds = speeds;
         this.selector = new EngineSelector(targetLimits);
         LoadRateLimiter loadRate =
                 new LoadRateLimiter(spec.storeLoadsPerSecond(), limits.windowMillis(), limits.rateFactor());
@@ -83,7 +90,7 @@
             if (known != null && known.target.isSameIncarnation(target)) {
                 known.updateFromHeartbeat(target, nowMillis);
             } else {
-                engines.put(target.id(), new EngineState(target, spec, nowMillis));
+                engines.put(target.id(), new EngineState(target, spec, speeds, nowMillis));
             }
         }
         engines.keySet().retainAll(listedIds);
@@ -136,7 +143,7 @@
         }
         switch (outcome) {
             case RunOutcome.FirstEventReceived received -> {
-                engine.recordFirstEvent(run.estimateMillis(), received.firstEventMillis(), nowMillis);
+                engine.recordFirstEvent(run, received.firstEventMillis(), nowMillis);
                 targetLimits.recordResponse(engine.target.id(), run.grantedMillis());
                 return;
             }
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -37,6 +37,9 @@
 
     private static final double LONG_RESPONSE_TOKENS = 200;
 
+    /** A slow target is tried with requests that have this many times as long as they are expected to take there. */
+    private static final double TRIAL_RESERVE_RATIO = 3;
+
     /** The penalty for a draining model, so that it gets requests only if no other target can take them. */
     private static final double DRAINING_COST_MILLIS = 5_000;
 
@@ -151,7 +154,7 @@
         double estimateMillis = Math.max(0, engine.prefillDoneMillis - nowMillis)
                 + prefillMillis
                 + (IDLE_FIRST_EVENT_MILLIS + engine.runs.size() * DELAY_PER_RUN_MILLIS) * slowness;
-        double costMillis = estimateMillis
+        double costMillis = ownDelayMillis(request, engine, estimateMillis, nowMillis)
                 + interferenceMillis(request, engine, prefillMillis, nowMillis)
                 + (engine.target.zone().equals(request.zone()) ? 0 : CROSS_ZONE_COST_MILLIS)
                 + (limits.prefersOthers(engine.target.id(), nowMillis) ? LIMITED_COST_MILLIS : 0);
@@ -176,6 +179,15 @@
                 costMillis));
     }
 
+    /** Returns the delay of the first event; counted as at a target of normal speed if a slow one is to be tried again. */
+    private static double ownDelayMillis(
+            DispatchRequest request, EngineState engine, double estimateMillis, long nowMillis) {
+        boolean hasTimeToSpare = nowMillis + estimateMillis * TRIAL_RESERVE_RATIO < request.objectiveMillis();
+        return hasTimeToSpare && engine.isTrialDue(nowMillis)
+                ? estimateMillis / engine.slowness(nowMillis)
+                : estimateMillis;
+    }
+
     /**
      * Returns the cost of a placement beyond the delay of its own first event. While a target prefills a prompt, the
      * pauses between the events of its streams grow. This cost concentrates long prompts at some targets and long
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -34,12 +34,21 @@
     private static final double MIN_SLOWNESS_RATIO = 0.5;
     private static final double MAX_SLOWNESS_RATIO = 30;
 
-    /** Time constant with which slowness decays while a target sends no response, so that it gets requests again. */
+    /**
+     * Time constant with which a passing slowness decays to the lasting one while a target sends no response, so that it
+     * gets requests again.
+     */
     private static final double SLOWNESS_DECAY_MILLIS = 4_000;
 
     /** The time in which the running requests of a draining model end; responses take about two seconds. */
     static final long DRAIN_MILLIS = 2_000;
 
+    /**
+     * A lastingly slow target that got no request for this long is tried with one that has time to spare; several trials
+     * show within seconds that it has recovered.
+     */
+    private static final long TRIAL_INTERVAL_MILLIS = 500;
+
     /**
      * Time constant of the prefill share. Streams last about two seconds, so earlier prefills don't affect new ones.
      */
@@ -73,7 +82,9 @@
     long lastOrderMillis = Long.MIN_VALUE / 2;
     long reportRequestedMillis;
     long prefillDoneMillis;
+    private final TargetSpeeds speeds;
     private final FailureBackoff backoff = new FailureBackoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+    private long lastGrantMillis;
     private long committedTokens;
     private double prefillShare;
     private long prefillShareUpdatedMillis;
@@ -83,9 +94,10 @@
     /** A granted request that hasn't ended. */
     record Run(DispatchRequest request, long grantedMillis, long estimateMillis, long tokens) {}
 
-    EngineState(Target target, EngineSpec spec, long nowMillis) {
+    EngineState(Target target, EngineSpec spec, TargetSpeeds speeds, long nowMillis) {
         this.target = target;
         this.spec = spec;
+        this.speeds = speeds;
         this.promptCache = new PromptCacheEstimate(spec.cacheTokens());
         replaceModels(target.models(), nowMillis);
         inMemory.addAll(target.inMemory());
@@ -301,6 +313,7 @@
 
     /** Adds a run and counts its tokens. */
     void startRun(Run run) {
+        lastGrantMillis = run.grantedMillis();
         Run previous = runs.put(run.request().key(), run);
         committedTokens += run.tokens() - (previous == null ? 0 : previous.tokens());
     }
@@ -330,12 +343,20 @@
     /** Returns the ratio of observed to expected time to the first event; 1 for a target of normal speed. */
     double slowness(long nowMillis) {
         double decay = Math.exp(-(nowMillis - slownessUpdatedMillis) / SLOWNESS_DECAY_MILLIS);
-        return 1 + (slowness - 1) * decay;
+        double lastingSlowness = speeds.slowness(target, nowMillis);
+        return lastingSlowness + (slowness - lastingSlowness) * decay;
+    }
+
+    /** Returns whether a lastingly slow target is to be tried again. */
+    boolean isTrialDue(long nowMillis) {
+        return nowMillis - lastGrantMillis >= TRIAL_INTERVAL_MILLIS && speeds.slowness(target, nowMillis) > 1;
     }
 
     /** Updates the slowness from the time to a run's first event, and resets the failure backoff. */
-    void recordFirstEvent(long estimateMillis, long firstEventMillis, long nowMillis) {
+    void recordFirstEvent(Run run, long firstEventMillis, long nowMillis) {
         backoff.recordSuccess();
+        long estimateMillis = run.estimateMillis();
+        speeds.recordFirstEvent(target, run.request().model().orElse(""), estimateMillis, firstEventMillis, nowMillis);
         double observedRatio = Math.clamp(
                 firstEventMillis / (double) Math.max(1, estimateMillis), MIN_SLOWNESS_RATIO, MAX_SLOWNESS_RATIO);
         slowness = slowness(nowMillis) * (1 - SLOWNESS_SMOOTHING_RATIO) + observedRatio * SLOWNESS_SMOOTHING_RATIO;
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -42,6 +42,11 @@
         registry.counter("gateway.target_limit_changes").inc();
     }
 
+    /** Counts a target that begins or ceases to count as slow. */
+    public void countTargetSlownessChange() {
+        registry.counter("gateway.target_slowness_changes").inc();
+    }
+
     /** Counts a request of a client account within its allotment, and the units that it uses. */
     public void countAdmitted(String account, long units) {
         registry.counter(MetricRegistry.name("account_requests_admitted", account))
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -10,6 +10,7 @@
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.TargetSelector;
@@ -31,8 +32,7 @@
  * selects the target of a pending request. A request that waits for a holder waits for no more than a fixed share of
  * its time and one read of the log. Confined to the event loop.
  */
-public final class EngineTargetSelector
-        implements TargetSelector, HolderConnections.Handler, HolderRole.PlacementListener {
+public final class EngineTargetSelector implements TargetSelector, HolderConnections.Handler, PlacementListener {
     /** A holder that has sent nothing for two and a half heartbeat intervals is treated as unresponsive. */
     private static final long HOLDER_TIMEOUT_MILLIS = 1_250;
 
@@ -59,6 +59,7 @@
     private final Map<String, Run> runs = new HashMap<>();
     private final FallbackTargetPicker fallback;
     private final TargetLimits targetLimits;
+    private final TargetSpeeds targetSpeeds;
     private final StreamOrigins streamOrigins;
     private final StreamOriginLookup originLookup;
     private final UnsharedOrigins unsharedOrigins = new UnsharedOrigins();
@@ -77,15 +78,17 @@
             TopicFollower.Timer timer,
             DecisionLog log,
             TargetLimits targetLimits,
+            TargetSpeeds targetSpeeds,
             StreamOrigins streamOrigins,
             StreamOriginLookup originLookup,
             HolderListener listener) {
         this.localHolder = localHolder;
         this.view = view;
         this.targetLimits = targetLimits;
+        this.targetSpeeds = targetSpeeds;
         this.streamOrigins = streamOrigins;
         this.originLookup = originLookup;
-        this.fallback = new FallbackTargetPicker(view, targetLimits);
+        this.fallback = new FallbackTargetPicker(view, targetLimits, targetSpeeds);
         this.pauses = new PauseDetector(clock::nowMillis, System::currentTimeMillis, MAX_PAUSE_MILLIS);
         this.clock = clock;
         this.timer = timer;
@@ -322,6 +325,10 @@
                 .flatMap(streamOrigins::find)
                 .ifPresent(origin -> send(HolderMessage.originMessage(origin)));
         heartbeat.targetLimits().ifPresent(limits -> targetLimits.replaceAll(limits, clock.nowMillis()));
+        heartbeat
+                .targetSpeeds()
+                .filter(speeds -> remoteHolding)
+                .ifPresent(speeds -> targetSpeeds.restore(speeds, view::target, clock.nowMillis()));
         listener.nodeCountReported(heartbeat.nodes());
         if (remoteHolding) {
             for (PendingRequest pendingRequest : List.copyOf(pending.values())) {
--- a/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
+++ b/src/main/java/org/poplarwharf/internal/holder/FallbackTargetPicker.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.ToLongFunction;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.RoutedService;
 import org.poplarwharf.internal.fleet.Target;
@@ -26,17 +27,19 @@
 
     private final FleetView view;
     private final TargetLimits limits;
+    private final TargetSpeeds speeds;
     private final Map<String, Long> backoffUntilMillis = new HashMap<>();
 
-    FallbackTargetPicker(FleetView view, TargetLimits limits) {
+    FallbackTargetPicker(FleetView view, TargetLimits limits, TargetSpeeds speeds) {
         this.view = view;
         this.limits = limits;
+        this.speeds = speeds;
     }
 
-    /** Returns the target with the fewest runs of this node, preferably in the request's zone and without a backoff. */
+    /** Returns the target with the fewest runs of this node for its speed, preferably in the request's zone and without a backoff. */
     Optional<Target> pick(DispatchRequest request, ToLongFunction<String> runCountByTarget, long nowMillis) {
         Target best = null;
-        long bestCost = Long.MAX_VALUE;
+        double bestCost = Double.MAX_VALUE;
         boolean runsEngine = runsEngine(request.service());
         for (Target target : view.targetsOf(request.service())) {
             if (target.leaving()
@@ -45,7 +48,8 @@
                     || (runsEngine && !hasLoaded(target, request.traits()))) {
                 continue;
             }
-            long cost = runCountByTarget.applyAsLong(target.id()) * RUN_COST
+            double slowness = speeds.slowness(target, nowMillis);
+            double cost = ((runCountByTarget.applyAsLong(target.id()) + 1) * slowness - 1) * RUN_COST
                     + (target.zone().equals(request.zone()) ? 0 : OTHER_ZONE_COST)
                     + (backoffUntilMillis.getOrDefault(target.id(), 0L) > nowMillis ? BACKOFF_MILLIS : 0);
             if (cost < bestCost) {
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -14,6 +14,7 @@
 import org.poplarwharf.internal.admin.PrometheusText;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.GatewayMetrics;
@@ -60,6 +61,7 @@
     private final EventLoop loop = group.next();
     private final MonotonicClock clock = MonotonicClock.system();
     private final FleetView view = new FleetView();
+    private final TargetSpeeds targetSpeeds;
     private final TopicFollower.Timer timer = this::schedule;
     private final MetricRegistry registry = new MetricRegistry();
     private final KeyedLog platformLog;
@@ -85,6 +87,7 @@
         this.crashes = newCrashContainment();
         GatewayMetrics metrics = new GatewayMetrics(registry);
         TargetLimits targetLimits = newTargetLimits(metrics);
+        this.targetSpeeds = TargetSpeedRecorder.newSpeeds(view, log, metrics);
         StreamOrigins streamOrigins = new StreamOrigins(clock::nowMillis, view::softwareVersionsOf);
         this.front = new GatewayServer(
                 settings,
@@ -97,17 +100,7 @@
                 crashes.history(),
                 crashes.detector(),
                 () -> PrometheusText.of(registry));
-        this.holderRole = new HolderRole(
-                settings,
-                incarnation,
-                view,
-                adapter.engineClientFactory().apply(httpCaller),
-                clock,
-                timer,
-                log,
-                crashes.exchange(),
-                targetLimits,
-                streamOrigins);
+        this.holderRole = newHolderRole(incarnation, httpCaller, targetLimits, streamOrigins);
         this.engineTargets = newEngineTargets(targetLimits, streamOrigins);
         front.setHolderSelector(engineTargets, targetLimits, streamOrigins);
         this.accounts = new ClientAccounts(
@@ -135,6 +128,22 @@
         this.originRecords = newOriginRecords(streamOrigins);
     }
 
+    private HolderRole newHolderRole(
+            String incarnation, PooledHttpClient httpCaller, TargetLimits targetLimits, StreamOrigins streamOrigins) {
+        return new HolderRole(
+                settings,
+                incarnation,
+                view,
+                adapter.engineClientFactory().apply(httpCaller),
+                clock,
+                timer,
+                log,
+                crashes.exchange(),
+                targetLimits,
+                targetSpeeds,
+                streamOrigins);
+    }
+
     private EngineTargetSelector newEngineTargets(TargetLimits targetLimits, StreamOrigins streamOrigins) {
         return new EngineTargetSelector(
                 holderRole,
@@ -144,6 +153,7 @@
                 timer,
                 log,
                 targetLimits,
+                targetSpeeds,
                 streamOrigins,
                 new StreamOriginLookup(streamOrigins, platformLog, clock::nowMillis, log, holderRole::isHolding),
                 new HolderConnectionListener());
--- a/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
@@ -8,14 +8,15 @@
 import java.util.function.BooleanSupplier;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.stream.StreamOrigin;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * Sends the connected nodes what concerns all of them: heartbeats, limits of targets, crashes and questions about streams.
+ * Sends the connected nodes what concerns all of them: heartbeats, limits and speeds of targets, crashes and questions about streams.
  *
- * <p>Invariant: only the lease holder states limits. Confined to the event loop.
+ * <p>Invariant: only the lease holder states limits and speeds. Confined to the event loop.
  */
 final class HolderAnnouncer {
     static final long HEARTBEAT_INTERVAL_MILLIS = 500;
@@ -36,6 +37,7 @@
     private final String incarnation;
     private final BooleanSupplier holding;
     private final TargetLimits targetLimits;
+    private final TargetSpeeds targetSpeeds;
     private final TopicFollower.Timer timer;
     private final Set<HolderConnections.Connection> connections = new LinkedHashSet<>();
     private final Set<StreamOrigin> recentOrigins = new LinkedHashSet<>();
@@ -47,11 +49,13 @@
             String incarnation,
             BooleanSupplier holding,
             TargetLimits targetLimits,
+            TargetSpeeds targetSpeeds,
             TopicFollower.Timer timer) {
         this.nodeId = nodeId;
         this.incarnation = incarnation;
         this.holding = holding;
         this.targetLimits = targetLimits;
+        this.targetSpeeds = targetSpeeds;
         this.timer = timer;
     }
 
@@ -87,10 +91,12 @@
     }
 
     void sendHeartbeat(HolderConnections.Connection connection, boolean withLimits) {
-        Optional<Map<String, Double>> limits = withLimits && holding.getAsBoolean()
-                ? Optional.of(targetLimits.requestsPerSecondByTarget())
-                : Optional.empty();
-        connection.send(heartbeat(limits, Optional.empty(), Optional.empty()));
+        boolean withState = withLimits && holding.getAsBoolean();
+        Optional<Map<String, Double>> limits =
+                withState ? Optional.of(targetLimits.requestsPerSecondByTarget()) : Optional.empty();
+        Optional<List<TargetSpeeds.Summary>> speeds =
+                withState ? Optional.of(targetSpeeds.summaries()).filter(known -> !known.isEmpty()) : Optional.empty();
+        connection.send(heartbeat(limits, Optional.empty(), Optional.empty(), speeds));
     }
 
     /** Sends the limits of targets, soon after they have changed. */
@@ -110,7 +116,7 @@
     }
 
     void askForStream(HolderConnections.Connection connection, String streamId) {
-        connection.send(heartbeat(Optional.empty(), Optional.of(streamId), Optional.empty()));
+        connection.send(heartbeat(Optional.empty(), Optional.of(streamId), Optional.empty(), Optional.empty()));
     }
 
     /** Tells some nodes the origin of a stream that this node forwards; they know it if this node ends. */
@@ -121,7 +127,7 @@
     }
 
     private void sendOrigin(HolderConnections.Connection connection, StreamOrigin origin) {
-        connection.send(heartbeat(Optional.empty(), Optional.empty(), Optional.of(origin)));
+        connection.send(heartbeat(Optional.empty(), Optional.empty(), Optional.of(origin), Optional.empty()));
     }
 
     void broadcastCrashes(List<TargetCrash> crashes) {
@@ -137,8 +143,11 @@
     }
 
     private HolderMessage heartbeat(
-            Optional<Map<String, Double>> limits, Optional<String> soughtStreamId, Optional<StreamOrigin> origin) {
+            Optional<Map<String, Double>> limits,
+            Optional<String> soughtStreamId,
+            Optional<StreamOrigin> origin,
+            Optional<List<TargetSpeeds.Summary>> speeds) {
         return new HolderMessage.Heartbeat(
-                nodeId, incarnation, holding.getAsBoolean(), nodeCount(), limits, soughtStreamId, origin);
+                nodeId, incarnation, holding.getAsBoolean(), nodeCount(), limits, soughtStreamId, origin, speeds);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -15,6 +15,7 @@
 import org.poplarwharf.internal.crash.TargetCrash;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
 import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.stream.StreamContinuation;
@@ -55,7 +56,8 @@
      * {@code nodes} is the number of nodes, the holder included. {@code targetLimits} has the limits of all targets, in
      * requests per second, in some messages. {@code soughtStreamId} names a stream whose origin the holder doesn't know;
      * a node that knows it reports it. {@code origin} is that of a stream which the holder itself forwards, so that another
-     * node knows it too. Messages of earlier releases have none of these.
+     * node knows it too. {@code targetSpeeds} has the learned speeds of all targets. Messages of earlier releases have none
+     * of these.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Heartbeat(
@@ -65,12 +67,14 @@
             int nodes,
             Optional<Map<String, Double>> targetLimits,
             Optional<String> soughtStreamId,
-            Optional<StreamOrigin> origin)
+            Optional<StreamOrigin> origin,
+            Optional<List<TargetSpeeds.Summary>> targetSpeeds)
             implements HolderMessage {
         public Heartbeat {
             targetLimits = orEmpty(targetLimits);
             soughtStreamId = orEmpty(soughtStreamId);
             origin = orEmpty(origin);
+            targetSpeeds = orEmpty(targetSpeeds);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -16,6 +16,7 @@
 import org.poplarwharf.internal.dispatch.EngineOrder;
 import org.poplarwharf.internal.dispatch.LimitedTargetDispatcher;
 import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RoutedService;
@@ -34,8 +35,7 @@
 /**
  * Accepts connections from the other nodes and decides on placement for all nodes while this node holds the lease.
  *
- * <p>Invariants: all grants of a node are released
- * when its connection closes. Confined to the event loop.
+ * <p>Invariants: all grants of a node are released when its connection closes. Confined to the event loop.
  */
 public final class HolderRole implements HolderConnections.Handler {
     /** Interval while requests wait for a load; short enough that callers do not notice the delay. */
@@ -51,6 +51,7 @@
     private final DecisionLog log;
     private final CrashListener crashListener;
     private final TargetLimits targetLimits;
+    private final TargetSpeeds targetSpeeds;
     private final LimitedTargetDispatcher limitedTargets;
     private final StreamOriginSearch originSearch;
     private final HolderAnnouncer announcer;
@@ -60,13 +61,6 @@
     private boolean ticking;
     private boolean viewUpdateScheduled;
 
-    /** Receives the decisions on this node's own requests. */
-    public interface PlacementListener {
-        void granted(String key, String targetId, String backupId);
-
-        void refused(String key, String reason, long retryAfterMillis);
-    }
-
     public HolderRole(
             GatewaySettings settings,
             String incarnation,
@@ -77,10 +71,12 @@
             DecisionLog log,
             CrashListener crashListener,
             TargetLimits targetLimits,
+            TargetSpeeds targetSpeeds,
             StreamOrigins streamOrigins) {
         this.settings = settings;
         this.view = view;
-        this.announcer = new HolderAnnouncer(settings.nodeId(), incarnation, this::isHolding, targetLimits, timer);
+        this.announcer =
+                new HolderAnnouncer(settings.nodeId(), incarnation, this::isHolding, targetLimits, targetSpeeds, timer);
         this.originSearch = new StreamOriginSearch(streamOrigins, timer, announcer::askForStream);
         this.orderSender = new EngineOrderSender(settings.nodeId(), engines, timer, log);
         this.clock = clock;
@@ -88,6 +84,7 @@
         this.log = log;
         this.crashListener = crashListener;
         this.targetLimits = targetLimits;
+        this.targetSpeeds = targetSpeeds;
         this.limitedTargets = new LimitedTargetDispatcher(targetLimits, new HolderDispatchActions(""));
         view.onChange(this::scheduleViewUpdate);
     }
@@ -315,7 +312,7 @@
         Dispatcher dispatcher = dispatchers.computeIfAbsent(service, name -> {
             Dispatcher.LoadLimits limits =
                     new Dispatcher.LoadLimits(settings.loadWindowMillis(), settings.loadWindowFactor());
-            return new Dispatcher(spec, limits, targetLimits, new HolderDispatchActions(name));
+            return new Dispatcher(spec, limits, targetLimits, targetSpeeds, new HolderDispatchActions(name));
         });
         dispatcher.updateSpec(spec);
         dispatcher.setOrdersAllowed(mayOrder());
--- a/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
+++ b/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
@@ -11,12 +11,12 @@
 record RequestSource(
         DispatchRequest request,
         Optional<HolderConnections.Connection> connection,
-        Optional<HolderRole.PlacementListener> listener) {
+        Optional<PlacementListener> listener) {
     static RequestSource remote(DispatchRequest request, HolderConnections.Connection connection) {
         return new RequestSource(request, Optional.of(connection), Optional.empty());
     }
 
-    static RequestSource local(DispatchRequest request, HolderRole.PlacementListener listener) {
+    static RequestSource local(DispatchRequest request, PlacementListener listener) {
         return new RequestSource(request, Optional.empty(), Optional.of(listener));
     }
 
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
@@ -18,6 +18,7 @@
 import org.poplarwharf.internal.dispatch.EngineReport;
 import org.poplarwharf.internal.dispatch.OrderResult;
 import org.poplarwharf.internal.dispatch.RunOutcome;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.EngineModelSpec;
 import org.poplarwharf.internal.fleet.EngineSpec;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -93,7 +94,11 @@
                 models);
         TargetLimits limits = new TargetLimits(() -> true, (target, requestsPerSecond) -> {});
         dispatcher = new Dispatcher(
-                spec, new Dispatcher.LoadLimits(STORE_WINDOW_MILLIS, STORE_RATE_FACTOR), limits, new Actions());
+                spec,
+                new Dispatcher.LoadLimits(STORE_WINDOW_MILLIS, STORE_RATE_FACTOR),
+                limits,
+                new TargetSpeeds((targetId, slow, estimate) -> {}),
+                new Actions());
         dispatcher.setOrdersAllowed(true);
     }
 
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -37,6 +37,7 @@
     final List<String> reportsRequested = new ArrayList<>();
     final Map<String, Target> targets = new LinkedHashMap<>();
     final TargetLimits targetLimits = new TargetLimits(() -> true, (target, requestsPerSecond) -> {});
+    final TargetSpeeds speeds = new TargetSpeeds((targetId, slow, estimate) -> {});
     final Dispatcher dispatcher;
     private final EngineSpec spec;
     long nowMillis = 1_000_000;
@@ -60,7 +61,7 @@
                             model, MODEL_MB, STORE_LOAD_MILLIS, DISK_LOAD_MILLIS, DISK_LOAD_MILLIS, 4, 0.1));
         }
         spec = new EngineSpec(SLOT_COUNT, 100_000, TARGET_MB, 2, 1.6, true, specs);
-        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, this);
+        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, speeds, this);
         dispatcher.setOrdersAllowed(true);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -25,6 +25,7 @@
 import org.poplarwharf.internal.dispatch.EngineOrder;
 import org.poplarwharf.internal.dispatch.EngineReport;
 import org.poplarwharf.internal.dispatch.OrderResult;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.LoadedModel;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
@@ -50,6 +51,7 @@
     private final FleetView view = new FleetView();
     private final ScriptedHolder holder = new ScriptedHolder();
     private final TargetLimits limits = new TargetLimits(() -> false, (target, requestsPerSecond) -> {});
+    private final TargetSpeeds speeds = new TargetSpeeds((target, slow, estimate) -> {});
     private final StreamOrigins origins = new StreamOrigins(clock::nowMillis, service -> Optional.empty());
     private final List<String> selected = new CopyOnWriteArrayList<>();
     private final List<String> rejected = new CopyOnWriteArrayList<>();
@@ -73,18 +75,19 @@
                 log,
                 new NoCrashes(),
                 limits,
+                speeds,
                 origins);
         StreamOriginLookup lookup =
                 new StreamOriginLookup(origins, new FakeKeyedLog(), clock::nowMillis, log, localHolder::isHolding);
         selector = new EngineTargetSelector(
-                localHolder, view, loop, clock, this::schedule, log, limits, origins, lookup, new NoChanges());
+                localHolder, view, loop, clock, this::schedule, log, limits, speeds, origins, lookup, new NoChanges());
         loop.execute(() -> {
             selector.start();
             selector.followHolder(address, HOLDER);
         });
         Eventually.eventually("the node is connected", () -> holder.connection != null);
         holder.connection.send(new HolderMessage.Heartbeat(
-                "holder", HOLDER, true, 2, Optional.empty(), Optional.empty(), Optional.empty()));
+                "holder", HOLDER, true, 2, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty()));
         Eventually.eventually("the holder responds", selector::isHolderResponding);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
@@ -28,6 +28,7 @@
 import org.poplarwharf.internal.dispatch.EngineOrder;
 import org.poplarwharf.internal.dispatch.EngineReport;
 import org.poplarwharf.internal.dispatch.OrderResult;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.GatewaySettings;
@@ -57,6 +58,7 @@
     void start() {
         DecisionLog log = new DecisionLog("n1", "z1", new PrintStream(OutputStream.nullOutputStream()));
         TargetLimits limits = new TargetLimits(() -> false, (target, requestsPerSecond) -> {});
+        TargetSpeeds speeds = new TargetSpeeds((target, slow, estimate) -> {});
         StreamOrigins origins = new StreamOrigins(clock::nowMillis, service -> Optional.empty());
         HolderRole localHolder = new HolderRole(
                 GatewaySettings.DEFAULTS,
@@ -68,11 +70,22 @@
                 log,
                 new NoCrashes(),
                 limits,
+                speeds,
                 origins);
         StreamOriginLookup lookup =
                 new StreamOriginLookup(origins, new FakeKeyedLog(), clock::nowMillis, log, localHolder::isHolding);
         selector = new EngineTargetSelector(
-                localHolder, view, loop, clock, this::schedule, log, limits, origins, lookup, new EndRecorder());
+                localHolder,
+                view,
+                loop,
+                clock,
+                this::schedule,
+                log,
+                limits,
+                speeds,
+                origins,
+                lookup,
+                new EndRecorder());
     }
 
     @AfterEach
@@ -201,7 +214,14 @@
     private static void sendHeartbeat(Socket connection, String incarnation) throws IOException {
         byte[] frame = new MessagePackCodec<>(HolderMessage.class)
                 .encode(new HolderMessage.Heartbeat(
-                        "holder", incarnation, true, 2, Optional.empty(), Optional.empty(), Optional.empty()));
+                        "holder",
+                        incarnation,
+                        true,
+                        2,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty()));
         DataOutputStream out = new DataOutputStream(connection.getOutputStream());
         out.writeInt(frame.length);
         out.write(frame);
--- a/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
@@ -13,9 +13,12 @@
 import org.poplarwharf.internal.codec.MessagePackCodec;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.TargetSpeeds;
 
 /** Exchanges messages with nodes of the release before limits were added, which run beside others during an update. */
 class HolderMessageTest {
+    private static final Optional<List<TargetSpeeds.Summary>> SPEEDS =
+            Optional.of(List.of(new TargetSpeeds.Summary("t", 5, "v1", 0.6, 0.1, 31)));
     private static final MessagePackCodec<HolderMessage> CODEC = new MessagePackCodec<>(HolderMessage.class);
     private static final MessagePackCodec<EarlierMessage> EARLIER_CODEC = new MessagePackCodec<>(EarlierMessage.class);
 
@@ -49,7 +52,7 @@
     void messages_of_the_earlier_release_are_read_without_limits() {
         assertThat(CODEC.decode(EARLIER_CODEC.encode(new EarlierMessage.Heartbeat("n", "i", true, 3)), "a node"))
                 .isEqualTo(new HolderMessage.Heartbeat(
-                        "n", "i", true, 3, Optional.empty(), Optional.empty(), Optional.empty()));
+                        "n", "i", true, 3, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty()));
         assertThat(CODEC.decode(
                         EARLIER_CODEC.encode(new EarlierMessage.Outcome("k", HolderMessage.OutcomeKind.ANSWERED, 7)),
                         "a node"))
@@ -65,7 +68,7 @@
     @Test
     void nodes_of_the_earlier_release_read_messages_with_limits() {
         HolderMessage heartbeat = new HolderMessage.Heartbeat(
-                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty());
+                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS);
         assertThat(EARLIER_CODEC.decode(CODEC.encode(heartbeat), "a node"))
                 .isEqualTo(new EarlierMessage.Heartbeat("n", "i", true, 3));
         assertThat(EARLIER_CODEC.decode(CODEC.encode(HolderMessage.limitMessage("t", 1.1)), "a node"))
@@ -75,7 +78,7 @@
     @Test
     void limits_survive_encoding() {
         HolderMessage heartbeat = new HolderMessage.Heartbeat(
-                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty());
+                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS);
         HolderMessage limit = HolderMessage.limitMessage("t", 0.5);
 
         assertThat(CODEC.decode(CODEC.encode(heartbeat), "a node")).isEqualTo(heartbeat);
