Choose what waits and what is refused by what it costs callers

Cause: the holder served waiting requests by priority and deadline alone, held those that could not start in time for 0.6 of their time, told all of them to return after 400 ms and put them behind all others again. Change: WaitingPolicy holds that decision. UrgencyWaitingPolicy is the former one. CostWaitingPolicy, used where the settings call for it, gives classes a floor and accounts their shares, refuses at once what can't start before its deadline, and tells callers to return one behind the other. DispatchTicker makes the next pass come soon after a request began to wait. Without the setting all decisions stay as they were.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -1,8 +1,6 @@
 package org.poplarwharf.internal.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,15 +22,7 @@
  */
 public final class Dispatcher {
     /** The minimum time from sending a request to its first event. */
-    private static final long MIN_SERVICE_MILLIS = 60;
-
-    /**
-     * A request whose targets are all full is queued for at most this share of the time to its deadline. The rest
-     * leaves the caller time to retry.
-     */
-    private static final double MAX_WAIT_RATIO = 0.6;
-
-    private static final long RETRY_AFTER_MILLIS = 400;
+    static final long MIN_SERVICE_MILLIS = 60;
 
     /** Runs often end in bursts; after the end of a run, queued requests are placed again at most this often. */
     private static final long MIN_PLACEMENT_INTERVAL_MILLIS = 10;
@@ -50,6 +40,7 @@
     private final TargetLimits targetLimits;
     private final TargetSpeeds speeds;
     private final EngineSelector selector;
+    private final WaitingPolicy waitingPolicy;
     private final EngineOrderController orders;
     private final AdapterLoader adapterLoader;
     private final ModelLoadController modelLoads;
@@ -60,13 +51,20 @@
     private long lastPlacementMillis = Long.MIN_VALUE / 2;
     private boolean demandSeeded;
 
+    /**
+     * Creates a dispatcher without targets.
+     *
+     * @param ranksByCost whether requests that must wait, or be refused, are chosen by what that costs their callers
+     */
     public Dispatcher(
             EngineSpec spec,
             LoadLimits limits,
             TargetLimits targetLimits,
             TargetSpeeds speeds,
-            DispatchActions actions) {
+            DispatchActions actions,
+            boolean ranksByCost) {
         this.spec = spec;
+        this.waitingPolicy = ranksByCost ? new CostWaitingPolicy(actions) : new UrgencyWaitingPolicy();
         this.actions = actions;
         this.targetLimits = targetLimits;
         this.speeds = speeds;
@@ -118,10 +116,14 @@
     public void submit(DispatchRequest request, long nowMillis) {
         endRun(request.key(), nowMillis);
         request.model().ifPresent(model -> demand.recordRequest(model, nowMillis));
-        QueuedRequest queuedRequest = new QueuedRequest(request, nowMillis);
+        QueuedRequest queuedRequest = waitingPolicy.accept(request, nowMillis);
         queued.put(request.key(), queuedRequest);
         readyMillisByModel.clear();
-        place(queuedRequest, nowMillis);
+        if (waitingPolicy.mayPlaceAtOnce(queuedRequest, queued.size())) {
+            place(queuedRequest, nowMillis);
+        } else {
+            placeQueuedSoon(nowMillis);
+        }
         if (!engineByKey.containsKey(request.key())) {
             modelLoads.reconcile(
                     spec, engines.values(), unserved.modelsInOrder(nowMillis), queuedByFullModel, nowMillis);
@@ -186,7 +188,7 @@
         if (report.isPresent()) {
             engine.updateFromReport(report.get(), nowMillis);
         } else {
-            engine.nextOrderMillis = nowMillis + RETRY_AFTER_MILLIS;
+            engine.nextOrderMillis = nowMillis + WaitingPolicy.RETRY_AFTER_MILLIS;
         }
         placeQueued(nowMillis);
     }
@@ -237,16 +239,11 @@
     }
 
     private void placeQueued(long nowMillis) {
-        List<QueuedRequest> ordered = new ArrayList<>(queued.values());
-        ordered.sort(Comparator.comparingInt(
-                        (QueuedRequest queuedRequest) -> queuedRequest.request().priority())
-                .thenComparing(queuedRequest -> queuedRequest.request().objectiveMillis() < nowMillis)
-                .thenComparingLong(queuedRequest -> queuedRequest.request().deadlineMillis()));
         lastPlacementMillis = nowMillis;
         unserved.clearWaiting();
         queuedByFullModel.clear();
         readyMillisByModel.clear();
-        for (QueuedRequest queuedRequest : ordered) {
+        for (QueuedRequest queuedRequest : waitingPolicy.inOrder(queued.values(), nowMillis)) {
             place(queuedRequest, nowMillis);
         }
         modelLoads.reconcile(spec, engines.values(), unserved.modelsInOrder(nowMillis), queuedByFullModel, nowMillis);
@@ -261,12 +258,12 @@
         }
         if (engines.values().stream().noneMatch(engine -> request.accepts(engine.target))
                 && request.continuation().isPresent()) {
-            refuse(request, "no-target-of-version", RETRY_AFTER_MILLIS);
+            refuse(request, "no-target-of-version", WaitingPolicy.RETRY_AFTER_MILLIS);
             return;
         }
         Optional<EngineSelector.Selection> selection = selector.select(request, engines.values(), spec, nowMillis);
         if (selection.isPresent()) {
-            assign(request, selection.get(), nowMillis);
+            assign(queuedRequest, selection.get(), nowMillis);
             return;
         }
         refuseIfUnplaceable(queuedRequest, nowMillis);
@@ -344,28 +341,29 @@
                 model.map(known -> readyMillis(known, request, nowMillis)).orElse(nowMillis);
         if (readyMillis + MIN_SERVICE_MILLIS > request.deadlineMillis()) {
             model.ifPresent(known -> unserved.recordRefusal(known.name(), nowMillis));
-            refuse(request, "not-loaded-in-time", Math.max(RETRY_AFTER_MILLIS, readyMillis - nowMillis));
+            refuse(request, "not-loaded-in-time", Math.max(WaitingPolicy.RETRY_AFTER_MILLIS, readyMillis - nowMillis));
             return;
         }
-        long allowedWaitMillis =
-                Math.round((request.deadlineMillis() - queuedRequest.queuedAtMillis()) * MAX_WAIT_RATIO);
+        long allowedWaitMillis = WaitingPolicy.maxWaitMillis(queuedRequest);
         long permitWaitMillis = permitWaitMillis(queuedRequest, nowMillis);
         if (nowMillis + permitWaitMillis - queuedRequest.queuedAtMillis() > allowedWaitMillis && permitWaitMillis > 0) {
-            refuse(request, "targets-limited", Math.max(RETRY_AFTER_MILLIS, permitWaitMillis));
-            return;
-        }
-        if (nowMillis - queuedRequest.queuedAtMillis() <= allowedWaitMillis) {
+            refuse(request, "targets-limited", Math.max(WaitingPolicy.RETRY_AFTER_MILLIS, permitWaitMillis));
             return;
         }
         if (readyMillis <= nowMillis) {
-            refuse(request, "targets-full", RETRY_AFTER_MILLIS);
-        } else if (model.isPresent() && !modelLoads.isHeldOrLoading(model.get().name(), engines.values(), nowMillis)) {
+            waitingPolicy
+                    .refusalIfFull(queuedRequest, nowMillis)
+                    .ifPresent(refusal -> refuse(request, refusal.reason(), refusal.retryAfterMillis()));
+        } else if (nowMillis - queuedRequest.queuedAtMillis() > allowedWaitMillis
+                && model.isPresent()
+                && !modelLoads.isHeldOrLoading(model.get().name(), engines.values(), nowMillis)) {
             unserved.recordRefusal(model.get().name(), nowMillis);
-            refuse(request, "no-room-to-load", RETRY_AFTER_MILLIS);
+            refuse(request, "no-room-to-load", WaitingPolicy.RETRY_AFTER_MILLIS);
         }
     }
 
-    private void assign(DispatchRequest request, EngineSelector.Selection selection, long nowMillis) {
+    private void assign(QueuedRequest queuedRequest, EngineSelector.Selection selection, long nowMillis) {
+        DispatchRequest request = queuedRequest.request();
         EngineState engine = selection.engine();
         if (!selection.adapterReady()) {
             adapterLoader.loadAdapter(engine, request, nowMillis);
@@ -373,6 +371,7 @@
         }
         targetLimits.tryAcquire(engine.target.id(), nowMillis);
         queued.remove(request.key());
+        waitingPolicy.recordGrant(queuedRequest, nowMillis);
         engine.startRun(new EngineState.Run(request, nowMillis, selection.estimateMillis(), selection.tokens()));
         engineByKey.put(request.key(), engine);
         engine.recordPrefill(selection.prefillMillis(), nowMillis);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -38,16 +38,12 @@
  * <p>Invariants: all grants of a node are released when its connection closes. Confined to the event loop.
  */
 public final class HolderRole implements HolderConnections.Handler {
-    /** Interval while requests wait for a load; short enough that callers do not notice the delay. */
-    private static final long BUSY_TICK_INTERVAL_MILLIS = 20;
-
-    private static final long IDLE_TICK_INTERVAL_MILLIS = 250;
-
     private final GatewaySettings settings;
     private final FleetView view;
     private final EngineOrderSender orderSender;
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
+    private final DispatchTicker ticker;
     private final DecisionLog log;
     private final CrashListener crashListener;
     private final TargetLimits targetLimits;
@@ -58,7 +54,6 @@
     private final Map<String, Dispatcher> dispatchers = new LinkedHashMap<>();
     private final Map<String, RequestSource> sources = new HashMap<>();
     private Optional<HolderLease> lease = Optional.empty();
-    private boolean ticking;
     private boolean viewUpdateScheduled;
 
     public HolderRole(
@@ -81,6 +76,7 @@
         this.orderSender = new EngineOrderSender(settings.nodeId(), engines, timer, log);
         this.clock = clock;
         this.timer = timer;
+        this.ticker = new DispatchTicker(timer, this::isHolding, this::tick);
         this.log = log;
         this.crashListener = crashListener;
         this.targetLimits = targetLimits;
@@ -108,10 +104,7 @@
         targetLimits.restartPacing(clock.nowMillis());
         updateDispatchers();
         announcer.sendHeartbeats(true);
-        if (!ticking) {
-            ticking = true;
-            tick();
-        }
+        ticker.start();
     }
 
     /** Stops deciding and drops all state, after this node has lost the lease. */
@@ -270,6 +263,9 @@
         }
         dispatcher.setOrdersAllowed(mayOrder());
         dispatcher.submit(request, clock.nowMillis());
+        if (settings.ranksByCost() && dispatcher.hasPendingWork()) {
+            ticker.workAdded();
+        }
     }
 
     private void findOriginAndDispatch(DispatchRequest request, RequestSource source) {
@@ -312,7 +308,8 @@
         Dispatcher dispatcher = dispatchers.computeIfAbsent(service, name -> {
             Dispatcher.LoadLimits limits =
                     new Dispatcher.LoadLimits(settings.loadWindowMillis(), settings.loadWindowFactor());
-            return new Dispatcher(spec, limits, targetLimits, targetSpeeds, new HolderDispatchActions(name));
+            return new Dispatcher(
+                    spec, limits, targetLimits, targetSpeeds, new HolderDispatchActions(name), settings.ranksByCost());
         });
         dispatcher.updateSpec(spec);
         dispatcher.setOrdersAllowed(mayOrder());
@@ -320,21 +317,14 @@
         dispatcher.updateTargets(targets, clock.nowMillis());
     }
 
-    private void tick() {
-        if (lease.isEmpty()) {
-            ticking = false;
-            return;
-        }
+    private boolean tick() {
         boolean hasWork = false;
-        try {
-            for (Dispatcher dispatcher : List.copyOf(dispatchers.values())) {
-                dispatcher.setOrdersAllowed(mayOrder());
-                dispatcher.tick(clock.nowMillis());
-                hasWork |= dispatcher.hasPendingWork();
-            }
-        } finally {
-            timer.schedule(hasWork ? BUSY_TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS, this::tick);
+        for (Dispatcher dispatcher : List.copyOf(dispatchers.values())) {
+            dispatcher.setOrdersAllowed(mayOrder());
+            dispatcher.tick(clock.nowMillis());
+            hasWork |= dispatcher.hasPendingWork();
         }
+        return hasWork;
     }
 
     /** Sends the decisions of a dispatcher to the nodes and engines that they concern. */
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
@@ -98,7 +98,8 @@
                 new Dispatcher.LoadLimits(STORE_WINDOW_MILLIS, STORE_RATE_FACTOR),
                 limits,
                 new TargetSpeeds((targetId, slow, estimate) -> {}),
-                new Actions());
+                new Actions(),
+                false);
         dispatcher.setOrdersAllowed(true);
     }
 
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -53,6 +53,10 @@
     private int requestCount;
 
     FakeFleet(String... models) {
+        this(false, models);
+    }
+
+    FakeFleet(boolean ranksByCost, String... models) {
         Map<String, EngineModelSpec> specs = new LinkedHashMap<>();
         for (String model : models) {
             specs.put(
@@ -61,7 +65,8 @@
                             model, MODEL_MB, STORE_LOAD_MILLIS, DISK_LOAD_MILLIS, DISK_LOAD_MILLIS, 4, 0.1));
         }
         spec = new EngineSpec(SLOT_COUNT, 100_000, TARGET_MB, 2, 1.6, true, specs);
-        dispatcher = new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, speeds, this);
+        dispatcher =
+                new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, speeds, this, ranksByCost);
         dispatcher.setOrdersAllowed(true);
     }
 
