Keep the sum of an allotment in five failures that no test had played

A review of the allotments found states in which nodes together used more than an account may, or nothing at all: nodes that stay cut off use their shares also after the holder has ceased to count them; a holder that has just started takes the nodes it sees for all; a holder that sends heartbeats but responds late hands out what the nodes take themselves as well; a holder with an older plan hands out without a bound what a later one limits; and an account without a burst is refused each request.

A node's own share ends before others use it. Nodes state the number of nodes they know to the holder, and the allotment they know with each request for units. The own share needs a missed heartbeat, not only a late response. A request may exceed what an account can save by half of the permitted excess, and by one where requests are counted. Priorities of accounts are clamped to 0 to 9, and decoding a plan no longer takes time by the square of its accounts.

The test's nodes now estimate the number of nodes as the product does.

--- a/src/main/java/org/poplarwharf/internal/allotment/AllotmentPool.java
+++ b/src/main/java/org/poplarwharf/internal/allotment/AllotmentPool.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
 
@@ -23,7 +24,7 @@
     private static final long MAX_PAUSE_MILLIS = 1_000;
 
     private final Map<String, Entry> byAccount = new HashMap<>();
-    private final double maxDebt;
+    private final ToDoubleFunction<Allotment> maxDebtUnits;
     private double share = 1;
     private long lastTickMillis;
 
@@ -60,10 +61,10 @@
     /**
      * Creates a pool without accounts.
      *
-     * @param maxDebt the units by which a request may exceed what an account can save
+     * @param maxDebtUnits the units by which a request may exceed what an account with the allotment can save
      */
-    public AllotmentPool(double maxDebt, long nowMillis) {
-        this.maxDebt = maxDebt;
+    public AllotmentPool(ToDoubleFunction<Allotment> maxDebtUnits, long nowMillis) {
+        this.maxDebtUnits = maxDebtUnits;
         this.lastTickMillis = nowMillis;
     }
 
@@ -95,6 +96,16 @@
         }
     }
 
+    /**
+     * Adds an account that has no allotment by the plan of this node, but has one by the later plan of another node. It
+     * stays until the accounts are replaced.
+     */
+    public void addIfAbsent(String name, Allotment allotment, long nowMillis) {
+        if (!byAccount.containsKey(name)) {
+            updateAccount(name, allotment, nowMillis);
+        }
+    }
+
     /** Sets the share of the allotments that this pool hands out; the rest belongs to nodes that it can't reach. */
     public void setShare(double latest, long nowMillis) {
         if (share != latest) {
@@ -134,7 +145,7 @@
             return new Unlimited();
         }
         double capacity = entry.bucket.capacity();
-        if (minUnits > capacity + maxDebt) {
+        if (minUnits > capacity + maxDebtUnits.applyAsDouble(entry.allotment)) {
             return new Exhausted(MAX_PROMISE_MILLIS, MAX_PROMISE_MILLIS);
         }
         // A request that uses more than can be saved is admitted once all is saved that can be, and the rest is a debt.
--- a/src/main/java/org/poplarwharf/internal/fleet/AccountTable.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/AccountTable.java
@@ -79,8 +79,9 @@
 
         /** Adds an account with its keys. An account with the name of an earlier one replaces its limits and adds keys. */
         public Builder add(ClientAccount account, List<String> keys) {
-            accountsByName.put(account.name(), account);
-            accountsByKeyDigest.replaceAll((key, known) -> known.name().equals(account.name()) ? account : known);
+            if (accountsByName.put(account.name(), account) != null) {
+                accountsByKeyDigest.replaceAll((key, known) -> known.name().equals(account.name()) ? account : known);
+            }
             for (String key : keys) {
                 ClientAccount previous = accountsByKeyDigest.put(digest(key), account);
                 if (previous != null && !previous.name().equals(account.name())) {
--- a/src/main/java/org/poplarwharf/internal/gateway/AccountSettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AccountSettings.java
@@ -1,5 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
+import org.poplarwharf.internal.fleet.Allotment;
+
 /**
  * How exactly keys and allotments of client accounts must be kept. Immutable and thread-safe.
  *
@@ -13,4 +15,16 @@
         boolean strictRevocation, long revocationMillis, long windowMillis, double excessRatio, double slackUnits) {
     /** Defaults for settings that a deployment omits. */
     public static final AccountSettings DEFAULTS = new AccountSettings(false, 5_000, 8_000, 0.1, 0);
+
+    /** Half of the permitted excess is for requests that use more than can be saved, the other half for failures. */
+    private static final double DEBT_RATIO = 0.5;
+
+    /**
+     * Returns the units by which a single request may exceed what its account can save. A request that counts as one is
+     * never too large, also where an allotment has no burst.
+     */
+    public double maxDebtUnits(Allotment allotment) {
+        double windowUnits = allotment.perSecond() * windowMillis / 1_000 + allotment.burst();
+        return Math.max(1, slackUnits + DEBT_RATIO * excessRatio * windowUnits);
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/NodeCountEstimate.java
@@ -6,7 +6,7 @@
  * The number of nodes, from the counts that the lease holder reports. A holder counts the nodes that are connected to
  * it, which are too few while they reconnect after a change of the holder or while some are cut off from it.
  *
- * <p>Invariants: the first estimate is the highest count of a settling time; it falls only after all counts have been
+ * <p>Invariants: the first estimate is the highest count of a settling time, or what another node has stated; it falls only after all counts have been
  * lower for a hold time. Confined to one thread.
  */
 public final class NodeCountEstimate {
@@ -25,6 +25,14 @@
         return settled ? count : 0;
     }
 
+    /** Records the estimate of another node, which is as good as an own one until this node has that. */
+    public void recordStatement(int statedCount) {
+        if (!settled && statedCount > 0) {
+            count = Math.max(count, statedCount);
+            settled = true;
+        }
+    }
+
     /** Records the number of nodes that the lease holder has reported. */
     public void recordReport(int reportedCount, long nowMillis, long holdMillis) {
         if (firstReportMillis.isEmpty()) {
--- a/src/main/java/org/poplarwharf/internal/holder/AccountMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AccountMessage.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.Set;
+import org.poplarwharf.internal.fleet.Allotment;
 
 /**
  * A message between a node and the lease holder about client accounts; sent only while the plan has accounts, since earlier
@@ -14,10 +15,18 @@
      * @param number identifies the request among those of the node for the account
      * @param minUnits the units that the first waiting request uses; fewer are of no use
      * @param wantedUnits the units that all waiting requests use, and some for the next ones
+     * @param perSecond the rate of the allotment by the plan of the node
+     * @param burst the burst of the same allotment
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record AllotmentRequest(String account, long number, double minUnits, double wantedUnits)
-            implements AccountMessage {}
+    record AllotmentRequest(
+            String account, long number, double minUnits, double wantedUnits, double perSecond, double burst)
+            implements AccountMessage {
+        /** Returns the stated allotment. The sender has translated requests to units, so the unit has no meaning here. */
+        Allotment allotment() {
+            return new Allotment(Allotment.Unit.REQUESTS, perSecond, burst, 1);
+        }
+    }
 
     /**
      * Hands out units to a node.
@@ -37,9 +46,11 @@
     /**
      * States the latest version of the plan of which the sender knows the keys. Nodes send it to the holder in response to
      * heartbeats, which also shows that they are connected; the holder sends it to a node that knows a later version.
+     *
+     * @param nodeCount the number of nodes that the sender knows of; zero if it doesn't know yet
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record PlanHeld(long version) implements AccountMessage {}
+    record PlanHeld(long version, int nodeCount) implements AccountMessage {}
 
     /** States the digests of all keys that the plan of the given version holds. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
@@ -9,6 +9,7 @@
 import org.poplarwharf.internal.allotment.AllotmentCredits;
 import org.poplarwharf.internal.allotment.AllotmentPool;
 import org.poplarwharf.internal.allotment.SilentHolderShare;
+import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.AllotmentGate;
@@ -25,9 +26,19 @@
 final class AllotmentExchange implements AllotmentGate {
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
-    /** A holder in reach responds much sooner; until it does, this node's own share may be used. */
+    /** A holder in reach responds much sooner. */
     private static final long MAX_RESPONSE_MILLIS = 150;
 
+    /**
+     * A holder that has sent nothing for this long has missed a heartbeat. One that sends heartbeats and responds late
+     * still hands out this node's share, so the node must not use it as well.
+     */
+    private static final long MAX_CONTACT_AGE_MILLIS = HolderAnnouncer.HEARTBEAT_INTERVAL_MILLIS + MAX_RESPONSE_MILLIS;
+
+    /** Other nodes may use this node's share once they no longer count it; by then this node has ceased to use it. */
+    private static final long MAX_SILENT_MILLIS =
+            ClientAccounts.NODE_COUNT_HOLD_MILLIS - 3 * HolderAnnouncer.HEARTBEAT_INTERVAL_MILLIS;
+
     /** Requests wait for a holder for at most this time, so that their callers can come back at another node. */
     private static final long MAX_HOLDER_WAIT_MILLIS = 1_000;
 
@@ -64,7 +75,7 @@
         this.localIssuer = localIssuer;
         this.clock = clock;
         this.timer = timer;
-        this.silentShare = new SilentHolderShare(settings.windowMillis(), clock.nowMillis());
+        this.silentShare = new SilentHolderShare(settings.windowMillis(), MAX_SILENT_MILLIS, clock.nowMillis());
     }
 
     /** Starts the periodic check of waiting requests and unused units. */
@@ -141,9 +152,10 @@
         if (credits.tryTake(account, units, nowMillis)) {
             return true;
         }
-        boolean isSilent =
-                !path.isResponding().getAsBoolean() || queue.unansweredMillis(nowMillis) > MAX_RESPONSE_MILLIS;
-        return isSilent && silentShare.tryTake(account, queue.allotment(), units, nowMillis);
+        boolean isUnanswered = queue.unansweredMillis(nowMillis) > MAX_RESPONSE_MILLIS
+                && silentShare.silentMillis(nowMillis) > MAX_CONTACT_AGE_MILLIS;
+        return (!path.isResponding().getAsBoolean() || isUnanswered)
+                && silentShare.tryTake(account, queue.allotment(), units, nowMillis);
     }
 
     private void serveFromPool(AllotmentQueue queue) {
@@ -160,11 +172,16 @@
     private void ask(AllotmentQueue queue) {
         long nowMillis = clock.nowMillis();
         String account = queue.account().name();
-        double wantedUnits =
-                queue.waitingUnits() + credits.unitsAhead(account, queue.allotment(), nodeCount, nowMillis);
+        Allotment allotment = queue.allotment();
+        double wantedUnits = queue.waitingUnits() + credits.unitsAhead(account, allotment, nodeCount, nowMillis);
         path.send()
                 .accept(new AccountMessage.AllotmentRequest(
-                        account, queue.recordAsked(nowMillis), queue.first().units(), wantedUnits));
+                        account,
+                        queue.recordAsked(nowMillis),
+                        queue.first().units(),
+                        wantedUnits,
+                        allotment.perSecond(),
+                        allotment.burst()));
     }
 
     private void check() {
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentIssuer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/AllotmentIssuer.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import org.poplarwharf.internal.allotment.AllotmentPool;
 import org.poplarwharf.internal.fleet.AccountTable;
+import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.topic.TopicFollower;
 
@@ -36,14 +38,14 @@
      *
      * @param accounts the accounts of the plan in force
      * @param knownNodeCount the number of nodes that are known, also of those that are cut off; zero if it is unknown
-     * @param maxDebtUnits the units by which a single request may exceed what an account can save
+     * @param maxDebtUnits the units by which a single request may exceed what an account with the allotment can save
      */
     AllotmentIssuer(
             Supplier<Optional<AccountTable>> accounts,
             IntSupplier knownNodeCount,
             MonotonicClock clock,
             TopicFollower.Timer timer,
-            double maxDebtUnits) {
+            ToDoubleFunction<Allotment> maxDebtUnits) {
         this.accounts = accounts;
         this.knownNodeCount = knownNodeCount;
         this.clock = clock;
@@ -99,25 +101,26 @@
         pool.giveBack(account, units, clock.nowMillis());
     }
 
-    /** Responds to another node that asks for units. */
-    void handleRequest(HolderConnections.Connection connection, AccountMessage.AllotmentRequest request) {
-        recordHeard(connection);
-        AllotmentPool.Decision decision = take(request.account(), request.minUnits(), request.wantedUnits());
-        connection.send(
-                switch (decision) {
-                    case AllotmentPool.Granted granted -> grant(request, granted.units());
-                    case AllotmentPool.Unlimited unlimited -> grant(request, request.wantedUnits());
-                    case AllotmentPool.Exhausted exhausted ->
-                        new AccountMessage.AllotmentGrant(
-                                request.account(),
-                                request.number(),
-                                0,
-                                exhausted.availableMillis(),
-                                exhausted.retryAfterMillis());
-                });
+    /**
+     * Returns the response to another node that asks for units. If its plan is later than this one's and has limited the account
+     * since, the allotment that the node states applies.
+     */
+    AccountMessage.AllotmentGrant respond(AccountMessage.AllotmentRequest request) {
+        pool.addIfAbsent(request.account(), request.allotment(), clock.nowMillis());
+        return switch (take(request.account(), request.minUnits(), request.wantedUnits())) {
+            case AllotmentPool.Granted granted -> grant(request, granted.units());
+            case AllotmentPool.Unlimited unlimited -> grant(request, request.wantedUnits());
+            case AllotmentPool.Exhausted exhausted ->
+                new AccountMessage.AllotmentGrant(
+                        request.account(),
+                        request.number(),
+                        0,
+                        exhausted.availableMillis(),
+                        exhausted.retryAfterMillis());
+        };
     }
 
-    private static AccountMessage grant(AccountMessage.AllotmentRequest request, double units) {
+    private static AccountMessage.AllotmentGrant grant(AccountMessage.AllotmentRequest request, double units) {
         return new AccountMessage.AllotmentGrant(request.account(), request.number(), units, 0, 0);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
+++ b/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
@@ -21,7 +21,7 @@
  */
 final class ClientAccounts implements HolderConnections.Handler {
     /** A node that is cut off from the holder keeps its share, so the others' shares must not grow meanwhile. */
-    private static final long NODE_COUNT_HOLD_MILLIS = 15_000;
+    static final long NODE_COUNT_HOLD_MILLIS = 15_000;
 
     private final FleetView view;
     private final HolderRole holderRole;
@@ -47,7 +47,7 @@
         this.holderPath = holderPath;
         this.clock = clock;
         this.keys = new KeyStatements(view, keysInForce, clock, log);
-        this.issuer = new AllotmentIssuer(this::accounts, nodeCount::count, clock, timer, settings.slackUnits());
+        this.issuer = new AllotmentIssuer(this::accounts, nodeCount::count, clock, timer, settings::maxDebtUnits);
         this.exchange = new AllotmentExchange(
                 new AllotmentExchange.HolderPath(
                         holderRole::isHolding, holderPath::isHolderResponding, holderPath::send),
@@ -85,7 +85,7 @@
         }
         exchange.recordContact(nodeCount.count());
         if (!holderRole.isHolding() && accounts().isPresent()) {
-            holderPath.send(new AccountMessage.PlanHeld(keys.version()));
+            holderPath.send(new AccountMessage.PlanHeld(keys.version(), nodeCount.count()));
         }
     }
 
@@ -122,11 +122,13 @@
         switch (message) {
             case AccountMessage.AllotmentRequest request -> {
                 if (holderRole.isHolding()) {
-                    issuer.handleRequest(connection, request);
+                    issuer.recordHeard(connection);
+                    connection.send(issuer.respond(request));
                 }
             }
             case AccountMessage.AllotmentReturn units -> issuer.giveBack(units.account(), units.units());
             case AccountMessage.PlanHeld held -> {
+                nodeCount.recordStatement(held.nodeCount());
                 issuer.recordHeard(connection);
                 keys.responseTo(connection, held).ifPresent(connection::send);
             }
--- a/src/main/java/org/poplarwharf/internal/holder/KeyStatements.java
+++ b/src/main/java/org/poplarwharf/internal/holder/KeyStatements.java
@@ -64,7 +64,7 @@
         }
         if (peer.laterCount >= STATEMENTS_COUNT && clock.nowMillis() - questionMillis >= QUESTION_INTERVAL_MILLIS) {
             questionMillis = clock.nowMillis();
-            return Optional.of(new AccountMessage.PlanHeld(version()));
+            return Optional.of(new AccountMessage.PlanHeld(version(), 0));
         }
         return Optional.empty();
     }
--- a/src/main/java/org/poplarwharf/internal/platform/AccountDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/platform/AccountDecoder.java
@@ -15,6 +15,9 @@
     private static final String TENANTS = "tenants";
     private static final double DEFAULT_PLAIN_TOKENS = 1;
 
+    /** A priority outside of the range would precede, or yield to, all requests whose priority comes from a route. */
+    private static final int LOWEST_PRIORITY = 9;
+
     private AccountDecoder() {}
 
     /** Decodes the accounts; empty if the configuration has none, so that requests need no key. Skips accounts without a name. */
@@ -38,7 +41,7 @@
 
     private static OptionalInt decodePriority(JsonNode tenant) {
         return tenant.path("priority").isIntegralNumber()
-                ? OptionalInt.of(tenant.path("priority").intValue())
+                ? OptionalInt.of(Math.clamp(tenant.path("priority").longValue(), 0, LOWEST_PRIORITY))
                 : OptionalInt.empty();
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
@@ -27,7 +27,7 @@
     private static AllotmentNodes withHolder() {
         AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, PER_SECOND, BURST);
         fleet.setHolder(Optional.of(fleet.nodes.get(0)));
-        fleet.time.advance(2_000);
+        fleet.time.advance(3_000);
         return fleet;
     }
 
@@ -133,6 +133,69 @@
         assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
     }
 
+    @Test
+    void bound_holds_when_nodes_stay_cut_off_until_the_others_no_longer_count_them() {
+        AllotmentNodes fleet = withHolder();
+        Random random = new Random(1);
+        fleet.nodes.subList(NODE_COUNT / 2, NODE_COUNT).forEach(node -> node.reachesHolder = false);
+
+        play(fleet, 40_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+
+        assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
+    }
+
+    @Test
+    void bound_holds_while_the_holder_responds_late() {
+        AllotmentNodes fleet = withHolder();
+        Random random = new Random(1);
+        fleet.responseDelayMillis = 400;
+
+        play(fleet, 20_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+
+        assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
+    }
+
+    @Test
+    void bound_holds_when_a_node_that_has_just_started_becomes_the_holder_and_does_not_reach_all() {
+        AllotmentNodes fleet = withHolder();
+        Random random = new Random(1);
+        play(fleet, 8_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+
+        fleet.nodes.subList(NODE_COUNT / 2, NODE_COUNT).forEach(node -> node.reachesHolder = false);
+        fleet.setHolder(Optional.of(fleet.addNode()));
+        play(fleet, 12_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+
+        assertThat(fleet.maxWindowUnits()).isLessThanOrEqualTo(bound(PER_SECOND));
+    }
+
+    @Test
+    void bound_holds_while_only_the_holder_does_not_know_that_the_account_is_limited() {
+        AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, PER_SECOND, BURST);
+        fleet.nodes.get(0).readsPlan = false;
+        fleet.setHolder(Optional.of(fleet.nodes.get(0)));
+        fleet.time.advance(3_000);
+
+        play(fleet, 12_000, 3 * PER_SECOND, new Random(1), count -> 1 + count % (NODE_COUNT - 1));
+
+        assertThat(fleet.maxWindowUnits())
+                .isBetween(MIN_USE_RATIO * PER_SECOND * AllotmentNodes.WINDOW_MILLIS / 1_000, bound(PER_SECOND));
+    }
+
+    @Test
+    void account_without_a_burst_is_served_at_its_rate() {
+        AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, 10, 0);
+        fleet.setHolder(Optional.of(fleet.nodes.get(0)));
+        fleet.time.advance(3_000);
+        long startMillis = fleet.time.nowMillis();
+
+        for (int i = 0; i < 320; i++) {
+            fleet.nodes.get(i % NODE_COUNT).request(1);
+            fleet.time.advance(50);
+        }
+
+        assertThat(fleet.usedUnits(startMillis, startMillis + 16_000)).isBetween(0.95 * 160, 1.1 * 160);
+    }
+
     @Property(tries = 15)
     void bound_holds_when_the_holder_is_suspended_and_resumes_beside_another_one(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
@@ -160,7 +223,6 @@
         fleet.setHolder(Optional.empty());
         fleet.nodes.forEach(node -> node.suspended = true);
         fleet.nodes.clear();
-        fleet.setKnownNodeCount(0);
         for (int i = 0; i < NODE_COUNT + 10; i++) {
             fleet.addNode();
         }
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
@@ -9,13 +9,13 @@
 import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.allotment.AllotmentPool;
 import org.poplarwharf.internal.fleet.AccountTable;
 import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.AllotmentGate;
 import org.poplarwharf.internal.gateway.GatewayMetrics;
+import org.poplarwharf.internal.gateway.NodeCountEstimate;
 import org.poplarwharf.internal.kernel.DecisionLog;
 
 /**
@@ -35,9 +35,11 @@
     private final List<Use> uses = new ArrayList<>();
     private Optional<Node> holder = Optional.empty();
     private ClientAccount account;
-    private int knownNodeCount;
     private int refusedCount;
 
+    /** Delays each response of the holder to a request for units. */
+    long responseDelayMillis;
+
     private record Use(long millis, double units) {}
 
     /** One node. */
@@ -46,21 +48,27 @@
         private final AllotmentExchange exchange;
         private final HolderConnections.Connection connection = new HolderConnections.Connection(null);
         boolean reachesHolder = true;
+        boolean readsPlan = true;
         boolean suspended;
+        private final NodeCountEstimate nodeCount = new NodeCountEstimate();
         private long heardMillis = Long.MIN_VALUE / 2;
 
         Node() {
+            AccountSettings settings = new AccountSettings(false, 5_000, WINDOW_MILLIS, 0.1, 0);
             issuer = new AllotmentIssuer(
-                    () -> Optional.of(
-                            new AccountTable.Builder().add(account, List.of()).build()),
-                    () -> knownNodeCount,
+                    () -> readsPlan
+                            ? Optional.of(new AccountTable.Builder()
+                                    .add(account, List.of())
+                                    .build())
+                            : Optional.empty(),
+                    nodeCount::count,
                     time::nowMillis,
                     this::schedule,
-                    0);
+                    settings::maxDebtUnits);
             exchange = new AllotmentExchange(
                     new AllotmentExchange.HolderPath(this::isHolder, this::isHolderResponding, this::send),
                     issuer,
-                    new AccountSettings(false, 5_000, WINDOW_MILLIS, 0.1, 0),
+                    settings,
                     time::nowMillis,
                     this::schedule,
                     new AllotmentRecorder(
@@ -92,16 +100,25 @@
 
         private void sendHeartbeats() {
             if (isHolder()) {
-                nodes.forEach(node -> deliver(this, node, node::handleHeartbeat));
-                exchange.recordContact(knownNodeCount);
+                int connectedCount = connectedCount(this);
+                nodes.forEach(node -> deliver(this, node, () -> node.handleHeartbeat(connectedCount)));
+                recordContact(connectedCount);
             }
             schedule(HEARTBEAT_MILLIS, this::sendHeartbeats);
         }
 
-        private void handleHeartbeat() {
+        private void handleHeartbeat(int connectedCount) {
             heardMillis = time.nowMillis();
-            exchange.recordContact(knownNodeCount);
-            toHolder(target -> target.issuer.recordHeard(connection));
+            recordContact(connectedCount);
+            toHolder(target -> {
+                target.nodeCount.recordStatement(nodeCount.count());
+                target.issuer.recordHeard(connection);
+            });
+        }
+
+        private void recordContact(int connectedCount) {
+            nodeCount.recordReport(connectedCount, time.nowMillis(), ClientAccounts.NODE_COUNT_HOLD_MILLIS);
+            exchange.recordContact(nodeCount.count());
         }
 
         private void toHolder(Consumer<Node> action) {
@@ -119,20 +136,9 @@
 
         private void respond(Node node, AccountMessage.AllotmentRequest request) {
             issuer.recordHeard(node.connection);
-            AllotmentPool.Decision decision = issuer.take(request.account(), request.minUnits(), request.wantedUnits());
-            AccountMessage.AllotmentGrant grant = switch (decision) {
-                case AllotmentPool.Granted granted -> grant(request, granted.units(), 0, 0);
-                case AllotmentPool.Unlimited unlimited -> throw new AssertionError("the account is limited");
-                case AllotmentPool.Exhausted exhausted ->
-                    grant(request, 0, exhausted.availableMillis(), exhausted.retryAfterMillis());
-            };
-            deliver(this, node, () -> node.exchange.handleGrant(grant));
-        }
-
-        private static AccountMessage.AllotmentGrant grant(
-                AccountMessage.AllotmentRequest request, double units, long availableMillis, long retryAfterMillis) {
-            return new AccountMessage.AllotmentGrant(
-                    request.account(), request.number(), units, availableMillis, retryAfterMillis);
+            AccountMessage.AllotmentGrant grant = issuer.respond(request);
+            Runnable response = () -> deliver(this, node, () -> node.exchange.handleGrant(grant));
+            schedule(responseDelayMillis, response);
         }
 
         /** A request arrives at this node. */
@@ -153,7 +159,6 @@
 
     AllotmentNodes(int nodeCount, double perSecond, double burst) {
         setAllotment(perSecond, burst);
-        knownNodeCount = nodeCount;
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new Node());
         }
@@ -164,9 +169,10 @@
                 "a", OptionalInt.empty(), Optional.of(new Allotment(Allotment.Unit.TOKENS, perSecond, burst, 1)));
     }
 
-    /** Sets how many nodes the nodes believe that there are; zero if they don't know. */
-    void setKnownNodeCount(int count) {
-        knownNodeCount = count;
+    private int connectedCount(Node node) {
+        return (int) nodes.stream()
+                .filter(other -> other == node || (node.reachesHolder && other.reachesHolder && !other.suspended))
+                .count();
     }
 
     /** Adds a node that has just started. */
--- a/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/DecodingTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.fleet.AccountTable;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
@@ -46,6 +47,27 @@
         assertThat(target.onDisk()).containsExactly("m", "n");
     }
 
+    @Test
+    void priority_of_an_account_stays_within_the_range_of_priorities() {
+        FleetPlan plan = PlanDecoder.decode(
+                bytes(
+                        "{'version':1,'tenants':[{'name':'low','priority':12},"
+                                + "{'name':'high','priority':-4},{'name':'huge','priority':4294967295},{'name':'none','priority':'2'}]}"));
+
+        AccountTable accounts = plan.accounts().orElseThrow();
+        assertThat(accounts.find("low").orElseThrow().priority()).hasValue(9);
+        assertThat(accounts.find("high").orElseThrow().priority()).hasValue(0);
+        assertThat(accounts.find("huge").orElseThrow().priority()).hasValue(9);
+        assertThat(accounts.find("none").orElseThrow().priority()).isEmpty();
+    }
+
+    @Test
+    void failure_to_decode_a_plan_shows_none_of_its_keys() {
+        assertThatThrownBy(() -> PlanDecoder.decode(bytes("{'version':1,'tenants':[{'apiKeys':[secret-key]}]}")))
+                .isInstanceOf(PoplarWharfException.class)
+                .hasMessageNotContaining("secret");
+    }
+
     @Test
     void adapters_in_transit_count_as_loaded() {
         Target target = TargetEntryDecoder.decode(
