Place by the pauses that streams have at each target, where targets differ

Cause: streams were late by a pause between events though their first event was early, and placement knew nothing of pauses. A slow target that prefills makes them longer than the callers allow. Change: a node reports the first pause of a stream that exceeds its route's limit, unless the caller didn't read. The holder keeps the share of each target's streams that were late so, and adds to a target's cost the expected harm to the request and, by its prefill, to the streams that run there. It does that only in services with a target known to differ; elsewhere placement is as before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/DemandEstimator.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/DemandEstimator.java
@@ -1,7 +1,9 @@
 package org.poplarwharf.internal.dispatch;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import org.poplarwharf.internal.fleet.EngineSpec;
 
 /**
  * Estimates the request rate of each model from two exponentially decaying counts. The slow count distinguishes rarely
@@ -25,9 +27,15 @@
     /** From this rate on a model is busy: its last replica is not evicted, and it gets a second one. */
     private static final double BUSY_REQUESTS_PER_SECOND = 0.7;
 
+    /**
+     * The request rate assumed for each replica that targets hold at first; about the rate that justifies a replica.
+     */
+    private static final double SEED_REQUESTS_PER_SECOND_PER_REPLICA = 0.5;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<String, DecayingCounts> countsByModel = new HashMap<>();
+    private boolean seeded;
 
     /** Two counts of requests that decay with the age of the requests. */
     private static final class DecayingCounts {
@@ -52,8 +60,24 @@
         counts.fast++;
     }
 
-    /** Raises the estimated rate to at least the given one, for a model in demand before any request arrived here. */
-    void seedRate(String model, double perSecond, long nowMillis) {
+    /** Seeds the estimate once targets are known: a model that several of them hold was in demand before. */
+    void seedOnce(EngineSpec spec, Collection<EngineState> engines, long nowMillis) {
+        if (seeded || engines.isEmpty()) {
+            return;
+        }
+        seeded = true;
+        for (String model : spec.models().keySet()) {
+            long replicas = engines.stream()
+                    .filter(engine -> engine.models.containsKey(model))
+                    .count();
+            if (replicas > 1) {
+                seedRate(model, SEED_REQUESTS_PER_SECOND_PER_REPLICA * replicas, nowMillis);
+            }
+        }
+    }
+
+    /** Raises the estimated rate to at least the given one. */
+    private void seedRate(String model, double perSecond, long nowMillis) {
         DecayingCounts counts = decayedCounts(model, nowMillis);
         counts.slow = Math.max(counts.slow, perSecond * SLOW_DECAY_MILLIS / MILLIS_PER_SECOND);
         counts.fast = Math.max(counts.fast, perSecond * FAST_DECAY_MILLIS / MILLIS_PER_SECOND);
--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -27,11 +27,6 @@
     /** Runs often end in bursts; after the end of a run, queued requests are placed again at most this often. */
     private static final long MIN_PLACEMENT_INTERVAL_MILLIS = 10;
 
-    /**
-     * The request rate assumed for each replica that targets hold at first; about the rate that justifies a replica.
-     */
-    private static final double SEED_REQUESTS_PER_SECOND_PER_REPLICA = 0.5;
-
     private final Map<String, QueuedRequest> queued = new LinkedHashMap<>();
     private final Map<String, EngineState> engines = new LinkedHashMap<>();
     private final Map<String, EngineState> engineByKey = new LinkedHashMap<>();
@@ -49,7 +44,6 @@
     private final Map<String, Integer> queuedByFullModel = new HashMap<>();
     private final Map<String, Long> readyMillisByModel = new HashMap<>();
     private long lastPlacementMillis = Long.MIN_VALUE / 2;
-    private boolean demandSeeded;
 
     /**
      * Creates a dispatcher without targets.
@@ -92,26 +86,10 @@
             }
         }
         engines.keySet().retainAll(listedIds);
-        seedDemand(nowMillis);
+        demand.seedOnce(spec, engines.values(), nowMillis);
         placeQueued(nowMillis);
     }
 
-    /** Seeds the demand estimate: a model that several targets held before this node took over was in demand. */
-    private void seedDemand(long nowMillis) {
-        if (demandSeeded || engines.isEmpty()) {
-            return;
-        }
-        demandSeeded = true;
-        for (String model : spec.models().keySet()) {
-            long replicas = engines.values().stream()
-                    .filter(engine -> engine.models.containsKey(model))
-                    .count();
-            if (replicas > 1) {
-                demand.seedRate(model, SEED_REQUESTS_PER_SECOND_PER_REPLICA * replicas, nowMillis);
-            }
-        }
-    }
-
     /** Grants, refuses or queues a request. One that was granted before, to a node that has not heard of it, starts anew. */
     public void submit(DispatchRequest request, long nowMillis) {
         endRun(request.key(), nowMillis);
@@ -149,6 +127,10 @@
                 targetLimits.recordResponse(engine.target.id(), run.grantedMillis());
                 return;
             }
+            case RunOutcome.LatePause late -> {
+                engine.recordLatePause(nowMillis);
+                return;
+            }
             case RunOutcome.Declined declined -> orders.handleDeclinedRun(engine, run.request(), nowMillis);
             case RunOutcome.ConnectionFailed failed -> engine.recordFailure(nowMillis);
             case RunOutcome.Abandoned abandoned -> {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -197,7 +197,9 @@
             DispatchRequest request, EngineState engine, double prefillMillis, long nowMillis) {
         double othersMillis = prefillMillis * PREFILL_INTERFERENCE_RATIO * engine.runs.size();
         double longResponseRatio = Math.min(1, request.traits().maxOutputTokens() / LONG_RESPONSE_TOKENS);
-        return othersMillis + longResponseRatio * engine.prefillShare(nowMillis) * PREFILL_BUSY_COST_MILLIS;
+        return othersMillis
+                + engine.pauseHarmMillis(request, prefillMillis, nowMillis)
+                + longResponseRatio * engine.prefillShare(nowMillis) * PREFILL_BUSY_COST_MILLIS;
     }
 
     /** Returns the time until a missing adapter is loaded; a target takes no order while it loads a model. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -86,6 +86,7 @@
     private final FailureBackoff backoff = new FailureBackoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
     private long lastGrantMillis;
     private long committedTokens;
+    private final LatePauses latePauses = new LatePauses();
     private double prefillShare;
     private long prefillShareUpdatedMillis;
     private double slowness = 1;
@@ -316,12 +317,15 @@
         lastGrantMillis = run.grantedMillis();
         Run previous = runs.put(run.request().key(), run);
         committedTokens += run.tokens() - (previous == null ? 0 : previous.tokens());
+        latePauses.addRun(run);
+        latePauses.removeRun(previous);
     }
 
     /** Removes a run and its tokens. */
     void endRun(String key) {
         Run run = runs.remove(key);
         committedTokens -= run == null ? 0 : run.tokens();
+        latePauses.removeRun(run);
     }
 
     long committedTokens() {
@@ -355,6 +359,7 @@
     /** Updates the slowness from the time to a run's first event, and resets the failure backoff. */
     void recordFirstEvent(Run run, long firstEventMillis, long nowMillis) {
         backoff.recordSuccess();
+        latePauses.recordFirstEvent(run, nowMillis);
         long estimateMillis = run.estimateMillis();
         speeds.recordFirstEvent(target, run.request().model().orElse(""), estimateMillis, firstEventMillis, nowMillis);
         double observedRatio = Math.clamp(
@@ -363,6 +368,19 @@
         slownessUpdatedMillis = nowMillis;
     }
 
+    /** Records the first late pause of a stream. */
+    void recordLatePause(long nowMillis) {
+        latePauses.recordLate(nowMillis);
+    }
+
+    /** Returns the expected harm of late pauses if a request is placed here; zero unless targets are known to differ. */
+    double pauseHarmMillis(DispatchRequest request, double addedPrefillMillis, long nowMillis) {
+        double recentPrefillMillis = prefillShare(nowMillis) * PREFILL_SHARE_DECAY_MILLIS;
+        return speeds.isUneven(target)
+                ? latePauses.harmMillis(request, addedPrefillMillis, recentPrefillMillis, nowMillis)
+                : 0;
+    }
+
     /** Starts the failure backoff, during which the target gets no new requests. */
     void recordFailure(long nowMillis) {
         backoff.recordFailure(nowMillis);
--- a/src/main/java/org/poplarwharf/internal/dispatch/LimitedTargetDispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LimitedTargetDispatcher.java
@@ -68,7 +68,7 @@
         }
         if (outcome instanceof RunOutcome.FirstEventReceived) {
             limits.recordResponse(grant.targetId(), grant.grantedMillis());
-        } else {
+        } else if (outcome.endsRun()) {
             grantByKey.remove(key);
         }
     }
--- a/src/main/java/org/poplarwharf/internal/dispatch/RunOutcome.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/RunOutcome.java
@@ -12,6 +12,12 @@
      */
     record FirstEventReceived(long firstEventMillis, Optional<StreamOrigin> origin) implements RunOutcome {}
 
+    /**
+     * For the first time in a stream, an event arrived later after the one before than its objective allows. The run
+     * continues.
+     */
+    record LatePause(long pauseMillis) implements RunOutcome {}
+
     /**
      * The target stated that it didn't run the request: the model or the adapter isn't loaded, or the target is full.
      */
@@ -22,4 +28,9 @@
 
     /** The caller disconnected, or the response ended for a reason unrelated to the target's health. */
     record Abandoned() implements RunOutcome {}
+
+    /** Returns whether the run has ended. */
+    default boolean endsRun() {
+        return !(this instanceof FirstEventReceived) && !(this instanceof LatePause);
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
@@ -82,6 +82,7 @@
         private final ExpectedTimeCorrection correction = new ExpectedTimeCorrection();
         private double medianLog;
         private boolean hasMedian;
+        private boolean uneven;
         private long medianMillis = Long.MIN_VALUE / 2;
     }
 
@@ -115,6 +116,11 @@
         return entry.different ? Math.exp(entry.speed.ratioLog() - service.medianLog) : 1;
     }
 
+    /** Returns whether any target of this one's service is known to differ from the others. */
+    public boolean isUneven(Target target) {
+        return serviceOf(target).uneven;
+    }
+
     /** Returns what is known of a target; empty without enough observations. */
     public Optional<Estimate> estimate(String targetId, long nowMillis) {
         return Optional.ofNullable(entries.get(targetId))
@@ -199,6 +205,8 @@
                 .mapToDouble(entry -> entry.speed.ratioLog())
                 .toArray();
         service.hasMedian = ratios.length >= MIN_TARGET_COUNT;
+        service.uneven = entries.values().stream()
+                .anyMatch(entry -> entry.different && entry.target.service().equals(name));
         service.medianLog = service.hasMedian ? TargetSpeed.median(ratios) : 0;
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/LowestCostTargetSelector.java
@@ -184,6 +184,9 @@
                 addSample(stats, Math.max(0, answered.firstEventMillis() - EXPECTED_RESPONSE_MILLIS), nowMillis);
                 return;
             }
+            case RunOutcome.LatePause late -> {
+                return;
+            }
             case RunOutcome.Declined declined -> addSample(stats, FAILURE_PENALTY_MILLIS, nowMillis);
             case RunOutcome.ConnectionFailed broken -> {
                 addSample(stats, FAILURE_PENALTY_MILLIS, nowMillis);
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -33,12 +33,12 @@
     private final AttemptLimits limits;
     private final AttemptSender sender;
     private final StreamContinuity continuity;
+    private final EventProgress progress;
     private final Future<?> deadlineTimer;
     private final ProgressTimer progressTimer;
     private final TargetReplacement replacement;
     private String selectionKey = "";
     private Optional<Attempt> current = Optional.empty();
-    private boolean firstEventReported;
     private boolean done;
 
     ProxyExchange(RequestContext context, ResponseSink sink, FullHttpRequest request) {
@@ -53,6 +53,7 @@
         this.recorder = new ExchangeRecorder(context);
         this.limits = new AttemptLimits(context, recorder);
         this.continuity = new StreamContinuity(gateway.streamOrigins(), route, context.traits(), context.service());
+        this.progress = new EventProgress(continuity, route.maxEventGapMillis());
         this.sender = new AttemptSender(context, new OutgoingRequests(context, request), limits, recorder, continuity);
         this.replacement =
                 new TargetReplacement(context, sender, limits, recorder, continuity, relay, this::replaceSilentTarget);
@@ -103,7 +104,7 @@
             expire();
             return;
         }
-        firstEventReported = false;
+        progress.restart();
         Attempt attempt = new Attempt(selectionKey, target, backup, gateway.nowMillis(), this);
         current = Optional.of(attempt);
         int runCount = limits.possibleRunCount() + 1;
@@ -150,17 +151,13 @@
 
     private void onEventsForwarded(Attempt attempt) {
         replacement.cancel();
-        reportFirstEvent(attempt);
+        reportProgress(attempt, progress.recordEvents(attempt, gateway.nowMillis()));
         progressTimer.restart(gateway.policy().eventGapTimeoutMillis(route, limits.possibleRunCount()));
         onBytesForwarded(attempt);
     }
 
-    private void reportFirstEvent(Attempt attempt) {
-        if (!firstEventReported) {
-            firstEventReported = true;
-            long firstEventMillis = gateway.nowMillis() - attempt.sentMillis();
-            selector.reportOutcome(attempt.key(), continuity.recordFirstEvent(attempt.target(), firstEventMillis));
-        }
+    private void reportProgress(Attempt attempt, Optional<RunOutcome> outcome) {
+        outcome.ifPresent(reported -> selector.reportOutcome(attempt.key(), reported));
     }
 
     /** Stops reading from the target while the caller takes no more bytes; that is no silence of the target. */
@@ -168,6 +165,7 @@
         replacement.cancelIfNotAllowed();
         if (!sink.isWritable()) {
             attempt.pauseReading();
+            progress.recordReadingPaused();
             progressTimer.stop();
         }
     }
@@ -207,7 +205,7 @@
             rerun(attempt, "failed by target");
             return;
         }
-        reportFirstEvent(attempt);
+        reportProgress(attempt, progress.recordEnd(attempt, gateway.nowMillis()));
         selector.reportEnd(attempt.key(), relay.isMarkedSuccess());
         gateway.crashDetector().recordResponse(context.suspects(), relay.isMarkedSuccess());
         close("request-answered", relay.finish());
@@ -289,7 +287,7 @@
         selectionKey = attempt.key();
         current = Optional.of(attempt);
         attempt.setListener(this);
-        firstEventReported = false;
+        progress.restart();
         int runCount = limits.possibleRunCount() + (attempt.wasSent() ? 0 : 1);
         progressTimer.restart(gateway.policy().progressTimeoutMillis(route, runCount));
     }
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -142,7 +142,7 @@
 
     @Override
     public void reportOutcome(String key, RunOutcome outcome) {
-        Run run = outcome instanceof RunOutcome.FirstEventReceived ? runs.get(key) : runs.remove(key);
+        Run run = outcome.endsRun() ? runs.remove(key) : runs.get(key);
         if (outcome instanceof RunOutcome.FirstEventReceived received) {
             received.origin().ifPresent(origin -> shareOrigin(origin, run));
         }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -113,6 +113,7 @@
     /**
      * Reports the outcome of a granted run, and the origin of its stream with the first event. With an empty key it reports
      * only a limit, an origin or a target that leaves; nodes of earlier releases, which know none, ignore such a message.
+     * They take one with {@code latePauseMillis} for a slow first event.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Outcome(
@@ -121,12 +122,14 @@
             long firstEventMillis,
             Optional<NamedLimit> namedLimit,
             Optional<StreamOrigin> origin,
-            Optional<LeavingTarget> leavingTarget)
+            Optional<LeavingTarget> leavingTarget,
+            Optional<Long> latePauseMillis)
             implements HolderMessage {
         public Outcome {
             namedLimit = orEmpty(namedLimit);
             origin = orEmpty(origin);
             leavingTarget = orEmpty(leavingTarget);
+            latePauseMillis = orEmpty(latePauseMillis);
         }
     }
 
@@ -297,7 +300,17 @@
                         answered.firstEventMillis(),
                         Optional.empty(),
                         answered.origin(),
+                        Optional.empty(),
                         Optional.empty());
+            case RunOutcome.LatePause late ->
+                new Outcome(
+                        key,
+                        OutcomeKind.ANSWERED,
+                        late.pauseMillis(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.of(late.pauseMillis()));
             case RunOutcome.Declined declined -> endMessage(key, OutcomeKind.DECLINED);
             case RunOutcome.ConnectionFailed broken -> endMessage(key, OutcomeKind.BROKEN);
             case RunOutcome.Abandoned abandoned -> endMessage(key, OutcomeKind.ABANDONED);
@@ -312,31 +325,46 @@
                 0,
                 Optional.of(new NamedLimit(targetId, requestsPerSecond)),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 
     /** Returns the message that reports that a target leaves. */
     static HolderMessage leavingMessage(Target target) {
         LeavingTarget leaving = new LeavingTarget(target.id(), target.startedAtMillis());
-        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.empty(), Optional.of(leaving));
+        return new Outcome(
+                "",
+                OutcomeKind.ANSWERED,
+                0,
+                Optional.empty(),
+                Optional.empty(),
+                Optional.of(leaving),
+                Optional.empty());
     }
 
     /** Returns the message that reports the origin of a stream. */
     static HolderMessage originMessage(StreamOrigin origin) {
-        return new Outcome("", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.of(origin), Optional.empty());
+        return new Outcome(
+                "", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.of(origin), Optional.empty(), Optional.empty());
     }
 
     private static HolderMessage endMessage(String key, OutcomeKind kind) {
-        return new Outcome(key, kind, 0, Optional.empty(), Optional.empty(), Optional.empty());
+        return new Outcome(key, kind, 0, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /** Returns the outcome of a run that a node has reported. */
     static RunOutcome runOutcome(Outcome message) {
         return switch (message.kind()) {
-            case ANSWERED -> new RunOutcome.FirstEventReceived(message.firstEventMillis(), message.origin());
+            case ANSWERED -> answeredOutcome(message);
             case DECLINED -> new RunOutcome.Declined();
             case BROKEN -> new RunOutcome.ConnectionFailed();
             case ABANDONED -> new RunOutcome.Abandoned();
         };
     }
+
+    private static RunOutcome answeredOutcome(Outcome message) {
+        return message.latePauseMillis().isPresent()
+                ? new RunOutcome.LatePause(message.latePauseMillis().get())
+                : new RunOutcome.FirstEventReceived(message.firstEventMillis(), message.origin());
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -147,7 +147,7 @@
     public void recordOutcome(String key, RunOutcome outcome) {
         dispatcherOf(key).ifPresent(dispatcher -> dispatcher.recordOutcome(key, outcome, clock.nowMillis()));
         limitedTargets.recordOutcome(key, outcome);
-        if (!(outcome instanceof RunOutcome.FirstEventReceived)) {
+        if (outcome.endsRun()) {
             sources.remove(key);
         }
     }
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTargetSpeedTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherTargetSpeedTest.java
@@ -60,6 +60,37 @@
         assertThat(submit(6)).containsEntry("t0", 2).containsEntry("t1", 2).containsEntry("t2", 2);
     }
 
+    @Test
+    void streams_go_where_fewer_were_late_by_a_pause_if_targets_differ() {
+        fleet.maxEventGapMillis = 300;
+        run(900, 2);
+        recordLatePauses("t1");
+
+        assertThat(submit(6).getOrDefault("t2", 0)).isGreaterThanOrEqualTo(5);
+    }
+
+    @Test
+    void late_pauses_change_nothing_where_targets_are_even() {
+        fleet.maxEventGapMillis = 300;
+        run(300, 1);
+        recordLatePauses("t1");
+
+        assertThat(submit(6)).containsEntry("t0", 2).containsEntry("t1", 2).containsEntry("t2", 2);
+    }
+
+    /** Lets streams at a target be late by a pause, after which all targets are idle. */
+    private void recordLatePauses(String targetId) {
+        fleet.advanceMillis(QUIET_MILLIS);
+        List<String> keys = new ArrayList<>();
+        for (int i = 0; i < 2 * FakeFleet.SLOT_COUNT; i++) {
+            keys.add(fleet.submit("m", 5_000));
+        }
+        keys.stream()
+                .filter(key -> fleet.granted.get(key).equals(targetId))
+                .forEach(key -> fleet.dispatcher.recordOutcome(key, new RunOutcome.LatePause(500), fleet.nowMillis));
+        keys.forEach(key -> fleet.dispatcher.endRun(key, fleet.nowMillis));
+    }
+
     /** Runs requests, several at a time, at whose targets the first takes the given times as long. */
     private void run(int count, double slowness) {
         List<String> running = new ArrayList<>();
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -49,6 +49,9 @@
     /** The stream that the next requests continue. */
     Optional<StreamContinuation> continuation = Optional.empty();
 
+    /** The maximum time between events that the next requests state; zero for none. */
+    long maxEventGapMillis;
+
     private int executedCount;
     private int requestCount;
 
@@ -178,7 +181,7 @@
                         Set.of(),
                         continuation,
                         Optional.empty(),
-                        0),
+                        maxEventGapMillis),
                 nowMillis);
     }
 
--- a/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
@@ -13,6 +13,7 @@
 import org.poplarwharf.internal.codec.MessagePackCodec;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.dispatch.TargetSpeeds;
 
 /** Exchanges messages with nodes of the release before limits were added, which run beside others during an update. */
@@ -62,6 +63,7 @@
                         7,
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         Optional.empty()));
     }
 
@@ -85,6 +87,14 @@
         assertThat(CODEC.decode(CODEC.encode(limit), "a node")).isEqualTo(limit);
     }
 
+    @Test
+    void late_pause_survives_encoding() {
+        RunOutcome late = new RunOutcome.LatePause(700);
+        HolderMessage decoded = CODEC.decode(CODEC.encode(HolderMessage.outcomeMessage("k", late)), "a node");
+
+        assertThat(HolderMessage.runOutcome((HolderMessage.Outcome) decoded)).isEqualTo(late);
+    }
+
     @Test
     void nodes_of_the_earlier_release_read_crashes_without_prompt_parts() {
         HolderMessage.TargetCrashes message = HolderMessage.TargetCrashes.of(List.of(REQUEST_CRASH, PART_CRASH))
