--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.poplarwharf.internal.fleet.FleetPlan;
@@ -29,7 +28,8 @@
     /** The incarnations that have stated that they leave, also those that are no longer known. */
     private final Map<String, Target> leavingById = new LinkedHashMap<>();
 
-    private OptionalLong planUnreachableSinceMillis = OptionalLong.empty();
+    private boolean planReachable = true;
+    private long planReadMillis;
     private boolean targetsLoaded;
     private boolean targetsCurrent = true;
 
@@ -139,18 +139,23 @@
     }
 
     /** Records whether the platform's log, and so the latest plan, can be read. */
-    public void setPlanReachable(boolean reachable, long nowMillis) {
-        planUnreachableSinceMillis = reachable ? OptionalLong.empty() : OptionalLong.of(nowMillis);
+    public void setPlanReachable(boolean reachable) {
+        planReachable = reachable;
+    }
+
+    /** Records that the plan was the latest at this time. */
+    public void recordPlanRead(long nowMillis) {
+        planReadMillis = nowMillis;
     }
 
     /** Returns whether this node reads the latest plan, as far as it knows. */
     public boolean isPlanReachable() {
-        return planUnreachableSinceMillis.isEmpty();
+        return planReachable;
     }
 
     /** Returns for how long this node has not been able to read the latest plan; zero if it can. */
     public long planUnreachableMillis(long nowMillis) {
-        return planUnreachableSinceMillis.isEmpty() ? 0 : nowMillis - planUnreachableSinceMillis.getAsLong();
+        return planReachable ? 0 : nowMillis - planReadMillis;
     }
 
     /** Records whether the list of targets is kept up to date, that is, whether the platform's log can be read. */
--- a/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PlanTopicListener.java
@@ -66,9 +66,14 @@
         // The view ignores plans that are older than the current one.
     }
 
+    @Override
+    public void onRead() {
+        view.recordPlanRead(clock.getAsLong());
+    }
+
     @Override
     public void onReachabilityChanged(boolean reachable, String reason) {
-        view.setPlanReachable(reachable, clock.getAsLong());
+        view.setPlanReachable(reachable);
         log.log(reachable ? "log-regained" : "log-lost", "topic", "plan", "reason", reason);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
+++ b/src/main/java/org/poplarwharf/internal/topic/TopicFollower.java
@@ -66,6 +66,9 @@
         /** Called after a restore of the log, before the records of the first snapshot that is read from it. */
         void onRestored();
 
+        /** Called after each successful read. */
+        default void onRead() {}
+
         /** Called if the log becomes unreachable, or reachable again. */
         void onReachabilityChanged(boolean reachable, String reason);
     }
@@ -236,6 +239,7 @@
 
     private void recordSuccess() {
         consecutiveFailures = 0;
+        listener.onRead();
         if (!reachable) {
             reachable = true;
             listener.onReachabilityChanged(true, "answered");
--- a/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/TopicListenersTest.java
@@ -16,12 +16,13 @@
     private static final String TARGET =
             "{'service':'desk','addr':'127.0.0.1:1','zone':'z1','slots':4,'state':'ready','seq':1}";
 
+    private long nowMillis;
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final DecisionLog log = new DecisionLog("n1", "z1", new PrintStream(output, true, StandardCharsets.UTF_8));
     private final FleetView view = new FleetView();
     private final TargetTopicListener targets =
             new TargetTopicListener(view, TargetEntryDecoder::decode, () -> 0, (delayMillis, task) -> {}, log);
-    private final PlanTopicListener plans = new PlanTopicListener(view, PlanDecoder::decode, () -> 0, log);
+    private final PlanTopicListener plans = new PlanTopicListener(view, PlanDecoder::decode, () -> nowMillis, log);
 
     @Test
     void an_invalid_target_entry_is_logged_and_other_targets_are_kept() {
@@ -62,6 +63,18 @@
         assertThat(countLogged("plan-unusable")).isEqualTo(2);
     }
 
+    @Test
+    void plan_counts_as_unreachable_from_its_last_read_and_not_from_the_first_failure() {
+        nowMillis = 1_000;
+        plans.onRead();
+        nowMillis = 4_000;
+        assertThat(view.planUnreachableMillis(nowMillis)).isZero();
+
+        plans.onReachabilityChanged(false, "no response");
+
+        assertThat(view.planUnreachableMillis(nowMillis)).isEqualTo(3_000);
+    }
+
     @Test
     void an_older_plan_is_ignored_and_logged() {
         plans.onUpdated("config", bytes("{'version':4,'routes':[],'services':[]}"));
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
+import org.poplarwharf.internal.gateway.AllotmentGate;
 
 /** The use of an allotment over all nodes: at most the bound whatever fails, and nearly all of it while nothing does. */
 class AllotmentBoundTest {
@@ -181,6 +182,20 @@
                 .isBetween(MIN_USE_RATIO * PER_SECOND * AllotmentNodes.WINDOW_MILLIS / 1_000, bound(PER_SECOND));
     }
 
+    @Test
+    void request_whose_caller_leaves_while_it_waits_uses_nothing() {
+        AllotmentNodes fleet = withHolder();
+        long startMillis = fleet.time.nowMillis();
+
+        AllotmentGate.Acquisition left = fleet.nodes.get(1).request(1_000);
+        fleet.nodes.get(1).request(2_000);
+        left.cancel();
+        fleet.time.advance(500);
+
+        assertThat(fleet.usedUnits(startMillis, fleet.time.nowMillis())).isEqualTo(2_000);
+        assertThat(fleet.refusedCount()).isZero();
+    }
+
     @Test
     void account_without_a_burst_is_served_at_its_rate() {
         AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, 10, 0);
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
@@ -142,8 +142,8 @@
         }
 
         /** A request arrives at this node. */
-        void request(double requestUnits) {
-            exchange.acquire(account, requestUnits, 5_000, new AllotmentGate.Callback() {
+        AllotmentGate.Acquisition request(double requestUnits) {
+            return exchange.acquire(account, requestUnits, 5_000, new AllotmentGate.Callback() {
                 @Override
                 public void onAcquired() {
                     uses.add(new Use(time.nowMillis(), requestUnits));
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -19,8 +19,10 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
+import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.platform.PlatformGateway;
 import org.poplarwharf.process.FreePorts;
@@ -89,10 +91,15 @@
 
     /** Starts another node. */
     Node startNode() throws IOException {
-        return startNode(newSettings());
+        return startNode(newSettings(platform.address(), GatewaySettings.DEFAULTS.accounts()));
     }
 
-    private GatewaySettings newSettings() throws IOException {
+    /** Starts another node, which the log turns away while the flag is set. */
+    Node startNode(AtomicBoolean turnedAway, AccountSettings accounts) throws IOException {
+        return startNode(newSettings(platform.addAddress(turnedAway::get), accounts));
+    }
+
+    private GatewaySettings newSettings(String logAddress, AccountSettings accounts) throws IOException {
         List<InetSocketAddress> freeAddresses =
                 FreePorts.addresses(3).stream().map(GatewayCluster::address).toList();
         GatewaySettings defaults = GatewaySettings.DEFAULTS;
@@ -102,7 +109,7 @@
                 freeAddresses.get(0),
                 freeAddresses.get(1),
                 freeAddresses.get(2),
-                address(platform.address()),
+                address(logAddress),
                 400,
                 400,
                 1_000,
@@ -113,7 +120,7 @@
                 defaults.loadWindowMillis(),
                 defaults.loadWindowFactor(),
                 defaults.heartbeatIntervalMillis(),
-                defaults.accounts(),
+                accounts,
                 defaults.ranksByCost());
     }
 
@@ -235,6 +242,12 @@
         return killed;
     }
 
+    /** Ends one node as SIGKILL does. */
+    void kill(Node node) {
+        endLoops(List.of(loopOf(node.gateway())));
+        nodes.remove(node);
+    }
+
     private static EventLoopGroup loopOf(PlatformGateway gateway) {
         try {
             return (EventLoopGroup) fieldOf(fieldOf(gateway, "node"), "group");
--- a/src/test/java/org/poplarwharf/support/FakePlatformLog.java
+++ b/src/test/java/org/poplarwharf/support/FakePlatformLog.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.poplarwharf.process.FreePorts;
 
@@ -45,6 +46,7 @@
     private static final List<String> REWRITTEN_TOPICS = List.of("keyed.op", "keyed.servers");
 
     private final HttpServer server;
+    private final List<HttpServer> entrances = new ArrayList<>();
     private final Map<String, Topic> topics = new HashMap<>();
 
     private final List<LostRecord> lostRecords = new ArrayList<>();
@@ -79,6 +81,22 @@
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Returns another address of the log, which rejects every request without effect while the flag is set. */
+    public String addAddress(BooleanSupplier rejects) throws IOException {
+        HttpServer entrance = HttpServer.create(new InetSocketAddress("127.0.0.1", FreePorts.port()), 0);
+        entrance.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        entrance.createContext("/", exchange -> {
+            if (rejects.getAsBoolean()) {
+                send(exchange, response(503, ""));
+            } else {
+                handle(exchange);
+            }
+        });
+        entrance.start();
+        entrances.add(entrance);
+        return "127.0.0.1:" + entrance.getAddress().getPort();
+    }
+
     /** Appends a record for a key, as the operator and the targets do. Apostrophes in the value become double quotes. */
     public synchronized void put(String topic, String key, String value) {
         topic("keyed." + topic)
@@ -146,6 +164,7 @@
     @Override
     public void close() {
         server.stop(0);
+        entrances.forEach(entrance -> entrance.stop(0));
     }
 
     private Topic topic(String name) {
