Give the soak client accounts: a hot one, a key that comes and goes, a lowered allotment

The soak played all its faults on a configuration without accounts, so nothing showed keys and allotments under killed, paused and cut-off gateways together.

It checks what targets learn of the caller, runs with withdrawn keys at gateways that nothing strikes, and the hot account's runs in each window, under the lowered allotment too.

--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -74,14 +75,18 @@
     /** Whether versions of the configuration also differ in a timeout, a weight and the limits for callers. */
     private final boolean variesConfig;
 
+    /** The client accounts of the configuration, if it has any. */
+    final Optional<SoakAccounts> accounts;
+
     private int configVersion;
 
     SoakFleet(Path directory) throws IOException {
-        this(directory, false);
+        this(directory, false, Optional.empty());
     }
 
-    SoakFleet(Path directory, boolean variesConfig) throws IOException {
+    SoakFleet(Path directory, boolean variesConfig, Optional<SoakAccounts> accounts) throws IOException {
         this.variesConfig = variesConfig;
+        this.accounts = accounts;
         List<ProxyStandin.LinkSpec> links = new ArrayList<>();
         for (int i = 0; i < GATEWAY_COUNT; i++) {
             links.add(ProxyStandin.LinkSpec.loopback("g" + i + "-log", platform.address()));
@@ -89,6 +94,9 @@
         for (int i = 0; i < PLAIN_TARGET_COUNT + ENGINE_COUNT; i++) {
             SoakTarget target =
                     new SoakTarget("t" + i, i >= PLAIN_TARGET_COUNT, activity, clock::nowMillis, this::restartLater);
+            if (accounts.isPresent()) {
+                target.checkRequests(request -> SoakAccounts.check(request, activity));
+            }
             targets.add(target);
             links.add(ProxyStandin.LinkSpec.loopback("any-t" + i, "127.0.0.1:" + target.server.port()));
         }
@@ -174,8 +182,12 @@
     /** Publishes the next version of the configuration, which adds a route, and returns its number. */
     synchronized int publishConfig() {
         configVersion++;
+        String config = configJson(configVersion, variesConfig ? configVersion % CONFIG_VARIANT_COUNT : 0);
         platform.put(
-                "op", "config", configJson(configVersion, variesConfig ? configVersion % CONFIG_VARIANT_COUNT : 0));
+                "op",
+                "config",
+                accounts.map(present -> present.addTo(config, configVersion, nowMillis()))
+                        .orElse(config));
         return configVersion;
     }
 
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Tag;
@@ -39,6 +40,9 @@
     /** One in this many seeds also has a request that crashes its targets. */
     private static final int CRASHING_CALLER_SEED_INTERVAL = 3;
 
+    /** From this seed on, the configuration has client accounts. */
+    private static final long FIRST_SEED_WITH_ACCOUNTS = 600_000;
+
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     private Path directory;
 
@@ -52,6 +56,11 @@
         assertThat(runSoak(1_002)).isEmpty();
     }
 
+    @Test
+    void promises_hold_with_client_accounts() throws Exception {
+        assertThat(runSoak(FIRST_SEED_WITH_ACCOUNTS)).isEmpty();
+    }
+
     /**
      * Reruns seeds that failed before.
      *
@@ -122,7 +131,12 @@
             }
             ResumingCaller resumingCaller = new ResumingCaller(fleet, seed);
             resumingCaller.start();
+            fleet.accounts.ifPresent(accounts -> accounts.start(fleet));
             injectFaults(fleet, new FaultInjector(fleet, seed));
+            fleet.accounts.ifPresent(accounts -> {
+                accounts.lowerAllotment(fleet.nowMillis());
+                fleet.publishConfig();
+            });
 
             Thread.sleep(RECOVERY_MILLIS);
             long recoveredMillis = fleet.nowMillis();
@@ -137,6 +151,10 @@
             calls.addAll(crashingCaller.stop());
             calls.addAll(resumingCaller.stop());
             List<String> violations = new ArrayList<>(unreadyGateways);
+            if (fleet.accounts.isPresent()) {
+                calls.addAll(fleet.accounts.get().stop());
+                violations.addAll(fleet.accounts.get().violations(fleet.activity, fleet.faultTimeline));
+            }
             for (SoakGateway gateway : fleet.gateways()) {
                 RecordedCall call = callNewestRoute(fleet, gateway);
                 calls.add(call);
@@ -153,20 +171,12 @@
                     .filter(call -> call.sentMillis() >= recoveredMillis)
                     .filter(call -> !CrashingCaller.isCallerOf(call.path()))
                     .filter(call -> !ResumingCaller.isCallerOf(call))
+                    .filter(call -> !SoakAccounts.isCallerOf(call.path()))
                     .toList();
             violations.addAll(InvariantChecker.findUnrecovered(
                     callsAfterFaults,
                     fleet.gateways().stream().map(gateway -> gateway.name).collect(Collectors.toSet())));
-            long resumed = calls.stream()
-                    .filter(call -> ResumingCaller.isCallerOf(call)
-                            && !ResumingCaller.beganId(call.id()).equals(call.id()))
-                    .count();
-            long continued = calls.stream()
-                    .filter(call -> ResumingCaller.isCallerOf(call)
-                            && !ResumingCaller.beganId(call.id()).equals(call.id())
-                            && call.status() == 200)
-                    .count();
-            System.out.println("soak: seed " + seed + ": " + continued + " of " + resumed + " resumed streams went on");
+            reportResumed(seed, calls);
             report(seed, calls, callsAfterFaults, violations);
             return violations;
         }
@@ -174,7 +184,9 @@
 
     private SoakFleet newFleet(long seed) throws IOException {
         boolean variesConfig = seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS;
-        return new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)), variesConfig);
+        Optional<SoakAccounts> accounts =
+                seed >= FIRST_SEED_WITH_ACCOUNTS ? Optional.of(new SoakAccounts()) : Optional.empty();
+        return new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)), variesConfig, accounts);
     }
 
     private static boolean hasCrashingCaller(long seed) {
@@ -211,6 +223,19 @@
         injector.endAll();
     }
 
+    private static void reportResumed(long seed, List<RecordedCall> calls) {
+        long resumed = calls.stream()
+                .filter(call -> ResumingCaller.isCallerOf(call)
+                        && !ResumingCaller.beganId(call.id()).equals(call.id()))
+                .count();
+        long continued = calls.stream()
+                .filter(call -> ResumingCaller.isCallerOf(call)
+                        && !ResumingCaller.beganId(call.id()).equals(call.id())
+                        && call.status() == 200)
+                .count();
+        System.out.println("soak: seed " + seed + ": " + continued + " of " + resumed + " resumed streams went on");
+    }
+
     private static void report(
             long seed, List<RecordedCall> calls, List<RecordedCall> callsAfterFaults, List<String> violations) {
         System.out.println("soak: seed " + seed + ": " + calls.size() + " calls, " + countSuccessful(calls)
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** Passes each request that arrives to a check. */
+    void checkRequests(Consumer<Request> check) {
+        server.onArrival = server.onArrival.andThen(check);
+    }
+
     /** Names a limit in all responses; the returned action ends that. */
     Runnable nameLimit(double requestsPerSecond) {
         long startMillis = clock.getAsLong();
