Place by learned speeds only where the nodes' settings ask for it

Change: speeds are learned, shared, logged and counted as before, but selectors go by them only with placeBySpeed in the settings file, which is off by default.

--- a/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
@@ -37,6 +37,7 @@
 
     private static final long MEDIAN_INTERVAL_MILLIS = 100;
 
+    private final boolean usedForPlacement;
     private final Listener listener;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, ServiceState> services = new HashMap<>();
@@ -86,8 +87,19 @@
         private long medianMillis = Long.MIN_VALUE / 2;
     }
 
+    /** Creates speeds that selectors go by. */
     public TargetSpeeds(Listener listener) {
+        this(listener, true);
+    }
+
+    /**
+     * Creates speeds of no target.
+     *
+     * @param usedForPlacement whether selectors go by the speeds; if not, they are only reported and shared
+     */
+    public TargetSpeeds(Listener listener, boolean usedForPlacement) {
         this.listener = listener;
+        this.usedForPlacement = usedForPlacement;
     }
 
     /** Records the time to a response's first event at a target, and the time that was expected at one of normal speed. */
@@ -105,10 +117,12 @@
         updateDifference(entry, service, nowMillis);
     }
 
-    /** Returns the ratio of a target's times to those of the median target; 1 unless it is known to differ. */
+    /**
+     * Returns the ratio of a target's times to those of the median target, for placement; 1 unless it is known to differ.
+     */
     public double slowness(Target target, long nowMillis) {
         Entry entry = entries.get(target.id());
-        if (entry == null || !entry.different || !isSameSoftware(entry.target, target)) {
+        if (!usedForPlacement || entry == null || !entry.different || !isSameSoftware(entry.target, target)) {
             return 1;
         }
         ServiceState service = serviceOf(target);
@@ -116,9 +130,9 @@
         return entry.different ? Math.exp(entry.speed.ratioLog() - service.medianLog) : 1;
     }
 
-    /** Returns whether any target of this one's service is known to differ from the others. */
+    /** Returns whether any target of this one's service is known to differ from the others, for placement. */
     public boolean isUneven(Target target) {
-        return serviceOf(target).uneven;
+        return usedForPlacement && serviceOf(target).uneven;
     }
 
     /** Returns what is known of a target; empty without enough observations. */
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param heartbeatIntervalMillis the interval between heartbeats of a target
  * @param accounts how exactly keys and allotments of client accounts must be kept
  * @param ranksByCost whether requests that must wait, or be refused, are chosen by what that costs their callers
+ * @param placesBySpeed whether requests for engines are placed by the learned speeds of targets, which are reported in any case
  */
 public record GatewaySettings(
         String nodeId,
@@ -42,7 +43,8 @@
         double loadWindowFactor,
         long heartbeatIntervalMillis,
         AccountSettings accounts,
-        boolean ranksByCost) {
+        boolean ranksByCost,
+        boolean placesBySpeed) {
 
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
@@ -65,5 +67,6 @@
             1.1,
             1_200,
             AccountSettings.DEFAULTS,
+            false,
             false);
 }
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -87,7 +87,7 @@
         this.crashes = newCrashContainment();
         GatewayMetrics metrics = new GatewayMetrics(registry);
         TargetLimits targetLimits = newTargetLimits(metrics);
-        this.targetSpeeds = TargetSpeedRecorder.newSpeeds(view, log, metrics);
+        this.targetSpeeds = TargetSpeedRecorder.newSpeeds(view, settings.placesBySpeed(), log, metrics);
         StreamOrigins streamOrigins = new StreamOrigins(clock::nowMillis, view::softwareVersionsOf);
         this.front = new GatewayServer(
                 settings,
--- a/src/main/java/org/poplarwharf/internal/holder/TargetSpeedRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/holder/TargetSpeedRecorder.java
@@ -16,8 +16,8 @@
     }
 
     /** Returns the speeds of the targets in the view; those of removed targets are dropped. */
-    static TargetSpeeds newSpeeds(FleetView view, DecisionLog log, GatewayMetrics metrics) {
-        TargetSpeeds speeds = new TargetSpeeds(new TargetSpeedRecorder(log, metrics));
+    static TargetSpeeds newSpeeds(FleetView view, boolean usedForPlacement, DecisionLog log, GatewayMetrics metrics) {
+        TargetSpeeds speeds = new TargetSpeeds(new TargetSpeedRecorder(log, metrics), usedForPlacement);
         view.onRemoval(target -> speeds.remove(target.id()));
         metrics.registerGauge("slow_targets", speeds::slowCount);
         return speeds;
--- a/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
@@ -43,7 +43,8 @@
                 JsonFields.getDouble(bounds, "ceilingFactor", defaults.loadWindowFactor()),
                 JsonFields.getLong(node, "heartbeatMs").orElse(defaults.heartbeatIntervalMillis()),
                 readAccounts(bounds),
-                hasContract(node, "pressure"));
+                hasContract(node, "pressure"),
+                JsonFields.getBoolean(node, "placeBySpeed"));
     }
 
     private static AccountSettings readAccounts(JsonNode bounds) {
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -121,7 +121,8 @@
                 defaults.loadWindowFactor(),
                 defaults.heartbeatIntervalMillis(),
                 accounts,
-                defaults.ranksByCost());
+                defaults.ranksByCost(),
+                defaults.placesBySpeed());
     }
 
     /** Starts killed nodes again, at their addresses. */
