Test what clients that do not behave do to a gateway process

Nothing in the repository showed what they do to a process: that it ends, holds more than its memory and descriptors, or no longer answers an ordinary request.

--- a/src/test/java/org/poplarwharf/process/PoplarProcess.java
+++ b/src/test/java/org/poplarwharf/process/PoplarProcess.java
@@ -9,13 +9,13 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 
 /**
  * A process of the binary under test whose output is written to files. Thread-safe.
@@ -43,12 +43,26 @@
 
     /** Starts a process. Its output goes to the files {@code name.out} and {@code name.err} in the folder. */
     public static PoplarProcess start(Path folder, String name, List<String> arguments) {
+        return start(folder, name, new ProcessBuilder(commandLine(List.of(), arguments)));
+    }
+
+    /** Starts a process as above, with limits of its own. */
+    static PoplarProcess start(Path folder, String name, List<String> arguments, ProcessLimits limits) {
+        ProcessBuilder builder = new ProcessBuilder(commandLine(limits.launcher(), arguments));
+        builder.environment().put("JAVA_TOOL_OPTIONS", limits.javaOptions());
+        return start(folder, name, builder);
+    }
+
+    private static List<String> commandLine(List<String> launcher, List<String> arguments) {
+        return Stream.of(launcher, BinaryUnderTest.command(), arguments)
+                .flatMap(List::stream)
+                .toList();
+    }
+
+    private static PoplarProcess start(Path folder, String name, ProcessBuilder builder) {
         Path errors = folder.resolve(name + ".err");
-        List<String> command = new ArrayList<>(BinaryUnderTest.command());
-        command.addAll(arguments);
         try {
-            Process process = new ProcessBuilder(command)
-                    .redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
+            Process process = builder.redirectError(ProcessBuilder.Redirect.appendTo(errors.toFile()))
                     .start();
             return new PoplarProcess(name, process, folder.resolve(name + ".out"), errors);
         } catch (IOException e) {
