Bound what a gateway holds for callers that do not behave

A gateway allocated the announced length of a body at its first byte, kept any number of short header fields, read on while nobody read its responses, buffered up to 1 MB for each of them, and accepted connections until its descriptors were used up. HeldMemory now keeps one account of what connections hold, with a budget from the limits of the process. ConnectionGuard and IncomingHead count bodies, heads, prompts of many parts, requests that wait and responses that are unread. When the budget is used up, responses are forwarded as they arrive, the connection that holds most for longest is closed, or the request is refused with 503 and Retry-After before it ran. ConnectionLimit leaves descriptors for targets and the log; silent connections give way. Callers that read nothing for 60 s are closed. One turn of the event loop reads at most 16 KB of each connection.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -21,8 +21,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.fleet.CallerLimits;
-import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
 
 /**
@@ -54,7 +52,7 @@
         this.gateway = gateway;
         this.server = server;
         this.pipelined = new PipelinedRequests(gateway);
-        this.reader = new RequestReader(loop, this::limits, this);
+        this.reader = new RequestReader(loop, gateway::callerLimits, this);
         this.readTurn = new ReadTurn(loop);
         this.idleTimer = new IdleTimer(loop, this::closeIfIdle);
     }
@@ -64,7 +62,7 @@
         channel = context.channel();
         writer = new ResponseWriter(channel, readTurn);
         server.addConnection(this);
-        idleTimer.restart(limits().idleTimeoutMillis());
+        idleTimer.restart(gateway.callerLimits().idleTimeoutMillis());
     }
 
     /** Returns whether a request is under way or has been read, or a response has not been sent in whole. */
@@ -153,7 +151,7 @@
         } finally {
             handlingWaiting = false;
         }
-        boolean reading = !pipelined.isFull();
+        boolean reading = !pipelined.isFull() && ConnectionGuard.mayRead(channel);
         channel.config().setAutoRead(reading);
         if (reading && reader.isReading() && !reader.awaitsContinue()) {
             reader.expectRest();
@@ -177,7 +175,7 @@
     private void refuseInvalid(int status) {
         refusalStatus = OptionalInt.empty();
         keepAlive = false;
-        sendResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        sendResponse(status, HttpMessages.headersOfInvalid(status), Unpooled.EMPTY_BUFFER);
     }
 
     private void startExchange(FullHttpRequest request) {
@@ -337,7 +335,7 @@
         if (isBusy()) {
             return;
         }
-        idleTimer.restart(limits().idleTimeoutMillis());
+        idleTimer.restart(gateway.callerLimits().idleTimeoutMillis());
         // A response head sent before the drain did not announce the close. Without a close now, the caller would send
         // its next request on this connection.
         if (server.isDraining()) {
@@ -350,6 +348,10 @@
         if (exchange != null && channel.isWritable()) {
             exchange.resumeReading();
         }
+        if (channel.isWritable() && !channel.config().isAutoRead()) {
+            // A response may be in the middle of being written.
+            channel.eventLoop().execute(this::handleWaiting);
+        }
     }
 
     /** Treats a caller that has ended its output as gone. A response that is only held back is written before. */
@@ -383,7 +385,8 @@
         channel.close();
     }
 
-    private CallerLimits limits() {
-        return gateway.view().plan().map(FleetPlan::limits).orElse(CallerLimits.DEFAULTS);
+    @Override
+    public boolean tryBuffer(int bytes) {
+        return ConnectionGuard.tryBufferResponse(channel, bytes);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -2,11 +2,13 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import io.netty.util.internal.PlatformDependent;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
 import org.poplarwharf.internal.crash.RequestSuspects;
+import org.poplarwharf.internal.fleet.CallerLimits;
 import org.poplarwharf.internal.fleet.ClientAccount;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.fleet.RequestTraits;
@@ -35,6 +37,7 @@
     private final TargetStatements statements;
     private TargetSelector plainSelector;
     private TargetSelector engineSelector;
+    private final ConnectionProtection protection;
     private final KeysInForce keysInForce = new KeysInForce();
     private final CallerIdentification callers;
     private AllotmentGate allotmentGate;
@@ -66,6 +69,12 @@
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
         this.statements = new TargetStatements(view, clock::nowMillis, log);
         this.callers = new CallerIdentification(view, keysInForce, settings.accounts());
+        this.protection = new ConnectionProtection(
+                HeldMemory.largeBudgetBytes(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory()),
+                settings.maxDescriptorCount(),
+                log,
+                metrics,
+                clock);
         this.keyPrefix = settings.nodeId() + "-" + Long.toString(System.nanoTime(), Character.MAX_RADIX) + "-";
     }
 
@@ -74,6 +83,16 @@
         retryBudget.setLimits(latest.retryRatio(), latest.minRetryCount(), latest.retryWindowMillis());
     }
 
+    /** What the node does against connections that do not behave. */
+    ConnectionProtection protection() {
+        return protection;
+    }
+
+    /** Returns the limits in force on the requests of callers. */
+    CallerLimits callerLimits() {
+        return view.plan().map(FleetPlan::limits).orElse(CallerLimits.DEFAULTS);
+    }
+
     void setAllotmentGate(AllotmentGate gate) {
         allotmentGate = gate;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -60,6 +60,11 @@
                 .inc();
     }
 
+    /** Counts a request or a connection that is refused or closed since its other end does not behave. */
+    void countProtection(String event) {
+        registry.counter(MetricRegistry.name("gateway.callers_limited", event)).inc();
+    }
+
     /** Records the end of a request under the name of its final log event. */
     void recordEnd(Route route, String event, long millis) {
         registry.counter(MetricRegistry.name("gateway.ended", event)).inc();
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -37,7 +37,7 @@
         this.context =
                 new GatewayContext(settings, headerCodec, loop, log, metrics, view, clock, crashHistory, crashDetector);
         this.server = new ProxyServer(context);
-        this.readinessServer = new ReadinessServer(this::isReady, metricsText);
+        this.readinessServer = new ReadinessServer(context.protection(), this::isReady, metricsText);
         metrics.registerGauge("log_lines_dropped", log::droppedLineCount);
         view.onRemoval(target -> context.connections().closeIdle(target.id()));
         view.onRemoval(crashDetector::targetRemoved);
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param loadWindowMillis the window over which loads from the weight store are counted
  * @param loadWindowFactor the ratio by which loads within that window may exceed the weight store's rate
  * @param heartbeatIntervalMillis the interval between heartbeats of a target
+ * @param maxDescriptorCount the descriptors that the process may open
  * @param accounts how exactly keys and allotments of client accounts must be kept
  * @param ranksByCost whether requests that must wait, or be refused, are chosen by what that costs their callers
  * @param placesBySpeed whether requests for engines are placed by the learned speeds of targets, which are reported in any case
@@ -42,6 +43,7 @@
         long loadWindowMillis,
         double loadWindowFactor,
         long heartbeatIntervalMillis,
+        int maxDescriptorCount,
         AccountSettings accounts,
         boolean ranksByCost,
         boolean placesBySpeed) {
@@ -66,6 +68,7 @@
             5_000,
             1.1,
             1_200,
+            4_096,
             AccountSettings.DEFAULTS,
             false,
             false);
--- a/src/main/java/org/poplarwharf/internal/gateway/HttpMessages.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/HttpMessages.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Locale;
@@ -31,6 +32,9 @@
             "upgrade",
             "expect");
 
+    /** Those that hold most are closed at once, so that there is room again soon. */
+    private static final String SHORTAGE_RETRY_AFTER_SECONDS = "0.500";
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -67,6 +71,15 @@
                 new DefaultHttpHeaders());
     }
 
+    /** Returns the headers of the response to a request that could not be read. */
+    static HttpHeaders headersOfInvalid(int status) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, SHORTAGE_RETRY_AFTER_SECONDS);
+        }
+        return headers;
+    }
+
     /** Adds the headers of a problem response that the node itself produces and returns the body. */
     static ByteBuf writeProblem(HttpHeaders headers, FailureCode code, String reason, long retryAfterMillis) {
         headers.set(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.CONTENT_TYPE);
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -28,7 +28,7 @@
      * Above any limit that an operator sets, so that a caller over that limit gets a response and not just a closed
      * connection.
      */
-    private static final int MAX_HEADER_BYTES = 128 * 1024;
+    static final int MAX_HEADER_BYTES = 128 * 1024;
 
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
@@ -43,19 +43,25 @@
     }
 
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound = SocketBootstraps.server(group)
+        ChannelFuture bound = SocketBootstraps.publicServer(group)
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG_COUNT)
                 // Leaves it to the connection when it closes after the end of its caller's output.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        ConnectionGuard guard = new ConnectionGuard(
+                                context.protection(), context.protection().callers(), context::callerLimits);
                         HttpDecoderConfig config = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_HEADER_BYTES)
                                 .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                .setMaxChunkSize(MAX_CHUNK_BYTES);
+                                .setMaxChunkSize(MAX_CHUNK_BYTES)
+                                .setHeadersFactory(guard.incomingHead())
+                                .setTrailersFactory(guard.incomingHead());
                         channel.pipeline()
+                                .addLast(guard.incomingHead())
                                 .addLast(new HttpServerCodec(config))
+                                .addLast(guard)
                                 .addLast(new CallerConnection(context, ProxyServer.this, channel.eventLoop()));
                     }
                 })
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestReader.java
@@ -27,6 +27,13 @@
  * head of a request is read hold for the whole request. Confined to the event loop.
  */
 final class RequestReader {
+    static final String HEADERS_OVER_LIMIT = "headers over the limit";
+
+    private static final int FIELD_DELIMITER_BYTES = 4;
+
+    /** A body of an announced length starts with this much memory, and gets more only as it arrives. */
+    private static final int INITIAL_BODY_BYTES = 4 * 1024;
+
     private final EventLoop loop;
     private final Supplier<CallerLimits> latestLimits;
     private final Listener listener;
@@ -76,7 +83,8 @@
     /** Reads a part of a request. Does not retain it. */
     void read(HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            reject(statusFor(part.decoderResult().cause()), "unreadable request");
+            Throwable cause = part.decoderResult().cause();
+            reject(statusFor(cause), reasonFor(cause));
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -91,16 +99,26 @@
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        if (cause instanceof MemoryShortageException) {
+            return HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
         return cause instanceof TooLongHttpLineException
                 ? HttpResponseStatus.REQUEST_URI_TOO_LONG
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
+    private static String reasonFor(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            return HEADERS_OVER_LIMIT;
+        }
+        return cause instanceof MemoryShortageException ? cause.getMessage() : "unreadable request";
+    }
+
     private void readHead(HttpRequest request) {
         head = request;
         limits = latestLimits.get();
         if (headBytes(request) > limits.maxHeaderBytes()) {
-            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers over the limit");
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, HEADERS_OVER_LIMIT);
         } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over the limit");
         } else {
@@ -113,11 +131,16 @@
     static int headBytes(HttpRequest request) {
         int size = request.uri().length();
         for (var header : request.headers()) {
-            size += header.getKey().length() + header.getValue().length() + 4;
+            size += fieldBytes(header.getKey(), header.getValue());
         }
         return size;
     }
 
+    /** Returns the size of a header field. */
+    static int fieldBytes(CharSequence name, CharSequence value) {
+        return name.length() + value.length() + FIELD_DELIMITER_BYTES;
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf chunk = content.content();
         if (chunk.isReadable()) {
@@ -126,8 +149,9 @@
                 return;
             }
             if (body == Unpooled.EMPTY_BUFFER) {
-                long announced = HttpUtil.getContentLength(head, chunk.readableBytes());
-                body = Unpooled.buffer((int) Math.min(announced, limits.maxBodyBytes()));
+                int maxBytes = Math.min(HttpUtil.getContentLength(head, limits.maxBodyBytes()), limits.maxBodyBytes());
+                body = Unpooled.buffer(
+                        Math.min(Math.max(INITIAL_BODY_BYTES, chunk.readableBytes()), maxBytes), maxBytes);
             }
             body.writeBytes(chunk);
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -174,8 +174,10 @@
         if (buffered == Unpooled.EMPTY_BUFFER) {
             buffered = Unpooled.buffer();
         }
+        int chunkBytes = chunk.readableBytes();
         buffered.writeBytes(chunk);
-        if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+        boolean hasMemory = sink.tryBuffer(chunkBytes);
+        if (buffered.readableBytes() > MAX_BUFFERED_BYTES || !hasMemory && traits.authentic()) {
             if (!traits.authentic()) {
                 return ChunkResult.INVALID;
             }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseSink.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseSink.java
@@ -29,4 +29,9 @@
 
     /** Returns whether the caller keeps up with reading the response. */
     boolean isWritable();
+
+    /** Returns whether more of a response may be buffered. Otherwise it should be forwarded as it arrives. */
+    default boolean tryBuffer(int bytes) {
+        return true;
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderConnections.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderConnections.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -15,8 +16,10 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.codec.MessagePackCodec;
+import org.poplarwharf.internal.gateway.ConnectionLimit;
 import org.poplarwharf.internal.http.SocketBootstraps;
 
 /**
@@ -65,16 +68,18 @@
         }
     }
 
-    static ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Handler handler) {
+    /** Accepts connections; one that has not sent a message is closed for another one over the limit on their number. */
+    static ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Handler handler, int maxCount) {
+        ConnectionLimit<Channel> limit = new ConnectionLimit<>(maxCount, false);
         return SocketBootstraps.server(group)
-                .childHandler(pipelineInitializer(handler))
+                .childHandler(pipelineInitializer(handler, Optional.of(limit)))
                 .bind(address);
     }
 
     static ChannelFuture connect(EventLoop loop, InetSocketAddress address, Handler handler) {
         return SocketBootstraps.client(loop, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .handler(pipelineInitializer(handler))
+                .handler(pipelineInitializer(handler, Optional.empty()))
                 .connect(address);
     }
 
@@ -85,7 +90,8 @@
         }
     }
 
-    private static ChannelInitializer<Channel> pipelineInitializer(Handler handler) {
+    private static ChannelInitializer<Channel> pipelineInitializer(
+            Handler handler, Optional<ConnectionLimit<Channel>> limit) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -93,10 +99,44 @@
                         .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
                         .addLast(new FrameHandler(handler));
+                limit.ifPresent(accepted -> channel.pipeline()
+                        .addBefore(channel.pipeline().lastContext().name(), null, new LimitHandler(accepted)));
             }
         };
     }
 
+    /** Admits an accepted connection, and records that it has sent a message. */
+    private static final class LimitHandler extends ChannelInboundHandlerAdapter {
+        private final ConnectionLimit<Channel> limit;
+
+        LimitHandler(ConnectionLimit<Channel> limit) {
+            this.limit = limit;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            switch (limit.admit(context.channel())) {
+                case ConnectionLimit.Decision.Refused<Channel> refused -> reset(context.channel());
+                case ConnectionLimit.Decision.Admitted<Channel> admitted -> {
+                    admitted.replaced().ifPresent(HolderConnections::reset);
+                    context.fireChannelActive();
+                }
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            limit.recordRequest(context.channel());
+            context.fireChannelRead(message);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            limit.remove(context.channel());
+            context.fireChannelInactive();
+        }
+    }
+
     private static final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private final Handler handler;
         private Connection connection;
@@ -134,7 +174,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            handler.closed(connection, endedByPeer);
+            if (connection != null) {
+                handler.closed(connection, endedByPeer);
+            }
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -88,7 +88,7 @@
     /** Starts to accept connections from other nodes, whose events go to the handler, and to send heartbeats to them. */
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, HolderConnections.Handler handler) {
         announcer.start();
-        return HolderConnections.listen(group, address, handler);
+        return HolderConnections.listen(group, address, handler, settings.maxDescriptorCount() / 2);
     }
 
     /**
--- a/src/main/java/org/poplarwharf/internal/http/SocketBootstraps.java
+++ b/src/main/java/org/poplarwharf/internal/http/SocketBootstraps.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -24,6 +25,10 @@
      */
     private static final int MAX_KEEP_ALIVE_PROBE_COUNT = 2;
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     private SocketBootstraps() {}
 
     /** Returns a bootstrap for servers that accept connections. */
@@ -35,6 +40,18 @@
                 .childOption(ChannelOption.TCP_NODELAY, true);
     }
 
+    /**
+     * Returns a bootstrap for servers that accept connections of anyone. It reads little of each connection in one turn of the
+     * event loop, so that connections that always have more to read leave time for the others.
+     */
+    public static ServerBootstrap publicServer(EventLoopGroup group) {
+        return server(group)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1));
+    }
+
     /** Returns a bootstrap for outgoing connections. */
     public static Bootstrap client(EventLoop loop, int connectTimeoutMillis) {
         return new Bootstrap()
--- a/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
@@ -42,6 +42,7 @@
                 JsonFields.getLong(bounds, "ceilingWindowS").orElse(defaults.loadWindowMillis() / 1_000) * 1_000,
                 JsonFields.getDouble(bounds, "ceilingFactor", defaults.loadWindowFactor()),
                 JsonFields.getLong(node, "heartbeatMs").orElse(defaults.heartbeatIntervalMillis()),
+                (int) JsonFields.getLong(node.path("limits"), "maxFds").orElse(defaults.maxDescriptorCount()),
                 readAccounts(bounds),
                 hasContract(node, "pressure"),
                 JsonFields.getBoolean(node, "placeBySpeed"));
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -63,7 +63,7 @@
     @BeforeEach
     void start() {
         InetSocketAddress address =
-                (InetSocketAddress) HolderConnections.listen(group, new InetSocketAddress("127.0.0.1", 0), holder)
+                (InetSocketAddress) HolderConnections.listen(group, new InetSocketAddress("127.0.0.1", 0), holder, 10)
                         .syncUninterruptibly()
                         .channel()
                         .localAddress();
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -120,6 +120,7 @@
                 defaults.loadWindowMillis(),
                 defaults.loadWindowFactor(),
                 defaults.heartbeatIntervalMillis(),
+                defaults.maxDescriptorCount(),
                 accounts,
                 defaults.ranksByCost(),
                 defaults.placesBySpeed());
