--- a/src/main/java/org/poplarwharf/FailureCode.java
+++ b/src/main/java/org/poplarwharf/FailureCode.java
@@ -9,7 +9,7 @@
     INVALID_REQUEST("invalid-request", 400, Ran.NO),
     UNAUTHORIZED("unauthorized", 401, Ran.NO),
     UNKNOWN_KEY("unknown-key", 401, Ran.NO),
-    ALLOTMENT_EXCEEDED("allotment-exceeded", 429, Ran.NO),
+    QUOTA_EXCEEDED("quota-exceeded", 429, Ran.NO),
     UNKNOWN_MODEL("unknown-model", 404, Ran.NO),
     UNKNOWN_SERVICE("unknown-service", 404, Ran.NO),
     UNKNOWN_PATH("unknown-path", 404, Ran.NO),
--- a/src/main/java/org/poplarwharf/internal/admin/SeriesName.java
+++ b/src/main/java/org/poplarwharf/internal/admin/SeriesName.java
@@ -20,7 +20,7 @@
             "idle_accelerator_seconds", "target",
             "account_requests_admitted", "account",
             "account_units_used", "account",
-            "account_requests_over_allotment", "account");
+            "account_requests_over_quota", "account");
 
     /** Returns the series for a registry name. A name that matches no known pattern gets no labels. */
     static SeriesName parse(String name) {
--- a/src/main/java/org/poplarwharf/internal/fleet/ClientAccount.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/ClientAccount.java
@@ -8,6 +8,6 @@
  *
  * @param name unique among the accounts of a plan; targets get it with each request
  * @param priority priority of all its requests, which precedes that of their routes; zero is the highest
- * @param allotment what its requests may use; empty if that is not limited
+ * @param quota what its requests may use; empty if that is not limited
  */
-public record ClientAccount(String name, OptionalInt priority, Optional<Allotment> allotment) {}
+public record ClientAccount(String name, OptionalInt priority, Optional<Quota> quota) {}
--- a/src/main/java/org/poplarwharf/internal/fleet/Allotment.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Quota.java
@@ -10,8 +10,8 @@
  * @param burst units that may be used beyond the rate after a time of lower use
  * @param plainCost units that a request counts as if it states no tokens; used only where tokens are counted
  */
-public record Allotment(Unit unit, double perSecond, double burst, double plainCost) {
-    /** What an allotment counts. */
+public record Quota(Unit unit, double perSecond, double burst, double plainCost) {
+    /** What a quota counts. */
     public enum Unit {
         REQUESTS,
         TOKENS
--- a/src/main/java/org/poplarwharf/internal/gateway/AccountSettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AccountSettings.java
@@ -1,15 +1,15 @@
 package org.poplarwharf.internal.gateway;
 
-import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.Quota;
 
 /**
- * How exactly keys and allotments of client accounts must be kept. Immutable and thread-safe.
+ * How exactly keys and quotas of client accounts must be kept. Immutable and thread-safe.
  *
  * @param strictRevocation whether a node refuses requests with keys once it can't tell that its plan is the latest
  * @param revocationMillis how long such a node may go on by the plan that it knows
- * @param windowMillis the window over which the use of an allotment is counted
- * @param excessRatio the ratio by which the use within a window may exceed the allotment
- * @param slackUnits units by which the use within a window may exceed the allotment, in addition to the ratio
+ * @param windowMillis the window over which the use of a quota is counted
+ * @param excessRatio the ratio by which the use within a window may exceed the quota
+ * @param slackUnits units by which the use within a window may exceed the quota, in addition to the ratio
  */
 public record AccountSettings(
         boolean strictRevocation, long revocationMillis, long windowMillis, double excessRatio, double slackUnits) {
@@ -21,10 +21,10 @@
 
     /**
      * Returns the units by which a single request may exceed what its account can save. A request that counts as one is
-     * never too large, also where an allotment has no burst.
+     * never too large, also where a quota has no burst.
      */
-    public double maxDebtUnits(Allotment allotment) {
-        double windowUnits = allotment.perSecond() * windowMillis / 1_000 + allotment.burst();
+    public double maxDebtUnits(Quota quota) {
+        double windowUnits = quota.perSecond() * windowMillis / 1_000 + quota.burst();
         return Math.max(1, slackUnits + DEBT_RATIO * excessRatio * windowUnits);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -40,7 +40,7 @@
     private final ConnectionProtection protection;
     private final KeysInForce keysInForce = new KeysInForce();
     private final CallerIdentification callers;
-    private AllotmentGate allotmentGate;
+    private QuotaGate quotaGate;
     private TargetLimits targetLimits;
     private StreamOrigins streamOrigins;
     private long keyCount;
@@ -93,8 +93,8 @@
         return view.plan().map(FleetPlan::limits).orElse(CallerLimits.DEFAULTS);
     }
 
-    void setAllotmentGate(AllotmentGate gate) {
-        allotmentGate = gate;
+    void setQuotaGate(QuotaGate gate) {
+        quotaGate = gate;
     }
 
     /** Identifies callers by the keys that their requests carry. */
@@ -128,13 +128,13 @@
     TargetSelector selectorFor(String service, CallerIdentity caller, RequestTraits traits, long deadlineMillis) {
         TargetSelector targets = selectorFor(service);
         Optional<ClientAccount> limited =
-                caller.knownAccount().filter(account -> account.allotment().isPresent());
+                caller.knownAccount().filter(account -> account.quota().isPresent());
         if (limited.isEmpty()) {
             return targets;
         }
         ClientAccount account = limited.get();
-        double units = account.allotment().orElseThrow().cost(traits);
-        return new AllottedSelector(targets, allotmentGate, account, units, () -> deadlineMillis - nowMillis());
+        double units = account.quota().orElseThrow().cost(traits);
+        return new QuotaSelector(targets, quotaGate, account, units, () -> deadlineMillis - nowMillis());
     }
 
     private TargetSelector selectorFor(String service) {
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -47,16 +47,16 @@
         registry.counter("gateway.target_slowness_changes").inc();
     }
 
-    /** Counts a request of a client account within its allotment, and the units that it uses. */
+    /** Counts a request of a client account within its quota, and the units that it uses. */
     public void countAdmitted(String account, long units) {
         registry.counter(MetricRegistry.name("account_requests_admitted", account))
                 .inc();
         registry.counter(MetricRegistry.name("account_units_used", account)).inc(units);
     }
 
-    /** Counts a request of a client account that is refused since the account has used up its allotment. */
-    public void countOverAllotment(String account) {
-        registry.counter(MetricRegistry.name("account_requests_over_allotment", account))
+    /** Counts a request of a client account that is refused since the account has used up its quota. */
+    public void countOverQuota(String account) {
+        registry.counter(MetricRegistry.name("account_requests_over_quota", account))
                 .inc();
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -54,9 +54,9 @@
                 origins);
     }
 
-    /** Sets the gate that admits the requests of client accounts within their allotments. */
-    public void setAllotmentGate(AllotmentGate gate) {
-        context.setAllotmentGate(gate);
+    /** Sets the gate that admits the requests of client accounts within their quotas. */
+    public void setQuotaGate(QuotaGate gate) {
+        context.setQuotaGate(gate);
     }
 
     /** Returns what other nodes have stated of the keys in force. */
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -22,7 +22,7 @@
  * @param loadWindowFactor the ratio by which loads within that window may exceed the weight store's rate
  * @param heartbeatIntervalMillis the interval between heartbeats of a target
  * @param maxDescriptorCount the descriptors that the process may open
- * @param accounts how exactly keys and allotments of client accounts must be kept
+ * @param accounts how exactly keys and quotas of client accounts must be kept
  * @param ranksByCost whether requests that must wait, or be refused, are chosen by what that costs their callers
  * @param placesBySpeed whether requests for engines are placed by the learned speeds of targets, which are reported in any case
  */
--- a/src/main/java/org/poplarwharf/internal/gateway/AllotmentGate.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/QuotaGate.java
@@ -3,10 +3,10 @@
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.fleet.ClientAccount;
 
-/** Admits the requests of client accounts within their allotments. Confined to the event loop. */
-public interface AllotmentGate {
+/** Admits the requests of client accounts within their quotas. Confined to the event loop. */
+public interface QuotaGate {
     /**
-     * Acquires what a request uses of its account's allotment. Calls exactly one method of the callback, now or later,
+     * Acquires what a request uses of its account's quota. Calls exactly one method of the callback, now or later,
      * unless the acquisition is cancelled first.
      *
      * @param units what the request uses
--- a/src/main/java/org/poplarwharf/internal/gateway/AllottedSelector.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/QuotaSelector.java
@@ -9,18 +9,18 @@
 import org.poplarwharf.internal.fleet.Target;
 
 /**
- * Selects targets for one request of a client account with an allotment.
+ * Selects targets for one request of a client account with a quota.
  *
  * <p>Invariant: what the request uses is acquired once, before the first search for a target; further attempts of the
  * request use nothing more. What a request has not used is given back, unless that is so late that the account
- * could use more than its allotment within a window. Confined to the event loop.
+ * could use more than its quota within a window. Confined to the event loop.
  */
-final class AllottedSelector implements TargetSelector {
+final class QuotaSelector implements TargetSelector {
     /** Short against the windows over which use is counted. */
     private static final long MAX_GIVE_BACK_MILLIS = 1_000;
 
     private final TargetSelector targets;
-    private final AllotmentGate gate;
+    private final QuotaGate gate;
     private final ClientAccount account;
     private final double units;
     private final LongSupplier millisLeft;
@@ -28,11 +28,11 @@
     private long acquiredMillisLeft;
     private Optional<PendingSearch> pending = Optional.empty();
 
-    /** A search that waits for the allotment. */
-    private final class PendingSearch implements AllotmentGate.Callback {
+    /** A search that waits for the quota. */
+    private final class PendingSearch implements QuotaGate.Callback {
         private final DispatchRequest request;
         private final Callback callback;
-        private Optional<AllotmentGate.Acquisition> acquisition = Optional.empty();
+        private Optional<QuotaGate.Acquisition> acquisition = Optional.empty();
 
         PendingSearch(DispatchRequest request, Callback callback) {
             this.request = request;
@@ -54,8 +54,8 @@
         }
     }
 
-    AllottedSelector(
-            TargetSelector targets, AllotmentGate gate, ClientAccount account, double units, LongSupplier millisLeft) {
+    QuotaSelector(
+            TargetSelector targets, QuotaGate gate, ClientAccount account, double units, LongSupplier millisLeft) {
         this.targets = targets;
         this.gate = gate;
         this.account = account;
@@ -80,7 +80,7 @@
                 pending.filter(search -> search.request.key().equals(key));
         if (waiting.isPresent()) {
             pending = Optional.empty();
-            waiting.get().acquisition.ifPresent(AllotmentGate.Acquisition::cancel);
+            waiting.get().acquisition.ifPresent(QuotaGate.Acquisition::cancel);
         }
         targets.cancel(key);
     }
--- a/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
+++ b/src/main/java/org/poplarwharf/internal/holder/ClientAccounts.java
@@ -4,17 +4,17 @@
 import org.poplarwharf.internal.fleet.AccountTable;
 import org.poplarwharf.internal.fleet.FleetPlan;
 import org.poplarwharf.internal.gateway.AccountSettings;
-import org.poplarwharf.internal.gateway.AllotmentGate;
 import org.poplarwharf.internal.gateway.FleetView;
 import org.poplarwharf.internal.gateway.GatewayMetrics;
 import org.poplarwharf.internal.gateway.KeysInForce;
 import org.poplarwharf.internal.gateway.NodeCountEstimate;
+import org.poplarwharf.internal.gateway.QuotaGate;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * What a node does for client accounts beyond its own requests: it exchanges units of allotments and statements of keys with
+ * What a node does for client accounts beyond its own requests: it exchanges units of quotas and statements of keys with
  * the lease holder, or with the other nodes while it is the holder.
  *
  * <p>Invariant: sends nothing while the plan has no accounts. Confined to the event loop.
@@ -28,8 +28,8 @@
     private final EngineTargetSelector holderPath;
     private final MonotonicClock clock;
     private final NodeCountEstimate nodeCount = new NodeCountEstimate();
-    private final AllotmentIssuer issuer;
-    private final AllotmentExchange exchange;
+    private final QuotaIssuer issuer;
+    private final QuotaExchange exchange;
     private final KeyStatements keys;
 
     ClientAccounts(
@@ -47,15 +47,14 @@
         this.holderPath = holderPath;
         this.clock = clock;
         this.keys = new KeyStatements(view, keysInForce, clock, log);
-        this.issuer = new AllotmentIssuer(this::accounts, nodeCount::count, clock, timer, settings::maxDebtUnits);
-        this.exchange = new AllotmentExchange(
-                new AllotmentExchange.HolderPath(
-                        holderRole::isHolding, holderPath::isHolderResponding, holderPath::send),
+        this.issuer = new QuotaIssuer(this::accounts, nodeCount::count, clock, timer, settings::maxDebtUnits);
+        this.exchange = new QuotaExchange(
+                new QuotaExchange.HolderPath(holderRole::isHolding, holderPath::isHolderResponding, holderPath::send),
                 issuer,
                 settings,
                 clock,
                 timer,
-                new AllotmentRecorder(metrics, log));
+                new QuotaRecorder(metrics, log));
     }
 
     private Optional<AccountTable> accounts() {
@@ -68,7 +67,7 @@
     }
 
     /** Returns the gate for the requests of this node. */
-    AllotmentGate gate() {
+    QuotaGate gate() {
         return exchange;
     }
 
@@ -92,13 +91,13 @@
     /** Handles a message of the holder that this node follows. */
     void receivedFromHolder(AccountMessage message) {
         switch (message) {
-            case AccountMessage.AllotmentGrant grant -> exchange.handleGrant(grant);
+            case AccountMessage.QuotaGrant grant -> exchange.handleGrant(grant);
             case AccountMessage.PlanHeld held -> keys.statementFor(held).ifPresent(holderPath::send);
             case AccountMessage.KeysHeld held -> keys.record(held);
-            case AccountMessage.AllotmentRequest request -> {
+            case AccountMessage.QuotaRequest request -> {
                 // Only other nodes send it.
             }
-            case AccountMessage.AllotmentReturn units -> {
+            case AccountMessage.QuotaReturn units -> {
                 // Only other nodes send it.
             }
         }
@@ -120,20 +119,20 @@
 
     private void receivedFromNode(HolderConnections.Connection connection, AccountMessage message) {
         switch (message) {
-            case AccountMessage.AllotmentRequest request -> {
+            case AccountMessage.QuotaRequest request -> {
                 if (holderRole.isHolding()) {
                     issuer.recordHeard(connection);
                     connection.send(issuer.respond(request));
                 }
             }
-            case AccountMessage.AllotmentReturn units -> issuer.giveBack(units.account(), units.units());
+            case AccountMessage.QuotaReturn units -> issuer.giveBack(units.account(), units.units());
             case AccountMessage.PlanHeld held -> {
                 nodeCount.recordStatement(held.nodeCount());
                 issuer.recordHeard(connection);
                 keys.responseTo(connection, held).ifPresent(connection::send);
             }
             case AccountMessage.KeysHeld held -> keys.record(held);
-            case AccountMessage.AllotmentGrant grant -> connection.close();
+            case AccountMessage.QuotaGrant grant -> connection.close();
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -105,7 +105,7 @@
         front.setHolderSelector(engineTargets, targetLimits, streamOrigins);
         this.accounts = new ClientAccounts(
                 settings.accounts(), view, front.keysInForce(), holderRole, engineTargets, clock, timer, metrics, log);
-        front.setAllotmentGate(accounts.gate());
+        front.setQuotaGate(accounts.gate());
         LeaseRecord self = new LeaseRecord(
                 settings.nodeId(),
                 incarnation,
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -35,9 +35,9 @@
     @JsonSubTypes.Type(value = HolderMessage.Granted.class, name = "g"),
     @JsonSubTypes.Type(value = HolderMessage.Refused.class, name = "r"),
     @JsonSubTypes.Type(value = HolderMessage.TargetCrashes.class, name = "c"),
-    @JsonSubTypes.Type(value = AccountMessage.AllotmentRequest.class, name = "ar"),
-    @JsonSubTypes.Type(value = AccountMessage.AllotmentGrant.class, name = "ag"),
-    @JsonSubTypes.Type(value = AccountMessage.AllotmentReturn.class, name = "au"),
+    @JsonSubTypes.Type(value = AccountMessage.QuotaRequest.class, name = "ar"),
+    @JsonSubTypes.Type(value = AccountMessage.QuotaGrant.class, name = "ag"),
+    @JsonSubTypes.Type(value = AccountMessage.QuotaReturn.class, name = "au"),
     @JsonSubTypes.Type(value = AccountMessage.PlanHeld.class, name = "ph"),
     @JsonSubTypes.Type(value = AccountMessage.KeysHeld.class, name = "kh"),
 })
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentExchange.java
+++ b/src/main/java/org/poplarwharf/internal/holder/QuotaExchange.java
@@ -6,24 +6,24 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.allotment.AllotmentCredits;
-import org.poplarwharf.internal.allotment.AllotmentPool;
-import org.poplarwharf.internal.allotment.SilentHolderShare;
-import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.fleet.Quota;
 import org.poplarwharf.internal.gateway.AccountSettings;
-import org.poplarwharf.internal.gateway.AllotmentGate;
+import org.poplarwharf.internal.gateway.QuotaGate;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.quota.QuotaCredits;
+import org.poplarwharf.internal.quota.QuotaPool;
+import org.poplarwharf.internal.quota.SilentHolderShare;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * Acquires units of allotments for this node's requests: from the pool of the lease holder, which may be this node, or from
+ * Acquires units of quotas for this node's requests: from the pool of the lease holder, which may be this node, or from
  * this node's own share while no holder responds.
  *
  * <p>Invariants: a request runs only with the units that it uses. The holder is asked for the requests of an account that
  * wait, and not for each of them. Confined to the event loop.
  */
-final class AllotmentExchange implements AllotmentGate {
+final class QuotaExchange implements QuotaGate {
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
     /** A holder in reach responds much sooner. */
@@ -45,13 +45,13 @@
     private static final long RETRY_AFTER_MILLIS = 700;
 
     private final HolderPath path;
-    private final AllotmentIssuer localIssuer;
+    private final QuotaIssuer localIssuer;
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
-    private final AllotmentCredits credits = new AllotmentCredits();
+    private final QuotaCredits credits = new QuotaCredits();
     private final SilentHolderShare silentShare;
-    private final AllotmentRecorder recorder;
-    private final Map<String, AllotmentQueue> queues = new HashMap<>();
+    private final QuotaRecorder recorder;
+    private final Map<String, QuotaQueue> queues = new HashMap<>();
     private int nodeCount;
 
     /**
@@ -63,13 +63,13 @@
      */
     record HolderPath(BooleanSupplier isLocal, BooleanSupplier isResponding, Consumer<HolderMessage> send) {}
 
-    AllotmentExchange(
+    QuotaExchange(
             HolderPath path,
-            AllotmentIssuer localIssuer,
+            QuotaIssuer localIssuer,
             AccountSettings settings,
             MonotonicClock clock,
             TopicFollower.Timer timer,
-            AllotmentRecorder recorder) {
+            QuotaRecorder recorder) {
         this.recorder = recorder;
         this.path = path;
         this.localIssuer = localIssuer;
@@ -94,9 +94,9 @@
     @Override
     public Acquisition acquire(ClientAccount account, double units, long millisLeft, Callback callback) {
         long nowMillis = clock.nowMillis();
-        AllotmentQueue queue = queues.computeIfAbsent(account.name(), name -> new AllotmentQueue(account, recorder));
+        QuotaQueue queue = queues.computeIfAbsent(account.name(), name -> new QuotaQueue(account, recorder));
         queue.setAccount(account);
-        AllotmentQueue.Waiting request = new AllotmentQueue.Waiting(units, nowMillis, millisLeft, callback);
+        QuotaQueue.Waiting request = new QuotaQueue.Waiting(units, nowMillis, millisLeft, callback);
         queue.add(request, nowMillis);
         serve(queue);
         return request;
@@ -108,12 +108,12 @@
     }
 
     /** Handles units that the holder hands out, or its statement that there are none. */
-    void handleGrant(AccountMessage.AllotmentGrant grant) {
+    void handleGrant(AccountMessage.QuotaGrant grant) {
         long nowMillis = clock.nowMillis();
         if (grant.units() > 0) {
             credits.add(grant.account(), grant.units(), nowMillis);
         }
-        AllotmentQueue queue = queues.get(grant.account());
+        QuotaQueue queue = queues.get(grant.account());
         if (queue == null) {
             return;
         }
@@ -125,7 +125,7 @@
     }
 
     /** Lets waiting requests run, as far as there are units, and asks for more. */
-    private void serve(AllotmentQueue queue) {
+    private void serve(QuotaQueue queue) {
         while (!queue.isEmpty() && tryTakeHere(queue)) {
             admitFirst(queue);
         }
@@ -138,14 +138,14 @@
         }
     }
 
-    private void admitFirst(AllotmentQueue queue) {
-        AllotmentQueue.Waiting request = queue.takeFirst();
+    private void admitFirst(QuotaQueue queue) {
+        QuotaQueue.Waiting request = queue.takeFirst();
         recorder.recordAdmitted(queue.account().name(), request.units());
         request.admit();
     }
 
     /** Uses what this node has of the account's units, and returns whether it was enough for the first request. */
-    private boolean tryTakeHere(AllotmentQueue queue) {
+    private boolean tryTakeHere(QuotaQueue queue) {
         long nowMillis = clock.nowMillis();
         String account = queue.account().name();
         double units = queue.first().units();
@@ -155,13 +155,13 @@
         boolean isUnanswered = queue.unansweredMillis(nowMillis) > MAX_RESPONSE_MILLIS
                 && silentShare.silentMillis(nowMillis) > MAX_CONTACT_AGE_MILLIS;
         return (!path.isResponding().getAsBoolean() || isUnanswered)
-                && silentShare.tryTake(account, queue.allotment(), units, nowMillis);
+                && silentShare.tryTake(account, queue.quota(), units, nowMillis);
     }
 
-    private void serveFromPool(AllotmentQueue queue) {
+    private void serveFromPool(QuotaQueue queue) {
         while (!queue.isEmpty() && queue.mayAsk(clock.nowMillis())) {
             double units = queue.first().units();
-            if (localIssuer.take(queue.account().name(), units, units) instanceof AllotmentPool.Exhausted exhausted) {
+            if (localIssuer.take(queue.account().name(), units, units) instanceof QuotaPool.Exhausted exhausted) {
                 queue.recordExhausted(exhausted.availableMillis(), exhausted.retryAfterMillis(), clock.nowMillis());
             } else {
                 admitFirst(queue);
@@ -169,19 +169,19 @@
         }
     }
 
-    private void ask(AllotmentQueue queue) {
+    private void ask(QuotaQueue queue) {
         long nowMillis = clock.nowMillis();
         String account = queue.account().name();
-        Allotment allotment = queue.allotment();
-        double wantedUnits = queue.waitingUnits() + credits.unitsAhead(account, allotment, nodeCount, nowMillis);
+        Quota quota = queue.quota();
+        double wantedUnits = queue.waitingUnits() + credits.unitsAhead(account, quota, nodeCount, nowMillis);
         path.send()
-                .accept(new AccountMessage.AllotmentRequest(
+                .accept(new AccountMessage.QuotaRequest(
                         account,
                         queue.recordAsked(nowMillis),
                         queue.first().units(),
                         wantedUnits,
-                        allotment.perSecond(),
-                        allotment.burst()));
+                        quota.perSecond(),
+                        quota.burst()));
     }
 
     private void check() {
@@ -189,12 +189,12 @@
         silentShare.tick(nowMillis);
         recorder.check(nowMillis);
         credits.takeExpired(nowMillis).forEach(this::giveBack);
-        for (AllotmentQueue queue : List.copyOf(queues.values())) {
+        for (QuotaQueue queue : List.copyOf(queues.values())) {
             if (queue.unansweredMillis(nowMillis) > MAX_HOLDER_WAIT_MILLIS) {
                 queue.forgetAsk();
             }
             serve(queue);
-            for (AllotmentQueue.Waiting overdue : queue.takeOverdue(MAX_HOLDER_WAIT_MILLIS, nowMillis)) {
+            for (QuotaQueue.Waiting overdue : queue.takeOverdue(MAX_HOLDER_WAIT_MILLIS, nowMillis)) {
                 overdue.refuse(FailureCode.NO_HOLDER, "no-holder", RETRY_AFTER_MILLIS);
             }
         }
@@ -205,7 +205,7 @@
         if (path.isLocal().getAsBoolean()) {
             localIssuer.giveBack(account, units);
         } else {
-            path.send().accept(new AccountMessage.AllotmentReturn(account, units));
+            path.send().accept(new AccountMessage.QuotaReturn(account, units));
         }
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentIssuer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/QuotaIssuer.java
@@ -6,20 +6,20 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
-import org.poplarwharf.internal.allotment.AllotmentPool;
 import org.poplarwharf.internal.fleet.AccountTable;
-import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.Quota;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.quota.QuotaPool;
 import org.poplarwharf.internal.topic.TopicFollower;
 
 /**
- * The lease holder's part in allotments: hands out units to the nodes that are connected to it.
+ * The lease holder's part in quotas: hands out units to the nodes that are connected to it.
  *
  * <p>Invariant: the share that is handed out is that of the nodes which were heard a short time ago, among all nodes that are
- * known. So two holders together hand out no more than the allotments, and nodes without a holder can use their own shares.
+ * known. So two holders together hand out no more than the quotas, and nodes without a holder can use their own shares.
  * Confined to the event loop.
  */
-final class AllotmentIssuer {
+final class QuotaIssuer {
     /** Nodes respond to each heartbeat; one that has missed three may go by its own share. */
     private static final long HEARD_MILLIS = 1_500;
 
@@ -29,7 +29,7 @@
     private final IntSupplier knownNodeCount;
     private final MonotonicClock clock;
     private final TopicFollower.Timer timer;
-    private final AllotmentPool pool;
+    private final QuotaPool pool;
     private final Map<HolderConnections.Connection, Long> heardMillis = new HashMap<>();
     private Optional<AccountTable> current = Optional.empty();
 
@@ -38,19 +38,19 @@
      *
      * @param accounts the accounts of the plan in force
      * @param knownNodeCount the number of nodes that are known, also of those that are cut off; zero if it is unknown
-     * @param maxDebtUnits the units by which a single request may exceed what an account with the allotment can save
+     * @param maxDebtUnits the units by which a single request may exceed what an account with the quota can save
      */
-    AllotmentIssuer(
+    QuotaIssuer(
             Supplier<Optional<AccountTable>> accounts,
             IntSupplier knownNodeCount,
             MonotonicClock clock,
             TopicFollower.Timer timer,
-            ToDoubleFunction<Allotment> maxDebtUnits) {
+            ToDoubleFunction<Quota> maxDebtUnits) {
         this.accounts = accounts;
         this.knownNodeCount = knownNodeCount;
         this.clock = clock;
         this.timer = timer;
-        this.pool = new AllotmentPool(maxDebtUnits, clock.nowMillis());
+        this.pool = new QuotaPool(maxDebtUnits, clock.nowMillis());
     }
 
     /** Starts to keep the pool up to date. */
@@ -92,7 +92,7 @@
     }
 
     /** Hands out units for requests of this node or of another one. */
-    AllotmentPool.Decision take(String account, double minUnits, double wantedUnits) {
+    QuotaPool.Decision take(String account, double minUnits, double wantedUnits) {
         return pool.take(account, minUnits, wantedUnits, clock.nowMillis());
     }
 
@@ -103,15 +103,15 @@
 
     /**
      * Returns the response to another node that asks for units. If its plan is later than this one's and has limited the account
-     * since, the allotment that the node states applies.
+     * since, the quota that the node states applies.
      */
-    AccountMessage.AllotmentGrant respond(AccountMessage.AllotmentRequest request) {
-        pool.addIfAbsent(request.account(), request.allotment(), clock.nowMillis());
+    AccountMessage.QuotaGrant respond(AccountMessage.QuotaRequest request) {
+        pool.addIfAbsent(request.account(), request.quota(), clock.nowMillis());
         return switch (take(request.account(), request.minUnits(), request.wantedUnits())) {
-            case AllotmentPool.Granted granted -> grant(request, granted.units());
-            case AllotmentPool.Unlimited unlimited -> grant(request, request.wantedUnits());
-            case AllotmentPool.Exhausted exhausted ->
-                new AccountMessage.AllotmentGrant(
+            case QuotaPool.Granted granted -> grant(request, granted.units());
+            case QuotaPool.Unlimited unlimited -> grant(request, request.wantedUnits());
+            case QuotaPool.Exhausted exhausted ->
+                new AccountMessage.QuotaGrant(
                         request.account(),
                         request.number(),
                         0,
@@ -120,7 +120,7 @@
         };
     }
 
-    private static AccountMessage.AllotmentGrant grant(AccountMessage.AllotmentRequest request, double units) {
-        return new AccountMessage.AllotmentGrant(request.account(), request.number(), units, 0, 0);
+    private static AccountMessage.QuotaGrant grant(AccountMessage.QuotaRequest request, double units) {
+        return new AccountMessage.QuotaGrant(request.account(), request.number(), units, 0, 0);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentQueue.java
+++ b/src/main/java/org/poplarwharf/internal/holder/QuotaQueue.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.poplarwharf.FailureCode;
-import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
-import org.poplarwharf.internal.gateway.AllotmentGate;
+import org.poplarwharf.internal.fleet.Quota;
+import org.poplarwharf.internal.gateway.QuotaGate;
 
 /**
  * The requests of one client account that wait at this node for units, those that use fewest first.
@@ -16,7 +16,7 @@
  * <p>Invariants: at most one request for units is under way. Refused requests are told to come back one after the other.
  * Confined to the event loop.
  */
-final class AllotmentQueue {
+final class QuotaQueue {
     /** A request waits for units rather than being refused, if its wait is short against the caller's time. */
     private static final double MAX_WAIT_RATIO = 0.15;
 
@@ -29,7 +29,7 @@
     private static final long MAX_RETRY_AFTER_MILLIS = 4_000;
 
     private final List<Waiting> waiting = new ArrayList<>();
-    private final AllotmentRecorder recorder;
+    private final QuotaRecorder recorder;
     private ClientAccount account;
     private long askNumber;
     private boolean asking;
@@ -43,14 +43,14 @@
     private double promisedMillis;
 
     /** A request that waits. */
-    static final class Waiting implements AllotmentGate.Acquisition {
+    static final class Waiting implements QuotaGate.Acquisition {
         private final double units;
         private final long arrivedMillis;
         private final long maxWaitMillis;
-        private final AllotmentGate.Callback callback;
+        private final QuotaGate.Callback callback;
         private boolean cancelled;
 
-        Waiting(double units, long arrivedMillis, long millisLeft, AllotmentGate.Callback callback) {
+        Waiting(double units, long arrivedMillis, long millisLeft, QuotaGate.Callback callback) {
             this.units = units;
             this.arrivedMillis = arrivedMillis;
             this.maxWaitMillis = Math.min(MAX_WAIT_MILLIS, Math.round(millisLeft * MAX_WAIT_RATIO));
@@ -83,7 +83,7 @@
         }
     }
 
-    AllotmentQueue(ClientAccount account, AllotmentRecorder recorder) {
+    QuotaQueue(ClientAccount account, QuotaRecorder recorder) {
         this.account = account;
         this.recorder = recorder;
     }
@@ -92,13 +92,13 @@
         return account;
     }
 
-    /** Replaces the account by a later state of it, with its present allotment. */
+    /** Replaces the account by a later state of it, with its present quota. */
     void setAccount(ClientAccount latest) {
         account = latest;
     }
 
-    Allotment allotment() {
-        return account.allotment().orElseThrow();
+    Quota quota() {
+        return account.quota().orElseThrow();
     }
 
     /** Adds a request; refuses it if units are available too late for it. */
@@ -188,7 +188,7 @@
 
     /** Refuses the requests that wait too long. Each is told to come back behind those before it. */
     private void refuseLate(long retryAfterMillis, long nowMillis) {
-        double unitsPerMilli = allotment().perSecond() / 1_000;
+        double unitsPerMilli = quota().perSecond() / 1_000;
         double dueMillis = Math.max(nowMillis + retryAfterMillis, promisedMillis);
         List<Runnable> refusals = new ArrayList<>();
         List<Waiting> kept = new ArrayList<>();
@@ -203,7 +203,7 @@
             } else {
                 refusals.add(() -> {
                     recorder.recordRefused(account.name(), nowMillis);
-                    request.refuse(FailureCode.ALLOTMENT_EXCEEDED, "account over its allotment", readyMillis);
+                    request.refuse(FailureCode.QUOTA_EXCEEDED, "account over its quota", readyMillis);
                 });
             }
         }
--- a/src/main/java/org/poplarwharf/internal/holder/AllotmentRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/holder/QuotaRecorder.java
@@ -7,12 +7,12 @@
 import org.poplarwharf.internal.kernel.DecisionLog;
 
 /**
- * Writes the log records and metrics on the allotments of client accounts at this node.
+ * Writes the log records and metrics on the quotas of client accounts at this node.
  *
  * <p>Invariant: one record when an account begins to be limited here and one when it no longer is, however many requests are
  * refused. Confined to the event loop.
  */
-final class AllotmentRecorder {
+final class QuotaRecorder {
     /** An account without a refusal for this long is no longer limited. */
     private static final long QUIET_MILLIS = 5_000;
 
@@ -30,7 +30,7 @@
         }
     }
 
-    AllotmentRecorder(GatewayMetrics metrics, DecisionLog log) {
+    QuotaRecorder(GatewayMetrics metrics, DecisionLog log) {
         this.metrics = metrics;
         this.log = log;
     }
@@ -41,7 +41,7 @@
 
     /** Records a refusal for want of units. */
     void recordRefused(String account, long nowMillis) {
-        metrics.countOverAllotment(account);
+        metrics.countOverQuota(account);
         Limited limited = limitedByAccount.get(account);
         if (limited == null) {
             limited = new Limited(nowMillis);
@@ -64,7 +64,7 @@
             }
             entries.remove();
             log.log(
-                    "account-within-allotment",
+                    "account-within-quota",
                     "account",
                     entry.getKey(),
                     "limitedMillis",
--- a/src/main/java/org/poplarwharf/internal/platform/AccountDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/platform/AccountDecoder.java
@@ -5,8 +5,8 @@
 import java.util.OptionalInt;
 import java.util.stream.StreamSupport;
 import org.poplarwharf.internal.fleet.AccountTable;
-import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.fleet.Quota;
 
 /**
  * Decodes the client accounts of the operator's configuration. Stateless and thread-safe.
@@ -29,7 +29,7 @@
         for (JsonNode tenant : JsonFields.getObjects(configuration, TENANTS)) {
             JsonFields.getString(tenant, "name")
                     .ifPresent(name -> accounts.add(
-                            new ClientAccount(name, decodePriority(tenant), decodeAllotment(tenant)),
+                            new ClientAccount(name, decodePriority(tenant), decodeQuota(tenant)),
                             StreamSupport.stream(tenant.path("apiKeys").spliterator(), false)
                                     .filter(JsonNode::isTextual)
                                     .map(JsonNode::textValue)
@@ -45,16 +45,16 @@
                 : OptionalInt.empty();
     }
 
-    private static Optional<Allotment> decodeAllotment(JsonNode tenant) {
+    private static Optional<Quota> decodeQuota(JsonNode tenant) {
         double perSecond = JsonFields.getDouble(tenant, "ratePerS", 0);
         if (perSecond <= 0) {
             return Optional.empty();
         }
-        Allotment.Unit unit = JsonFields.getString(tenant, "unit")
+        Quota.Unit unit = JsonFields.getString(tenant, "unit")
                 .filter("tokens"::equals)
-                .map(name -> Allotment.Unit.TOKENS)
-                .orElse(Allotment.Unit.REQUESTS);
-        return Optional.of(new Allotment(
+                .map(name -> Quota.Unit.TOKENS)
+                .orElse(Quota.Unit.REQUESTS);
+        return Optional.of(new Quota(
                 unit,
                 perSecond,
                 Math.max(0, JsonFields.getDouble(tenant, "burst", 0)),
--- a/src/main/java/org/poplarwharf/internal/allotment/AllotmentCredits.java
+++ b/src/main/java/org/poplarwharf/internal/quota/QuotaCredits.java
@@ -1,9 +1,9 @@
-package org.poplarwharf.internal.allotment;
+package org.poplarwharf.internal.quota;
 
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
-import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.Quota;
 
 /**
  * Units that the lease holder has handed out to this node and that are not used yet. A node asks for somewhat more than the
@@ -12,7 +12,7 @@
  * <p>Invariant: units are used within {@link #VALID_MILLIS} of the answer that brought them, or given back. Confined to one
  * thread; the current time is passed with each call.
  */
-public final class AllotmentCredits {
+public final class QuotaCredits {
     /** Short against the window over which use is counted, since it delays the use of what was handed out. */
     static final long VALID_MILLIS = 500;
 
@@ -55,14 +55,14 @@
     }
 
     /** Returns the units to ask for beyond those of the requests that wait. */
-    public double unitsAhead(String account, Allotment allotment, int nodeCount, long nowMillis) {
+    public double unitsAhead(String account, Quota quota, int nodeCount, long nowMillis) {
         Credit credit = byAccount.get(account);
         if (credit == null) {
             return 0;
         }
         credit.decayTo(nowMillis);
         double expected = credit.recentUse / USE_DECAY_MILLIS * AHEAD_MILLIS;
-        return Math.min(expected, allotment.perSecond() * MAX_AHEAD_RATIO / Math.max(1, nodeCount));
+        return Math.min(expected, quota.perSecond() * MAX_AHEAD_RATIO / Math.max(1, nodeCount));
     }
 
     /** Adds units that the holder has handed out. */
--- a/src/main/java/org/poplarwharf/internal/allotment/AllotmentPool.java
+++ b/src/main/java/org/poplarwharf/internal/quota/QuotaPool.java
@@ -1,22 +1,22 @@
-package org.poplarwharf.internal.allotment;
+package org.poplarwharf.internal.quota;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
-import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.fleet.Quota;
 
 /**
  * Hands out, at the lease holder, what client accounts may use over all nodes that are connected to it.
  *
- * <p>Load: requests of one account arrive at many nodes, evenly or at a single one, up to several times its allotment. What
+ * <p>Load: requests of one account arrive at many nodes, evenly or at a single one, up to several times its quota. What
  * is handed out does not depend on where they arrive.
  *
  * <p>Invariants: in any window of {@code t} seconds, an account is handed out at most {@code share x (rate x t + burst)} plus
  * the permitted debt of one request. A pool that starts, or that was not run for a while, has nothing saved, because
  * another holder may have handed it out. Confined to one thread; the current time is passed with each call.
  */
-public final class AllotmentPool {
+public final class QuotaPool {
     /** Callers are told to come back after at most this time, and what they ask for is not reserved beyond it. */
     private static final long MAX_PROMISE_MILLIS = 4_000;
 
@@ -24,19 +24,19 @@
     private static final long MAX_PAUSE_MILLIS = 1_000;
 
     private final Map<String, Entry> byAccount = new HashMap<>();
-    private final ToDoubleFunction<Allotment> maxDebtUnits;
+    private final ToDoubleFunction<Quota> maxDebtUnits;
     private double share = 1;
     private long lastTickMillis;
 
     private static final class Entry {
-        private Allotment allotment;
+        private Quota quota;
         private final UnitBucket bucket;
 
         /** The time until which refused requests have been told to come back. */
         private double promisedMillis;
 
-        Entry(Allotment allotment, UnitBucket bucket) {
-            this.allotment = allotment;
+        Entry(Quota quota, UnitBucket bucket) {
+            this.quota = quota;
             this.bucket = bucket;
         }
     }
@@ -55,15 +55,15 @@
      */
     public record Exhausted(long availableMillis, long retryAfterMillis) implements Decision {}
 
-    /** The account has no allotment, so that its requests are not counted. */
+    /** The account has no quota, so that its requests are not counted. */
     public record Unlimited() implements Decision {}
 
     /**
      * Creates a pool without accounts.
      *
-     * @param maxDebtUnits the units by which a request may exceed what an account with the allotment can save
+     * @param maxDebtUnits the units by which a request may exceed what an account with the quota can save
      */
-    public AllotmentPool(ToDoubleFunction<Allotment> maxDebtUnits, long nowMillis) {
+    public QuotaPool(ToDoubleFunction<Quota> maxDebtUnits, long nowMillis) {
         this.maxDebtUnits = maxDebtUnits;
         this.lastTickMillis = nowMillis;
     }
@@ -73,40 +73,38 @@
         byAccount
                 .keySet()
                 .removeIf(name -> !accounts.containsKey(name)
-                        || accounts.get(name).allotment().isEmpty());
+                        || accounts.get(name).quota().isEmpty());
         accounts.values()
-                .forEach(account -> account.allotment()
-                        .ifPresent(allotment -> updateAccount(account.name(), allotment, nowMillis)));
+                .forEach(
+                        account -> account.quota().ifPresent(quota -> updateAccount(account.name(), quota, nowMillis)));
     }
 
-    private void updateAccount(String name, Allotment allotment, long nowMillis) {
+    private void updateAccount(String name, Quota quota, long nowMillis) {
         Entry known = byAccount.get(name);
         if (known == null) {
             byAccount.put(
                     name,
-                    new Entry(
-                            allotment,
-                            new UnitBucket(share * allotment.perSecond(), share * allotment.burst(), nowMillis)));
+                    new Entry(quota, new UnitBucket(share * quota.perSecond(), share * quota.burst(), nowMillis)));
             return;
         }
-        if (!known.allotment.equals(allotment)) {
-            known.allotment = allotment;
+        if (!known.quota.equals(quota)) {
+            known.quota = quota;
             known.promisedMillis = 0;
             applyShare(known, nowMillis);
         }
     }
 
     /**
-     * Adds an account that has no allotment by the plan of this node, but has one by the later plan of another node. It
+     * Adds an account that has no quota by the plan of this node, but has one by the later plan of another node. It
      * stays until the accounts are replaced.
      */
-    public void addIfAbsent(String name, Allotment allotment, long nowMillis) {
+    public void addIfAbsent(String name, Quota quota, long nowMillis) {
         if (!byAccount.containsKey(name)) {
-            updateAccount(name, allotment, nowMillis);
+            updateAccount(name, quota, nowMillis);
         }
     }
 
-    /** Sets the share of the allotments that this pool hands out; the rest belongs to nodes that it can't reach. */
+    /** Sets the share of the quotas that this pool hands out; the rest belongs to nodes that it can't reach. */
     public void setShare(double latest, long nowMillis) {
         if (share != latest) {
             share = latest;
@@ -115,7 +113,7 @@
     }
 
     private void applyShare(Entry entry, long nowMillis) {
-        entry.bucket.setLimits(share * entry.allotment.perSecond(), share * entry.allotment.burst(), nowMillis);
+        entry.bucket.setLimits(share * entry.quota.perSecond(), share * entry.quota.burst(), nowMillis);
     }
 
     /** Drops what is saved, because another node has been the holder before. */
@@ -145,7 +143,7 @@
             return new Unlimited();
         }
         double capacity = entry.bucket.capacity();
-        if (minUnits > capacity + maxDebtUnits.applyAsDouble(entry.allotment)) {
+        if (minUnits > capacity + maxDebtUnits.applyAsDouble(entry.quota)) {
             return new Exhausted(MAX_PROMISE_MILLIS, MAX_PROMISE_MILLIS);
         }
         // A request that uses more than can be saved is admitted once all is saved that can be, and the rest is a debt.
@@ -165,7 +163,7 @@
     private long promise(Entry entry, double waitMillis, double wantedUnits, long nowMillis) {
         double dueMillis = Math.max(nowMillis + waitMillis, entry.promisedMillis);
         double latestMillis = nowMillis + MAX_PROMISE_MILLIS;
-        double useMillis = wantedUnits / (share * entry.allotment.perSecond()) * 1_000;
+        double useMillis = wantedUnits / (share * entry.quota.perSecond()) * 1_000;
         entry.promisedMillis = Math.min(latestMillis, dueMillis + useMillis);
         return (long) Math.ceil(Math.min(latestMillis, dueMillis) - nowMillis);
     }
--- a/src/main/java/org/poplarwharf/internal/allotment/SilentHolderShare.java
+++ b/src/main/java/org/poplarwharf/internal/quota/SilentHolderShare.java
@@ -1,11 +1,11 @@
-package org.poplarwharf.internal.allotment;
+package org.poplarwharf.internal.quota;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.poplarwharf.internal.fleet.Allotment;
+import org.poplarwharf.internal.fleet.Quota;
 
 /**
- * What this node may let accounts use by itself while no lease holder responds: an even share of each allotment, counted
+ * What this node may let accounts use by itself while no lease holder responds: an even share of each quota, counted
  * from the holder's last message.
  *
  * <p>Load: single nodes, or all of them, without a holder for some seconds.
@@ -79,12 +79,12 @@
     }
 
     /** Uses units of this node's share, and returns whether there were enough. */
-    public boolean tryTake(String account, Allotment allotment, double units, long nowMillis) {
+    public boolean tryTake(String account, Quota quota, double units, long nowMillis) {
         tick(nowMillis);
         if (silentMillis(nowMillis) > maxSilentMillis) {
             return false;
         }
-        double perMilli = allotment.perSecond() / 1_000 / (nodeCount > 0 ? nodeCount : MAX_NODE_COUNT);
+        double perMilli = quota.perSecond() / 1_000 / (nodeCount > 0 ? nodeCount : MAX_NODE_COUNT);
         double accrued = (nowMillis - accrualStartMillis) * perMilli;
         double used = Math.max(usedByAccount.getOrDefault(account, 0.0), accrued - maxSavedMillis * perMilli);
         if (used + units > accrued) {
--- a/src/main/java/org/poplarwharf/internal/allotment/UnitBucket.java
+++ b/src/main/java/org/poplarwharf/internal/quota/UnitBucket.java
@@ -1,4 +1,4 @@
-package org.poplarwharf.internal.allotment;
+package org.poplarwharf.internal.quota;
 
 /**
  * Units that become available at a rate and are saved up to a capacity. Starts empty.
--- a/src/test/java/org/poplarwharf/internal/gateway/AllottedSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/QuotaSelectorTest.java
@@ -16,19 +16,19 @@
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
 
-class AllottedSelectorTest {
+class QuotaSelectorTest {
     private static final ClientAccount ACCOUNT = new ClientAccount("a", OptionalInt.empty(), Optional.empty());
 
     private final List<String> events = new ArrayList<>();
     private final Gate gate = new Gate();
     private long millisLeft = 5_000;
-    private final AllottedSelector selector = new AllottedSelector(new Targets(), gate, ACCOUNT, 100, () -> millisLeft);
+    private final QuotaSelector selector = new QuotaSelector(new Targets(), gate, ACCOUNT, 100, () -> millisLeft);
 
-    private final class Gate implements AllotmentGate {
-        private AllotmentGate.Callback waiting;
+    private final class Gate implements QuotaGate {
+        private QuotaGate.Callback waiting;
 
         @Override
-        public Acquisition acquire(ClientAccount account, double units, long left, AllotmentGate.Callback callback) {
+        public Acquisition acquire(ClientAccount account, double units, long left, QuotaGate.Callback callback) {
             events.add("acquire " + units);
             waiting = callback;
             return () -> events.add("cancel");
@@ -103,9 +103,9 @@
     }
 
     @Test
-    void request_over_the_allotment_is_refused_and_gives_nothing_back() {
+    void request_over_the_quota_is_refused_and_gives_nothing_back() {
         search("k1");
-        gate.waiting.onRefused(FailureCode.ALLOTMENT_EXCEEDED, "over", 700);
+        gate.waiting.onRefused(FailureCode.QUOTA_EXCEEDED, "over", 700);
         selector.reportRequestEnd(false);
 
         assertThat(events).containsExactly("acquire 100.0", "refused 429 700");
--- a/src/test/java/org/poplarwharf/internal/holder/AccountFaultGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/AccountFaultGatewayTest.java
@@ -16,7 +16,7 @@
 import org.poplarwharf.support.Eventually;
 import org.poplarwharf.support.ScriptedTarget;
 
-/** Keys and allotments of client accounts while the log turns nodes away, or the holder is killed. */
+/** Keys and quotas of client accounts while the log turns nodes away, or the holder is killed. */
 @Timeout(90)
 class AccountFaultGatewayTest {
     private static final String ACCOUNTS = "'limits':{},'tenants':[{'name':'a','apiKeys':['key-1','key-2']}]";
@@ -132,7 +132,7 @@
     }
 
     @Test
-    void account_stays_within_its_allotment_over_four_nodes_while_the_holder_is_killed() throws Exception {
+    void account_stays_within_its_quota_over_four_nodes_while_the_holder_is_killed() throws Exception {
         start(4, AccountSettings.DEFAULTS, LIMITED);
         List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
         target.onArrival = request -> arrivalMillis.add(System.currentTimeMillis());
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentBoundTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/QuotaBoundTest.java
@@ -10,10 +10,10 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
-import org.poplarwharf.internal.gateway.AllotmentGate;
+import org.poplarwharf.internal.gateway.QuotaGate;
 
-/** The use of an allotment over all nodes: at most the bound whatever fails, and nearly all of it while nothing does. */
-class AllotmentBoundTest {
+/** The use of a quota over all nodes: at most the bound whatever fails, and nearly all of it while nothing does. */
+class QuotaBoundTest {
     private static final double PER_SECOND = 100_000;
     private static final double BURST = 100_000;
     private static final int NODE_COUNT = 20;
@@ -22,11 +22,11 @@
 
     /** The most that may be used in a window, as the platform states it. */
     private static double bound(double perSecond) {
-        return (perSecond * AllotmentNodes.WINDOW_MILLIS / 1_000 + BURST) * (1 + MAX_EXCESS_RATIO);
+        return (perSecond * QuotaNodes.WINDOW_MILLIS / 1_000 + BURST) * (1 + MAX_EXCESS_RATIO);
     }
 
-    private static AllotmentNodes withHolder() {
-        AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, PER_SECOND, BURST);
+    private static QuotaNodes withHolder() {
+        QuotaNodes fleet = new QuotaNodes(NODE_COUNT, PER_SECOND, BURST);
         fleet.setHolder(Optional.of(fleet.nodes.get(0)));
         fleet.time.advance(3_000);
         return fleet;
@@ -34,7 +34,7 @@
 
     /** Plays requests of the account at the nodes that the function picks for each of them. */
     private static void play(
-            AllotmentNodes fleet, long millis, double unitsPerSecond, Random random, IntFunction<Integer> node) {
+            QuotaNodes fleet, long millis, double unitsPerSecond, Random random, IntFunction<Integer> node) {
         long endMillis = fleet.time.nowMillis() + millis;
         int count = 0;
         while (fleet.time.nowMillis() < endMillis) {
@@ -46,10 +46,10 @@
     }
 
     @Property(tries = 25)
-    void demand_that_moves_between_nodes_gets_nearly_all_of_the_allotment(
+    void demand_that_moves_between_nodes_gets_nearly_all_of_the_quota(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
             @ForAll @IntRange(min = 1, max = NODE_COUNT) int spread) {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
         long startMillis = fleet.time.nowMillis();
 
@@ -64,9 +64,9 @@
     }
 
     @Property(tries = 10)
-    void account_far_over_its_allotment_still_gets_nearly_all_of_it(
+    void account_far_over_its_quota_still_gets_nearly_all_of_it(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
         long startMillis = fleet.time.nowMillis();
 
@@ -78,8 +78,8 @@
     }
 
     @Property(tries = 10)
-    void demand_within_the_allotment_is_not_refused(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
-        AllotmentNodes fleet = withHolder();
+    void demand_within_the_quota_is_not_refused(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
 
         play(fleet, 10_000, 0.8 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
@@ -91,7 +91,7 @@
     void bound_holds_when_the_holder_ends_and_another_one_follows(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
             @ForAll @IntRange(min = 0, max = 6_000) int withoutHolderMillis) {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
         play(fleet, 8_000, 3 * PER_SECOND, random, count -> 1 + random.nextInt(NODE_COUNT - 1));
 
@@ -105,7 +105,7 @@
 
     @Test
     void nodes_without_a_holder_still_let_requests_run() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         fleet.setHolder(Optional.empty());
         fleet.time.advance(1_500);
         long startMillis = fleet.time.nowMillis();
@@ -120,7 +120,7 @@
     void bound_holds_with_nodes_that_are_cut_off(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
             @ForAll @IntRange(min = 1, max = 10) int cutOffCount) {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
         play(fleet, 8_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
@@ -136,7 +136,7 @@
 
     @Test
     void bound_holds_when_nodes_stay_cut_off_until_the_others_no_longer_count_them() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(1);
         fleet.nodes.subList(NODE_COUNT / 2, NODE_COUNT).forEach(node -> node.reachesHolder = false);
 
@@ -147,7 +147,7 @@
 
     @Test
     void bound_holds_while_the_holder_responds_late() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(1);
         fleet.responseDelayMillis = 400;
 
@@ -158,7 +158,7 @@
 
     @Test
     void bound_holds_when_a_node_that_has_just_started_becomes_the_holder_and_does_not_reach_all() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(1);
         play(fleet, 8_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
@@ -171,7 +171,7 @@
 
     @Test
     void bound_holds_while_only_the_holder_does_not_know_that_the_account_is_limited() {
-        AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, PER_SECOND, BURST);
+        QuotaNodes fleet = new QuotaNodes(NODE_COUNT, PER_SECOND, BURST);
         fleet.nodes.get(0).readsPlan = false;
         fleet.setHolder(Optional.of(fleet.nodes.get(0)));
         fleet.time.advance(3_000);
@@ -179,15 +179,15 @@
         play(fleet, 12_000, 3 * PER_SECOND, new Random(1), count -> 1 + count % (NODE_COUNT - 1));
 
         assertThat(fleet.maxWindowUnits())
-                .isBetween(MIN_USE_RATIO * PER_SECOND * AllotmentNodes.WINDOW_MILLIS / 1_000, bound(PER_SECOND));
+                .isBetween(MIN_USE_RATIO * PER_SECOND * QuotaNodes.WINDOW_MILLIS / 1_000, bound(PER_SECOND));
     }
 
     @Test
     void request_whose_caller_leaves_while_it_waits_uses_nothing() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         long startMillis = fleet.time.nowMillis();
 
-        AllotmentGate.Acquisition left = fleet.nodes.get(1).request(1_000);
+        QuotaGate.Acquisition left = fleet.nodes.get(1).request(1_000);
         fleet.nodes.get(1).request(2_000);
         left.cancel();
         fleet.time.advance(500);
@@ -198,7 +198,7 @@
 
     @Test
     void account_without_a_burst_is_served_at_its_rate() {
-        AllotmentNodes fleet = new AllotmentNodes(NODE_COUNT, 10, 0);
+        QuotaNodes fleet = new QuotaNodes(NODE_COUNT, 10, 0);
         fleet.setHolder(Optional.of(fleet.nodes.get(0)));
         fleet.time.advance(3_000);
         long startMillis = fleet.time.nowMillis();
@@ -215,9 +215,9 @@
     void bound_holds_when_the_holder_is_suspended_and_resumes_beside_another_one(
             @ForAll @LongRange(min = 1, max = 1_000_000) long seed,
             @ForAll @IntRange(min = 500, max = 6_000) int suspendedMillis) {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(seed);
-        AllotmentNodes.Node first = fleet.nodes.get(0);
+        QuotaNodes.Node first = fleet.nodes.get(0);
         play(fleet, 8_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
         first.suspended = true;
@@ -231,7 +231,7 @@
 
     @Test
     void bound_holds_when_all_nodes_start_again_and_there_are_more_than_before() {
-        AllotmentNodes fleet = withHolder();
+        QuotaNodes fleet = withHolder();
         Random random = new Random(1);
         play(fleet, 8_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
@@ -249,15 +249,15 @@
     }
 
     @Test
-    void lowered_allotment_binds_from_then_on() {
-        AllotmentNodes fleet = withHolder();
+    void lowered_quota_binds_from_then_on() {
+        QuotaNodes fleet = withHolder();
         Random random = new Random(1);
         play(fleet, 4_000, 3 * PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
-        fleet.setAllotment(PER_SECOND / 10, BURST / 10);
+        fleet.setQuota(PER_SECOND / 10, BURST / 10);
         fleet.time.advance(500);
         long startMillis = fleet.time.nowMillis();
-        play(fleet, AllotmentNodes.WINDOW_MILLIS, PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
+        play(fleet, QuotaNodes.WINDOW_MILLIS, PER_SECOND, random, count -> random.nextInt(NODE_COUNT));
 
         assertThat(fleet.usedUnits(startMillis, fleet.time.nowMillis()))
                 .isBetween(
--- a/src/test/java/org/poplarwharf/internal/holder/AllotmentNodes.java
+++ b/src/test/java/org/poplarwharf/internal/holder/QuotaNodes.java
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.fleet.AccountTable;
-import org.poplarwharf.internal.fleet.Allotment;
 import org.poplarwharf.internal.fleet.ClientAccount;
+import org.poplarwharf.internal.fleet.Quota;
 import org.poplarwharf.internal.gateway.AccountSettings;
-import org.poplarwharf.internal.gateway.AllotmentGate;
 import org.poplarwharf.internal.gateway.GatewayMetrics;
 import org.poplarwharf.internal.gateway.NodeCountEstimate;
+import org.poplarwharf.internal.gateway.QuotaGate;
 import org.poplarwharf.internal.kernel.DecisionLog;
 
 /**
@@ -24,7 +24,7 @@
  *
  * <p>Confined to one thread.
  */
-final class AllotmentNodes {
+final class QuotaNodes {
     static final long WINDOW_MILLIS = 8_000;
     private static final long LINK_MILLIS = 2;
     private static final long HEARTBEAT_MILLIS = 500;
@@ -44,8 +44,8 @@
 
     /** One node. */
     final class Node {
-        final AllotmentIssuer issuer;
-        private final AllotmentExchange exchange;
+        final QuotaIssuer issuer;
+        private final QuotaExchange exchange;
         private final HolderConnections.Connection connection = new HolderConnections.Connection(null);
         boolean reachesHolder = true;
         boolean readsPlan = true;
@@ -55,7 +55,7 @@
 
         Node() {
             AccountSettings settings = new AccountSettings(false, 5_000, WINDOW_MILLIS, 0.1, 0);
-            issuer = new AllotmentIssuer(
+            issuer = new QuotaIssuer(
                     () -> readsPlan
                             ? Optional.of(new AccountTable.Builder()
                                     .add(account, List.of())
@@ -65,13 +65,13 @@
                     time::nowMillis,
                     this::schedule,
                     settings::maxDebtUnits);
-            exchange = new AllotmentExchange(
-                    new AllotmentExchange.HolderPath(this::isHolder, this::isHolderResponding, this::send),
+            exchange = new QuotaExchange(
+                    new QuotaExchange.HolderPath(this::isHolder, this::isHolderResponding, this::send),
                     issuer,
                     settings,
                     time::nowMillis,
                     this::schedule,
-                    new AllotmentRecorder(
+                    new QuotaRecorder(
                             new GatewayMetrics(new MetricRegistry()),
                             new DecisionLog("n", "z", new PrintStream(OutputStream.nullOutputStream()))));
             issuer.start();
@@ -127,23 +127,23 @@
 
         private void send(HolderMessage message) {
             switch (message) {
-                case AccountMessage.AllotmentRequest request -> toHolder(target -> target.respond(this, request));
-                case AccountMessage.AllotmentReturn unused ->
+                case AccountMessage.QuotaRequest request -> toHolder(target -> target.respond(this, request));
+                case AccountMessage.QuotaReturn unused ->
                     toHolder(target -> target.issuer.giveBack(unused.account(), unused.units()));
                 default -> throw new AssertionError(message);
             }
         }
 
-        private void respond(Node node, AccountMessage.AllotmentRequest request) {
+        private void respond(Node node, AccountMessage.QuotaRequest request) {
             issuer.recordHeard(node.connection);
-            AccountMessage.AllotmentGrant grant = issuer.respond(request);
+            AccountMessage.QuotaGrant grant = issuer.respond(request);
             Runnable response = () -> deliver(this, node, () -> node.exchange.handleGrant(grant));
             schedule(responseDelayMillis, response);
         }
 
         /** A request arrives at this node. */
-        AllotmentGate.Acquisition request(double requestUnits) {
-            return exchange.acquire(account, requestUnits, 5_000, new AllotmentGate.Callback() {
+        QuotaGate.Acquisition request(double requestUnits) {
+            return exchange.acquire(account, requestUnits, 5_000, new QuotaGate.Callback() {
                 @Override
                 public void onAcquired() {
                     uses.add(new Use(time.nowMillis(), requestUnits));
@@ -157,16 +157,16 @@
         }
     }
 
-    AllotmentNodes(int nodeCount, double perSecond, double burst) {
-        setAllotment(perSecond, burst);
+    QuotaNodes(int nodeCount, double perSecond, double burst) {
+        setQuota(perSecond, burst);
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new Node());
         }
     }
 
-    void setAllotment(double perSecond, double burst) {
+    void setQuota(double perSecond, double burst) {
         account = new ClientAccount(
-                "a", OptionalInt.empty(), Optional.of(new Allotment(Allotment.Unit.TOKENS, perSecond, burst, 1)));
+                "a", OptionalInt.empty(), Optional.of(new Quota(Quota.Unit.TOKENS, perSecond, burst, 1)));
     }
 
     private int connectedCount(Node node) {
--- a/src/test/java/org/poplarwharf/soak/SoakAccounts.java
+++ b/src/test/java/org/poplarwharf/soak/SoakAccounts.java
@@ -8,7 +8,7 @@
 import org.poplarwharf.support.ScriptedTarget;
 
 /**
- * A client account that asks for many times its allotment at all gateways, and one whose key every other version of the
+ * A client account that asks for many times its quota at all gateways, and one whose key every other version of the
  * configuration withdraws. All other callers use public routes.
  *
  * <p>Thread-safe.
@@ -27,7 +27,7 @@
     /** A gateway that nothing strikes goes by a version of the configuration within this time. */
     private static final long SETTLING_MILLIS = SoakGateway.CONFIG_MILLIS + 1_000;
 
-    /** All gateways have recovered from faults, and go by the lowered allotment, within this time. */
+    /** All gateways have recovered from faults, and go by the lowered quota, within this time. */
     private static final long LOWERED_MILLIS = 6_000;
 
     private final Queue<Published> published = new ConcurrentLinkedQueue<>();
@@ -54,8 +54,8 @@
                                 + (withdraws ? "" : "'key-" + CHANGING + "'") + "]}],'routes':[" + route);
     }
 
-    /** Lowers the allotment with the next version. */
-    void lowerAllotment(long nowMillis) {
+    /** Lowers the quota with the next version. */
+    void lowerQuota(long nowMillis) {
         loweredMillis = nowMillis;
     }
 
@@ -115,7 +115,7 @@
         return List.copyOf(calls);
     }
 
-    /** Returns what was run beyond the allotment, or with a key that had been withdrawn. */
+    /** Returns what was run beyond the quota, or with a key that had been withdrawn. */
     List<String> violations(TargetActivity activity, FaultTimeline faults) {
         var runs = activity.runsByRequestId();
         List<String> violations = new ArrayList<>();
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -134,7 +134,7 @@
             fleet.accounts.ifPresent(accounts -> accounts.start(fleet));
             injectFaults(fleet, new FaultInjector(fleet, seed));
             fleet.accounts.ifPresent(accounts -> {
-                accounts.lowerAllotment(fleet.nowMillis());
+                accounts.lowerQuota(fleet.nowMillis());
                 fleet.publishConfig();
             });
 
