Share learned speeds, and report late pauses, only where requests are placed by them

Cause: with placement by speeds off, the holder still sent summaries of all targets to all nodes every two seconds, and nodes reported late pauses, for nothing. Change: neither is sent then.

--- a/src/main/java/org/poplarwharf/internal/dispatch/LatePauses.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LatePauses.java
@@ -46,7 +46,7 @@
      * the streams that run here. A stream that is late by a pause counts as one that is late by all the time to its
      * objective.
      *
-     * @param recentPrefillMillis the prefill from which the late pauses of late came
+     * @param recentPrefillMillis the recent prefill, which caused the recent late pauses
      */
     double harmMillis(DispatchRequest request, double addedPrefillMillis, double recentPrefillMillis, long nowMillis) {
         double ownMillis = request.maxEventGapMillis() > 0 ? Math.max(0, request.objectiveMillis() - nowMillis) : 0;
--- a/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/TargetSpeeds.java
@@ -142,8 +142,16 @@
                 .map(entry -> estimate(entry, serviceOf(entry.target), nowMillis));
     }
 
-    /** Returns the summaries for other nodes, of targets that state when they started. */
+    /** Returns whether selectors go by the speeds. */
+    public boolean isUsedForPlacement() {
+        return usedForPlacement;
+    }
+
+    /** Returns the summaries for other nodes, of targets that state when they started; none unless selectors use them. */
     public List<Summary> summaries() {
+        if (!usedForPlacement) {
+            return List.of();
+        }
         List<Summary> summaries = new ArrayList<>();
         for (Entry entry : entries.values()) {
             Target target = entry.target;
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -146,7 +146,7 @@
         if (outcome instanceof RunOutcome.FirstEventReceived received) {
             received.origin().ifPresent(origin -> shareOrigin(origin, run));
         }
-        if (run == null) {
+        if (run == null || (outcome instanceof RunOutcome.LatePause && !targetSpeeds.isUsedForPlacement())) {
             return;
         }
         switch (run.decider()) {
--- a/src/test/java/org/poplarwharf/soak/SoakAccounts.java
+++ b/src/test/java/org/poplarwharf/soak/SoakAccounts.java
@@ -24,7 +24,7 @@
     private static final double EXCESS_RATIO = 0.1;
     private static final int PAUSE_MILLIS = 20;
 
-    /** A gateway that nothing strikes goes by a version of the configuration within this time. */
+    /** A gateway without faults goes by a version of the configuration within this time. */
     private static final long SETTLING_MILLIS = SoakGateway.CONFIG_MILLIS + 1_000;
 
     /** All gateways have recovered from faults, and go by the lowered quota, within this time. */
