--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -77,8 +77,9 @@
         log("stray-answer-skipped", "target", target.id());
     }
 
-    void recordDeclined(Target target, int status) {
-        log("request-declined", "target", target.id(), "status", status);
+    /** Records a response that states that the target did not run a request, and whether it states which one. */
+    void recordDeclined(Target target, int status, boolean statesId) {
+        log("request-declined", "target", target.id(), "status", status, "statesId", statesId);
     }
 
     void recordUnreachable(Target target, String reason) {
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -213,7 +213,7 @@
 
     private void retryDeclined(Attempt attempt) {
         endAttempt();
-        recorder.recordDeclined(attempt.target(), relay.status());
+        recorder.recordDeclined(attempt.target(), relay.status(), relay.statesId());
         limits.recordNotRun();
         selector.reportOutcome(attempt.key(), new RunOutcome.Declined());
         relay.discardUnsent();
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -142,6 +142,11 @@
         return isForOtherRequest() ? Optional.empty() : Optional.of(traits);
     }
 
+    /** Returns whether the response carries a request id. */
+    boolean statesId() {
+        return traits.requestId().isPresent();
+    }
+
     int status() {
         return head.status().code();
     }
@@ -241,6 +246,7 @@
         }
         Object[] logFields = {
             "status", status(),
+            "statesId", statesId(),
             "delimiter", BodyDelimiter.of(head).text(),
             "events", eventCount(),
             "remainderBytes", remainderBytes
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -173,7 +173,8 @@
         }
         if (isOwn && response.notRun()) {
             limits.recordNotRun();
-            recorder.recordDeclined(responding.target(), status);
+            recorder.recordDeclined(
+                    responding.target(), status, response.requestId().isPresent());
             drop(responding, new RunOutcome.Declined());
         } else {
             recorder.recordNotReplaced("failed by target");
