Believe a refusal only if it carries the id of the request

Callers were told that a request had not run, or had it run twice: a response with X-Not-Executed and no request id was taken for the one to the request under way. On a connection that was used before, it may belong to an earlier request, or be surplus bytes that the kernel delivers after the next request has been written.

Targets repeat the id in all responses to a request that has one. A refusal without it now ends the attempt as broken: the outcome is unknown, and only what may be repeated is sent again. The replacement of a silent target judges by the same rule.

Whether this is what the users saw is not known: no logs were kept.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -192,6 +192,7 @@
             case INVALID -> handleBreak(attempt, "spoiled answer");
             case BROKEN_OFF -> onBroken(attempt, "stream ended inside an event");
             case DECLINED -> retryDeclined(attempt);
+            case UNIDENTIFIED_REFUSAL -> handleBreak(attempt, "refusal without the id of the request");
             case FAILED_CONTINUATION -> handleBreak(attempt, "failed by target");
             case COMPLETE -> answer(attempt);
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -61,6 +61,8 @@
         BROKEN_OFF,
         /** It states that the target did not run the request. */
         DECLINED,
+        /** It states that the target did not run a request, but not which one. */
+        UNIDENTIFIED_REFUSAL,
         /** It is a failure, where the caller already has a part of another target's response. */
         FAILED_CONTINUATION,
         /** It is whole, and of the target. */
@@ -98,6 +100,12 @@
         return traits.authentic() && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
+    /** Returns whether a response states that its target did not run the request with this id. */
+    static boolean isDeclined(ResponseTraits traits, String requestId) {
+        // Without an id, it may be a response to an earlier request on its connection.
+        return traits.notRun() && traits.requestId().orElse("").equals(requestId);
+    }
+
     /**
      * Returns whether a successful stream, whose framing has ended, lacks its end: it ends inside an event, or it has no
      * event at all and nothing but the end of its connection tells that it is complete.
@@ -132,7 +140,7 @@
             return Verdict.BROKEN_OFF;
         }
         if (traits.notRun()) {
-            return Verdict.DECLINED;
+            return isDeclined(traits, requestId) ? Verdict.DECLINED : Verdict.UNIDENTIFIED_REFUSAL;
         }
         return isFailedContinuation() ? Verdict.FAILED_CONTINUATION : Verdict.COMPLETE;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -171,7 +171,7 @@
         if (isOwn) {
             gateway.statements().record(responding.target(), response, request.selector());
         }
-        if (isOwn && response.notRun()) {
+        if (ResponseRelay.isDeclined(response, request.traits().requestId())) {
             limits.recordNotRun();
             recorder.recordDeclined(
                     responding.target(), status, response.requestId().isPresent());
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/holder/UnprovenRefusalGatewayTest.java
@@ -0,0 +1,71 @@
+package org.poplarwharf.internal.holder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.poplarwharf.support.ScriptedTarget;
+
+/**
+ * Targets that refuse a request which they run nevertheless. Callers take the statuses 408, 421, 429 and 503 for a promise
+ * that the request has not run and never will, so only a refusal that proves it may reach them.
+ */
+@Timeout(30)
+class UnprovenRefusalGatewayTest {
+    private static final List<Integer> PROMISING_STATUSES = List.of(408, 421, 429, 503);
+    private static final int REQUEST_COUNT = 6;
+
+    private final Set<Socket> usedConnections = ConcurrentHashMap.newKeySet();
+    private GatewayCluster cluster;
+    private GatewayCluster.Node node;
+
+    @BeforeEach
+    void start() throws IOException {
+        cluster = new GatewayCluster();
+        node = cluster.startNode();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        cluster.close();
+    }
+
+    /** As if the refusal had been left in a receive buffer from before. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"})
+    void refusal_without_a_request_id_on_a_reused_connection_is_not_taken_for_that_of_the_request_that_runs(
+            String status) throws Exception {
+        ScriptedTarget.Script refusesBeforeItResponds = (request, out) -> {
+            if (!usedConnections.add(request.connection())) {
+                ScriptedTarget.write(out, "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            }
+            ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+        };
+        ScriptedTarget first = cluster.addTarget("desk", "");
+        first.script = refusesBeforeItResponds;
+        ScriptedTarget second = cluster.addTarget("desk", "");
+        second.script = refusesBeforeItResponds;
+        List<Integer> statuses = new ArrayList<>();
+        for (int i = 0; i < REQUEST_COUNT; i++) {
+            statuses.add(cluster.post(node.frontPort(), "/once/x").statusCode());
+        }
+
+        List<String> runs = Stream.concat(first.executedRequestIds.stream(), second.executedRequestIds.stream())
+                .toList();
+        assertThat(runs).as(node.log()).hasSize(REQUEST_COUNT).doesNotHaveDuplicates();
+        assertThat(statuses)
+                .as(node.log())
+                .doesNotContainAnyElementsOf(PROMISING_STATUSES)
+                .contains(200);
+    }
+}
