--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -26,6 +26,7 @@
 import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.platform.PlatformGateway;
 import org.poplarwharf.process.FreePorts;
+import org.poplarwharf.support.CuttableLinks;
 import org.poplarwharf.support.Eventually;
 import org.poplarwharf.support.FakePlatformLog;
 import org.poplarwharf.support.ScriptedTarget;
@@ -99,6 +100,11 @@
         return startNode(newSettings(platform.addAddress(turnedAway::get), accounts));
     }
 
+    /** Starts another node, which reaches each target through a link of its own. */
+    Node startNode(CuttableLinks links) throws IOException {
+        return startNode(newSettings(platform.addAddress(links::linked), GatewaySettings.DEFAULTS.accounts()));
+    }
+
     private GatewaySettings newSettings(String logAddress, AccountSettings accounts) throws IOException {
         List<InetSocketAddress> freeAddresses =
                 FreePorts.addresses(3).stream().map(GatewayCluster::address).toList();
--- a/src/test/java/org/poplarwharf/support/FakePlatformLog.java
+++ b/src/test/java/org/poplarwharf/support/FakePlatformLog.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import org.poplarwharf.process.FreePorts;
 
@@ -73,7 +74,7 @@
     public FakePlatformLog() throws IOException {
         server = HttpServer.create(new InetSocketAddress("127.0.0.1", FreePorts.port()), 0);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server.createContext("/", this::handle);
+        server.createContext("/", exchange -> handle(exchange, value -> value));
         server.start();
     }
 
@@ -83,13 +84,22 @@
 
     /** Returns another address of the log, which rejects every request without effect while the flag is set. */
     public String addAddress(BooleanSupplier rejects) throws IOException {
+        return addAddress(rejects, value -> value);
+    }
+
+    /** Returns another address of the log, whose readers see changed values. */
+    public String addAddress(UnaryOperator<String> valueSeen) throws IOException {
+        return addAddress(() -> false, valueSeen);
+    }
+
+    private String addAddress(BooleanSupplier rejects, UnaryOperator<String> valueSeen) throws IOException {
         HttpServer entrance = HttpServer.create(new InetSocketAddress("127.0.0.1", FreePorts.port()), 0);
         entrance.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         entrance.createContext("/", exchange -> {
             if (rejects.getAsBoolean()) {
                 send(exchange, response(503, ""));
             } else {
-                handle(exchange);
+                handle(exchange, valueSeen);
             }
         });
         entrance.start();
@@ -171,7 +181,7 @@
         return topics.computeIfAbsent(name, unused -> new Topic());
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
+    private void handle(HttpExchange exchange, UnaryOperator<String> valueSeen) throws IOException {
         Map<String, String> query = new HashMap<>();
         for (String pair : exchange.getRequestURI().getQuery().split("&")) {
             query.put(pair.split("=")[0], pair.split("=")[1]);
@@ -183,19 +193,19 @@
         }
         try {
             Thread.sleep(responseDelayMillis);
-            execute(exchange, query, body);
+            execute(exchange, query, body, valueSeen);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             exchange.close();
         }
     }
 
-    private void execute(HttpExchange exchange, Map<String, String> query, byte[] body)
+    private void execute(HttpExchange exchange, Map<String, String> query, byte[] body, UnaryOperator<String> valueSeen)
             throws IOException, InterruptedException {
         String topic = query.get("topic");
         switch (exchange.getRequestURI().getPath()) {
-            case "/log-newest" -> send(exchange, latestRecords(topic));
-            case "/log-read" -> send(exchange, read(query));
+            case "/log-newest" -> send(exchange, latestRecords(topic, valueSeen));
+            case "/log-read" -> send(exchange, read(query, valueSeen));
             default ->
                 append(exchange, topic, Optional.ofNullable(query.get("at")).map(Integer::valueOf), body);
         }
@@ -205,7 +215,7 @@
         return new Response(status, body.getBytes(StandardCharsets.UTF_8), era);
     }
 
-    private synchronized Response latestRecords(String name) {
+    private synchronized Response latestRecords(String name, UnaryOperator<String> valueSeen) {
         List<LogRecord> records = topic(name).records;
         Map<String, String> items = new LinkedHashMap<>();
         for (int i = 0; i < records.size(); i++) {
@@ -214,8 +224,8 @@
                 items.put(
                         records.get(i).key(),
                         "{\"key\":\"" + records.get(i).key() + "\",\"value\":\""
-                                + Base64.getEncoder()
-                                        .encodeToString(records.get(i).value()) + "\",\"offset\":" + i + "}");
+                                + Base64.getEncoder().encodeToString(seen(records.get(i), valueSeen)) + "\",\"offset\":"
+                                + i + "}");
             }
         }
         return response(
@@ -223,7 +233,8 @@
                 "{\"items\":[" + String.join(",", items.values()) + "],\"more\":false,\"end\":" + records.size() + "}");
     }
 
-    private synchronized Response read(Map<String, String> query) throws IOException, InterruptedException {
+    private synchronized Response read(Map<String, String> query, UnaryOperator<String> valueSeen)
+            throws IOException, InterruptedException {
         int from = Integer.parseInt(query.get("from"));
         long waitMillis = Long.parseLong(query.getOrDefault("waitMs", "0"));
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
@@ -234,20 +245,27 @@
         if (from < topic.firstOffset || from > topic.records.size()) {
             return response(410, "{\"first\":" + topic.firstOffset + "}");
         }
-        return new Response(200, records(topic, from), era);
+        return new Response(200, records(topic, from, valueSeen), era);
+    }
+
+    private static byte[] seen(LogRecord record, UnaryOperator<String> valueSeen) {
+        // Not all topics hold text, so that only a value that is one may change.
+        String text = new String(record.value(), StandardCharsets.UTF_8);
+        return text.startsWith("{") ? valueSeen.apply(text).getBytes(StandardCharsets.UTF_8) : record.value();
     }
 
-    private static byte[] records(Topic topic, int from) throws IOException {
+    private static byte[] records(Topic topic, int from, UnaryOperator<String> valueSeen) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
         out.writeLong(topic.records.size());
         out.writeLong(topic.firstOffset);
         for (LogRecord record : topic.records.subList(from, topic.records.size())) {
             byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
-            out.writeInt(1 + key.length + record.value().length);
+            byte[] value = seen(record, valueSeen);
+            out.writeInt(1 + key.length + value.length);
             out.writeByte(key.length);
             out.write(key);
-            out.write(record.value());
+            out.write(value);
         }
         return bytes.toByteArray();
     }
