--- a/src/main/java/org/poplarwharf/internal/gateway/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Attempt.java
@@ -92,6 +92,11 @@
         inFlight = Optional.of(request);
     }
 
+    /** Returns whether a response that names no request can only be the one to this attempt. */
+    boolean isFirstOnConnection() {
+        return inFlight.filter(InFlightRequest::isFirstOnConnection).isPresent();
+    }
+
     /** Ends the attempt by closing its connection, which makes the target stop. */
     void cancel() {
         inFlight.ifPresent(InFlightRequest::cancel);
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -131,7 +131,7 @@
 
     @Override
     public void onHead(Attempt attempt, HttpResponse head) {
-        relay.receiveHead(head);
+        relay.receiveHead(head, attempt.isFirstOnConnection());
         relay.statements().ifPresent(stated -> gateway.statements().record(attempt.target(), stated, selector));
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -48,6 +48,7 @@
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private boolean started;
     private boolean continuing;
+    private boolean isIdNeeded;
     private long skippedBytes;
 
     /** The effect of a chunk of the response body. */
@@ -92,8 +93,14 @@
         this.splitter = new EventSplitter(request.lastEventId());
     }
 
-    void receiveHead(HttpResponse received) {
+    /**
+     * Receives the head of a response.
+     *
+     * @param isFirstOnConnection whether it belongs to the request even if it doesn't name it
+     */
+    void receiveHead(HttpResponse received, boolean isFirstOnConnection) {
         head = received;
+        isIdNeeded = !isFirstOnConnection;
         continuing = started;
         traits = headerCodec.readResponse(received.status().code(), received.headers());
     }
@@ -115,10 +122,14 @@
         return traits.authentic() && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
-    /** Returns whether a response states that its target did not run the request with this id. */
-    static boolean isDeclined(ResponseTraits traits, String requestId) {
-        // Without an id, it may be a response to an earlier request on its connection.
-        return traits.notRun() && traits.requestId().orElse("").equals(requestId);
+    /**
+     * Returns whether a response states that its target did not run the request with this id.
+     *
+     * @param isIdNeeded whether it may belong to an earlier request on its connection if it names none
+     */
+    static boolean isDeclined(ResponseTraits traits, String requestId, boolean isIdNeeded) {
+        return traits.notRun()
+                && traits.requestId().orElse(isIdNeeded ? "" : requestId).equals(requestId);
     }
 
     /**
@@ -160,7 +171,7 @@
             return Verdict.BROKEN_OFF;
         }
         if (traits.notRun()) {
-            return isDeclined(traits, requestId) ? Verdict.DECLINED : Verdict.UNIDENTIFIED_REFUSAL;
+            return isDeclined(traits, requestId, isIdNeeded) ? Verdict.DECLINED : Verdict.UNIDENTIFIED_REFUSAL;
         }
         if (isFailedContinuation()) {
             return Verdict.FAILED_CONTINUATION;
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -44,6 +44,7 @@
     private final ResponseDecoder decoder;
     private Channel channel;
     private ResponseListener listener;
+    private int requestCount;
     private boolean written;
     private boolean reusable;
     private boolean informational;
@@ -83,6 +84,7 @@
 
     void send(FullHttpRequest request, ResponseListener responseListener) {
         listener = responseListener;
+        requestCount++;
         written = false;
         reusable = true;
         informationalCount = 0;
@@ -106,6 +108,11 @@
         channel.close();
     }
 
+    @Override
+    public boolean isFirstOnConnection() {
+        return requestCount <= 1;
+    }
+
     @Override
     public void setReading(boolean enabled) {
         channel.config().setAutoRead(enabled);
