--- a/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
+++ b/src/main/java/org/poplarwharf/internal/crash/CrashDetector.java
@@ -118,6 +118,9 @@
 
     /** Returns whether it is still open if the target has crashed. */
     private boolean recordLostRun(Target target, RequestSuspects suspects, long sentMillis) {
+        if (target.isNode()) {
+            return false;
+        }
         removeExpired();
         Incarnation incarnation = Incarnation.of(target);
         Optional<Target> latest = targets.apply(target.id());
--- a/src/main/java/org/poplarwharf/internal/fleet/Target.java
+++ b/src/main/java/org/poplarwharf/internal/fleet/Target.java
@@ -34,6 +34,8 @@
         List<LoadedModel> models,
         Set<String> inMemory,
         Set<String> onDisk) {
+    /** The service of a node; those of targets have a name. */
+    private static final String ANY_SERVICE = "";
 
     /**
      * Returns whether a later state belongs to the same incarnation of this target. If the target does not report its
@@ -45,6 +47,29 @@
                 && (startedAtMillis != 0 || heartbeatCount <= later.heartbeatCount);
     }
 
+    /** Returns another node in the place of a target: one that passes requests on to targets of all services. */
+    public static Target ofNode(String nodeId, InetSocketAddress address) {
+        return new Target(
+                "node/" + nodeId,
+                0,
+                0,
+                ANY_SERVICE,
+                address,
+                "",
+                0,
+                false,
+                OptionalLong.empty(),
+                "",
+                List.of(),
+                Set.of(),
+                Set.of());
+    }
+
+    /** Returns whether this is another node, whose responses state nothing of itself but of the target that it has chosen. */
+    public boolean isNode() {
+        return service.equals(ANY_SERVICE);
+    }
+
     /** Returns this state of a target that is shutting down. */
     public Target asLeaving() {
         return new Target(
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -27,6 +27,13 @@
         this.recorder = recorder;
     }
 
+    /** Adds the request to those that allow retries, unless the node that sent it has done so. */
+    void recordRequest() {
+        if (!request.fromPeer()) {
+            context.retryBudget().recordRequest(request.service(), context.nowMillis());
+        }
+    }
+
     void recordAttempt() {
         attemptCount++;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -34,6 +34,7 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
     private final GatewayContext gateway;
     private final ProxyServer server;
+    private final boolean fromPeer;
     private final PipelinedRequests pipelined;
     private final RequestReader reader;
     private final ReadTurn readTurn;
@@ -48,7 +49,9 @@
     private Optional<ChannelFuture> lastResponse = Optional.empty();
     private boolean keepAlive = true;
 
-    CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop) {
+    /** Creates a connection of a caller, or of another node that passes on requests of its callers. */
+    CallerConnection(GatewayContext gateway, ProxyServer server, EventLoop loop, boolean fromPeer) {
+        this.fromPeer = fromPeer;
         this.gateway = gateway;
         this.server = server;
         this.pipelined = new PipelinedRequests(gateway);
@@ -211,7 +214,7 @@
             refuse(traits.requestId(), FailureCode.SHUTTING_DOWN, "node ends", 0);
             return;
         }
-        switch (RequestIntake.check(gateway, request, traits)) {
+        switch (RequestIntake.check(gateway, request, traits, fromPeer)) {
             case RequestIntake.Refused refused ->
                 refuse(traits.requestId(), refused.code(), refused.reason(), refused.retryAfterMillis());
             case RequestIntake.Accepted accepted -> {
@@ -241,6 +244,9 @@
     public void sendProblem(String requestId, FailureCode code, String reason, long retryAfterMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
         gateway.headerCodec().addRequestId(headers, requestId);
+        if (fromPeer) {
+            PeerRefusal.mark(headers, code, gateway.headerCodec());
+        }
         ByteBuf body = HttpMessages.writeProblem(headers, code, reason, retryAfterMillis);
         sendResponse(code.httpStatus(), headers, body);
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/FleetView.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -127,6 +128,11 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Returns the targets of all services. */
+    Collection<Target> targets() {
+        return targets.values();
+    }
+
     /** Returns the targets of a service. */
     public List<Target> targetsOf(String service) {
         List<Target> found = new ArrayList<>();
--- a/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
@@ -4,6 +4,7 @@
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Route;
 import org.poplarwharf.internal.fleet.RouteKind;
+import org.poplarwharf.internal.fleet.Target;
 
 /**
  * Timeouts and retry limits for forwarding a request to targets.
@@ -62,8 +63,9 @@
      *
      * @param runCount possible runs of the request so far, with the one that waits
      */
-    OptionalLong progressTimeoutMillis(Route route, int runCount) {
-        if (!route.kind().isRetryable() || runCount >= route.maxTargets()) {
+    OptionalLong progressTimeoutMillis(Target target, Route route, int runCount) {
+        // Another node replaces silent targets itself.
+        if (target.isNode() || !route.kind().isRetryable() || runCount >= route.maxTargets()) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(
@@ -81,8 +83,8 @@
      *
      * @param runCount possible runs of the request so far, with the one that sends the events
      */
-    OptionalLong eventGapTimeoutMillis(Route route, int runCount) {
-        return route.kind().isRetryable() && runCount < route.maxTargets()
+    OptionalLong eventGapTimeoutMillis(Target target, Route route, int runCount) {
+        return !target.isNode() && route.kind().isRetryable() && runCount < route.maxTargets()
                 ? OptionalLong.of(EVENT_GAP_TIMEOUT_MILLIS)
                 : OptionalLong.empty();
     }
@@ -101,8 +103,8 @@
     }
 
     /** Returns whether a target that declined is excluded from the next attempt. */
-    boolean excludesDeclined(Route route, int attempts) {
-        return !route.sharesPrompts() || attempts >= FIRST_EXCLUDING_ATTEMPT;
+    boolean excludesDeclined(Target target, Route route, int attempts) {
+        return target.isNode() || !route.sharesPrompts() || attempts >= FIRST_EXCLUDING_ATTEMPT;
     }
 
     int maxAttemptCount() {
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -28,6 +28,8 @@
     private final GatewayMetrics metrics;
     private final FleetView view;
     private final MonotonicClock clock;
+    private final ReachabilityWatch reachabilityWatch;
+    private final PeerNodes peers = new PeerNodes();
     private final TargetConnectionPool connections;
     private final RetryBudgetShare retryBudget;
     private final CrashHistory crashHistory;
@@ -64,7 +66,8 @@
         this.clock = clock;
         this.crashHistory = crashHistory;
         this.crashDetector = crashDetector;
-        this.connections = new TargetConnectionPool(loop);
+        this.reachabilityWatch = new ReachabilityWatch(view, clock, loop, log, metrics);
+        this.connections = new TargetConnectionPool(loop, reachabilityWatch.reachability());
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
         this.statements = new TargetStatements(view, clock::nowMillis, log);
@@ -124,8 +127,28 @@
         return !targetLimits.isLimited(target.id()) && statements.accepts(target);
     }
 
-    /** Returns the selector of targets for one request. */
-    TargetSelector selectorFor(String service, CallerIdentity caller, RequestTraits traits, long deadlineMillis) {
+    ReachabilityWatch reachabilityWatch() {
+        return reachabilityWatch;
+    }
+
+    /** The nodes to which this one may send requests while it reaches no target. */
+    PeerNodes peers() {
+        return peers;
+    }
+
+    /**
+     * Returns the selector of targets for one request.
+     *
+     * @param mayForward whether it may select another node, if this one reaches no target
+     */
+    TargetSelector selectorFor(
+            String service, CallerIdentity caller, RequestTraits traits, long deadlineMillis, boolean mayForward) {
+        TargetSelector own = selectorFor(service, caller, traits, deadlineMillis);
+        return mayForward ? new PeerForwardingSelector(own, reachabilityWatch.reachability(), peers, this) : own;
+    }
+
+    private TargetSelector selectorFor(
+            String service, CallerIdentity caller, RequestTraits traits, long deadlineMillis) {
         TargetSelector targets = selectorFor(service);
         Optional<ClientAccount> limited =
                 caller.knownAccount().filter(account -> account.quota().isPresent());
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -26,6 +26,11 @@
         registry.counter("gateway.sends").inc();
     }
 
+    /** Counts an attempt that is sent to another node, since this one reaches no target. */
+    void countForwarded() {
+        registry.counter("gateway.sends_to_nodes").inc();
+    }
+
     /** Counts a request for a retry from the shared budget by its result. */
     void countRetryDecision(boolean granted) {
         registry.counter(MetricRegistry.name("gateway", granted ? "retries_granted" : "retries_denied"))
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -3,6 +3,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
@@ -71,7 +74,27 @@
 
     /** Listens for callers. */
     public ChannelFuture listen(EventLoopGroup group) {
-        return server.listen(group, context.settings().callerAddress());
+        return server.listen(group, context.settings().callerAddress(), false);
+    }
+
+    /** Listens for requests of nodes that reach no target, if there is an address for that. */
+    public Optional<ChannelFuture> listenForPeers(EventLoopGroup group) {
+        return context.settings().peerRequestAddress().map(address -> server.listen(group, address, true));
+    }
+
+    /** Returns whether this node reaches no target, as far as it knows. */
+    public boolean isCutOff() {
+        return context.reachabilityWatch().reachability().isCutOff();
+    }
+
+    /** Registers a listener that is told whether this node reaches no target, each time that this changes. */
+    public void onCutOffChange(Consumer<Boolean> listener) {
+        context.reachabilityWatch().onChange(listener);
+    }
+
+    /** Replaces the nodes that take requests of this one while it reaches no target. */
+    public void replacePeers(List<PeerNode> peers) {
+        context.peers().replaceAll(peers);
     }
 
     /** Records the number of nodes that share the retry budget, as the lease holder reports it. */
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * The settings of a gateway. Immutable and thread-safe.
@@ -10,6 +11,7 @@
  * @param callerAddress the address that callers connect to
  * @param readinessAddress the address of the readiness and metrics endpoint
  * @param peerAddress the address that other nodes connect to
+ * @param peerRequestAddress the address at which the node takes requests of nodes that reach no target; empty if it takes none
  * @param logAddress the address of the platform's log
  * @param targetRemovalMillis the time within which the node must react to a target's notice that it is leaving
  * @param planUpdateMillis the time within which a new plan must be applied
@@ -32,6 +34,7 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readinessAddress,
         InetSocketAddress peerAddress,
+        Optional<InetSocketAddress> peerRequestAddress,
         InetSocketAddress logAddress,
         long targetRemovalMillis,
         long planUpdateMillis,
@@ -57,6 +60,7 @@
             ANY_PORT,
             ANY_PORT,
             ANY_PORT,
+            Optional.empty(),
             ANY_PORT,
             2_000,
             2_000,
--- a/src/main/java/org/poplarwharf/internal/gateway/HeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/HeaderCodec.java
@@ -21,6 +21,12 @@
     /** Rewrites a caller's headers in place into those sent to a target. */
     void rewriteForTarget(HttpHeaders headers, ForwardingTraits traits);
 
+    /** States in a response that the request has not run, or removes that statement. */
+    void setNotRun(HttpHeaders headers, boolean notRun);
+
+    /** Rewrites a caller's headers in place into those sent to another node, which reads them as those of its own callers. */
+    void rewriteForNode(HttpHeaders headers, ForwardingTraits traits);
+
     /** Adds the request id to a response that the node itself produces. */
     void addRequestId(HttpHeaders headers, String requestId);
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/HttpMessages.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/HttpMessages.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import org.poplarwharf.FailureCode;
 import org.poplarwharf.internal.failure.ProblemDocument;
+import org.poplarwharf.internal.fleet.Target;
 
 /** Builds forwarded requests and problem responses by the rules of HTTP proxies. Stateless and thread-safe. */
 final class HttpMessages {
@@ -54,10 +55,15 @@
         return copy;
     }
 
-    /** Returns a caller's request as it is sent to a target. Shares the body. */
-    static FullHttpRequest forTarget(FullHttpRequest request, HeaderCodec headerCodec, ForwardingTraits forwarding) {
+    /** Returns a caller's request as it is sent to a target, or to another node. Shares the body. */
+    static FullHttpRequest forTarget(
+            FullHttpRequest request, HeaderCodec headerCodec, Target target, ForwardingTraits forwarding) {
         HttpHeaders headers = copyEndToEnd(request.headers());
-        headerCodec.rewriteForTarget(headers, forwarding);
+        if (target.isNode()) {
+            headerCodec.rewriteForNode(headers, forwarding);
+        } else {
+            headerCodec.rewriteForTarget(headers, forwarding);
+        }
         int length = request.content().readableBytes();
         if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -61,7 +61,7 @@
         InFlightRequest connection = gateway.connections()
                 .send(
                         connectionSpec(target, traits),
-                        HttpMessages.forTarget(request, gateway.headerCodec(), traits),
+                        HttpMessages.forTarget(request, gateway.headerCodec(), target, traits),
                         listener,
                         usedConnections);
         usedConnections.add(connection);
@@ -73,7 +73,7 @@
         InFlightRequest connection = gateway.connections()
                 .sendOnNewConnection(
                         connectionSpec(target, traits),
-                        HttpMessages.forTarget(request, gateway.headerCodec(), traits),
+                        HttpMessages.forTarget(request, gateway.headerCodec(), target, traits),
                         listener);
         usedConnections.add(connection);
         return connection;
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -62,7 +62,7 @@
     }
 
     void start() {
-        gateway.retryBudget().recordRequest(context.service(), gateway.nowMillis());
+        limits.recordRequest();
         continuity.recordResumption(recorder);
         selectTarget();
     }
@@ -71,8 +71,7 @@
         if (refuseIfCrashing()) {
             return;
         }
-        OptionalLong pauseMillis = gateway.statements()
-                .pauseMillis(context.service(), context.traits().requestId());
+        OptionalLong pauseMillis = context.pauseMillis();
         if (pauseMillis.isPresent()) {
             giveUp("targets paused", pauseMillis.getAsLong());
             return;
@@ -109,7 +108,7 @@
         current = Optional.of(attempt);
         int runCount = limits.possibleRunCount() + 1;
         sender.send(attempt, relay.lastEventId(), resumeAddress, by);
-        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, runCount));
+        progressTimer.restart(gateway.policy().progressTimeoutMillis(target, route, runCount));
     }
 
     @Override
@@ -131,7 +130,7 @@
 
     @Override
     public void onHead(Attempt attempt, HttpResponse head) {
-        relay.receiveHead(head, attempt.isFirstOnConnection());
+        relay.receiveHead(head, attempt.target(), attempt.isFirstOnConnection());
         relay.statements().ifPresent(stated -> gateway.statements().record(attempt.target(), stated, selector));
     }
 
@@ -152,7 +151,8 @@
     private void onEventsForwarded(Attempt attempt) {
         replacement.cancel();
         reportProgress(attempt, progress.recordEvents(attempt, gateway.nowMillis()));
-        progressTimer.restart(gateway.policy().eventGapTimeoutMillis(route, limits.possibleRunCount()));
+        progressTimer.restart(
+                gateway.policy().eventGapTimeoutMillis(attempt.target(), route, limits.possibleRunCount()));
         onBytesForwarded(attempt);
     }
 
@@ -219,7 +219,7 @@
         limits.recordNotRun();
         selector.reportOutcome(attempt.key(), new RunOutcome.Declined());
         relay.discardUnsent();
-        if (gateway.policy().excludesDeclined(route, limits.attemptCount())) {
+        if (gateway.policy().excludesDeclined(attempt.target(), route, limits.attemptCount())) {
             sender.exclude(attempt.target());
         }
         if (!tryContinue(attempt, "declined by target")) {
@@ -291,7 +291,7 @@
         attempt.setListener(this);
         progress.restart();
         int runCount = limits.possibleRunCount() + (attempt.wasSent() ? 0 : 1);
-        progressTimer.restart(gateway.policy().progressTimeoutMillis(route, runCount));
+        progressTimer.restart(gateway.policy().progressTimeoutMillis(attempt.target(), route, runCount));
     }
 
     /** Goes on at the backup of a broken attempt or at the silent target that it had replaced; returns whether it can. */
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -34,7 +35,7 @@
 
     private final GatewayContext context;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
-    private Channel listener;
+    private final List<Channel> listeners = new ArrayList<>();
     private boolean draining;
     private boolean ending;
 
@@ -42,7 +43,8 @@
         this.context = context;
     }
 
-    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    /** Accepts connections of callers at an address, or of other nodes that pass on requests of theirs. */
+    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, boolean fromPeers) {
         ChannelFuture bound = SocketBootstraps.publicServer(group)
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG_COUNT)
                 // Leaves it to the connection when it closes after the end of its caller's output.
@@ -62,11 +64,12 @@
                                 .addLast(guard.incomingHead())
                                 .addLast(new HttpServerCodec(config))
                                 .addLast(guard)
-                                .addLast(new CallerConnection(context, ProxyServer.this, channel.eventLoop()));
+                                .addLast(new CallerConnection(
+                                        context, ProxyServer.this, channel.eventLoop(), fromPeers));
                     }
                 })
                 .bind(address);
-        listener = bound.channel();
+        listeners.add(bound.channel());
         return bound;
     }
 
@@ -89,7 +92,7 @@
 
     /** Stops accepting connections. */
     void stopAccepting() {
-        listener.close();
+        listeners.forEach(Channel::close);
     }
 
     /** Closes the connections without a request. */
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.fleet.ClientAccount;
@@ -17,6 +18,7 @@
  * @param caller whose request it is
  * @param service the service whose targets run the request
  * @param selector selects these targets
+ * @param fromPeer whether another node has sent the request, since it reaches no target
  * @param arrivedMillis when the request was read, on the clock of the gateway
  * @param deadlineMillis when the caller must have the whole response, on the same clock
  */
@@ -29,6 +31,7 @@
         String service,
         RequestSuspects suspects,
         TargetSelector selector,
+        boolean fromPeer,
         long arrivedMillis,
         long deadlineMillis) {
 
@@ -38,7 +41,8 @@
             Route route,
             CallerIdentity caller,
             RequestTraits traits,
-            RequestIdentity identity) {
+            RequestIdentity identity,
+            boolean fromPeer) {
         String service = route.serviceFor(traits.requestId());
         long arrivedMillis = gateway.nowMillis();
         long callerMillis = traits.remainingMillis().orElse(route.timeoutMillis());
@@ -51,7 +55,8 @@
                 identity,
                 service,
                 new RequestSuspects(identity.fingerprint(), service, traits),
-                gateway.selectorFor(service, caller, traits, deadlineMillis),
+                gateway.selectorFor(service, caller, traits, deadlineMillis, !fromPeer),
+                fromPeer,
                 arrivedMillis,
                 deadlineMillis);
     }
@@ -73,6 +78,11 @@
                 .orElse(route.priority());
     }
 
+    /** Returns after which time the caller should retry if no target of the service takes requests now; empty if one does. */
+    OptionalLong pauseMillis() {
+        return gateway.statements().pauseMillis(service, traits.requestId());
+    }
+
     /** Returns how much of the caller's time is left, in milliseconds; negative after the deadline. */
     long millisLeft() {
         return deadlineMillis - gateway.nowMillis();
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
@@ -28,10 +28,18 @@
     /** The request is refused without being run. */
     record Refused(FailureCode code, String reason, long retryAfterMillis) implements Decision {}
 
-    static Decision check(GatewayContext gateway, FullHttpRequest request, RequestTraits traits) {
+    /**
+     * Decides on a request.
+     *
+     * @param fromPeer whether another node has sent it, since it reaches no target
+     */
+    static Decision check(GatewayContext gateway, FullHttpRequest request, RequestTraits traits, boolean fromPeer) {
         if (!gateway.view().isComplete()) {
             return new Refused(FailureCode.NOT_READY, "no plan or targets yet", NOT_READY_RETRY_AFTER_MILLIS);
         }
+        if (fromPeer && gateway.reachabilityWatch().reachability().isCutOff()) {
+            return new Refused(FailureCode.NOT_READY, "this node reaches no target either", 0);
+        }
         FleetPlan plan = gateway.view().plan().orElseThrow();
         Optional<Route> route = plan.routes().find(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
         if (route.isEmpty()) {
@@ -43,7 +51,12 @@
                 new Refused(rejected.code(), rejected.reason(), rejected.retryAfterMillis());
             case CallerIdentification.Identified identified ->
                 new Accepted(RequestContext.of(
-                        gateway, route.get(), identified.caller(), traits, RequestContext.identityOf(request)));
+                        gateway,
+                        route.get(),
+                        identified.caller(),
+                        traits,
+                        RequestContext.identityOf(request),
+                        fromPeer));
         };
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.RouteKind;
+import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.BodyDelimiter;
 
 /**
@@ -49,6 +50,7 @@
     private boolean started;
     private boolean continuing;
     private boolean isIdNeeded;
+    private boolean isFinalRefusal;
     private long skippedBytes;
 
     /** The effect of a chunk of the response body. */
@@ -94,15 +96,19 @@
     }
 
     /**
-     * Receives the head of a response.
+     * Receives the head of a response from a target, or from a node that passes on the response of one.
      *
      * @param isFirstOnConnection whether it belongs to the request even if it doesn't name it
      */
-    void receiveHead(HttpResponse received, boolean isFirstOnConnection) {
+    void receiveHead(HttpResponse received, Target sender, boolean isFirstOnConnection) {
         head = received;
         isIdNeeded = !isFirstOnConnection;
         continuing = started;
         traits = headerCodec.readResponse(received.status().code(), received.headers());
+        isFinalRefusal = sender.isNode() && !started && !PeerRefusal.concernsNodeOnly(received.headers());
+        if (sender.isNode()) {
+            PeerRefusal.removeMarks(received.headers(), headerCodec);
+        }
     }
 
     /** Returns whether the response carries the id of another request. */
@@ -171,7 +177,7 @@
             return Verdict.BROKEN_OFF;
         }
         if (traits.notRun()) {
-            return isDeclined(traits, requestId, isIdNeeded) ? Verdict.DECLINED : Verdict.UNIDENTIFIED_REFUSAL;
+            return isDeclined(traits, requestId, isIdNeeded) ? declinedVerdict() : Verdict.UNIDENTIFIED_REFUSAL;
         }
         if (isFailedContinuation()) {
             return Verdict.FAILED_CONTINUATION;
@@ -179,6 +185,10 @@
         return isUnprovenRefusal() ? Verdict.UNPROVEN_REFUSAL : Verdict.COMPLETE;
     }
 
+    private Verdict declinedVerdict() {
+        return isFinalRefusal ? Verdict.COMPLETE : Verdict.DECLINED;
+    }
+
     /** Returns what the target states with its response, unless that is a late one to another request. */
     Optional<ResponseTraits> statements() {
         return isForOtherRequest() ? Optional.empty() : Optional.of(traits);
--- a/src/main/java/org/poplarwharf/internal/gateway/StreamContinuity.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/StreamContinuity.java
@@ -49,9 +49,11 @@
 
     /** Returns whether the target may run the next attempt. */
     boolean allows(Target target) {
-        return continuation()
-                .map(stream -> stream.softwareVersion().equals(Optional.of(target.softwareVersion())))
-                .orElse(true);
+        // Another node knows, or finds out, which version began the stream.
+        return target.isNode()
+                || continuation()
+                        .map(stream -> stream.softwareVersion().equals(Optional.of(target.softwareVersion())))
+                        .orElse(true);
     }
 
     /** Records the target whose first event is passed on, and returns the outcome with the origin of the stream. */
@@ -60,6 +62,9 @@
             return new RunOutcome.FirstEventReceived(firstEventMillis, Optional.empty());
         }
         begun = true;
+        if (target.isNode()) {
+            return new RunOutcome.FirstEventReceived(firstEventMillis, Optional.empty());
+        }
         StreamOrigin origin = new StreamOrigin(traits.streamId(), service, target.softwareVersion());
         return new RunOutcome.FirstEventReceived(
                 firstEventMillis, Optional.of(origin).filter(origins::record));
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetStatements.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetStatements.java
@@ -41,6 +41,9 @@
 
     /** Records what the response of a target states. */
     void record(Target target, ResponseTraits response, TargetSelector selector) {
+        if (target.isNode()) {
+            return;
+        }
         response.requestsPerSecondLimit().ifPresent(limit -> selector.reportLimit(target.id(), limit));
         if (response.targetLeaving() && view.markLeaving(target)) {
             log.log("target-leaving", "target", target.id(), "source", "response");
--- a/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
+++ b/src/main/java/org/poplarwharf/internal/holder/EngineTargetSelector.java
@@ -291,6 +291,7 @@
 
     @Override
     public void opened(HolderConnections.Connection openedConnection) {
+        listener.connected();
         targetLimits.requestsPerSecondByTarget().forEach(this::reportLimit);
         view.statedLeaving().forEach(this::reportLeaving);
         unsharedOrigins.takeAll().forEach(origin -> send(HolderMessage.originMessage(origin)));
@@ -329,6 +330,7 @@
                 .targetSpeeds()
                 .filter(speeds -> remoteHolding)
                 .ifPresent(speeds -> targetSpeeds.restore(speeds, view::target, clock.nowMillis()));
+        heartbeat.peers().filter(peers -> remoteHolding).ifPresent(listener::peersReported);
         listener.nodeCountReported(heartbeat.nodes());
         if (remoteHolding) {
             for (PendingRequest pendingRequest : List.copyOf(pending.values())) {
@@ -349,6 +351,7 @@
         long nowMillis = clock.nowMillis();
         if (localHolder.isHolding()) {
             listener.nodeCountReported(localHolder.nodeCount());
+            listener.peersReported(localHolder.peers());
         }
         boolean responding = isHolderResponding();
         if (responding != wasResponding) {
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -62,7 +62,7 @@
     private final MonotonicClock clock = MonotonicClock.system();
     private final FleetView view = new FleetView();
     private final TargetSpeeds targetSpeeds;
-    private final TopicFollower.Timer timer = this::schedule;
+    private final TopicFollower.Timer timer;
     private final MetricRegistry registry = new MetricRegistry();
     private final KeyedLog platformLog;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -75,11 +75,13 @@
     private final CrashContainment crashes;
     private final StreamOriginRecords originRecords;
     private final ClientAccounts accounts;
+    private final PeerExchange peers;
 
     public GatewayNode(GatewaySettings settings, PlatformAdapter adapter, PrintStream out) {
         this.settings = settings;
         this.adapter = adapter;
         this.log = new DecisionLog(settings.nodeId(), settings.zone(), out);
+        this.timer = new LoopTimer(loop, log);
         PooledHttpClient httpCaller = new PooledHttpClient(loop);
         this.platformLog = adapter.logFactory().apply(httpCaller);
         String incarnation = settings.nodeId() + "/" + System.currentTimeMillis() + "/" + System.nanoTime();
@@ -103,6 +105,7 @@
         this.holderRole = newHolderRole(incarnation, httpCaller, targetLimits, streamOrigins);
         this.engineTargets = newEngineTargets(targetLimits, streamOrigins);
         front.setHolderSelector(engineTargets, targetLimits, streamOrigins);
+        this.peers = new PeerExchange(settings, adapter, front, holderRole, engineTargets);
         this.accounts = new ClientAccounts(
                 settings.accounts(), view, front.keysInForce(), holderRole, engineTargets, clock, timer, metrics, log);
         front.setQuotaGate(accounts.gate());
@@ -234,11 +237,14 @@
         awaitBinding(settings.readinessAddress(), front.listenForReadiness(group));
         awaitBinding(settings.peerAddress(), holderRole.listen(group, settings.peerAddress(), accounts));
         awaitBinding(settings.callerAddress(), front.listen(group));
+        front.listenForPeers(group)
+                .ifPresent(bound -> awaitBinding(settings.peerRequestAddress().orElseThrow(), bound));
         loop.execute(() -> {
             log.log("node-started", "front", settings.callerAddress(), "log", settings.logAddress());
             planFollower.start();
             targetFollower.start();
             crashes.start();
+            peers.reportOwnState();
             engineTargets.start();
             accounts.start();
             lease.start();
@@ -280,26 +286,6 @@
         }
     }
 
-    private void schedule(long delayMillis, Runnable task) {
-        Runnable guardedTask = () -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                log.log(
-                        "unexpected-exception",
-                        "exception",
-                        e,
-                        "at",
-                        e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0]);
-            }
-        };
-        if (delayMillis <= 0) {
-            loop.execute(guardedTask);
-        } else {
-            loop.schedule(guardedTask, delayMillis, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void awaitBinding(InetSocketAddress address, ChannelFuture binding) {
         binding.awaitUninterruptibly();
         if (!binding.isSuccess()) {
@@ -339,6 +325,16 @@
     }
 
     private final class HolderConnectionListener implements HolderListener {
+        @Override
+        public void connected() {
+            peers.reportOwnState();
+        }
+
+        @Override
+        public void peersReported(List<HolderMessage.PeerState> reported) {
+            peers.peersReported(reported);
+        }
+
         @Override
         public void holderEnded(String incarnation) {
             lease.holderEnded(incarnation);
--- a/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
@@ -39,6 +39,7 @@
     private final TargetLimits targetLimits;
     private final TargetSpeeds targetSpeeds;
     private final TopicFollower.Timer timer;
+    private final PeerDirectory peers = new PeerDirectory();
     private final Set<HolderConnections.Connection> connections = new LinkedHashSet<>();
     private final Set<StreamOrigin> recentOrigins = new LinkedHashSet<>();
     private boolean limitsScheduled;
@@ -72,6 +73,24 @@
 
     void remove(HolderConnections.Connection connection) {
         connections.remove(connection);
+        peers.remove(connection);
+    }
+
+    /** Records the state of a connected node, and tells all nodes soon if it has changed. */
+    void recordPeer(HolderConnections.Connection connection, HolderMessage.PeerState state) {
+        if (connections.contains(connection) && peers.record(connection, state)) {
+            sendStateSoon();
+        }
+    }
+
+    void recordOwnState(HolderMessage.PeerState state) {
+        peers.recordOwn(state);
+        sendStateSoon();
+    }
+
+    /** Returns some other nodes that reach targets. */
+    List<HolderMessage.PeerState> peers() {
+        return peers.namedToSelf();
     }
 
     /** Returns the number of nodes, this one included. */
@@ -96,11 +115,17 @@
                 withState ? Optional.of(targetLimits.requestsPerSecondByTarget()) : Optional.empty();
         Optional<List<TargetSpeeds.Summary>> speeds =
                 withState ? Optional.of(targetSpeeds.summaries()).filter(known -> !known.isEmpty()) : Optional.empty();
-        connection.send(heartbeat(limits, Optional.empty(), Optional.empty(), speeds));
+        Optional<List<HolderMessage.PeerState>> named =
+                withState ? Optional.of(peers.namedTo(connection)) : Optional.empty();
+        connection.send(heartbeat(limits, Optional.empty(), Optional.empty(), speeds, named));
     }
 
     /** Sends the limits of targets, soon after they have changed. */
     void limitsChanged() {
+        sendStateSoon();
+    }
+
+    private void sendStateSoon() {
         if (holding.getAsBoolean() && !limitsScheduled) {
             limitsScheduled = true;
             timer.schedule(LIMIT_DELAY_MILLIS, () -> {
@@ -116,7 +141,8 @@
     }
 
     void askForStream(HolderConnections.Connection connection, String streamId) {
-        connection.send(heartbeat(Optional.empty(), Optional.of(streamId), Optional.empty(), Optional.empty()));
+        connection.send(heartbeat(
+                Optional.empty(), Optional.of(streamId), Optional.empty(), Optional.empty(), Optional.empty()));
     }
 
     /** Tells some nodes the origin of a stream that this node forwards; they know it if this node ends. */
@@ -127,7 +153,8 @@
     }
 
     private void sendOrigin(HolderConnections.Connection connection, StreamOrigin origin) {
-        connection.send(heartbeat(Optional.empty(), Optional.empty(), Optional.of(origin), Optional.empty()));
+        connection.send(
+                heartbeat(Optional.empty(), Optional.empty(), Optional.of(origin), Optional.empty(), Optional.empty()));
     }
 
     void broadcastCrashes(List<TargetCrash> crashes) {
@@ -146,8 +173,17 @@
             Optional<Map<String, Double>> limits,
             Optional<String> soughtStreamId,
             Optional<StreamOrigin> origin,
-            Optional<List<TargetSpeeds.Summary>> speeds) {
+            Optional<List<TargetSpeeds.Summary>> speeds,
+            Optional<List<HolderMessage.PeerState>> named) {
         return new HolderMessage.Heartbeat(
-                nodeId, incarnation, holding.getAsBoolean(), nodeCount(), limits, soughtStreamId, origin, speeds);
+                nodeId,
+                incarnation,
+                holding.getAsBoolean(),
+                nodeCount(),
+                limits,
+                soughtStreamId,
+                origin,
+                speeds,
+                named);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderMessage.java
@@ -56,8 +56,8 @@
      * {@code nodes} is the number of nodes, the holder included. {@code targetLimits} has the limits of all targets, in
      * requests per second, in some messages. {@code soughtStreamId} names a stream whose origin the holder doesn't know;
      * a node that knows it reports it. {@code origin} is that of a stream which the holder itself forwards, so that another
-     * node knows it too. {@code targetSpeeds} has the learned speeds of all targets. Messages of earlier releases have none
-     * of these.
+     * node knows it too. {@code targetSpeeds} has the learned speeds of all targets. {@code peers} are some nodes
+     * that reach targets. Messages of earlier releases have none of these.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record Heartbeat(
@@ -68,13 +68,15 @@
             Optional<Map<String, Double>> targetLimits,
             Optional<String> soughtStreamId,
             Optional<StreamOrigin> origin,
-            Optional<List<TargetSpeeds.Summary>> targetSpeeds)
+            Optional<List<TargetSpeeds.Summary>> targetSpeeds,
+            Optional<List<PeerState>> peers)
             implements HolderMessage {
         public Heartbeat {
             targetLimits = orEmpty(targetLimits);
             soughtStreamId = orEmpty(soughtStreamId);
             origin = orEmpty(origin);
             targetSpeeds = orEmpty(targetSpeeds);
+            peers = orEmpty(peers);
         }
     }
 
@@ -112,7 +114,7 @@
 
     /**
      * Reports the outcome of a granted run, and the origin of its stream with the first event. With an empty key it reports
-     * only a limit, an origin or a target that leaves; nodes of earlier releases, which know none, ignore such a message.
+     * only a limit, an origin, a target that leaves or the state of the sender; nodes of earlier releases, which know none, ignore such a message.
      * They take one with {@code latePauseMillis} for a slow first event.
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -123,16 +125,22 @@
             Optional<NamedLimit> namedLimit,
             Optional<StreamOrigin> origin,
             Optional<LeavingTarget> leavingTarget,
-            Optional<Long> latePauseMillis)
+            Optional<Long> latePauseMillis,
+            Optional<PeerState> peer)
             implements HolderMessage {
         public Outcome {
             namedLimit = orEmpty(namedLimit);
             origin = orEmpty(origin);
             leavingTarget = orEmpty(leavingTarget);
             latePauseMillis = orEmpty(latePauseMillis);
+            peer = orEmpty(peer);
         }
     }
 
+    /** A node, the address at which it takes requests of nodes that reach no target, and whether it reaches any itself. */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record PeerState(String nodeId, String address, boolean reachesTargets) {}
+
     /** The requests per second that a target takes from all nodes together, as it has named them in a response. */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record NamedLimit(String targetId, double requestsPerSecond) {}
@@ -301,6 +309,7 @@
                         Optional.empty(),
                         answered.origin(),
                         Optional.empty(),
+                        Optional.empty(),
                         Optional.empty());
             case RunOutcome.LatePause late ->
                 new Outcome(
@@ -310,7 +319,8 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
-                        Optional.of(late.pauseMillis()));
+                        Optional.of(late.pauseMillis()),
+                        Optional.empty());
             case RunOutcome.Declined declined -> endMessage(key, OutcomeKind.DECLINED);
             case RunOutcome.ConnectionFailed broken -> endMessage(key, OutcomeKind.BROKEN);
             case RunOutcome.Abandoned abandoned -> endMessage(key, OutcomeKind.ABANDONED);
@@ -319,37 +329,37 @@
 
     /** Returns the message that reports a limit that a target has named. */
     static HolderMessage limitMessage(String targetId, double requestsPerSecond) {
-        return new Outcome(
-                "",
-                OutcomeKind.ANSWERED,
-                0,
-                Optional.of(new NamedLimit(targetId, requestsPerSecond)),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty());
+        NamedLimit limit = new NamedLimit(targetId, requestsPerSecond);
+        return statement(Optional.of(limit), Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /** Returns the message that reports that a target leaves. */
     static HolderMessage leavingMessage(Target target) {
         LeavingTarget leaving = new LeavingTarget(target.id(), target.startedAtMillis());
-        return new Outcome(
-                "",
-                OutcomeKind.ANSWERED,
-                0,
-                Optional.empty(),
-                Optional.empty(),
-                Optional.of(leaving),
-                Optional.empty());
+        return statement(Optional.empty(), Optional.empty(), Optional.of(leaving), Optional.empty());
     }
 
     /** Returns the message that reports the origin of a stream. */
     static HolderMessage originMessage(StreamOrigin origin) {
-        return new Outcome(
-                "", OutcomeKind.ANSWERED, 0, Optional.empty(), Optional.of(origin), Optional.empty(), Optional.empty());
+        return statement(Optional.empty(), Optional.of(origin), Optional.empty(), Optional.empty());
+    }
+
+    /** Returns the message that reports the state of the sender. */
+    static HolderMessage peerMessage(PeerState peer) {
+        return statement(Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(peer));
+    }
+
+    private static HolderMessage statement(
+            Optional<NamedLimit> limit,
+            Optional<StreamOrigin> origin,
+            Optional<LeavingTarget> leaving,
+            Optional<PeerState> peer) {
+        return new Outcome("", OutcomeKind.ANSWERED, 0, limit, origin, leaving, Optional.empty(), peer);
     }
 
     private static HolderMessage endMessage(String key, OutcomeKind kind) {
-        return new Outcome(key, kind, 0, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+        return new Outcome(
+                key, kind, 0, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /** Returns the outcome of a run that a node has reported. */
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -129,6 +129,16 @@
         return lease.isPresent() && lease.get().mayOrder();
     }
 
+    /** Records whether this node reaches targets. */
+    void recordOwnState(HolderMessage.PeerState state) {
+        announcer.recordOwnState(state);
+    }
+
+    /** Returns some other nodes that reach targets. */
+    List<HolderMessage.PeerState> peers() {
+        return announcer.peers();
+    }
+
     public int nodeCount() {
         return announcer.nodeCount();
     }
@@ -200,7 +210,10 @@
                 dispatch(request, RequestSource.remote(request, connection));
             }
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
-            case HolderMessage.Outcome outcome -> handleOutcome(outcome);
+            case HolderMessage.Outcome outcome -> {
+                outcome.peer().ifPresent(state -> announcer.recordPeer(connection, state));
+                handleOutcome(outcome);
+            }
             case HolderMessage.Ended ended ->
                 recordEnd(ended.key(), ended.successful().orElse(false));
             case HolderMessage.TargetCrashes report -> crashListener.crashesReported(report.crashes());
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/PeerDirectory.java
@@ -0,0 +1,59 @@
+package org.poplarwharf.internal.holder;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.poplarwharf.internal.holder.HolderMessage.PeerState;
+
+/**
+ * What the lease holder knows of the nodes that are connected to it and of itself: which of them reach targets.
+ *
+ * <p>Invariant: a node is never named to itself. Confined to the event loop.
+ */
+final class PeerDirectory {
+    /** Enough for a second try, and few enough for the message to stay small. */
+    private static final int MAX_NAMED_COUNT = 4;
+
+    private final Map<HolderConnections.Connection, PeerState> stateByConnection = new LinkedHashMap<>();
+    private Optional<PeerState> own = Optional.empty();
+
+    void recordOwn(PeerState state) {
+        own = Optional.of(state);
+    }
+
+    /** Records the state of a node, and returns whether it is new. */
+    boolean record(HolderConnections.Connection connection, PeerState state) {
+        return !state.equals(stateByConnection.put(connection, state));
+    }
+
+    void remove(HolderConnections.Connection connection) {
+        stateByConnection.remove(connection);
+    }
+
+    /** Returns some nodes that reach targets, for this node itself. */
+    List<PeerState> namedToSelf() {
+        return named(own, 0);
+    }
+
+    /** Returns some nodes that reach targets; others for each node, so that none has to serve all those that reach none. */
+    List<PeerState> namedTo(HolderConnections.Connection connection) {
+        int position = List.copyOf(stateByConnection.keySet()).indexOf(connection);
+        return named(Optional.ofNullable(stateByConnection.get(connection)), position + 1);
+    }
+
+    private List<PeerState> named(Optional<PeerState> receiver, int position) {
+        List<PeerState> able = Stream.concat(own.stream(), stateByConnection.values().stream())
+                .filter(PeerState::reachesTargets)
+                .filter(state -> receiver.isEmpty() || !receiver.get().nodeId().equals(state.nodeId()))
+                .toList();
+        if (able.isEmpty()) {
+            return able;
+        }
+        int first = position * MAX_NAMED_COUNT % able.size();
+        return Stream.concat(able.stream().skip(first), able.stream().limit(first))
+                .limit(MAX_NAMED_COUNT)
+                .toList();
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/http/RefusalProbe.java
+++ b/src/main/java/org/poplarwharf/internal/http/RefusalProbe.java
@@ -7,7 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 
-/** Determines whether an address refuses connections. Confined to its event loop. */
+/** Determines whether an address accepts or refuses connections. Confined to its event loop. */
 public final class RefusalProbe {
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
@@ -28,6 +28,17 @@
                 });
     }
 
+    /** Connects and closes the connection; passes whether it was established. */
+    public void tryConnect(InetSocketAddress address, Consumer<Boolean> connected) {
+        SocketBootstraps.client(loop, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address)
+                .addListener((ChannelFuture connecting) -> {
+                    connecting.channel().close();
+                    connected.accept(connecting.isSuccess());
+                });
+    }
+
     /** Returns whether a connection failed since no process listens at the address. */
     public static boolean isRefused(Throwable cause) {
         return cause instanceof ConnectException
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -66,6 +66,7 @@
         channel = connecting.channel();
         listener = responseListener;
         connecting.addListener(done -> {
+            reportConnecting(done.isSuccess());
             if (listener == null) {
                 request.release();
                 channel.close();
@@ -82,6 +83,15 @@
         });
     }
 
+    /** Reports a new connection, unless its request was cancelled before the outcome was known. */
+    private void reportConnecting(boolean successful) {
+        if (successful) {
+            pool.observer().connected(targetId);
+        } else if (listener != null) {
+            pool.observer().connectFailed(targetId);
+        }
+    }
+
     void send(FullHttpRequest request, ResponseListener responseListener) {
         listener = responseListener;
         requestCount++;
@@ -89,6 +99,7 @@
         reusable = true;
         informationalCount = 0;
         decoder.expectResponse(request.method());
+        pool.observer().requestSent(targetId);
         listener.onSending();
         channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
     }
@@ -120,6 +131,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        pool.observer().received(targetId);
         try {
             if (listener == null) {
                 channel.close();
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
@@ -28,10 +28,12 @@
     private static final int MAX_HEADER_BYTES = 65_536;
 
     private final EventLoop loop;
+    private final ConnectionObserver observer;
     private final Map<String, Deque<TargetConnection>> idleByTarget = new HashMap<>();
 
-    public TargetConnectionPool(EventLoop loop) {
+    public TargetConnectionPool(EventLoop loop, ConnectionObserver observer) {
         this.loop = loop;
+        this.observer = observer;
     }
 
     /** The target of a connection and the limits for reusing or opening it. Immutable. */
@@ -101,6 +103,10 @@
         return null;
     }
 
+    ConnectionObserver observer() {
+        return observer;
+    }
+
     void release(TargetConnection connection) {
         Deque<TargetConnection> idle =
                 idleByTarget.computeIfAbsent(connection.targetId(), target -> new ArrayDeque<>());
--- a/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/poplarwharf/internal/platform/GatewaySettingsReader.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.gateway.AccountSettings;
 import org.poplarwharf.internal.gateway.GatewaySettings;
@@ -31,6 +32,7 @@
                 requireAddress(listen, "front", file),
                 requireAddress(listen, "ready", file),
                 requirePeerAddress(node, file),
+                readPeerRequestAddress(node, file),
                 requireAddress(node.path("platform"), "addr", file),
                 JsonFields.getLong(bounds, "drainMs").orElse(defaults.targetRemovalMillis()),
                 JsonFields.getLong(bounds, "configMs").orElse(defaults.planUpdateMillis()),
@@ -93,6 +95,14 @@
                 requireString(node, "ip", file), ports.path(0).intValue());
     }
 
+    /** Returns the second address of those that are free for nodes; empty if there is only one. */
+    private static Optional<InetSocketAddress> readPeerRequestAddress(JsonNode node, Path file) {
+        InetSocketAddress first = requirePeerAddress(node, file);
+        return node.path("portRange").path(1).asInt() > first.getPort()
+                ? Optional.of(new InetSocketAddress(first.getAddress(), first.getPort() + 1))
+                : Optional.empty();
+    }
+
     private static RuntimeException missingField(String field, Path file) {
         return Reporter.settingsInvalid(List.of("The settings file " + file + " has no usable field '" + field + "'."));
     }
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -139,6 +139,25 @@
         rewriteCaller(headers, traits.caller());
     }
 
+    @Override
+    public void rewriteForNode(HttpHeaders headers, ForwardingTraits traits) {
+        headers.set(DEADLINE_MILLIS, traits.millisLeft());
+        if (traits.lastEventId().isPresent()) {
+            headers.set(LAST_EVENT_ID, traits.lastEventId().getAsLong());
+            if (!headers.contains(RESUMED_REQUEST_ID)) {
+                headers.set(RESUMED_REQUEST_ID, headers.get(REQUEST_ID, ""));
+            }
+        }
+    }
+
+    @Override
+    public void setNotRun(HttpHeaders headers, boolean notRun) {
+        headers.remove(NOT_EXECUTED);
+        if (notRun) {
+            headers.set(NOT_EXECUTED, "1");
+        }
+    }
+
     private static void rewriteCaller(HttpHeaders headers, CallerIdentity caller) {
         if (caller instanceof CallerIdentity.Unmanaged) {
             return;
--- a/src/test/java/org/poplarwharf/internal/gateway/CallerConnectionTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/CallerConnectionTest.java
@@ -41,7 +41,8 @@
         @Override
         protected void initChannel(Channel created) {
             GatewayContext context = context(created.eventLoop());
-            created.pipeline().addLast(new CallerConnection(context, new ProxyServer(context), created.eventLoop()));
+            created.pipeline()
+                    .addLast(new CallerConnection(context, new ProxyServer(context), created.eventLoop(), false));
         }
     });
 
--- a/src/test/java/org/poplarwharf/internal/gateway/GracefulDrainTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/GracefulDrainTest.java
@@ -85,10 +85,11 @@
                 clock,
                 history,
                 detector));
-        address = (InetSocketAddress) server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .sync()
-                .channel()
-                .localAddress();
+        address = (InetSocketAddress)
+                server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false)
+                        .sync()
+                        .channel()
+                        .localAddress();
     }
 
     @AfterEach
--- a/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/SilentTargetExchangeTest.java
@@ -135,7 +135,7 @@
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
             request.headers().set("X-Request-Id", traits.requestId());
             new ProxyExchange(
-                            RequestContext.of(context, route, new CallerIdentity.Unmanaged(), traits, identity),
+                            RequestContext.of(context, route, new CallerIdentity.Unmanaged(), traits, identity, false),
                             sink,
                             request)
                     .start();
--- a/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/UnreadRequestTest.java
@@ -84,7 +84,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
-                        CallerConnection accepted = new CallerConnection(context, server, loop);
+                        CallerConnection accepted = new CallerConnection(context, server, loop, false);
                         created.pipeline().addLast(new HttpServerCodec(), accepted);
                         channel = created;
                         connections.add(accepted);
--- a/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/EngineTargetSelectorTest.java
@@ -97,7 +97,15 @@
     private void sendHeartbeat() {
         if (!holderSilent) {
             holder.connection.send(new HolderMessage.Heartbeat(
-                    "holder", HOLDER, true, 2, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty()));
+                    "holder",
+                    HOLDER,
+                    true,
+                    2,
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty()));
         }
     }
 
@@ -292,6 +300,12 @@
     }
 
     private static final class NoChanges implements HolderListener {
+        @Override
+        public void connected() {}
+
+        @Override
+        public void peersReported(List<HolderMessage.PeerState> peers) {}
+
         @Override
         public void holderEnded(String incarnation) {
             // The holder does not end in these tests.
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -107,7 +108,7 @@
 
     private GatewaySettings newSettings(String logAddress, AccountSettings accounts) throws IOException {
         List<InetSocketAddress> freeAddresses =
-                FreePorts.addresses(3).stream().map(GatewayCluster::address).toList();
+                FreePorts.addresses(4).stream().map(GatewayCluster::address).toList();
         GatewaySettings defaults = GatewaySettings.DEFAULTS;
         return new GatewaySettings(
                 "n" + (nodes.size() + 1),
@@ -115,6 +116,7 @@
                 freeAddresses.get(0),
                 freeAddresses.get(1),
                 freeAddresses.get(2),
+                Optional.of(freeAddresses.get(3)),
                 address(logAddress),
                 400,
                 400,
--- a/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderEndTest.java
@@ -221,6 +221,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         Optional.empty()));
         DataOutputStream out = new DataOutputStream(connection.getOutputStream());
         out.writeInt(frame.length);
@@ -276,6 +277,12 @@
     }
 
     private final class EndRecorder implements HolderListener {
+        @Override
+        public void connected() {}
+
+        @Override
+        public void peersReported(List<HolderMessage.PeerState> peers) {}
+
         @Override
         public void holderEnded(String incarnation) {
             ended.add(incarnation);
--- a/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/HolderMessageTest.java
@@ -27,6 +27,9 @@
     private static final TargetCrash PART_CRASH =
             new TargetCrash(new Suspect.PromptPart("s", "p").id(), "t", 1, "n1", 0);
 
+    private static final Optional<List<HolderMessage.PeerState>> PEERS =
+            Optional.of(List.of(new HolderMessage.PeerState("n2", "127.0.0.1:7381", true)));
+
     /** The messages of the earlier release that have changed. */
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
     @JsonSubTypes({
@@ -53,7 +56,15 @@
     void messages_of_the_earlier_release_are_read_without_limits() {
         assertThat(CODEC.decode(EARLIER_CODEC.encode(new EarlierMessage.Heartbeat("n", "i", true, 3)), "a node"))
                 .isEqualTo(new HolderMessage.Heartbeat(
-                        "n", "i", true, 3, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty()));
+                        "n",
+                        "i",
+                        true,
+                        3,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty()));
         assertThat(CODEC.decode(
                         EARLIER_CODEC.encode(new EarlierMessage.Outcome("k", HolderMessage.OutcomeKind.ANSWERED, 7)),
                         "a node"))
@@ -64,13 +75,14 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         Optional.empty()));
     }
 
     @Test
     void nodes_of_the_earlier_release_read_messages_with_limits() {
         HolderMessage heartbeat = new HolderMessage.Heartbeat(
-                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS);
+                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS, PEERS);
         assertThat(EARLIER_CODEC.decode(CODEC.encode(heartbeat), "a node"))
                 .isEqualTo(new EarlierMessage.Heartbeat("n", "i", true, 3));
         assertThat(EARLIER_CODEC.decode(CODEC.encode(HolderMessage.limitMessage("t", 1.1)), "a node"))
@@ -80,7 +92,7 @@
     @Test
     void limits_survive_encoding() {
         HolderMessage heartbeat = new HolderMessage.Heartbeat(
-                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS);
+                "n", "i", true, 3, Optional.of(Map.of("t", 1.1)), Optional.of("s"), Optional.empty(), SPEEDS, PEERS);
         HolderMessage limit = HolderMessage.limitMessage("t", 0.5);
 
         assertThat(CODEC.decode(CODEC.encode(heartbeat), "a node")).isEqualTo(heartbeat);
--- a/src/test/java/org/poplarwharf/internal/holder/NodeWithoutTargetsGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/NodeWithoutTargetsGatewayTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -22,7 +21,6 @@
  * Nodes that reach no target, though their callers, the log and the other nodes reach them: their callers must be served
  * nearly as often at the first attempt as those of the other nodes.
  */
-@Tag("known-red")
 @Timeout(90)
 class NodeWithoutTargetsGatewayTest {
     /** The time after a cut from which callers must be served. */
