Charge the retry budget only for requests that have reached a target

The budget bounds what arrives at targets beyond the first send of each request. A try whose connection is never established brings nothing there, and the next one may be the first to arrive.

A further try is now taken from the budget only once the request has been sent. Time left, the number of tries and crashed targets bound it as before.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -7,9 +7,9 @@
 /**
  * Counts the attempts of one exchange and decides whether another target may be tried.
  *
- * <p>Invariant: another target is tried only with time left and a retry taken from the budget, and after a possible run
- * only as often as the route allows, where a current attempt that is not sent yet counts as a run. A request that has
- * crashed targets is not sent again. Confined to the event loop.
+ * <p>Invariant: another target is tried only with time left and, once the request has been sent to a target, a retry taken
+ * from the budget; after a possible run only as often as the route allows, where a current attempt that is not sent yet
+ * counts as a run. A request that has crashed targets is not sent again. Confined to the event loop.
  */
 final class AttemptLimits {
     /** A request is not sent with less time left, because no target could produce a useful result. */
@@ -20,6 +20,7 @@
     private final ExchangeRecorder recorder;
     private int attemptCount;
     private int possibleRunCount;
+    private boolean wasSent;
 
     AttemptLimits(RequestContext request, ExchangeRecorder recorder) {
         this.request = request;
@@ -45,6 +46,7 @@
 
     void recordPossibleRun() {
         possibleRunCount++;
+        wasSent = true;
     }
 
     /** Records that the latest possible run did not happen, according to its target. */
@@ -76,7 +78,7 @@
     boolean tryReserveAttempt(ResponseRelay response) {
         return (!mayHaveRun() || isRerunAllowed(response))
                 && attemptCount < context.policy().maxAttemptCount()
-                && tryReserveRetry();
+                && (wasSent ? tryReserveRetry() : mayBeSent());
     }
 
     /** Returns whether a request that may have run can be sent to one more target. */
@@ -115,9 +117,13 @@
         return context.crashRefusal(request.suspects());
     }
 
+    private boolean mayBeSent() {
+        return hasTimeLeft() && crashRefusal().isEmpty();
+    }
+
     /** Takes a retry from the budget, or returns false if there is none, no time left or the request is refused. */
     boolean tryReserveRetry() {
-        if (!hasTimeLeft() || crashRefusal().isPresent()) {
+        if (!mayBeSent()) {
             return false;
         }
         long nowMillis = context.nowMillis();
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -56,6 +56,11 @@
     /** High enough that a single request may be retried. */
     private static final double RETRY_RATIO = 2;
 
+    private static final int MIN_RETRY_COUNT = 100;
+
+    /** Whether nodes that are started from now on may retry requests at all. */
+    boolean allowsRetries = true;
+
     /** How targets that crash under some requests respond to the others. */
     volatile ScriptedTarget.Script soundScript =
             (request, out) -> ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
@@ -121,8 +126,8 @@
                 400,
                 400,
                 1_000,
-                RETRY_RATIO,
-                100,
+                allowsRetries ? RETRY_RATIO : 0,
+                allowsRetries ? MIN_RETRY_COUNT : 0,
                 defaults.retryWindowMillis(),
                 defaults.orderGapMillis(),
                 defaults.loadWindowMillis(),
