Soak: gateways take requests of nodes that reach no target

A gateway takes such requests only if its settings have a second port for nodes; those of the soak had one port. Each gateway of the soak now has two, as on the platform, so that its faults also meet the hop between nodes.

--- a/src/test/java/org/poplarwharf/soak/SoakFleet.java
+++ b/src/test/java/org/poplarwharf/soak/SoakFleet.java
@@ -38,7 +38,7 @@
     /** A run beside another one needs ports of its own. */
     private static final int FIRST_GATEWAY_PORT = Integer.getInteger("poplarwharf.soak.port", 14_000);
 
-    private static final int PORTS_PER_GATEWAY = 3;
+    private static final int PORTS_PER_GATEWAY = 4;
     private static final int PLAIN_TARGET_COUNT = 3;
     private static final int ENGINE_COUNT = 4;
 
