--- a/src/test/java/org/poplarwharf/soak/SoakGateway.java
+++ b/src/test/java/org/poplarwharf/soak/SoakGateway.java
@@ -90,7 +90,8 @@
         String settings = "node: \"" + name + "\"\nzone: \"z1\"\nip: \"" + HOST + "\"\nlisten:\n  front: \"" + HOST
                 + ":"
                 + frontPort + "\"\n  ready: \"" + HOST + ":" + readyPort + "\"\nportRange: [" + peerPort + ", "
-                + (peerPort + 1) + "]\nheartbeatMs: " + SoakFleet.HEARTBEAT_MILLIS + "\nplatform:\n  addr: \"" + logAddress
+                + (peerPort + 1) + "]\nheartbeatMs: " + SoakFleet.HEARTBEAT_MILLIS + "\nplatform:\n  addr: \""
+                + logAddress
                 + "\"\nbounds:\n  drainMs: " + drainMillis + "\n  graceS: " + SHUTDOWN_GRACE_SECONDS + "\n  configMs: "
                 + CONFIG_MILLIS + "\n  retryRatio: 0.2\n  retryWindowS: 10\n  retrySlack: 50\n  leaseMs: "
                 + LEASE_MILLIS + "\n  ceilingWindowS: " + LOAD_WINDOW_SECONDS + "\n  ceilingFactor: "
