Believe no refusal without an id for a request without an id on a reused connection

A request that its caller sent without an id ran twice: a refusal without an id, on a connection that was used before, compared equal to it. The class of fault is that of the refusals without an id for requests that have one: an absent id proves nothing.

An id now proves a refusal only if the request has one; without any, only a connection that no other request has used does. The two names for that condition are one now.

NamelessRefusalGatewayTest, red before, green after; UnprovenRefusalGatewayTest, LateRefusalGatewayTest and GatewayNodeTest still are.

--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -50,7 +50,7 @@
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private boolean started;
     private boolean continuing;
-    private boolean isIdNeeded;
+    private boolean firstOnConnection;
     private boolean isFinalRefusal;
     private long skippedBytes;
 
@@ -103,7 +103,7 @@
      */
     void receiveHead(HttpResponse received, Target sender, boolean isFirstOnConnection) {
         head = received;
-        isIdNeeded = !isFirstOnConnection;
+        firstOnConnection = isFirstOnConnection;
         continuing = started;
         traits = headerCodec.readResponse(received.status().code(), received.headers());
         isFinalRefusal = sender.isNode() && !started && !PeerRefusal.concernsNodeOnly(received.headers());
@@ -132,11 +132,12 @@
     /**
      * Returns whether a response states that its target did not run the request with this id.
      *
-     * @param isIdNeeded whether it may belong to an earlier request on its connection if it names none
+     * @param isFirstOnConnection whether it belongs to the request even if it doesn't name it
      */
-    static boolean isDeclined(ResponseTraits traits, String requestId, boolean isIdNeeded) {
+    static boolean isDeclined(ResponseTraits traits, String requestId, boolean isFirstOnConnection) {
+        boolean isNamed = !requestId.isEmpty() && traits.requestId().equals(Optional.of(requestId));
         return traits.notRun()
-                && traits.requestId().orElse(isIdNeeded ? "" : requestId).equals(requestId);
+                && (isNamed || (isFirstOnConnection && traits.requestId().isEmpty()));
     }
 
     /**
@@ -188,7 +189,7 @@
             return Verdict.BROKEN_OFF;
         }
         if (traits.notRun()) {
-            return isDeclined(traits, requestId, isIdNeeded) ? declinedVerdict() : Verdict.UNIDENTIFIED_REFUSAL;
+            return isDeclined(traits, requestId, firstOnConnection) ? declinedVerdict() : Verdict.UNIDENTIFIED_REFUSAL;
         }
         if (isFailedContinuation()) {
             return Verdict.FAILED_CONTINUATION;
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -171,7 +171,7 @@
         if (isOwn) {
             gateway.statements().record(responding.target(), response, request.selector());
         }
-        if (ResponseRelay.isDeclined(response, request.traits().requestId(), !responding.isFirstOnConnection())) {
+        if (ResponseRelay.isDeclined(response, request.traits().requestId(), responding.isFirstOnConnection())) {
             limits.recordNotRun();
             recorder.recordDeclined(
                     responding.target(), status, response.requestId().isPresent());
