Pass on a node's refusal only for a request that no other attempt may have run

Node g2 reached no target and sent it to g1, where it ran and broke; it was then sent to g3, whose quota refused it with 429, and g2 passed that on. What a node states is true of its own attempts only.

A node's refusal now ends the request only if no other attempt may have run. Else the attempt counts as declined, and the caller is told that the outcome is unknown once no other node may be tried.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -130,7 +130,7 @@
 
     @Override
     public void onHead(Attempt attempt, HttpResponse head) {
-        relay.receiveHead(head, attempt.target(), attempt.isFirstOnConnection());
+        relay.receiveHead(head, attempt, limits.possibleRunCount() > 1);
         relay.statements().ifPresent(stated -> gateway.statements().record(attempt.target(), stated, selector));
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.RouteKind;
-import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.BodyDelimiter;
 
 /**
@@ -99,15 +98,21 @@
     /**
      * Receives the head of a response from a target, or from a node that passes on the response of one.
      *
-     * @param isFirstOnConnection whether it belongs to the request even if it doesn't name it
+     * @param mayHaveRunBefore whether the request may have run in another attempt
      */
-    void receiveHead(HttpResponse received, Target sender, boolean isFirstOnConnection) {
+    void receiveHead(HttpResponse received, Attempt attempt, boolean mayHaveRunBefore) {
         head = received;
-        firstOnConnection = isFirstOnConnection;
+        firstOnConnection = attempt.isFirstOnConnection();
         continuing = started;
         traits = headerCodec.readResponse(received.status().code(), received.headers());
-        isFinalRefusal = sender.isNode() && !started && !PeerRefusal.concernsNodeOnly(received.headers());
-        if (sender.isNode()) {
+        boolean isOfNode = attempt.target().isNode();
+        // What another node states is true of its own attempts only.
+        isFinalRefusal = isOfNode
+                && traits.notRun()
+                && !started
+                && !mayHaveRunBefore
+                && !PeerRefusal.concernsNodeOnly(received.headers());
+        if (isOfNode) {
             PeerRefusal.removeMarks(received.headers(), headerCodec);
         }
     }
--- a/src/test/java/org/poplarwharf/internal/gateway/ResponseRelayTest.java
+++ b/src/test/java/org/poplarwharf/internal/gateway/ResponseRelayTest.java
@@ -46,7 +46,7 @@
                 new ResponseRelay(new PlatformHeaderCodec(), sink, requestNamed("r1"), RouteKind.ONCE, false);
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
         head.headers().set("X-Request-Id", "r1").set("X-Not-Executed", "1").set("X-Response-Seal", "s");
-        relay.receiveHead(head, TARGET, true);
+        relay.receiveHead(head, new Attempt("k", TARGET, Optional.empty(), 0, null), false);
 
         relay.addChunk(Unpooled.copiedBuffer("full", StandardCharsets.US_ASCII));
 
