Take a failure that another node passes on for the request's last response

A safe request that failed at one node's targets was sent to another node, which tried as many targets again: 3 targets where the route allows 2. A node's final refusal of a safe request was taken for a failure in the same way, sent to another node, and counted against the node.

A node that serves a request for another one has tried what the route allows, so its server errors are passed on.

--- a/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ForwardingPolicy.java
@@ -98,8 +98,9 @@
     }
 
     /** Returns whether a server error from a target (status 500 or above) is retried on another target. */
-    boolean retriesServerErrors(Route route) {
-        return route.kind() == RouteKind.REPEATABLE;
+    boolean retriesServerErrors(Target target, Route route) {
+        // Another node has tried as many targets as the route allows.
+        return !target.isNode() && route.kind() == RouteKind.REPEATABLE;
     }
 
     /** Returns whether a target that declined is excluded from the next attempt. */
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -203,7 +203,7 @@
     private void answer(Attempt attempt) {
         endAttempt();
         boolean serverError = relay.status() >= 500 && !relay.started();
-        if (serverError && gateway.policy().retriesServerErrors(route) && reserveRerun()) {
+        if (serverError && gateway.policy().retriesServerErrors(attempt.target(), route) && reserveRerun()) {
             rerun(attempt, "failed by target");
             return;
         }
