Don't doubt a target that fails a request with a refusal it doesn't prove

A whole response with too little in it says nothing against the target's health.

The run now ends as abandoned for the selector; the caller's 502 and the closed connection stay. FailedRequestGatewayTest, red before, green after.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -280,7 +280,7 @@
     }
 
     private void recordBroken(Attempt attempt, boolean repeated, String reason) {
-        selector.reportOutcome(attempt.key(), new RunOutcome.ConnectionFailed());
+        selector.reportOutcome(attempt.key(), relay.breakOutcome());
         recorder.recordBroken(attempt.target(), repeated, reason, limits.possibleRunCount(), relay.eventCount());
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.RouteKind;
 import org.poplarwharf.internal.http.BodyDelimiter;
@@ -202,6 +203,11 @@
         return isUnprovenRefusal() ? Verdict.UNPROVEN_REFUSAL : Verdict.COMPLETE;
     }
 
+    /** Returns the outcome of a run whose response is given up; one that only states too little speaks for its target's health. */
+    RunOutcome breakOutcome() {
+        return head != null && isUnprovenRefusal() ? new RunOutcome.Abandoned() : new RunOutcome.ConnectionFailed();
+    }
+
     private Verdict declinedVerdict() {
         return isFinalRefusal ? Verdict.COMPLETE : Verdict.DECLINED;
     }
