--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReachability.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReachability.java
@@ -15,11 +15,13 @@
  * crashed target as well, but at several targets, without one that succeeds between, the path of this node is the likelier
  * cause. Open connections that get no response prompt a probe.
  *
- * <p>Invariant: a node counts as cut off only between failed connections to two targets and the next established one.
+ * <p>Invariant: a node counts as cut off only between failed connections to three targets, or to both of two, and the next
+ * established one.
  * Confined to the event loop.
  */
 final class TargetReachability implements ConnectionObserver {
     private static final int MIN_FAILED_TARGET_COUNT = 2;
+    private static final int MAX_FAILED_TARGET_COUNT = 3;
 
     /** Failures further apart than this have different causes. */
     private static final long FAILURE_WINDOW_MILLIS = 3_000;
@@ -75,7 +77,7 @@
         long nowMillis = clock.getAsLong();
         failedMillisByTarget.values().removeIf(millis -> nowMillis - millis > FAILURE_WINDOW_MILLIS);
         failedMillisByTarget.put(targetId, nowMillis);
-        setCutOff(cutOff || failedMillisByTarget.size() >= MIN_FAILED_TARGET_COUNT);
+        setCutOff(cutOff || failedMillisByTarget.size() >= requiredCount());
         listener.probesNeeded();
     }
 
@@ -122,6 +124,10 @@
         return Optional.of(candidates.get(probeCount % candidates.size()));
     }
 
+    private int requiredCount() {
+        return Math.clamp(view.targets().size(), MIN_FAILED_TARGET_COUNT, MAX_FAILED_TARGET_COUNT);
+    }
+
     private boolean isTarget(String id) {
         return view.target(id).isPresent();
     }
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -78,9 +78,11 @@
      *
      * <p>500001: responses of targets that were only silent were given up, and whole requests behind others were dropped by
      * gateways that drained.
+     *
+     * <p>710001: the refusal of a third node was passed on for a request that had run through the second one.
      */
     @ParameterizedTest
-    @ValueSource(longs = {1_000, 30_000, 100_003, 100_011, 400_002, 500_001})
+    @ValueSource(longs = {1_000, 30_000, 100_003, 100_011, 400_002, 500_001, 710_001})
     void promises_hold_through_seeds_that_failed_before(long seed) throws Exception {
         assertThat(runSoak(seed)).as("seed %d", seed).isEmpty();
     }
