--- a/src/main/java/org/poplarwharf/internal/dispatch/DispatchRequest.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/DispatchRequest.java
@@ -18,6 +18,7 @@
  * @param continuation the stream that the request continues; empty if it begins one or is no stream
  * @param account the name of the client account of the request; empty if it belongs to none
  * @param maxEventGapMillis the maximum time between two events of a stream that meets its objective; zero if it has none
+ * @param node the name of the node that sends the request, among the dispatcher's {@link RequestNodes}
  */
 public record DispatchRequest(
         String key,
@@ -31,7 +32,38 @@
         Set<String> excluded,
         Optional<StreamContinuation> continuation,
         Optional<String> account,
-        long maxEventGapMillis) {
+        long maxEventGapMillis,
+        String node) {
+
+    /** Creates a request of the node that decides. */
+    public DispatchRequest(
+            String key,
+            String zone,
+            String service,
+            RequestTraits traits,
+            int priority,
+            long deadlineMillis,
+            long objectiveMillis,
+            boolean wantsBackup,
+            Set<String> excluded,
+            Optional<StreamContinuation> continuation,
+            Optional<String> account,
+            long maxEventGapMillis) {
+        this(
+                key,
+                zone,
+                service,
+                traits,
+                priority,
+                deadlineMillis,
+                objectiveMillis,
+                wantsBackup,
+                excluded,
+                continuation,
+                account,
+                maxEventGapMillis,
+                RequestNodes.OWN);
+    }
 
     Optional<String> model() {
         return traits.model();
@@ -51,6 +83,15 @@
 
     /** Returns the request with the software version that began its stream. */
     public DispatchRequest withSoftwareVersion(String version) {
+        return copy(continuation.map(stream -> new StreamContinuation(stream.streamId(), Optional.of(version))), node);
+    }
+
+    /** Returns the request as one that another node sends. */
+    public DispatchRequest withNode(String name) {
+        return copy(continuation, name);
+    }
+
+    private DispatchRequest copy(Optional<StreamContinuation> newContinuation, String newNode) {
         return new DispatchRequest(
                 key,
                 zone,
@@ -61,8 +102,9 @@
                 objectiveMillis,
                 wantsBackup,
                 excluded,
-                continuation.map(stream -> new StreamContinuation(stream.streamId(), Optional.of(version))),
+                newContinuation,
                 account,
-                maxEventGapMillis);
+                maxEventGapMillis,
+                newNode);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -34,6 +34,7 @@
     private final DispatchActions actions;
     private final TargetLimits targetLimits;
     private final TargetSpeeds speeds;
+    private final RequestNodes nodes;
     private final EngineSelector selector;
     private final WaitingPolicy waitingPolicy;
     private final EngineOrderController orders;
@@ -55,6 +56,7 @@
             LoadLimits limits,
             TargetLimits targetLimits,
             TargetSpeeds speeds,
+            RequestNodes nodes,
             DispatchActions actions,
             boolean ranksByCost) {
         this.spec = spec;
@@ -62,6 +64,7 @@
         this.actions = actions;
         this.targetLimits = targetLimits;
         this.speeds = speeds;
+        this.nodes = nodes;
         this.selector = new EngineSelector(targetLimits);
         LoadRateLimiter loadRate =
                 new LoadRateLimiter(spec.storeLoadsPerSecond(), limits.windowMillis(), limits.rateFactor());
@@ -82,7 +85,7 @@
             if (known != null && known.target.isSameIncarnation(target)) {
                 known.updateFromHeartbeat(target, nowMillis);
             } else {
-                engines.put(target.id(), new EngineState(target, spec, speeds, nowMillis));
+                engines.put(target.id(), new EngineState(target, spec, speeds, nodes, nowMillis));
             }
         }
         engines.keySet().retainAll(listedIds);
@@ -132,7 +135,8 @@
                 return;
             }
             case RunOutcome.Declined declined -> orders.handleDeclinedRun(engine, run.request(), nowMillis);
-            case RunOutcome.ConnectionFailed failed -> engine.recordFailure(nowMillis);
+            case RunOutcome.ConnectionFailed failed ->
+                engine.recordFailure(run.request().node(), nowMillis);
             case RunOutcome.Abandoned abandoned -> {
                 // Unrelated to the target's health.
             }
@@ -259,14 +263,16 @@
         }
     }
 
-    /** Returns when the model can serve the request. Cached per model for requests that exclude no target. */
+    /** Returns when the model can serve the request. Cached per model for requests that any target may run. */
     private long readyMillis(EngineModelSpec model, DispatchRequest request, long nowMillis) {
-        if (request.excluded().isEmpty() && request.continuation().isEmpty()) {
+        if (request.excluded().isEmpty()
+                && request.continuation().isEmpty()
+                && engines.values().stream().allMatch(engine -> engine.isReachableFrom(request.node(), nowMillis))) {
             return readyMillisByModel.computeIfAbsent(
                     model.name(), name -> modelLoads.readyMillis(model, engines.values(), nowMillis));
         }
         List<EngineState> usable = engines.values().stream()
-                .filter(engine -> request.accepts(engine.target))
+                .filter(engine -> engine.acceptsRequest(request, nowMillis))
                 .toList();
         return modelLoads.readyMillis(model, usable, nowMillis);
     }
@@ -284,9 +290,7 @@
         long nextPermitMillis = Long.MAX_VALUE;
         for (EngineState engine : engines.values()) {
             String targetId = engine.target.id();
-            if (!engine.holdsOrLoadsNext(request.model().get())
-                    || !engine.acceptsRequests(nowMillis)
-                    || !request.accepts(engine.target)) {
+            if (!engine.holdsOrLoadsNext(request.model().get()) || !engine.acceptsRequest(request, nowMillis)) {
                 continue;
             }
             if (!targetLimits.isLimited(targetId)) {
@@ -306,9 +310,7 @@
 
     private boolean hasUsableReplica(DispatchRequest request, String model, long nowMillis) {
         for (EngineState engine : engines.values()) {
-            if (engine.models.containsKey(model)
-                    && engine.acceptsRequests(nowMillis)
-                    && request.accepts(engine.target)) {
+            if (engine.models.containsKey(model) && engine.acceptsRequest(request, nowMillis)) {
                 return true;
             }
         }
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineOrderController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineOrderController.java
@@ -97,7 +97,7 @@
             }
             case REFUSED -> {
                 revert(engine, order, instance);
-                engine.recordFailure(nowMillis);
+                recordRefused(engine, nowMillis);
                 engine.cancelNextLoad();
             }
             case UNKNOWN -> {
@@ -109,6 +109,11 @@
         }
     }
 
+    private static void recordRefused(EngineState engine, long nowMillis) {
+        engine.recordFailure(RequestNodes.OWN, nowMillis);
+        engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
+    }
+
     /**
      * Handles a result that arrives after a report of a later state. Either the report already shows the order's
      * effect, or the order can no longer have one, since its expected order count is outdated. The state stays as
@@ -120,7 +125,7 @@
         switch (result) {
             case ACCEPTED, HOLDS -> countStoreLoad(engine, order, nowMillis);
             case CONFLICT -> engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
-            case REFUSED -> engine.recordFailure(nowMillis);
+            case REFUSED -> recordRefused(engine, nowMillis);
             case UNKNOWN -> {
                 countStoreLoad(engine, order, nowMillis);
                 requestReport(engine, nowMillis);
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -87,12 +87,11 @@
             DispatchRequest request, Collection<EngineState> engines, EngineSpec spec, long nowMillis) {
         Selection best = null;
         for (EngineState engine : engines) {
-            if (!engine.acceptsRequests(nowMillis)
-                    || !request.accepts(engine.target)
-                    || limits.waitMillis(engine.target.id(), nowMillis) > 0) {
+            if (!engine.acceptsRequest(request, nowMillis) || limits.waitMillis(engine.target.id(), nowMillis) > 0) {
                 continue;
             }
-            Optional<Selection> candidate = evaluate(request, engine, spec, nowMillis);
+            Optional<Selection> candidate = evaluate(request, engine, spec, nowMillis)
+                    .filter(found -> found.adapterReady() || engine.isReachableFrom(RequestNodes.OWN, nowMillis));
             if (candidate.isPresent() && (best == null || candidate.get().costMillis() < best.costMillis())) {
                 best = candidate.get();
             }
@@ -110,6 +109,7 @@
                     && engine.target.softwareVersion().equals(selected.target.softwareVersion())
                     && !limits.isLimited(engine.target.id())
                     && engine.acceptsRequests(nowMillis)
+                    && engine.isReachableFrom(request.node(), nowMillis)
                     && instance != null
                     && instance.isReady(nowMillis);
             if (!usable || instance.draining || !holdsAdapter(request, instance, nowMillis)) {
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -23,9 +23,7 @@
     /** The delay before the next order to a target that reports another lease holder's order in progress. */
     private static final long BUSY_RETRY_MILLIS = 250;
 
-    /**
-     * A report requested within this time of an order may not show its effect yet; several times the age of reports.
-     */
+    /** A report requested within this time of an order may not show its effect yet; several times the age of reports. */
     private static final long MAX_REPORT_LAG_MILLIS = 1_200;
 
     /** The weight of a new observation in the moving average of a target's slowness. */
@@ -54,9 +52,6 @@
      */
     private static final double PREFILL_SHARE_DECAY_MILLIS = 4_000;
 
-    private static final long INITIAL_BACKOFF_MILLIS = 500;
-    private static final long MAX_BACKOFF_MILLIS = 4_000;
-
     Target target;
     EngineSpec spec;
     final Map<String, ModelInstance> models = new HashMap<>();
@@ -83,7 +78,7 @@
     long reportRequestedMillis;
     long prefillDoneMillis;
     private final TargetSpeeds speeds;
-    private final FailureBackoff backoff = new FailureBackoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+    private final PathFailures paths;
     private long lastGrantMillis;
     private long committedTokens;
     private final LatePauses latePauses = new LatePauses();
@@ -95,7 +90,8 @@
     /** A granted request that hasn't ended. */
     record Run(DispatchRequest request, long grantedMillis, long estimateMillis, long tokens) {}
 
-    EngineState(Target target, EngineSpec spec, TargetSpeeds speeds, long nowMillis) {
+    EngineState(Target target, EngineSpec spec, TargetSpeeds speeds, RequestNodes nodes, long nowMillis) {
+        this.paths = new PathFailures(nodes);
         this.target = target;
         this.spec = spec;
         this.speeds = speeds;
@@ -111,6 +107,7 @@
      */
     void updateFromHeartbeat(Target latest, long nowMillis) {
         target = latest;
+        paths.removeExpired(nowMillis);
         if (ordersAccepted.isEmpty()) {
             replaceModels(latest.models(), nowMillis);
         }
@@ -307,9 +304,23 @@
         models.values().forEach(instance -> instance.draining = false);
     }
 
-    /** Returns whether the target gets new requests: it isn't leaving and no failure backoff is active. */
+    /** Returns whether the target gets new requests: it isn't leaving, and no failures keep it from all nodes. */
     boolean acceptsRequests(long nowMillis) {
-        return !target.leaving() && backoff.remainingMillis(nowMillis) == 0;
+        return !target.leaving() && !paths.keepFromAll(nowMillis);
+    }
+
+    /** Returns whether the target may get a request: its node reaches the target, which has not failed it. */
+    boolean acceptsRequest(DispatchRequest request, long nowMillis) {
+        return acceptsRequests(nowMillis) && request.accepts(target) && isReachableFrom(request.node(), nowMillis);
+    }
+
+    boolean isReachableFrom(String node, long nowMillis) {
+        return paths.remainingMillis(node, nowMillis) == 0;
+    }
+
+    /** Returns whether the target can be told to load a model: it gets requests, and this node reaches it. */
+    boolean acceptsLoads(long nowMillis) {
+        return acceptsRequests(nowMillis) && isReachableFrom(RequestNodes.OWN, nowMillis);
     }
 
     /** Adds a run and counts its tokens. */
@@ -356,9 +367,9 @@
         return nowMillis - lastGrantMillis >= TRIAL_INTERVAL_MILLIS && speeds.slowness(target, nowMillis) > 1;
     }
 
-    /** Updates the slowness from the time to a run's first event, and resets the failure backoff. */
+    /** Updates the slowness from the time to a run's first event, and records that the target responds. */
     void recordFirstEvent(Run run, long firstEventMillis, long nowMillis) {
-        backoff.recordSuccess();
+        paths.recordSuccess(run.request().node());
         latePauses.recordFirstEvent(run, nowMillis);
         long estimateMillis = run.estimateMillis();
         speeds.recordFirstEvent(target, run.request().model().orElse(""), estimateMillis, firstEventMillis, nowMillis);
@@ -381,8 +392,8 @@
                 : 0;
     }
 
-    /** Starts the failure backoff, during which the target gets no new requests. */
-    void recordFailure(long nowMillis) {
-        backoff.recordFailure(nowMillis);
+    /** Records a failed connection of a node, which gets no new grants here for some time. */
+    void recordFailure(String node, long nowMillis) {
+        paths.recordFailure(node, nowMillis);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -68,7 +68,7 @@
         ReplicaCounts replicas = ReplicaCounts.count(engines, nowMillis);
         Plan best = null;
         for (EngineState engine : engines) {
-            boolean usable = engine.acceptsRequests(nowMillis) && !engine.models.containsKey(model.name());
+            boolean usable = engine.acceptsLoads(nowMillis) && !engine.models.containsKey(model.name());
             if (!usable || (!storeAllowsLoad && engine.loadsFromStore(model))) {
                 continue;
             }
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -190,7 +190,7 @@
             EngineModelSpec model, Collection<EngineState> engines, Set<String> unservedModels, long nowMillis) {
         for (EngineState engine : engines) {
             boolean usable =
-                    engine.acceptsRequests(nowMillis) && engine.nextModel.isEmpty() && !engine.isLoading(nowMillis);
+                    engine.acceptsLoads(nowMillis) && engine.nextModel.isEmpty() && !engine.isLoading(nowMillis);
             if (!usable || engine.loadsFromStore(model)) {
                 continue;
             }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderAnnouncer.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
+import org.poplarwharf.internal.dispatch.RequestNodes;
 import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.limit.TargetLimits;
 import org.poplarwharf.internal.stream.StreamOrigin;
@@ -39,7 +41,7 @@
     private final TargetLimits targetLimits;
     private final TargetSpeeds targetSpeeds;
     private final TopicFollower.Timer timer;
-    private final PeerDirectory peers = new PeerDirectory();
+    private final PeerDirectory peers;
     private final Set<HolderConnections.Connection> connections = new LinkedHashSet<>();
     private final Set<StreamOrigin> recentOrigins = new LinkedHashSet<>();
     private boolean limitsScheduled;
@@ -51,13 +53,15 @@
             BooleanSupplier holding,
             TargetLimits targetLimits,
             TargetSpeeds targetSpeeds,
-            TopicFollower.Timer timer) {
+            TopicFollower.Timer timer,
+            LongSupplier clock) {
         this.nodeId = nodeId;
         this.incarnation = incarnation;
         this.holding = holding;
         this.targetLimits = targetLimits;
         this.targetSpeeds = targetSpeeds;
         this.timer = timer;
+        this.peers = new PeerDirectory(clock);
     }
 
     /** Starts to send heartbeats. */
@@ -67,6 +71,7 @@
 
     void add(HolderConnections.Connection connection) {
         connections.add(connection);
+        peers.add(connection);
         sendHeartbeat(connection, true);
         recentOrigins.forEach(origin -> sendOrigin(connection, origin));
     }
@@ -93,6 +98,11 @@
         return peers.namedToSelf();
     }
 
+    /** Returns the nodes that requests come from: this one, and the others by the names of their connections. */
+    RequestNodes requestNodes() {
+        return peers.requestNodes();
+    }
+
     /** Returns the number of nodes, this one included. */
     int nodeCount() {
         return connections.size() + 1;
--- a/src/main/java/org/poplarwharf/internal/holder/HolderConnections.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderConnections.java
@@ -58,6 +58,11 @@
             this.channel = channel;
         }
 
+        /** Returns a name that no other connection has had. */
+        String id() {
+            return channel.id().asLongText();
+        }
+
         void send(HolderMessage message) {
             channel.writeAndFlush(Unpooled.wrappedBuffer(CODEC.encode(message)));
         }
--- a/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
+++ b/src/main/java/org/poplarwharf/internal/holder/HolderRole.java
@@ -27,7 +27,6 @@
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.lease.HolderLease;
 import org.poplarwharf.internal.limit.TargetLimits;
-import org.poplarwharf.internal.stream.StreamContinuation;
 import org.poplarwharf.internal.stream.StreamOrigin;
 import org.poplarwharf.internal.stream.StreamOrigins;
 import org.poplarwharf.internal.topic.TopicFollower;
@@ -70,8 +69,8 @@
             StreamOrigins streamOrigins) {
         this.settings = settings;
         this.view = view;
-        this.announcer =
-                new HolderAnnouncer(settings.nodeId(), incarnation, this::isHolding, targetLimits, targetSpeeds, timer);
+        this.announcer = new HolderAnnouncer(
+                settings.nodeId(), incarnation, this::isHolding, targetLimits, targetSpeeds, timer, clock::nowMillis);
         this.originSearch = new StreamOriginSearch(streamOrigins, timer, announcer::askForStream);
         this.orderSender = new EngineOrderSender(settings.nodeId(), engines, timer, log);
         this.clock = clock;
@@ -206,7 +205,8 @@
     public void received(HolderConnections.Connection connection, HolderMessage message) {
         switch (message) {
             case HolderMessage.Submit submit -> {
-                DispatchRequest request = HolderMessage.dispatchRequest(submit, clock.nowMillis());
+                DispatchRequest request =
+                        HolderMessage.dispatchRequest(submit, clock.nowMillis()).withNode(connection.id());
                 dispatch(request, RequestSource.remote(request, connection));
             }
             case HolderMessage.Withdraw withdraw -> withdraw(withdraw.key());
@@ -322,12 +322,17 @@
             Dispatcher.LoadLimits limits =
                     new Dispatcher.LoadLimits(settings.loadWindowMillis(), settings.loadWindowFactor());
             return new Dispatcher(
-                    spec, limits, targetLimits, targetSpeeds, new HolderDispatchActions(name), settings.ranksByCost());
+                    spec,
+                    limits,
+                    targetLimits,
+                    targetSpeeds,
+                    announcer.requestNodes(),
+                    new HolderDispatchActions(name),
+                    settings.ranksByCost());
         });
         dispatcher.updateSpec(spec);
         dispatcher.setOrdersAllowed(mayOrder());
-        List<Target> targets = view.targetsOf(service);
-        dispatcher.updateTargets(targets, clock.nowMillis());
+        dispatcher.updateTargets(view.targetsOf(service), clock.nowMillis());
     }
 
     private boolean tick() {
@@ -350,25 +355,13 @@
 
         @Override
         public void grant(DispatchRequest request, Target target, Optional<Target> backup) {
-            RequestSource source = sources.get(request.key());
-            if (source == null) {
-                return;
-            }
-            String backupId = backup.map(Target::id).orElse("");
-            source.grant(
-                    request.key(),
-                    target.id(),
-                    backupId,
-                    request.continuation().flatMap(StreamContinuation::softwareVersion));
+            Optional.ofNullable(sources.get(request.key())).ifPresent(source -> source.grant(request, target, backup));
         }
 
         @Override
         public void refuse(DispatchRequest request, String reason, long retryAfterMillis) {
-            RequestSource source = sources.remove(request.key());
-            if (source == null) {
-                return;
-            }
-            source.refuse(request.key(), reason, retryAfterMillis);
+            Optional.ofNullable(sources.remove(request.key()))
+                    .ifPresent(source -> source.refuse(request.key(), reason, retryAfterMillis));
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/holder/PeerDirectory.java
+++ b/src/main/java/org/poplarwharf/internal/holder/PeerDirectory.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
+import org.poplarwharf.internal.dispatch.RequestNodes;
 import org.poplarwharf.internal.holder.HolderMessage.PeerState;
 
 /**
@@ -17,19 +19,38 @@
     private static final int MAX_NAMED_COUNT = 4;
 
     private final Map<HolderConnections.Connection, PeerState> stateByConnection = new LinkedHashMap<>();
+    private final RequestNodes requestNodes = new RequestNodes();
+    private final LongSupplier clock;
     private Optional<PeerState> own = Optional.empty();
 
+    PeerDirectory(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    /** Returns the nodes that requests come from: this one, and the others by the names of their connections. */
+    RequestNodes requestNodes() {
+        return requestNodes;
+    }
+
+    /** Adds a node, which may state nothing of itself if it runs an earlier release. */
+    void add(HolderConnections.Connection connection) {
+        requestNodes.add(connection.id());
+    }
+
     void recordOwn(PeerState state) {
         own = Optional.of(state);
+        requestNodes.recordState(RequestNodes.OWN, state.reachesTargets(), clock.getAsLong());
     }
 
     /** Records the state of a node, and returns whether it is new. */
     boolean record(HolderConnections.Connection connection, PeerState state) {
+        requestNodes.recordState(connection.id(), state.reachesTargets(), clock.getAsLong());
         return !state.equals(stateByConnection.put(connection, state));
     }
 
     void remove(HolderConnections.Connection connection) {
         stateByConnection.remove(connection);
+        requestNodes.remove(connection.id());
     }
 
     /** Returns some nodes that reach targets, for this node itself. */
--- a/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
+++ b/src/main/java/org/poplarwharf/internal/holder/RequestSource.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import org.poplarwharf.internal.crash.RequestSuspects;
 import org.poplarwharf.internal.dispatch.DispatchRequest;
+import org.poplarwharf.internal.fleet.Target;
+import org.poplarwharf.internal.stream.StreamContinuation;
 
 /**
  * A request and the node that it came from: another node's connection or this node's own listener. Confined to the event
@@ -33,9 +35,13 @@
         return connection.filter(open -> open == other).isPresent();
     }
 
-    void grant(String key, String targetId, String backupId, Optional<String> softwareVersion) {
-        connection.ifPresent(open -> open.send(new HolderMessage.Granted(key, targetId, backupId, softwareVersion)));
-        listener.ifPresent(local -> local.granted(key, targetId, backupId));
+    /** Grants the request, whose software version may have been found since it was submitted. */
+    void grant(DispatchRequest granted, Target target, Optional<Target> backup) {
+        String key = granted.key();
+        String backupId = backup.map(Target::id).orElse("");
+        Optional<String> softwareVersion = granted.continuation().flatMap(StreamContinuation::softwareVersion);
+        connection.ifPresent(open -> open.send(new HolderMessage.Granted(key, target.id(), backupId, softwareVersion)));
+        listener.ifPresent(local -> local.granted(key, target.id(), backupId));
     }
 
     void refuse(String key, String reason, long retryAfterMillis) {
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
@@ -17,6 +17,7 @@
 import org.poplarwharf.internal.dispatch.EngineOrder;
 import org.poplarwharf.internal.dispatch.EngineReport;
 import org.poplarwharf.internal.dispatch.OrderResult;
+import org.poplarwharf.internal.dispatch.RequestNodes;
 import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.dispatch.TargetSpeeds;
 import org.poplarwharf.internal.fleet.EngineModelSpec;
@@ -98,6 +99,7 @@
                 new Dispatcher.LoadLimits(STORE_WINDOW_MILLIS, STORE_RATE_FACTOR),
                 limits,
                 new TargetSpeeds((targetId, slow, estimate) -> {}),
+                new RequestNodes(),
                 new Actions(),
                 false);
         dispatcher.setOrdersAllowed(true);
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -38,6 +38,7 @@
     final Map<String, Target> targets = new LinkedHashMap<>();
     final TargetLimits targetLimits = new TargetLimits(() -> true, (target, requestsPerSecond) -> {});
     final TargetSpeeds speeds = new TargetSpeeds((targetId, slow, estimate) -> {});
+    final RequestNodes nodes = new RequestNodes();
     final Dispatcher dispatcher;
     private final EngineSpec spec;
     long nowMillis = 1_000_000;
@@ -49,6 +50,9 @@
     /** The stream that the next requests continue. */
     Optional<StreamContinuation> continuation = Optional.empty();
 
+    /** The node that sends the next requests. */
+    String node = RequestNodes.OWN;
+
     /** The maximum time between events that the next requests state; zero for none. */
     long maxEventGapMillis;
 
@@ -68,8 +72,8 @@
                             model, MODEL_MB, STORE_LOAD_MILLIS, DISK_LOAD_MILLIS, DISK_LOAD_MILLIS, 4, 0.1));
         }
         spec = new EngineSpec(SLOT_COUNT, 100_000, TARGET_MB, 2, 1.6, true, specs);
-        dispatcher =
-                new Dispatcher(spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, speeds, this, ranksByCost);
+        dispatcher = new Dispatcher(
+                spec, new Dispatcher.LoadLimits(5_000, 1.1), targetLimits, speeds, nodes, this, ranksByCost);
         dispatcher.setOrdersAllowed(true);
     }
 
@@ -181,7 +185,8 @@
                         Set.of(),
                         continuation,
                         Optional.empty(),
-                        maxEventGapMillis),
+                        maxEventGapMillis,
+                        node),
                 nowMillis);
     }
 
--- a/src/test/java/org/poplarwharf/support/CuttableLinks.java
+++ b/src/test/java/org/poplarwharf/support/CuttableLinks.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
@@ -188,8 +189,12 @@
 
         private void resetConnections() throws IOException {
             for (Socket connection : connections) {
-                connection.setSoLinger(true, 0);
-                connection.close();
+                try {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
+                } catch (SocketException e) {
+                    // One end has closed the connection meanwhile.
+                }
             }
         }
     }
