--- a/src/main/java/org/poplarwharf/internal/gateway/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.http.InFlightRequest;
 import org.poplarwharf.internal.http.ResponseListener;
@@ -20,6 +21,7 @@
     private Listener listener;
     private Optional<Target> replaced = Optional.empty();
     private Optional<InFlightRequest> inFlight = Optional.empty();
+    private Consumer<Boolean> onEnd = completed -> {};
     private boolean sent;
     private boolean readingPaused;
 
@@ -88,6 +90,17 @@
         listener = latest;
     }
 
+    /** Sets what is told once that the attempt has ended, and whether the target certainly does nothing for it any more. */
+    void onEnd(Consumer<Boolean> action) {
+        onEnd = action;
+    }
+
+    private void end(boolean completed) {
+        Consumer<Boolean> action = onEnd;
+        onEnd = ignored -> {};
+        action.accept(completed);
+    }
+
     void setInFlight(InFlightRequest request) {
         inFlight = Optional.of(request);
     }
@@ -101,6 +114,7 @@
     void cancel() {
         inFlight.ifPresent(InFlightRequest::cancel);
         inFlight = Optional.empty();
+        end(!sent);
     }
 
     /** Stops reading the response, so that no more than a buffer is kept for a slow caller. */
@@ -135,16 +149,22 @@
 
     @Override
     public boolean onComplete() {
-        return listener.onComplete(this);
+        boolean ended = listener.onComplete(this);
+        if (ended) {
+            end(true);
+        }
+        return ended;
     }
 
     @Override
     public void onNotSent(String reason) {
+        end(true);
         listener.onNotSent(this, reason);
     }
 
     @Override
     public void onBroken(String reason) {
+        end(false);
         listener.onBroken(this, reason);
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
@@ -55,6 +55,7 @@
     void send(Attempt attempt, OptionalLong lastEventId, Optional<InetSocketAddress> resumeAddress, String selectedBy) {
         ForwardingTraits forwarding = forwardingTraits(attempt, lastEventId, resumeAddress);
         recorder.recordSent(attempt.target(), selectedBy, forwarding.millisLeft());
+        request.gateway().statements().recordSent(attempt);
         attempt.setInFlight(outgoing.send(attempt.target(), forwarding, attempt));
     }
 
@@ -65,6 +66,7 @@
     void sendReplacement(Attempt attempt, OptionalLong lastEventId, String selectedBy) {
         ForwardingTraits forwarding = forwardingTraits(attempt, lastEventId, Optional.empty());
         recorder.recordSent(attempt.target(), selectedBy, forwarding.millisLeft());
+        request.gateway().statements().recordSent(attempt);
         attempt.setInFlight(outgoing.sendOnNewConnection(attempt.target(), forwarding, attempt));
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -70,7 +70,8 @@
         this.connections = new TargetConnectionPool(loop, reachabilityWatch.reachability());
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
-        this.statements = new TargetStatements(view, clock::nowMillis, log);
+        this.statements =
+                new TargetStatements(view, new BrittleTargets(settings.nodeId()), clock::nowMillis, log, metrics);
         this.callers = new CallerIdentification(view, keysInForce, settings.accounts());
         this.protection = new ConnectionProtection(
                 HeldMemory.largeBudgetBytes(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory()),
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -47,6 +47,16 @@
         registry.counter("gateway.target_limit_changes").inc();
     }
 
+    /** Counts a target that becomes brittle, states another number or ceases to be brittle. */
+    void countBrittleTargetChange() {
+        registry.counter("gateway.brittle_target_changes").inc();
+    }
+
+    /** Counts a request that is kept from a brittle target after its selection, or refused since all are brittle. */
+    void countKeptFromBrittleTarget() {
+        registry.counter("gateway.requests_kept_from_brittle_targets").inc();
+    }
+
     /** Counts a target that begins or ceases to count as slow. */
     public void countTargetSlownessChange() {
         registry.counter("gateway.target_slowness_changes").inc();
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -97,9 +97,10 @@
         context.peers().replaceAll(peers);
     }
 
-    /** Records the number of nodes that share the retry budget, as the lease holder reports it. */
+    /** Records the number of nodes that share the retry budget and brittle targets, as the lease holder reports it. */
     public void recordNodeCount(int count) {
         context.retryBudget().recordNodeCount(count, context.nowMillis());
+        context.statements().recordNodeCount(count);
     }
 
     /** Applies changed settings. */
--- a/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/OutgoingRequests.java
@@ -51,7 +51,7 @@
     }
 
     private Set<String> withPaused(Set<String> excluded) {
-        Set<String> all = gateway.statements().pausedTargetIds();
+        Set<String> all = gateway.statements().pausedTargetIds(context.service());
         all.addAll(excluded);
         return Set.copyOf(all);
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -131,7 +131,7 @@
     @Override
     public void onHead(Attempt attempt, HttpResponse head) {
         relay.receiveHead(head, attempt.target(), attempt.isFirstOnConnection());
-        relay.statements().ifPresent(stated -> gateway.statements().record(attempt.target(), stated, selector));
+        relay.statements().ifPresent(stated -> gateway.statements().record(attempt, stated, selector));
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -80,6 +80,10 @@
 
     /** Returns after which time the caller should retry if no target of the service takes requests now; empty if one does. */
     OptionalLong pauseMillis() {
+        if (!fromPeer && gateway.reachabilityWatch().reachability().isCutOff()) {
+            // Another node may take the request.
+            return OptionalLong.empty();
+        }
         return gateway.statements().pauseMillis(service, traits.requestId());
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseTraits.java
@@ -12,6 +12,8 @@
  * @param notRun whether the target states that it did not run the request
  * @param requestsPerSecondLimit the requests per second that the target takes from all nodes together, if it names a limit
  * @param targetLeaving whether the target states that it leaves and takes no new requests
+ * @param declinesPerSecond how many requests the target can decline in a second without failing, if it states that it is
+ *     brittle
  * @param pauseMillis how long the target takes no requests from this node, if it states that
  */
 public record ResponseTraits(
@@ -19,5 +21,6 @@
         boolean authentic,
         boolean notRun,
         OptionalDouble requestsPerSecondLimit,
+        OptionalDouble declinesPerSecond,
         boolean targetLeaving,
         OptionalLong pauseMillis) {}
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetReplacement.java
@@ -169,7 +169,7 @@
             return;
         }
         if (isOwn) {
-            gateway.statements().record(responding.target(), response, request.selector());
+            gateway.statements().record(responding, response, request.selector());
         }
         if (ResponseRelay.isDeclined(response, request.traits().requestId(), !responding.isFirstOnConnection())) {
             limits.recordNotRun();
--- a/src/main/java/org/poplarwharf/internal/gateway/TargetStatements.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/TargetStatements.java
@@ -11,8 +11,8 @@
 import org.poplarwharf.internal.kernel.DecisionLog;
 
 /**
- * What targets state of themselves in their responses to this node: that they leave, or that they take no requests from this
- * node for a while. Decides whether this node may send to a target.
+ * What targets state of themselves in their responses to this node: that they leave, that they take no requests from this
+ * node for a while, or that they are brittle. Decides whether this node may send to a target.
  *
  * <p>Invariants: a statement binds until the incarnation that made it is replaced; a pause also ends by itself, and a shorter
  * one does not end a longer one. A response without a statement takes nothing back. Bounded: pauses are removed when they
@@ -26,21 +26,42 @@
     private static final int SPREAD_STEP_COUNT = 1_000;
 
     private final FleetView view;
+    private final BrittleTargets brittle;
     private final LongSupplier clock;
     private final DecisionLog log;
+    private final GatewayMetrics metrics;
     private final Map<String, Pause> pauses = new HashMap<>();
 
     private record Pause(Target target, long endMillis) {}
 
-    TargetStatements(FleetView view, LongSupplier clock, DecisionLog log) {
+    TargetStatements(
+            FleetView view, BrittleTargets brittle, LongSupplier clock, DecisionLog log, GatewayMetrics metrics) {
         this.view = view;
+        this.brittle = brittle;
+        this.metrics = metrics;
         this.clock = clock;
         this.log = log;
         view.onRemoval(target -> pauses.remove(target.id()));
+        view.onRemoval(brittle::forget);
     }
 
-    /** Records what the response of a target states. */
-    void record(Target target, ResponseTraits response, TargetSelector selector) {
+    /** Records the number of nodes that share brittle targets, as the lease holder reports it. */
+    void recordNodeCount(int count) {
+        brittle.recordNodeCount(count, clock.getAsLong());
+    }
+
+    /** Records that an attempt is sent, and when it ends. */
+    void recordSent(Attempt attempt) {
+        Target target = attempt.target();
+        if (!target.isNode()) {
+            brittle.recordSent(target);
+            attempt.onEnd(completed -> brittle.recordEnd(target, completed, clock.getAsLong()));
+        }
+    }
+
+    /** Records what the response to an attempt states. */
+    void record(Attempt attempt, ResponseTraits response, TargetSelector selector) {
+        Target target = attempt.target();
         if (target.isNode()) {
             return;
         }
@@ -49,9 +70,28 @@
             log.log("target-leaving", "target", target.id(), "source", "response");
             selector.reportLeaving(target);
         }
+        recordBrittle(attempt, response);
         response.pauseMillis().ifPresent(millis -> pause(target, Math.min(millis, MAX_PAUSE_MILLIS)));
     }
 
+    private void recordBrittle(Attempt attempt, ResponseTraits response) {
+        Target target = attempt.target();
+        BrittleTargets.Change change = brittle.recordResponse(
+                target, response.declinesPerSecond(), response.notRun(), attempt.sentMillis(), clock.getAsLong());
+        switch (change) {
+            case NONE -> {}
+            case STATED -> {
+                metrics.countBrittleTargetChange();
+                double declinesPerSecond = response.declinesPerSecond().orElseThrow();
+                log.log("target-brittle", "target", target.id(), "declinesPerSecond", declinesPerSecond);
+            }
+            case ENDED -> {
+                metrics.countBrittleTargetChange();
+                log.log("target-brittle-ended", "target", target.id());
+            }
+        }
+    }
+
     private void pause(Target target, long durationMillis) {
         long endMillis = clock.getAsLong() + durationMillis;
         Pause current = pauses.get(target.id());
@@ -68,7 +108,14 @@
                 .filter(target::isSameIncarnation)
                 .filter(Target::leaving)
                 .isPresent();
-        return !isLeaving && !isPaused(target);
+        if (isLeaving || isPaused(target)) {
+            return false;
+        }
+        boolean hasRoom = brittleWaitMillis(target) == 0;
+        if (!hasRoom) {
+            metrics.countKeptFromBrittleTarget();
+        }
+        return hasRoom;
     }
 
     private boolean isPaused(Target target) {
@@ -76,11 +123,21 @@
         return pause != null && pause.endMillis > clock.getAsLong() && pause.target.isSameIncarnation(target);
     }
 
-    /** Returns the ids of the targets that take no requests from this node for a while. */
-    Set<String> pausedTargetIds() {
+    private long brittleWaitMillis(Target target) {
+        return target.isNode() ? 0 : brittle.waitMillis(target, clock.getAsLong());
+    }
+
+    /** Returns the ids of the targets of a service that take no requests from this node for a while. */
+    Set<String> pausedTargetIds(String service) {
         long nowMillis = clock.getAsLong();
         pauses.values().removeIf(pause -> pause.endMillis <= nowMillis);
-        return new HashSet<>(pauses.keySet());
+        Set<String> ids = new HashSet<>(pauses.keySet());
+        if (brittle.hasStatements(service)) {
+            view.targetsOf(service).stream()
+                    .filter(target -> brittleWaitMillis(target) > 0)
+                    .forEach(target -> ids.add(target.id()));
+        }
+        return ids;
     }
 
     /**
@@ -88,19 +145,27 @@
      * if none is known that will. The times of different requests are spread, so that their callers do not retry together.
      */
     OptionalLong pauseMillis(String service, String requestId) {
-        if (pauses.isEmpty()) {
+        if (pauses.isEmpty() && !brittle.hasStatements(service)) {
             return OptionalLong.empty();
         }
         List<Target> targets = view.targetsOf(service).stream()
                 .filter(target -> !target.leaving())
                 .toList();
-        if (!targets.stream().allMatch(this::isPaused)) {
+        if (!targets.stream().allMatch(target -> waitMillis(target) > 0)) {
             return OptionalLong.empty();
         }
+        if (!pauses.keySet().containsAll(targets.stream().map(Target::id).toList())) {
+            metrics.countKeptFromBrittleTarget();
+        }
         double spread = MAX_SPREAD_RATIO * Math.floorMod(requestId.hashCode(), SPREAD_STEP_COUNT) / SPREAD_STEP_COUNT;
         return targets.stream()
-                .mapToLong(target -> pauses.get(target.id()).endMillis - clock.getAsLong())
+                .mapToLong(this::waitMillis)
                 .map(remainingMillis -> Math.round(remainingMillis * (1 + spread)))
                 .min();
     }
+
+    private long waitMillis(Target target) {
+        long pauseMillis = isPaused(target) ? pauses.get(target.id()).endMillis - clock.getAsLong() : 0;
+        return Math.max(pauseMillis, brittleWaitMillis(target));
+    }
 }
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformHeaderCodec.java
@@ -54,6 +54,9 @@
     /** Requests per second, a decimal number, that a target in need takes from all nodes together. */
     private static final String REQUESTS_PER_SECOND_LIMIT = "Server-Limit";
 
+    /** The requests, a decimal number, that a brittle target can decline in a second without failing. */
+    private static final String BRITTLE = "Server-Brittle";
+
     /** Has the value 1 in all responses of a target that leaves. */
     private static final String TARGET_LEAVING = "Server-Leaving";
 
@@ -117,6 +120,7 @@
                 headers.contains(RESPONSE_DIGEST),
                 headers.contains(NOT_EXECUTED) || status == MISDIRECTED,
                 parseRate(headers.get(REQUESTS_PER_SECOND_LIMIT)),
+                status == MISDIRECTED ? OptionalDouble.empty() : parseLowestRate(headers.getAll(BRITTLE)),
                 status != MISDIRECTED && statesLeaving(headers),
                 status == UNAVAILABLE ? parsePause(headers.getAll(RETRY_AFTER)) : OptionalLong.empty());
     }
@@ -190,6 +194,10 @@
                 .max();
     }
 
+    private static OptionalDouble parseLowestRate(List<String> texts) {
+        return texts.stream().flatMapToDouble(text -> parseRate(text).stream()).min();
+    }
+
     /** Parses a rate; empty unless it is a finite decimal number that isn't negative. */
     private static OptionalDouble parseRate(String text) {
         if (text == null) {
--- a/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
+++ b/src/test/java/org/poplarwharf/internal/holder/GatewayCluster.java
@@ -106,6 +106,14 @@
         return startNode(newSettings(platform.addAddress(links::linked), GatewaySettings.DEFAULTS.accounts()));
     }
 
+    /** Starts another node, which finds no lease holder at the address that the log names. */
+    Node startNodeWithoutHolder() throws IOException {
+        String unusedAddress = "\"address\":\"127.0.0.1:" + FreePorts.port() + "\"";
+        String logAddress =
+                platform.addAddress(value -> value.replaceAll("\"address\":\"127\\.0\\.0\\.1:\\d+\"", unusedAddress));
+        return startNode(newSettings(logAddress, GatewaySettings.DEFAULTS.accounts()));
+    }
+
     private GatewaySettings newSettings(String logAddress, AccountSettings accounts) throws IOException {
         List<InetSocketAddress> freeAddresses =
                 FreePorts.addresses(4).stream().map(GatewayCluster::address).toList();
--- a/src/test/java/org/poplarwharf/support/ScriptedTarget.java
+++ b/src/test/java/org/poplarwharf/support/ScriptedTarget.java
@@ -41,6 +41,9 @@
     /** The requests per second that all responses name as the target's limit. */
     public volatile OptionalDouble requestsPerSecondLimit = OptionalDouble.empty();
 
+    /** The requests that the target can decline in a second without failing, which all responses state if it is brittle. */
+    public volatile OptionalDouble brittleDeclinesPerSecond = OptionalDouble.empty();
+
     /** Responds before it has read the body of a request, and leaves the body unread. */
     public volatile boolean leavesBodyUnread;
 
@@ -222,8 +225,11 @@
     }
 
     private String responseHeaders() {
-        OptionalDouble limit = requestsPerSecondLimit;
-        return limit.isPresent() ? "Server-Limit: " + limit.getAsDouble() + "\r\n" : "";
+        return header("Server-Limit", requestsPerSecondLimit) + header("Server-Brittle", brittleDeclinesPerSecond);
+    }
+
+    private static String header(String name, OptionalDouble value) {
+        return value.isPresent() ? name + ": " + value.getAsDouble() + "\r\n" : "";
     }
 
     private Request read(String line, BufferedReader in, Socket connection) throws IOException {
