Tell callers that the outcome of a call is unknown if its target refuses it without proof

Callers with an idempotency key were told that a call had not run, though it had: the target ran it and answered 503, 429 or 408, and the node passed that status on, recorded it and replayed it. To callers these statuses promise that the call has not run and never will; the target states no such thing.

Cause: HttpCallDispatcher took every complete response for one that may be passed on. Such a response now ends the call as outcome-unknown, in the response and in the record. The target still counts as one that answered, not as one that was lost. Keys whose 503 was recorded before are replayed as recorded.

HttpCallDispatcherTest: 3 new cases, red before, green after.

--- a/src/main/java/org/poplarwharf/internal/claim/CallDispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/claim/CallDispatcher.java
@@ -24,5 +24,8 @@
 
         /** The call may have reached the target, but no complete response was received. */
         record OutcomeUnknown(Exception cause) implements Result {}
+
+        /** The target responded with a status that promises callers that the call has not run, which it doesn't state. */
+        record UnprovenRefusal(int status) implements Result {}
     }
 }
--- a/src/main/java/org/poplarwharf/internal/claim/ClaimService.java
+++ b/src/main/java/org/poplarwharf/internal/claim/ClaimService.java
@@ -274,27 +274,23 @@
                 releaseClaim(attempt);
                 attempt.fail(CallAttempt.Phase.WITHDRAWN, CallerReporter.targetUnreachable(target, notSent.cause()));
             }
-            case CallDispatcher.Result.OutcomeUnknown outcomeUnknown -> {
-                releasePermit(attempt, Outcome.CONNECTION_LOST);
-                attempt.fail(
-                        CallAttempt.Phase.ENDED,
-                        CallerReporter.outcomeUnknown(
-                                attempt.call().callKey(),
-                                "The call was sent, but the target returned no complete response."));
-                recordOutcome(
-                        attempt,
-                        new CellRecord.CallEnded(
-                                attempt.call().callKey(),
-                                attempt.attemptId(),
-                                CallOutcome.UNKNOWN,
-                                0,
-                                "",
-                                NO_RESPONSE,
-                                false));
-            }
+            case CallDispatcher.Result.OutcomeUnknown outcomeUnknown ->
+                endUnknown(attempt, Outcome.CONNECTION_LOST, "the target returned no complete response.");
+            case CallDispatcher.Result.UnprovenRefusal refusal ->
+                endUnknown(attempt, Outcome.ANSWERED, "the target refused it with status " + refusal.status() + ".");
         }
     }
 
+    private void endUnknown(CallAttempt attempt, Outcome outcome, String reason) {
+        releasePermit(attempt, outcome);
+        String callKey = attempt.call().callKey();
+        attempt.fail(
+                CallAttempt.Phase.ENDED, CallerReporter.outcomeUnknown(callKey, "The call was sent, but " + reason));
+        recordOutcome(
+                attempt,
+                new CellRecord.CallEnded(callKey, attempt.attemptId(), CallOutcome.UNKNOWN, 0, "", NO_RESPONSE, false));
+    }
+
     private CellRecord.CallEnded outcomeRecord(CallAttempt attempt, CallDispatcher.Result.ResponseReceived response) {
         int bytes = response.body().length;
         boolean stored = bytes <= MAX_STORED_RESPONSE_BYTES
--- a/src/main/java/org/poplarwharf/internal/claim/HttpCallDispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/claim/HttpCallDispatcher.java
@@ -8,6 +8,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import java.util.Optional;
+import java.util.Set;
 import org.poplarwharf.internal.failure.CallerReporter;
 import org.poplarwharf.internal.kernel.CrossLoopCalls;
 import org.poplarwharf.internal.peer.PeerMessage;
@@ -22,10 +23,14 @@
  * Dispatches claimed calls over HTTP on a traffic thread.
  *
  * <p>Invariant: each call uses a connection of its own that carries no other exchange before or after, so that no HTTP
- * client can send the call again. Called only from the control thread.
+ * client can send the call again. The response of a target is no statement that the call has not run. Called only from
+ * the control thread.
  */
 final class HttpCallDispatcher implements CallDispatcher {
     private static final long CALL_TIMEOUT_MILLIS = 60_000;
+    /** To callers these statuses promise that a request has not run. A target that sends one doesn't state that. */
+    private static final Set<Integer> PROMISING_STATUSES = Set.of(408, 429, 503);
+
     private static final HttpHeader REQUEST_ID_HEADER = HttpHeaders.of("X-Request-Id");
     private static final HttpHeader IDEMPOTENCY_KEY_HEADER = HttpHeaders.of("Idempotency-Key");
 
@@ -78,7 +83,9 @@
                         maxBodyBytes,
                         connection::withProgressTimeout,
                         () -> CallerReporter.targetFailed(permit.grant().target(), null))
-                .map(body -> new Result.ResponseReceived(response.getCode(), contentType, body));
+                .map(body -> PROMISING_STATUSES.contains(response.getCode())
+                        ? new Result.UnprovenRefusal(response.getCode())
+                        : new Result.ResponseReceived(response.getCode(), contentType, body));
     }
 
     private HttpRequest buildRequest(Permit permit, PeerMessage.Call call) {
--- a/src/test/java/org/poplarwharf/internal/claim/ClaimServiceTest.java
+++ b/src/test/java/org/poplarwharf/internal/claim/ClaimServiceTest.java
@@ -159,6 +159,16 @@
         assertFailedWith(service.call(call("k2", "f")), FailureCode.OUTCOME_UNKNOWN);
     }
 
+    @Test
+    void call_that_its_target_refused_without_proof_is_not_refused_as_not_run_and_the_target_does_not_count_as_lost() {
+        Promise<CallResponse> refused = service.call(call("k", "f"));
+        dispatchResult.set(new CallDispatcher.Result.UnprovenRefusal(503));
+
+        assertFailedWith(refused, FailureCode.OUTCOME_UNKNOWN);
+        assertFailedWith(service.call(call("k", "f")), FailureCode.OUTCOME_UNKNOWN);
+        assertThat(permitSource.releaseOutcomes).containsExactly(GrantCompletion.Outcome.ANSWERED);
+    }
+
     @Test
     void an_outcome_that_could_not_be_logged_is_replayed_from_memory() {
         service.call(call("k", "f"));
--- a/src/test/java/org/poplarwharf/internal/claim/HttpCallDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/claim/HttpCallDispatcherTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.poplarwharf.internal.admission.AdmissionRequest;
 import org.poplarwharf.internal.admission.Grant;
 import org.poplarwharf.internal.peer.PeerMessage;
@@ -64,6 +66,17 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void call_that_a_target_ran_is_not_refused_as_not_run_by_the_status_of_the_target(int status) throws Exception {
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            out.write(RawHttpTarget.jsonResponse(status, "{}"));
+            return true;
+        })) {
+            assertThat(dispatch(target)).isEqualTo(new CallDispatcher.Result.UnprovenRefusal(status));
+        }
+    }
+
     private CallDispatcher.Result dispatch(RawHttpTarget target) {
         HttpCallDispatcher dispatcher =
                 new HttpCallDispatcher(control.reactor(), traffic.reactor(), HttpEngineDialect.factory(), 10_000);
