Count the first send of a request that was sent again as a possible run

Callers of streamed completions could be told that their request had not run, though a target may have run it: on a reused connection that stalls, the request is sent once more on a new connection to the same target. When the response to the second send was not-loaded, both sends were taken back, and a refusal that followed said "ran: no".

Cause: the response to one send was taken for a statement about another one. RetryingExchange now keeps the request as possibly run after not-loaded if it was sent twice. A failed connect of the second send was already handled so (Attempt.failureOutcome).

SilentTargetEntryTest, new case: before, the caller got 503 overloaded with "ran: no" while the first send was in progress at the target; after, 502 target-failed with an unknown outcome.

--- a/src/main/java/org/poplarwharf/internal/entry/Attempt.java
+++ b/src/main/java/org/poplarwharf/internal/entry/Attempt.java
@@ -65,6 +65,11 @@
         return connection;
     }
 
+    /** Returns whether the request was sent twice, so that a response to the second send says nothing of the first. */
+    boolean wasSentAgain() {
+        return wasSentAgain;
+    }
+
     boolean isFinished() {
         return isFinished;
     }
--- a/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
@@ -279,7 +279,7 @@
         }
         if (buffered.status() == STATUS_NOT_FOUND && NOT_LOADED_CODE.equals(jsonField(buffered.body(), "code"))) {
             current.abort(Outcome.NOT_LOADED);
-            mayHaveRun = mayHaveRunBefore;
+            mayHaveRun = mayHaveRunBefore || current.wasSentAgain();
             retry(current, CallerReporter.targetRefused(current.target()));
             return;
         }
--- a/src/test/java/org/poplarwharf/internal/entry/SilentTargetEntryTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/SilentTargetEntryTest.java
@@ -136,6 +136,22 @@
         }
     }
 
+    @Test
+    void request_that_was_sent_again_to_its_target_is_not_refused_as_not_run_by_the_response_to_the_second_send()
+            throws Exception {
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            Thread.sleep(n == 2 ? SILENCE_MILLIS : 0);
+            return n == 1 ? writeStream(out) : write(out, jsonResponse(404, "{\"code\":\"not-loaded\"}"));
+        })) {
+            entry.admission.targetAddresses.addAll(List.of(target.address(), target.address()));
+            entry.admission.refusal = Optional.of(CallerReporter.overloaded("No other target is free."));
+            stream();
+
+            assertThat(stream()).contains("target-failed").contains("unknown");
+            assertThat(target.requests).hasSize(3);
+        }
+    }
+
     @Test
     void stream_on_a_reused_connection_may_begin_late() throws Exception {
         try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
