--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.poplarwharf.internal.crash.CrashDetector;
 import org.poplarwharf.internal.crash.CrashHistory;
+import org.poplarwharf.internal.http.ConnectionObserver;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.limit.TargetLimits;
@@ -87,6 +88,11 @@
         return context.reachabilityWatch().reachability().isCutOff();
     }
 
+    /** Returns what determines from calls to targets whether this node reaches any. */
+    public ConnectionObserver targetObserver() {
+        return context.reachabilityWatch().reachability();
+    }
+
     /** Registers a listener that is told whether this node reaches no target, each time that this changes. */
     public void onCutOffChange(Consumer<Boolean> listener) {
         context.reachabilityWatch().onChange(listener);
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -26,6 +26,7 @@
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 import org.poplarwharf.internal.lease.HolderLease;
+import org.poplarwharf.internal.lease.HolderLeaseListener;
 import org.poplarwharf.internal.lease.LeaseRecord;
 import org.poplarwharf.internal.lease.LeaseTimings;
 import org.poplarwharf.internal.lease.SystemClocks;
@@ -125,6 +126,9 @@
                 timer,
                 new SystemClocks(clock::nowMillis),
                 new LeaseListener());
+        LeaseHandOver handOver = new LeaseHandOver(
+                lease, front::isCutOff, () -> !holderRole.peers().isEmpty(), timer, clock::nowMillis);
+        front.onCutOffChange(handOver::cutOffChanged);
         this.planFollower = newPlanFollower();
         this.targetFollower = newTargetFollower();
         view.onTargetsLoaded(streamOrigins::restartWatching);
@@ -137,7 +141,7 @@
                 settings,
                 incarnation,
                 view,
-                adapter.engineClientFactory().apply(httpCaller),
+                new ObservedEngineClient(adapter.engineClientFactory().apply(httpCaller), front.targetObserver()),
                 clock,
                 timer,
                 log,
@@ -293,7 +297,7 @@
         }
     }
 
-    private final class LeaseListener implements HolderLease.Listener {
+    private final class LeaseListener implements HolderLeaseListener {
         @Override
         public void claimed(long fencingNumber) {
             log.log("lease-claimed", "fencingNumber", fencingNumber);
@@ -322,6 +326,11 @@
         public boolean isHolderResponding() {
             return engineTargets.isHolderResponding();
         }
+
+        @Override
+        public boolean reachesTargets() {
+            return !front.isCutOff();
+        }
     }
 
     private final class HolderConnectionListener implements HolderListener {
--- a/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
+++ b/src/main/java/org/poplarwharf/internal/lease/HolderLease.java
@@ -20,7 +20,7 @@
  * none. The holder keeps the lease and appends a new record. In an era in which no record has been appended yet, a new
  * holder waits as if an unknown node had renewed its lease at the restore.
  * A holder's fencing number changes only if another node may have held the lease in between, so a delayed order carries
- * no lower number than a later one. Confined to one event loop.
+ * no lower number than a later one. A node that hands its lease over may claim it anew. Confined to one event loop.
  */
 public final class HolderLease {
     private static final String RECORD_KEY = "holder";
@@ -36,8 +36,9 @@
     private final LeaseTimings timings;
     private final KeyedLog log;
     private final TopicFollower.Timer timer;
-    private final Clocks clocks;
-    private final Listener listener;
+    private final LeaseClocks clocks;
+    private final HolderLeaseListener listener;
+    private final ClaimDeferral deferral;
     private Optional<LeaseRecord> currentRecord = Optional.empty();
     private long currentOffset = -1;
     private long recordReadMillis;
@@ -57,39 +58,14 @@
     /** A claim that was sent and may be appended to the log now or later. The number of its record is unique. */
     private record Claim(long recordNumber, long fencingNumber, LeaseTerm term) {}
 
-    /** The monotonic clock and the wall clock. */
-    public interface Clocks {
-        long steadyMillis();
-
-        long wallMillis();
-    }
-
-    /** Receives changes of the lease. */
-    public interface Listener {
-        /** Called when this node has acquired the lease. */
-        void claimed(long fencingNumber);
-
-        /** Called when the term has ended without a renewal and no other node is known to hold the lease. */
-        void expired();
-
-        /** Called when this node no longer holds the lease. */
-        void lost(String reason);
-
-        /** Called when the log shows that another node holds the lease. */
-        void holderFound(LeaseRecord holder);
-
-        /** Returns whether the holder responds to this node, so that the log need not be read. */
-        boolean isHolderResponding();
-    }
-
     public HolderLease(
             String topic,
             LeaseRecord self,
             LeaseTimings timings,
             KeyedLog log,
             TopicFollower.Timer timer,
-            Clocks clocks,
-            Listener listener) {
+            LeaseClocks clocks,
+            HolderLeaseListener listener) {
         this.topic = topic;
         this.self = self;
         this.timings = timings;
@@ -97,6 +73,7 @@
         this.timer = timer;
         this.clocks = clocks;
         this.listener = listener;
+        this.deferral = new ClaimDeferral(listener::reachesTargets, clocks::steadyMillis);
     }
 
     /** Starts to poll the lease and to claim it when it is free. This node must listen at its address already. */
@@ -140,12 +117,29 @@
         if (expired) {
             listener.lost("stopped");
         }
-        if (!holding) {
-            return;
+        giveUp("resigned");
+    }
+
+    /** Hands the lease to another node. This node may claim it again later, see {@link ClaimDeferral}. */
+    public void handOver() {
+        giveUp("handed over");
+    }
+
+    private void giveUp(String reason) {
+        if (holding) {
+            holding = false;
+            listener.lost(reason);
+            append(record(recordNumber, true), response -> {});
+        }
+    }
+
+    /** Appends again that this node has given up the lease, since the log does not show it. */
+    private void giveUpAgain(LeaseRecord ownRecord) {
+        if (expired) {
+            expired = false;
+            listener.lost("left to other nodes");
         }
-        holding = false;
-        listener.lost("resigned");
-        append(record(recordNumber, true), response -> {});
+        append(record(ownRecord.fencingNumber(), true), response -> schedulePoll(timings.retryMillis()));
     }
 
     private void poll() {
@@ -189,6 +183,7 @@
                         .isEmpty();
                 currentRecord = Optional.of(latest);
                 if (changed) {
+                    deferral.leaseTaken();
                     holderEndedMillis = Long.MIN_VALUE;
                 }
             });
@@ -225,7 +220,7 @@
             return;
         }
         if (currentRecord.isEmpty()) {
-            claim();
+            claimOrDefer();
             return;
         }
         LeaseRecord holder = currentRecord.get();
@@ -234,6 +229,10 @@
             listener.lost("claimed by another node");
         }
         if (holder.incarnation().equals(self.incarnation()) && !holder.resigned()) {
+            if (deferral.defers()) {
+                giveUpAgain(holder);
+                return;
+            }
             // Either a claim of this node whose response was lost, or a record whose term is over.
             Optional<Claim> appendedClaim =
                     pendingClaim.filter(claim -> claim.recordNumber() == holder.fencingNumber());
@@ -249,13 +248,22 @@
         boolean holderEnded = holderEndedMillis != Long.MIN_VALUE;
         boolean termOver = nowMillis - recordReadMillis > timings.termMillis();
         if (!holderEnded && !termOver) {
+            deferral.leaseTaken();
             schedulePoll(timings.retryMillis());
             return;
         }
         long latestOrderMillis = holderEnded ? holderEndedMillis : recordReadMillis + timings.termMillis();
         ordersAllowedFromMillis =
                 Math.max(latestOrderMillis + timings.orderGapMillis(), recordReadMillis + holder.quietMillis());
-        claim();
+        claimOrDefer();
+    }
+
+    private void claimOrDefer() {
+        if (deferral.defers()) {
+            schedulePoll(timings.retryMillis());
+        } else {
+            claim();
+        }
     }
 
     /** Returns whether a holder was a process of this node before its restart: this one listens at its address now. */
@@ -308,6 +316,7 @@
             return;
         }
         expired = false;
+        deferral.leaseTaken();
         listener.claimed(fencingNumber);
         schedulePoll(timings.renewIntervalMillis());
     }
--- a/src/main/java/org/poplarwharf/internal/lease/LeaseTerm.java
+++ b/src/main/java/org/poplarwharf/internal/lease/LeaseTerm.java
@@ -9,12 +9,12 @@
 record LeaseTerm(long startSteadyMillis, long startWallMillis) {
     static final LeaseTerm EXPIRED = new LeaseTerm(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
 
-    static LeaseTerm startingNow(HolderLease.Clocks clocks) {
+    static LeaseTerm startingNow(LeaseClocks clocks) {
         return new LeaseTerm(clocks.steadyMillis(), clocks.wallMillis());
     }
 
     /** Returns whether the term has expired on neither clock, since the monotonic clock of a suspended VM stands still. */
-    boolean isValid(HolderLease.Clocks clocks, long termMillis) {
+    boolean isValid(LeaseClocks clocks, long termMillis) {
         return clocks.steadyMillis() - startSteadyMillis < termMillis
                 && clocks.wallMillis() - startWallMillis < termMillis;
     }
--- a/src/test/java/org/poplarwharf/internal/holder/NodesWithoutTargetsEngineGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/NodesWithoutTargetsEngineGatewayTest.java
@@ -13,11 +13,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.poplarwharf.support.CuttableLinks;
 import org.poplarwharf.support.CuttableLinks.Cut;
+import org.poplarwharf.support.Eventually;
 import org.poplarwharf.support.ScriptedTarget;
 
 /** Nodes that reach no target must not keep the others from the targets of a service with engines. */
@@ -26,6 +28,7 @@
     private static final int TARGET_COUNT = 3;
     private static final long CUT_MILLIS = 5_000;
     private static final long REQUEST_GAP_MILLIS = 60;
+    private static final long MAX_MILLIS_TO_ORDER = 10_000;
     private static final String HELD = "'models':[{'name':'m1','version':1,'adapters':[]}]";
 
     private final CuttableLinks links = new CuttableLinks();
@@ -114,4 +117,59 @@
             assertThat(target.executedRequestIds).doesNotHaveDuplicates();
         }
     }
+
+    /** Guards against a holder that keeps the lease though it can neither order loads nor read reports. */
+    @ParameterizedTest
+    @EnumSource(names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+    void model_is_loaded_by_another_node_while_the_lease_holder_reaches_no_target(Cut cut) throws Exception {
+        GatewayCluster.Node holder = cluster.startNode(links);
+        Eventually.eventually(
+                "the first node holds the lease", () -> holder.log().contains("lease-claimed"));
+        GatewayCluster.Node sound = cluster.startNode();
+        for (int i = 0; i < TARGET_COUNT; i++) {
+            cluster.addTarget("lm", ",'models':[],'atHand':{'inMemory':[],'onDisk':['m1']}");
+        }
+        long cutNanos = System.nanoTime();
+        links.set(cut);
+        long endNanos = cutNanos + MAX_MILLIS_TO_ORDER * 1_000_000;
+        sendUntil(endNanos, holder);
+        sendUntil(endNanos, sound);
+        while (orders().isEmpty() && System.nanoTime() < endNanos) {
+            GatewayCluster.pause(20);
+        }
+        long millisToOrder = (System.nanoTime() - cutNanos) / 1_000_000;
+
+        assertThat(orders())
+                .as("%s", cluster.logs())
+                .isNotEmpty()
+                .allMatch(order -> order.contains("\"holder\":\"n2\""));
+        assertThat(millisToOrder).isBetween(sound.settings().orderGapMillis(), MAX_MILLIS_TO_ORDER);
+    }
+
+    /** Guards against a change of the holder, which delays orders, when targets crash instead of paths. */
+    @Test
+    void lease_holder_keeps_the_lease_when_all_targets_but_one_crash_at_once() throws Exception {
+        GatewayCluster.Node holder = cluster.startNode();
+        Eventually.eventually(
+                "the first node holds the lease", () -> holder.log().contains("lease-claimed"));
+        GatewayCluster.Node other = cluster.startNode();
+        addTargetsWithModel();
+        long endNanos = System.nanoTime() + CUT_MILLIS * 1_000_000;
+        Future<List<String>> atHolder = sendUntil(endNanos, holder);
+        sendUntil(endNanos, other);
+        GatewayCluster.pause(500);
+
+        for (ScriptedTarget target : cluster.targets.subList(1, TARGET_COUNT)) {
+            target.crash();
+        }
+
+        assertThat(atHolder.get()).contains("served");
+        assertThat(holder.log()).doesNotContain("lease-lost");
+    }
+
+    private List<String> orders() {
+        return cluster.targets.stream()
+                .flatMap(target -> target.receivedOrders.stream())
+                .toList();
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/holder/OrderFencingTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/OrderFencingTest.java
@@ -19,6 +19,8 @@
 import org.poplarwharf.internal.fleet.Target;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.lease.HolderLease;
+import org.poplarwharf.internal.lease.HolderLeaseListener;
+import org.poplarwharf.internal.lease.LeaseClocks;
 import org.poplarwharf.internal.lease.LeaseRecord;
 import org.poplarwharf.internal.lease.LeaseTimings;
 import org.poplarwharf.support.FakeKeyedLog;
@@ -159,7 +161,7 @@
     }
 
     /** A node with a lease whose orders reach the target after a delay. */
-    private final class Node implements EngineClient, HolderLease.Listener, HolderLease.Clocks {
+    private final class Node implements EngineClient, HolderLeaseListener, LeaseClocks {
         final HolderLease lease;
         final List<OrderResult> results = new ArrayList<>();
         private final List<Task> tasks = new ArrayList<>();
@@ -228,6 +230,11 @@
             // The tests read the lease itself.
         }
 
+        @Override
+        public boolean reachesTargets() {
+            return true;
+        }
+
         @Override
         public void expired() {
             // The tests read the lease itself.
--- a/src/test/java/org/poplarwharf/internal/lease/LeaseRestorePropertyTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseRestorePropertyTest.java
@@ -60,6 +60,11 @@
                 LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
                 node.frozen = !node.frozen;
             }
+            case 4 -> {
+                LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
+                node.reachesTargets = !node.reachesTargets;
+            }
+            case 5 -> nodes.get(random.nextInt(nodes.size())).lease.handOver();
             default -> {
                 // No fault in this step.
             }
--- a/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseTestNode.java
@@ -11,6 +11,7 @@
     final HolderLease lease;
     boolean frozen;
     boolean expired;
+    boolean reachesTargets = true;
     int claimCount;
     String followedHolder = "";
     private final String id;
@@ -74,7 +75,7 @@
         wallMillis += millis;
     }
 
-    private final class NodeClocks implements HolderLease.Clocks {
+    private final class NodeClocks implements LeaseClocks {
         @Override
         public long steadyMillis() {
             return steadyMillis;
@@ -86,7 +87,7 @@
         }
     }
 
-    private final class NodeListener implements HolderLease.Listener {
+    private final class NodeListener implements HolderLeaseListener {
         @Override
         public void claimed(long fencingNumber) {
             claimCount++;
@@ -112,5 +113,10 @@
         public boolean isHolderResponding() {
             return false;
         }
+
+        @Override
+        public boolean reachesTargets() {
+            return reachesTargets;
+        }
     }
 }
