Soak: targets repeat refusals late, and fail runs with statuses that promise "not run"

The random faults had no target that refuses a request and repeats that refusal before the next response on the connection, in the packet of the first, or without an id, and none that fails a run with 503, 429 or 408 without X-Not-Executed.

Failed runs are played on requests that may run once only: others get a target's own failure as it is. LossCheck knows the new kinds as faults of the target's responses, by which a request may be answered 502.

--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -19,7 +19,6 @@
     private static final double LOST_RESPONSE_RATIO = 0.4;
     private static final long APPEND_DELAY_MILLIS = 2_000;
     private static final long LINK_DELAY_MILLIS = 150;
-    private static final int ENGINE_SLOWDOWN_FACTOR = 8;
 
     /** Exceeds the lease duration, so that a paused holder loses its lease. */
     private static final long LONG_PAUSE_MILLIS = 9_000;
@@ -44,6 +43,9 @@
      */
     static final long FIRST_SEED_WITH_SILENT_TARGETS = 500_000;
 
+    /** From this seed on, targets repeat refusals late, and fail runs with statuses that promise that nothing has run. */
+    static final long FIRST_SEED_WITH_FAULTY_RESPONSES = 700_000;
+
     private static final int MIN_SILENCE_MILLIS = 1_000;
     private static final int MAX_SILENCE_MILLIS = 2_500;
     private static final int MIN_CONFIG_INTERVAL_MILLIS = 50;
@@ -51,6 +53,8 @@
 
     private static final List<Kind> LOSS_KINDS =
             List.of(Kind.TARGET_SILENT, Kind.CONFIG_CHANGED_IN_SERIES, Kind.GATEWAY_TERMINATED);
+    private static final List<Kind> RUN_ONCE_KINDS =
+            List.of(Kind.TARGET_REPEATS_REFUSALS, Kind.TARGET_FAILS_RUNS, Kind.GATEWAY_PAUSED, Kind.GATEWAY_TERMINATED);
 
     private static final int MAX_LOST_MILLIS = 4_000;
 
@@ -63,7 +67,7 @@
     private final Random random;
     private final int kindCount;
     private final boolean hasLogFaults;
-    private final boolean prefersLossKinds;
+    private final List<Kind> preferredKinds;
     private final Set<String> faultyComponents = new HashSet<>();
     private final List<ActiveFault> activeFaults = new ArrayList<>();
 
@@ -109,7 +113,9 @@
         TARGET_LIMITED(FaultScope.TARGET),
         TARGET_OMITS_FRAMING(FaultScope.TARGET),
         TARGET_SILENT(FaultScope.TARGET),
-        CONFIG_CHANGED_IN_SERIES(FaultScope.CONFIG);
+        CONFIG_CHANGED_IN_SERIES(FaultScope.CONFIG),
+        TARGET_REPEATS_REFUSALS(FaultScope.TARGET),
+        TARGET_FAILS_RUNS(FaultScope.TARGET);
 
         private final FaultScope scope;
 
@@ -125,7 +131,7 @@
         this.random = new Random(seed);
         this.kindCount = kindCount(seed);
         this.hasLogFaults = !isWithoutLogFaults(seed);
-        this.prefersLossKinds = seed >= FIRST_SEED_WITH_SILENT_TARGETS;
+        this.preferredKinds = preferredKinds(seed);
     }
 
     static boolean isWithoutLogFaults(long seed) {
@@ -142,13 +148,23 @@
         if (seed < FIRST_SEED_WITHOUT_FRAMING) {
             return Kind.TARGET_OMITS_FRAMING.ordinal();
         }
-        return seed < FIRST_SEED_WITH_SILENT_TARGETS ? Kind.TARGET_SILENT.ordinal() : Kind.values().length;
+        if (seed < FIRST_SEED_WITH_SILENT_TARGETS) {
+            return Kind.TARGET_SILENT.ordinal();
+        }
+        return seed < FIRST_SEED_WITH_FAULTY_RESPONSES ? Kind.TARGET_REPEATS_REFUSALS.ordinal() : Kind.values().length;
+    }
+
+    private static List<Kind> preferredKinds(long seed) {
+        if (seed < FIRST_SEED_WITH_SILENT_TARGETS) {
+            return List.of();
+        }
+        return seed < FIRST_SEED_WITH_FAULTY_RESPONSES ? LOSS_KINDS : RUN_ONCE_KINDS;
     }
 
-    /** Returns a random kind; from some seed on, half of them are those beside which no request may be lost. */
+    /** Returns a random kind; from some seed on, half of them are preferred ones. */
     private Kind randomKind() {
-        return prefersLossKinds && random.nextBoolean()
-                ? LOSS_KINDS.get(random.nextInt(LOSS_KINDS.size()))
+        return !preferredKinds.isEmpty() && random.nextBoolean()
+                ? preferredKinds.get(random.nextInt(preferredKinds.size()))
                 : Kind.values()[random.nextInt(kindCount)];
     }
 
@@ -268,8 +284,13 @@
             case INVALID_ENTRY -> putInvalidEntry();
             case TARGET_CRASHES -> crashTarget(target);
             case TARGET_DRAINS -> drainTarget(target);
-            case TARGET_ABORTS_RESPONSES, TARGET_REFUSES, TARGET_SLOW, ORDERS_DELAYED, TARGET_OMITS_FRAMING ->
-                startTargetFault(kind, target);
+            case TARGET_ABORTS_RESPONSES,
+                    TARGET_REFUSES,
+                    TARGET_SLOW,
+                    ORDERS_DELAYED,
+                    TARGET_OMITS_FRAMING,
+                    TARGET_REPEATS_REFUSALS,
+                    TARGET_FAILS_RUNS -> startTargetFault(kind, target);
             case TARGET_LIMITED ->
                 Optional.of(target.nameLimit(
                         REQUESTS_PER_SECOND_LIMITS[random.nextInt(REQUESTS_PER_SECOND_LIMITS.length)]));
@@ -373,21 +394,7 @@
     }
 
     private Optional<Runnable> startTargetFault(Kind kind, SoakTarget target) {
-        setTargetFault(kind, target, true);
-        return Optional.of(() -> setTargetFault(kind, target, false));
-    }
-
-    private static void setTargetFault(Kind kind, SoakTarget target, boolean on) {
-        switch (kind) {
-            case TARGET_ABORTS_RESPONSES -> {
-                target.abortsResponses = on;
-                target.engine.ifPresent(engine -> engine.abortsResponses = on);
-            }
-            case TARGET_OMITS_FRAMING -> target.setOmitsFraming(on);
-            case TARGET_REFUSES -> target.rejectsRequests = on;
-            case TARGET_SLOW ->
-                target.engine.ifPresent(engine -> engine.slowdownFactor = on ? ENGINE_SLOWDOWN_FACTOR : 1);
-            default -> target.engine.ifPresent(engine -> engine.delaysOrders = on);
-        }
+        target.setFault(kind, true);
+        return Optional.of(() -> target.setFault(kind, false));
     }
 }
--- a/src/test/java/org/poplarwharf/soak/LossCheck.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -18,8 +18,12 @@
     private static final Set<String> GATEWAY_FAULTS =
             names(Kind.GATEWAY_KILLED, Kind.GATEWAY_PAUSED, Kind.GATEWAY_PAUSED_LONG, Kind.POWER_LOST);
 
-    /** Faults under which a target breaks responses off to requests that it has recorded. */
-    private static final Set<String> RESPONSE_FAULTS = names(Kind.TARGET_ABORTS_RESPONSES, Kind.TARGET_OMITS_FRAMING);
+    /** Faults under which a target breaks responses off, or gives wrong ones, to requests that it has recorded. */
+    private static final Set<String> RESPONSE_FAULTS = names(
+            Kind.TARGET_ABORTS_RESPONSES,
+            Kind.TARGET_OMITS_FRAMING,
+            Kind.TARGET_REPEATS_REFUSALS,
+            Kind.TARGET_FAILS_RUNS);
 
     /** Faults under which a target may have been sent requests that it has not recorded. */
     private static final Set<String> REACHABILITY_FAULTS = names(
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -55,6 +55,7 @@
     private final TargetActivity activity;
     private final LongSupplier clock;
     private final CrashAction crashAction;
+    private final FaultyResponses faultyResponses;
     private final Map<String, ModelState> models = new LinkedHashMap<>();
     private final Set<String> onDisk = new LinkedHashSet<>();
     private final AtomicInteger unframedCount = new AtomicInteger();
@@ -78,11 +79,17 @@
         void run() throws IOException;
     }
 
-    SoakEngine(ScriptedTarget target, TargetActivity activity, LongSupplier clock, CrashAction crashAction) {
+    SoakEngine(
+            ScriptedTarget target,
+            TargetActivity activity,
+            LongSupplier clock,
+            CrashAction crashAction,
+            FaultyResponses faultyResponses) {
         this.target = target;
         this.activity = activity;
         this.clock = clock;
         this.crashAction = crashAction;
+        this.faultyResponses = faultyResponses;
         target.script = this::handleRequest;
         target.controlScript = this::handleControl;
     }
@@ -230,6 +237,9 @@
 
     private void handleRequest(Request request, OutputStream out) throws IOException, InterruptedException {
         String incarnation = incarnation();
+        if (faultyResponses.refuse(request, out)) {
+            return;
+        }
         ModelState modelState = admit(request, out);
         if (modelState == null) {
             return;
@@ -242,7 +252,9 @@
             if (CrashingCaller.crashes(request)) {
                 crashAction.run();
             }
-            stream(request, out, incarnation, lastEventId);
+            if (!faultyResponses.fail(request, out)) {
+                stream(request, out, incarnation, lastEventId);
+            }
         } finally {
             synchronized (this) {
                 modelState.runningCount--;
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -40,7 +40,7 @@
     /** One in this many seeds also has a request that crashes its targets. */
     private static final int CRASHING_CALLER_SEED_INTERVAL = 3;
 
-    /** From this seed on, the configuration has client accounts. */
+    /** From this seed on, the configuration has client accounts, up to the seeds with faulty responses. */
     private static final long FIRST_SEED_WITH_ACCOUNTS = 600_000;
 
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
@@ -61,6 +61,12 @@
         assertThat(runSoak(FIRST_SEED_WITH_ACCOUNTS)).isEmpty();
     }
 
+    @Test
+    void requests_that_may_run_once_are_not_repeated_or_refused_after_a_run_by_wrong_responses_of_targets()
+            throws Exception {
+        assertThat(runSoak(FaultInjector.FIRST_SEED_WITH_FAULTY_RESPONSES)).isEmpty();
+    }
+
     /**
      * Reruns seeds that failed before.
      *
@@ -184,8 +190,8 @@
 
     private SoakFleet newFleet(long seed) throws IOException {
         boolean variesConfig = seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS;
-        Optional<SoakAccounts> accounts =
-                seed >= FIRST_SEED_WITH_ACCOUNTS ? Optional.of(new SoakAccounts()) : Optional.empty();
+        boolean hasAccounts = seed >= FIRST_SEED_WITH_ACCOUNTS && seed < FaultInjector.FIRST_SEED_WITH_FAULTY_RESPONSES;
+        Optional<SoakAccounts> accounts = hasAccounts ? Optional.of(new SoakAccounts()) : Optional.empty();
         return new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)), variesConfig, accounts);
     }
 
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -19,6 +19,7 @@
 final class SoakTarget {
     private static final int PROCESSING_MILLIS = 15;
     private static final int SOFTWARE_VERSION_COUNT = 2;
+    private static final int ENGINE_SLOWDOWN_FACTOR = 8;
 
     final String name;
     final ScriptedTarget server;
@@ -31,6 +32,7 @@
     private volatile int silenceMillis;
     private final TargetActivity activity;
     private final LongSupplier clock;
+    private final FaultyResponses faultyResponses = new FaultyResponses();
     private final AtomicInteger unframedCount = new AtomicInteger();
     private final AtomicInteger silentCount = new AtomicInteger();
     private int replacementCount;
@@ -52,7 +54,7 @@
         server = new ScriptedTarget(name + "-0");
         server.onArrival = request -> activity.add(new TargetActivity.Arrival(request.id(), name, clock.getAsLong()));
         engine = hasEngine
-                ? Optional.of(new SoakEngine(server, activity, clock, this::crashByRequest))
+                ? Optional.of(new SoakEngine(server, activity, clock, this::crashByRequest, faultyResponses))
                 : Optional.empty();
         if (!hasEngine) {
             server.script = this::handleRequest;
@@ -134,7 +136,10 @@
                 + engine.map(SoakEngine::reportFields).orElseGet(() -> "'born':" + startedMillis + ",'seq':0") + "}";
     }
 
-    private void handleRequest(Request request, OutputStream out) throws IOException {
+    private void handleRequest(Request request, OutputStream out) throws IOException, InterruptedException {
+        if (faultyResponses.refuse(request, out)) {
+            return;
+        }
         if (rejectsRequests) {
             ScriptedTarget.writeNotExecuted(out, request, "503 Service Unavailable");
             return;
@@ -147,6 +152,9 @@
         if (request.closedByPeerWithin(PROCESSING_MILLIS) || !alive || abortsResponses) {
             throw new IOException("caller disconnected, or the target crashed or aborts responses");
         }
+        if (faultyResponses.fail(request, out)) {
+            return;
+        }
         if (omitsFraming) {
             respondWithoutLength(request, out);
         } else if (silenceMillis > 0) {
@@ -186,8 +194,25 @@
         engine.ifPresent(running -> running.silenceMillis = millis);
     }
 
+    /** Switches a fault of the target's own on or off. */
+    void setFault(FaultInjector.Kind kind, boolean on) {
+        switch (kind) {
+            case TARGET_ABORTS_RESPONSES -> {
+                abortsResponses = on;
+                engine.ifPresent(running -> running.abortsResponses = on);
+            }
+            case TARGET_OMITS_FRAMING -> setOmitsFraming(on);
+            case TARGET_REFUSES -> rejectsRequests = on;
+            case TARGET_SLOW -> engine.ifPresent(running -> running.slowdownFactor = on ? ENGINE_SLOWDOWN_FACTOR : 1);
+            case TARGET_REPEATS_REFUSALS -> faultyResponses.repeatsRefusals = on;
+            case TARGET_FAILS_RUNS -> faultyResponses.failsRuns = on;
+            case ORDERS_DELAYED -> engine.ifPresent(running -> running.delaysOrders = on);
+            default -> throw new IllegalArgumentException("not a fault of a target's own: " + kind);
+        }
+    }
+
     /** Makes the target respond without length or chunks, and break responses off, until switched off. */
-    void setOmitsFraming(boolean on) {
+    private void setOmitsFraming(boolean on) {
         omitsFraming = on;
         engine.ifPresent(running -> running.omitsFraming = on);
     }
