Believe no refusal without an id for a request that has none either

A request without X-Request-Id that may run once could run twice: a refusal without an id, left on the connection from before, matched it, as both ids were empty. Callers of the platform always send an id, so this is not what the users saw.

Such a refusal is now believed only on a connection that has carried no other request, whether or not the request has an id; else the outcome is unknown (502).

--- a/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ResponseRelay.java
@@ -134,8 +134,7 @@
      * @param isIdNeeded whether it may belong to an earlier request on its connection if it names none
      */
     static boolean isDeclined(ResponseTraits traits, String requestId, boolean isIdNeeded) {
-        return traits.notRun()
-                && traits.requestId().orElse(isIdNeeded ? "" : requestId).equals(requestId);
+        return traits.notRun() && traits.requestId().map(requestId::equals).orElse(!isIdNeeded);
     }
 
     /**
--- a/src/test/java/org/poplarwharf/internal/holder/UnprovenRefusalGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/UnprovenRefusalGatewayTest.java
@@ -4,12 +4,13 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
@@ -28,6 +29,7 @@
     private static final int REQUEST_COUNT = 6;
 
     private final Set<Socket> usedConnections = ConcurrentHashMap.newKeySet();
+    private final List<ScriptedTarget> targets = new ArrayList<>();
     private GatewayCluster cluster;
     private GatewayCluster.Node node;
 
@@ -66,27 +68,54 @@
     @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"})
     void refusal_without_a_request_id_on_a_reused_connection_is_not_taken_for_that_of_the_request_that_runs(
             String status) throws Exception {
+        List<Integer> statuses = sendToTargetsThatRefuseBeforeTheyRespond(status, true);
+
+        assertThat(runs()).as(node.log()).hasSize(REQUEST_COUNT).doesNotHaveDuplicates();
+        assertThat(statuses)
+                .as(node.log())
+                .doesNotContainAnyElementsOf(PROMISING_STATUSES)
+                .contains(200);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"})
+    void refusal_without_a_request_id_is_not_taken_for_that_of_a_request_without_id_that_runs(String status)
+            throws Exception {
+        List<Integer> statuses = sendToTargetsThatRefuseBeforeTheyRespond(status, false);
+
+        assertThat(runs()).as(node.log()).hasSize(REQUEST_COUNT);
+        assertThat(statuses)
+                .as(node.log())
+                .doesNotContainAnyElementsOf(PROMISING_STATUSES)
+                .contains(200);
+    }
+
+    private List<Integer> sendToTargetsThatRefuseBeforeTheyRespond(String status, boolean hasId) throws Exception {
         ScriptedTarget.Script refusesBeforeItResponds = (request, out) -> {
             if (!usedConnections.add(request.connection())) {
                 ScriptedTarget.write(out, "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             }
             ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
         };
-        ScriptedTarget first = cluster.addTarget("desk", "");
-        first.script = refusesBeforeItResponds;
-        ScriptedTarget second = cluster.addTarget("desk", "");
-        second.script = refusesBeforeItResponds;
+        for (int i = 0; i < 2; i++) {
+            ScriptedTarget target = cluster.addTarget("desk", "");
+            target.script = refusesBeforeItResponds;
+            targets.add(target);
+        }
         List<Integer> statuses = new ArrayList<>();
         for (int i = 0; i < REQUEST_COUNT; i++) {
-            statuses.add(cluster.post(node.frontPort(), "/once/x").statusCode());
+            HttpRequest.Builder request = hasId
+                    ? GatewayCluster.request(node.frontPort(), "/once/x")
+                    : HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.frontPort() + "/once/x"));
+            statuses.add(cluster.send(request.POST(HttpRequest.BodyPublishers.ofString("body")))
+                    .statusCode());
         }
+        return statuses;
+    }
 
-        List<String> runs = Stream.concat(first.executedRequestIds.stream(), second.executedRequestIds.stream())
+    private List<String> runs() {
+        return targets.stream()
+                .flatMap(target -> target.executedRequestIds.stream())
                 .toList();
-        assertThat(runs).as(node.log()).hasSize(REQUEST_COUNT).doesNotHaveDuplicates();
-        assertThat(statuses)
-                .as(node.log())
-                .doesNotContainAnyElementsOf(PROMISING_STATUSES)
-                .contains(200);
     }
 }
