Test the header of brittle targets and the refusal while their share is in use

A request that no brittle target has room for gets 503 within 200 ms with a Retry-After of at most a second, and the header is read as a decimal number, the lowest of several, ignored with 421 and where it isn't one. The figures are no longer printed; a failure's message has them.

--- a/src/test/java/org/poplarwharf/internal/holder/BrittleTargetGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/BrittleTargetGatewayTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -117,6 +118,36 @@
         play(fault, "/safe/x");
     }
 
+    @Test
+    void request_is_refused_at_once_with_a_time_to_retry_while_the_share_of_all_brittle_targets_is_in_use()
+            throws Exception {
+        cluster = new GatewayCluster();
+        cluster.startNode();
+        cluster.startNode();
+        ScriptedTarget target = cluster.addTarget("desk", "");
+        target.brittleDeclinesPerSecond = OptionalDouble.of(0);
+        GatewayCluster.pause(STABLE_WINDOW_MILLIS);
+        int port = cluster.nodes.get(0).frontPort();
+        assertThat(cluster.post(port, "/once/x").statusCode()).isEqualTo(200);
+        target.script = (request, out) -> {
+            Thread.sleep(800);
+            ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
+        };
+        for (int i = 0; i < 2; i++) {
+            Thread.startVirtualThread(() -> cluster.status(port, "/once/x"));
+        }
+        GatewayCluster.pause(300);
+        long startMillis = System.currentTimeMillis();
+        HttpResponse<String> response = cluster.post(port, "/once/x");
+
+        assertThat(System.currentTimeMillis() - startMillis).isLessThan(200);
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(Double.parseDouble(
+                        response.headers().firstValue("Retry-After").orElseThrow()))
+                .isBetween(0.01, 1.0);
+        assertThat(cluster.logs()).contains("target-brittle");
+    }
+
     private void play(Fault fault, String path) throws Exception {
         List<GatewayCluster.Node> nodes = new ArrayList<>(cluster.nodes);
         GatewayCluster.Node holder = nodes.stream()
@@ -142,9 +173,6 @@
         for (Thread caller : callers) {
             caller.join();
         }
-        System.out.printf(
-                "brittle %s %s: falls %d, served %d of %d%n",
-                path, fault, fallCount.get(), servedCount.get(), sentCount.get());
 
         assertThat((double) fallCount.get())
                 .as("falls of targets; %s served of %s", servedCount, sentCount)
--- a/src/test/java/org/poplarwharf/internal/platform/TargetStatementHeaderTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/TargetStatementHeaderTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -56,6 +57,22 @@
         assertThat(read(421, "Server-Leaving", "1").targetLeaving()).isFalse();
     }
 
+    @ParameterizedTest
+    @CsvSource({"4,4", "0.5,0.5", "0,0", "' 3 ',3"})
+    void brittle_target_states_a_decimal_number(String value, double declinesPerSecond) {
+        assertThat(read(503, "server-brittle", value).declinesPerSecond())
+                .isEqualTo(OptionalDouble.of(declinesPerSecond));
+        assertThat(read(421, "Server-Brittle", value).declinesPerSecond()).isEmpty();
+    }
+
+    @Test
+    void lowest_of_several_numbers_of_a_brittle_target_counts_and_others_state_nothing() {
+        assertThat(read(200, "Server-Brittle", "7", "x", "2").declinesPerSecond())
+                .isEqualTo(OptionalDouble.of(2));
+        assertThat(read(200, "Server-Brittle", "-1", "", "many", "NaN").declinesPerSecond())
+                .isEmpty();
+    }
+
     @Property(tries = 500)
     void any_values_are_read_and_pauses_are_bounded(
             @ForAll @Size(max = 3) List<@AlphaChars @NumericChars @Chars({'-', '+', '.', ',', ' '}) String> values) {
