--- a/src/test/java/org/poplarwharf/internal/lease/LeaseRestorePropertyTest.java
+++ b/src/test/java/org/poplarwharf/internal/lease/LeaseRestorePropertyTest.java
@@ -18,6 +18,15 @@
 
     @Property(tries = 150)
     void orders_of_two_holders_are_apart_and_fencing_numbers_rise_over_restores(@ForAll long seed) {
+        checkOrders(seed, false);
+    }
+
+    @Property(tries = 150)
+    void orders_of_two_holders_are_apart_while_leases_are_handed_over(@ForAll long seed) {
+        checkOrders(seed, true);
+    }
+
+    private static void checkOrders(long seed, boolean handsOver) {
         Random random = new Random(seed);
         FakeKeyedLog log = new FakeKeyedLog();
         List<LeaseTestNode> nodes = new ArrayList<>();
@@ -30,6 +39,9 @@
         long highestFencingNumber = 0;
         for (int step = 0; step < STEP_COUNT; step++) {
             injectFault(random, log, nodes);
+            if (handsOver) {
+                handOver(random, nodes);
+            }
             for (LeaseTestNode node : nodes) {
                 node.advance(STEP_MILLIS);
                 if (!node.lease.mayOrder()) {
@@ -60,14 +72,20 @@
                 LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
                 node.frozen = !node.frozen;
             }
-            case 4 -> {
-                LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
-                node.reachesTargets = !node.reachesTargets;
-            }
-            case 5 -> nodes.get(random.nextInt(nodes.size())).lease.handOver();
             default -> {
                 // No fault in this step.
             }
         }
     }
+
+    private static void handOver(Random random, List<LeaseTestNode> nodes) {
+        LeaseTestNode node = nodes.get(random.nextInt(nodes.size()));
+        switch (random.nextInt(80)) {
+            case 0 -> node.reachesTargets = !node.reachesTargets;
+            case 1 -> node.lease.handOver();
+            default -> {
+                // No change in this step.
+            }
+        }
+    }
 }
