--- a/review/standins-2/org/poplarwharf/review2/Engine.java
+++ b/review/standins-2/org/poplarwharf/review2/Engine.java
@@ -2,7 +2,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -92,10 +93,8 @@
         startCount++;
         up = true;
         draining = false;
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(new java.net.InetSocketAddress("127.0.0.1", port), 200);
-        ServerSocket opened = listener;
+        ServerSocket opened = listen();
+        listener = opened;
         int start = startCount;
         recorder.write("server %s starts, version %s", id, version);
         Threads.start(() -> {
@@ -155,6 +154,25 @@
         dark = false;
     }
 
+    /** Listens at the server's port, which the process before may still hold for a moment. */
+    private ServerSocket listen() throws IOException {
+        long endNanos = System.nanoTime() + 2_000_000_000L;
+        while (true) {
+            ServerSocket opened = new ServerSocket();
+            try {
+                opened.setReuseAddress(true);
+                opened.bind(new InetSocketAddress("127.0.0.1", port), 200);
+                return opened;
+            } catch (BindException e) {
+                opened.close();
+                if (System.nanoTime() > endNanos) {
+                    throw e;
+                }
+                Threads.sleep(5);
+            }
+        }
+    }
+
     private synchronized boolean isUp(int start) {
         return up && startCount == start;
     }
--- a/review/standins-2/org/poplarwharf/review2/OrderAfterCut.java
+++ b/review/standins-2/org/poplarwharf/review2/OrderAfterCut.java
@@ -23,6 +23,9 @@
     private static final long READY_MILLIS = 4_000;
     private static final long AFTER_MILLIS = 14_000;
 
+    /** The exit code of a player if the rule was broken. */
+    static final int BROKEN = 10;
+
     private OrderAfterCut() {}
 
     public static void main(String[] arguments) throws Exception {
@@ -37,7 +40,8 @@
         } finally {
             closeAll(parts);
         }
-        System.exit(exit);
+        // An uncaught exception ends with 1, so that a broken rule needs another code.
+        System.exit(exit == 1 ? BROKEN : exit);
     }
 
     static void closeAll(List<AutoCloseable> parts) {
--- a/review/standins-2/org/poplarwharf/review2/ReplacedServer.java
+++ b/review/standins-2/org/poplarwharf/review2/ReplacedServer.java
@@ -8,12 +8,13 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
- * Lets the two servers of a service go down and up by turns: the first one falls silent and starts again under its id, with
+ * Lets the two servers of each service go down and up by turns: the first one falls silent and starts again under its id, with
  * the next version of its software; some seconds later the second one crashes and starts again. Checks the rule ORDER: no
  * more than two streams hold events of servers of two versions.
  */
 public final class ReplacedServer {
     private static final int MACHINE_COUNT = 3;
+    private static final List<String> SERVICES = List.of("lm1", "lm2", "lm3");
     private static final int REQUESTS_PER_SECOND = 5;
     private static final int EVENT_COUNT = 58;
     private static final int EVENT_MILLIS = 220;
@@ -44,21 +45,25 @@
         } finally {
             OrderAfterCut.closeAll(parts);
         }
-        System.exit(exit);
+        System.exit(exit == 1 ? OrderAfterCut.BROKEN : exit);
     }
 
     private int play(boolean trouble, Path folder, List<AutoCloseable> parts, Recorder recorder) throws Exception {
         Store store = new Store();
         parts.add(store);
-        store.put("op", "config", Plans.plan(List.of("lm"), 2, SLOTS));
-        List<Engine> engines = new ArrayList<>();
-        for (int i = 1; i <= 2; i++) {
-            Engine engine =
-                    new Engine("i-" + i, "lm", "z1", SLOTS, EVENT_COUNT, EVENT_MILLIS, store, recorder);
-            engine.place(List.of("m0", "m1"), List.of("m0"));
-            engine.start("v1");
-            engines.add(engine);
-            parts.add(engine);
+        store.put("op", "config", Plans.plan(SERVICES, 2, SLOTS));
+        List<List<Engine>> engines = new ArrayList<>();
+        for (String service : SERVICES) {
+            List<Engine> ofService = new ArrayList<>();
+            for (int i = 1; i <= 2; i++) {
+                Engine engine = new Engine(
+                        "i-" + service + "-" + i, service, "z1", SLOTS, EVENT_COUNT, EVENT_MILLIS, store, recorder);
+                engine.place(List.of("m0", "m1"), List.of("m0"));
+                engine.start("v1");
+                ofService.add(engine);
+                parts.add(engine);
+            }
+            engines.add(ofService);
         }
         String storeAddress = store.open(value -> value);
         List<Gateway> machines = new ArrayList<>();
@@ -72,25 +77,14 @@
             return 2;
         }
         Threads.sleep(READY_MILLIS);
-        Threads.start(() -> {
-            while (!stopped) {
-                Caller caller = new Caller();
-                callers.add(caller);
-                Gateway machine = machines.get(random.nextInt(machines.size()));
-                Threads.start(() -> caller.send(machine, "/lm/x", "m0", DEADLINE_MILLIS, recorder));
-                Thread.sleep(1_000 / REQUESTS_PER_SECOND);
-            }
-        });
+        SERVICES.forEach(service -> Threads.start(() -> sendAll(service, machines, recorder)));
         Threads.sleep(WARM_UP_MILLIS);
         if (trouble) {
-            engines.get(0).goDark();
-            Threads.sleep(DARK_MILLIS);
-            engines.get(0).stop();
-            engines.get(0).start("v2");
-            Threads.sleep(UP_MILLIS);
-            engines.get(1).stop();
-            Threads.sleep(DOWN_MILLIS);
-            engines.get(1).start("v1");
+            List<Thread> troubles = new ArrayList<>();
+            engines.forEach(pair -> troubles.add(Threads.start(() -> byTurns(pair.get(0), pair.get(1)))));
+            for (Thread one : troubles) {
+                one.join();
+            }
         }
         Threads.sleep(AFTER_MILLIS);
         stopped = true;
@@ -107,4 +101,25 @@
         recorder.write(mixed.size() > MAX_MIXED_COUNT ? "ORDER is broken" : "ORDER holds");
         return mixed.size() > MAX_MIXED_COUNT ? 1 : 0;
     }
+
+    private static void byTurns(Engine first, Engine second) throws Exception {
+        first.goDark();
+        Threads.sleep(DARK_MILLIS);
+        first.stop();
+        first.start("v2");
+        Threads.sleep(UP_MILLIS);
+        second.stop();
+        Threads.sleep(DOWN_MILLIS);
+        second.start("v1");
+    }
+
+    private void sendAll(String service, List<Gateway> machines, Recorder recorder) throws InterruptedException {
+        while (!stopped) {
+            Caller caller = new Caller();
+            callers.add(caller);
+            Gateway machine = machines.get(random.nextInt(machines.size()));
+            Threads.start(() -> caller.send(machine, "/" + service + "/x", "m0", DEADLINE_MILLIS, recorder));
+            Thread.sleep(1_000 / REQUESTS_PER_SECOND);
+        }
+    }
 }
--- a/review/standins-2/org/poplarwharf/review2/VersionMix.java
+++ b/review/standins-2/org/poplarwharf/review2/VersionMix.java
@@ -52,7 +52,7 @@
         } finally {
             OrderAfterCut.closeAll(parts);
         }
-        System.exit(exit);
+        System.exit(exit == 1 ? OrderAfterCut.BROKEN : exit);
     }
 
     private final Queue<Caller> callers = new ConcurrentLinkedQueue<>();
