Verify the bytes of responses before anything of them is believed

Callers got answers that were none: with the status 000, 099, 600, 2000 or +20; with a field line whose name held a blank, passed on with its name cut off or read as the length of the body; with a malformed interim response, trailer or continuation before or behind them. A 503 with such a head counted as proof that the request had not run. On node the same, and with control bytes in names; interim responses were taken for the final one, and bytes behind a response for the response to the next request.

Cause: nothing but the decoders of Netty and ActiveJ decided whether bytes are a response, and both let through what suits a lenient client. Orders, reports, appends and reads of the log went the same way: an order answered with a malformed 202, 409 or 503 counted as accepted or refused, an append as done or not done.

Change: ResponseVerifier, in a package of its own, decides by the grammar of RFC 9112 and the status codes of RFC 9110. It stands before the decoder: in ResponseDecoder for all that a gateway reads (targets, other nodes, orders, reports, the log), in VerifyingSocketInspector for all that a node reads (targets, calls that run once, orders, reports, the log, the list of VMs), and for commands and the load generator. What fails closes the connection, is logged and counted with its reason, and leaves the outcome unknown. Interim responses are verified and not decoded, so that none stands for a final one.

--- a/src/main/java/org/poplarwharf/internal/cli/BlockingHttpClient.java
+++ b/src/main/java/org/poplarwharf/internal/cli/BlockingHttpClient.java
@@ -20,6 +20,7 @@
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.failure.Reporter;
 import org.poplarwharf.internal.kernel.MonotonicClock;
+import org.poplarwharf.internal.response.VerifyingSocketInspector;
 
 /**
  * Blocking HTTP client for commands. Each exchange runs on a separate event loop. Stateless and thread-safe.
@@ -62,7 +63,8 @@
     }
 
     private static Promise<Response> send(Eventloop loop, Request request, Duration timeout) throws IOException {
-        HttpClient client = HttpClient.builder(loop, DnsClient.create(loop, InetAddress.getLoopbackAddress()))
+        HttpClient client = new VerifyingSocketInspector()
+                .addTo(HttpClient.builder(loop, DnsClient.create(loop, InetAddress.getLoopbackAddress())))
                 .withNoKeepAlive()
                 .withConnectTimeout(CONNECT_TIMEOUT)
                 .withReadWriteTimeout(timeout)
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -67,7 +67,8 @@
         this.crashHistory = crashHistory;
         this.crashDetector = crashDetector;
         this.reachabilityWatch = new ReachabilityWatch(view, clock, loop, log, metrics);
-        this.connections = new TargetConnectionPool(loop, reachabilityWatch.reachability());
+        this.connections = new TargetConnectionPool(
+                loop, reachabilityWatch.reachability(), new BrokenResponseRecorder(log, metrics));
         this.retryBudget = new RetryBudgetShare(
                 settings.retryRatio(), settings.minRetryCount(), settings.retryWindowMillis(), clock.nowMillis());
         this.statements =
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayMetrics.java
@@ -26,6 +26,11 @@
         registry.counter("gateway.sends").inc();
     }
 
+    /** Counts bytes of a target, another node or the platform's log that are no response. */
+    void countBrokenResponse() {
+        registry.counter("gateway.broken_responses").inc();
+    }
+
     /** Counts an attempt that is sent to another node, since this one reaches no target. */
     void countForwarded() {
         registry.counter("gateway.sends_to_nodes").inc();
--- a/src/main/java/org/poplarwharf/internal/http/ConnectionObserver.java
+++ b/src/main/java/org/poplarwharf/internal/http/ConnectionObserver.java
@@ -11,6 +11,6 @@
     /** Called when a request is sent to a target. */
     void requestSent(String targetId);
 
-    /** Called when bytes of a target have arrived. */
+    /** Called when a part of a final response of a target has arrived. */
     void received(String targetId);
 }
--- a/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
+++ b/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
@@ -31,7 +31,8 @@
 /**
  * An HTTP client for short calls over pooled connections, with one call at a time on each connection.
  *
- * <p>Invariant: each call has exactly one result, no later than its timeout. A response without a length is complete only
+ * <p>Invariant: each call has exactly one result, no later than its timeout. Bytes that are no response are none, whatever
+ * status they state. A response without a length is complete only
  * if the peer ended its connection. A response with the id of another call is the result of none. A connection is not
  * reused after a call that got no response, nor after a response or bytes that belong to no call. Confined to its event
  * loop.
@@ -47,10 +48,12 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
     private final EventLoop loop;
+    private final BrokenResponseObserver brokenResponses;
     private final Map<InetSocketAddress, Deque<Connection>> idleByAddress = new HashMap<>();
 
-    public PooledHttpClient(EventLoop loop) {
+    public PooledHttpClient(EventLoop loop, BrokenResponseObserver brokenResponses) {
         this.loop = loop;
+        this.brokenResponses = brokenResponses;
     }
 
     /**
@@ -113,7 +116,7 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
         private final InputEndVerifier inputEnd = new InputEndVerifier();
-        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
+        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig(), brokenResponses);
         private Optional<CallId> callId = Optional.empty();
         private boolean reusable;
         private Channel channel;
@@ -145,7 +148,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (response.decoderResult().isFailure()) {
-                fail("unreadable answer");
+                fail("unreadable answer: " + response.decoderResult().cause());
                 return;
             }
             if (isForOtherCall(response)) {
--- a/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.poplarwharf.internal.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -7,30 +8,42 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.poplarwharf.internal.response.BrokenResponseException;
+import org.poplarwharf.internal.response.ResponseVerifier;
 
 /**
  * Decodes the responses of a connection that carries one request at a time. Netty's client codec does not tell whether
- * bytes are left after a response; it would take them for the beginning of the next one. Confined to the event loop.
+ * bytes are left after a response; it would take them for the beginning of the next one.
+ *
+ * <p>Invariants: decodes only what {@link ResponseVerifier} has verified; interim responses are not decoded. Bytes that are no
+ * response are reported as an exception, after which nothing is decoded; a later handler must close the channel then.
+ * Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private final BrokenResponseObserver observer;
+    private final ResponseVerifier verifier = new ResponseVerifier();
     private HttpMethod method = HttpMethod.GET;
     private boolean expectsResponse;
     private boolean surplus;
+    private boolean hasUndecodedBytes;
+    private boolean broken;
 
-    ResponseDecoder(HttpDecoderConfig config) {
+    ResponseDecoder(HttpDecoderConfig config, BrokenResponseObserver observer) {
         super(config);
+        this.observer = observer;
     }
 
     /** Expects the response to a request; its method determines whether the response has a body. */
     void expectResponse(HttpMethod requestMethod) {
         method = requestMethod;
         expectsResponse = true;
+        verifier.expectResponse(HttpMethod.HEAD.equals(requestMethod));
     }
 
     /** Takes all bytes that follow the response, up to the next request, for surplus ones. */
     void endResponse() {
         expectsResponse = false;
-        surplus |= actualReadableBytes() > 0;
+        surplus |= hasUndecodedBytes || actualReadableBytes() > 0;
     }
 
     /** Returns whether bytes have arrived that belong to no request. */
@@ -41,7 +54,36 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         surplus |= !expectsResponse;
-        super.channelRead(context, message);
+        if (!(message instanceof ByteBuf received)) {
+            super.channelRead(context, message);
+            return;
+        }
+        try {
+            while (received.isReadable() && !broken) {
+                decodeVerified(context, received);
+            }
+        } finally {
+            received.release();
+        }
+    }
+
+    /** Decodes bytes up to the end of one response at most, and removes them from what was received. */
+    private void decodeVerified(ChannelHandlerContext context, ByteBuf received) throws Exception {
+        ResponseVerifier.Result result = verifier.verify(received.nioBuffer());
+        received.skipBytes(result.start());
+        ByteBuf verified = received.readRetainedSlice(result.length());
+        broken = result.failure().isPresent();
+        hasUndecodedBytes = broken || received.isReadable();
+        if (verified.isReadable()) {
+            super.channelRead(context, verified);
+        } else {
+            verified.release();
+        }
+        if (broken) {
+            BrokenResponseException failure = result.failure().get();
+            observer.onBrokenResponse(context.channel().remoteAddress(), failure.getMessage());
+            context.fireExceptionCaught(failure);
+        }
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -36,9 +35,6 @@
      */
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 500;
 
-    /** A target sends a few informational responses at most. */
-    private static final int MAX_INFORMATIONAL_COUNT = 16;
-
     private final String targetId;
     private final TargetConnectionPool pool;
     private final ResponseDecoder decoder;
@@ -47,8 +43,6 @@
     private int requestCount;
     private boolean written;
     private boolean reusable;
-    private boolean informational;
-    private int informationalCount;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceNanos;
 
@@ -97,7 +91,6 @@
         requestCount++;
         written = false;
         reusable = true;
-        informationalCount = 0;
         decoder.expectResponse(request.method());
         pool.observer().requestSent(targetId);
         listener.onSending();
@@ -138,13 +131,13 @@
                 return;
             }
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
-                fail("unreadable answer");
+                fail("unreadable answer: " + object.decoderResult().cause());
                 return;
             }
             if (message instanceof HttpResponse head) {
                 readHead(head);
             }
-            if (message instanceof HttpContent content && !informational) {
+            if (message instanceof HttpContent content) {
                 readContent(content);
             }
         } finally {
@@ -153,14 +146,6 @@
     }
 
     private void readHead(HttpResponse head) {
-        informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (informational) {
-            informationalCount++;
-            if (informationalCount > MAX_INFORMATIONAL_COUNT) {
-                fail("informational responses without end");
-            }
-            return;
-        }
         reusable &= BodyDelimiter.of(head) != BodyDelimiter.CONNECTION_END && HttpUtil.isKeepAlive(head);
         String keepAlive = head.headers().get(KEEP_ALIVE_HEADER, "");
         Matcher timeout = KEEP_ALIVE_TIMEOUT_SECONDS.matcher(keepAlive);
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnectionPool.java
@@ -29,11 +29,13 @@
 
     private final EventLoop loop;
     private final ConnectionObserver observer;
+    private final BrokenResponseObserver brokenResponses;
     private final Map<String, Deque<TargetConnection>> idleByTarget = new HashMap<>();
 
-    public TargetConnectionPool(EventLoop loop, ConnectionObserver observer) {
+    public TargetConnectionPool(EventLoop loop, ConnectionObserver observer, BrokenResponseObserver brokenResponses) {
         this.loop = loop;
         this.observer = observer;
+        this.brokenResponses = brokenResponses;
     }
 
     /** The target of a connection and the limits for reusing or opening it. Immutable. */
@@ -58,7 +60,8 @@
     /** Sends the request on a new connection. */
     public InFlightRequest sendOnNewConnection(
             ConnectionSpec spec, FullHttpRequest request, ResponseListener listener) {
-        ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
+        ResponseDecoder decoder =
+                new ResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), brokenResponses);
         TargetConnection connection = new TargetConnection(spec.targetId(), this, decoder);
         ChannelFuture connecting = SocketBootstraps.client(loop, spec.connectTimeoutMillis())
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/org/poplarwharf/internal/load/FixedRateProbe.java
+++ b/src/main/java/org/poplarwharf/internal/load/FixedRateProbe.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
+import org.poplarwharf.internal.response.VerifyingSocketInspector;
 
 /**
  * Measures the latency of several URLs by sending {@code GET} requests to them in turn, each at the same fixed rate.
@@ -85,7 +86,8 @@
         this.intervalNanos = NANOS_PER_SECOND / totalPerSecond;
         this.warmUpRequests = (long) (warmUpSeconds * totalPerSecond);
         this.totalRequests = warmUpRequests + (long) (seconds * totalPerSecond);
-        this.client = HttpClient.builder(eventloop, DnsClient.create(eventloop, InetAddress.getLoopbackAddress()))
+        this.client = new VerifyingSocketInspector()
+                .addTo(HttpClient.builder(eventloop, DnsClient.create(eventloop, InetAddress.getLoopbackAddress())))
                 .withKeepAliveTimeout(RESPONSE_TIMEOUT)
                 .withReadWriteTimeout(RESPONSE_TIMEOUT)
                 .build();
--- a/src/main/java/org/poplarwharf/internal/load/LoadRunner.java
+++ b/src/main/java/org/poplarwharf/internal/load/LoadRunner.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntConsumer;
+import org.poplarwharf.internal.response.VerifyingSocketInspector;
 
 /**
  * Open-loop load generator: sends each request of a workload when it is due, whether or not earlier requests have ended, to
@@ -53,7 +54,8 @@
         long longestMillis =
                 arrivals.stream().mapToLong(Arrival::deadlineMillis).max().orElse(0);
         DnsClient dns = DnsClient.create(eventloop, InetAddress.getLoopbackAddress());
-        this.client = HttpClient.builder(eventloop, dns)
+        this.client = new VerifyingSocketInspector()
+                .addTo(HttpClient.builder(eventloop, dns))
                 .withReadWriteTimeout(Duration.ofMillis(longestMillis + CLIENT_SLACK_MILLIS))
                 .build();
     }
--- a/src/main/java/org/poplarwharf/internal/protocol/SingleUseHttpClient.java
+++ b/src/main/java/org/poplarwharf/internal/protocol/SingleUseHttpClient.java
@@ -12,11 +12,13 @@
 import java.time.Duration;
 import java.util.function.Function;
 import org.poplarwharf.PoplarWharfException;
+import org.poplarwharf.internal.response.VerifyingSocketInspector;
 
 /**
  * An HTTP client that sends each request once, on a new connection and with a timeout.
  *
- * <p>Invariant: connections are not reused, so that a connection that stops delivering data affects only one request.
+ * <p>Invariants: connections are not reused, so that a connection that stops delivering data affects only one request. Bytes
+ * that are no response fail the request, whatever status they state.
  * Confined to one reactor thread.
  */
 final class SingleUseHttpClient {
@@ -36,7 +38,8 @@
         this.reactor = reactor;
         this.timeoutMillis = timeoutMillis;
         DnsClient dns = DnsClient.create(reactor, InetAddress.getLoopbackAddress());
-        client = HttpClient.builder(reactor, dns)
+        client = new VerifyingSocketInspector()
+                .addTo(HttpClient.builder(reactor, dns))
                 .withNoKeepAlive()
                 .withConnectTimeout(CONNECT_TIMEOUT)
                 .withReadWriteTimeout(Duration.ofMillis(timeoutMillis))
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/response/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Decides whether the bytes that a connection brings are an HTTP response, for all that read responses. No routing, no
+ * retries, no clock.
+ */
+package org.poplarwharf.internal.response;
--- a/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
+++ b/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
@@ -2,6 +2,7 @@
 
 import io.activej.dns.IDnsClient;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.net.socket.tcp.TcpSocket;
@@ -11,12 +12,14 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import org.poplarwharf.internal.response.VerifyingSocketInspector;
 
 /**
  * A connection to a target that carries one exchange at a time and can be aborted at any time.
  *
- * <p>Invariant: each instance owns an HTTP client, so that its socket is known and the client never resends a request
- * on another connection. Confined to one reactor thread.
+ * <p>Invariants: each instance owns an HTTP client, so that its socket is known and the client never resends a request
+ * on another connection. Bytes that are no response fail the exchange, whatever status they state; a connection that has
+ * carried bytes behind a response is not reused. Confined to one reactor thread.
  */
 public final class AbortableConnection {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -26,22 +29,20 @@
     private final String address;
     private final long progressTimeoutMillis;
     private final HttpClient client;
+    private final SocketTracker socketTracker = new SocketTracker();
     private Optional<TcpSocket> socket = Optional.empty();
     private boolean mayHaveSentBytes;
     private boolean isStalled;
     private boolean aborted;
+    private boolean hasSurplusBytes;
 
     AbortableConnection(
             NioReactor reactor, IDnsClient dns, String address, long progressTimeoutMillis, boolean reusable) {
         this.reactor = reactor;
         this.address = address;
         this.progressTimeoutMillis = progressTimeoutMillis;
-        SocketTracker socketTracker = new SocketTracker();
-        // This version of the client swaps the two: it calls the TLS inspector for plain sockets and vice versa.
-        HttpClient.Builder builder = HttpClient.builder(reactor, dns)
-                .withConnectTimeout(CONNECT_TIMEOUT)
-                .withSocketInspector(socketTracker)
-                .withSocketSslInspector(socketTracker);
+        HttpClient.Builder builder =
+                socketTracker.addTo(HttpClient.builder(reactor, dns)).withConnectTimeout(CONNECT_TIMEOUT);
         this.client = (reusable ? builder.withKeepAliveTimeout(KEEP_ALIVE) : builder.withNoKeepAlive()).build();
     }
 
@@ -66,6 +67,7 @@
 
     private Promise<HttpResponse> start(HttpRequest request) {
         mayHaveSentBytes = socket.isPresent();
+        socketTracker.expectResponseTo(request);
         return client.request(request);
     }
 
@@ -114,7 +116,7 @@
     }
 
     boolean isReusable() {
-        return !aborted;
+        return !aborted && !hasSurplusBytes;
     }
 
     private void abortStalled() {
@@ -146,7 +148,16 @@
     }
 
     /** Tracks the socket that the client has opened. */
-    private final class SocketTracker extends TcpSocket.JmxInspector {
+    private final class SocketTracker extends VerifyingSocketInspector {
+        private void expectResponseTo(HttpRequest request) {
+            setExpectsHeadResponse(request.getMethod() == HttpMethod.HEAD);
+        }
+
+        @Override
+        protected void onSurplusBytes() {
+            hasSurplusBytes = true;
+        }
+
         @Override
         public void onConnect(TcpSocket opened) {
             super.onConnect(opened);
--- a/src/test/java/org/poplarwharf/internal/claim/HttpCallDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/claim/HttpCallDispatcherTest.java
@@ -77,6 +77,19 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"200 OK", "503 Service Unavailable"})
+    void call_that_is_answered_with_a_malformed_head_has_an_unknown_outcome_and_is_not_sent_again(String status)
+            throws Exception {
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            write(out, "HTTP/1.1 " + status + "\r\nX Note: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        })) {
+            assertThat(dispatch(target)).isInstanceOf(CallDispatcher.Result.OutcomeUnknown.class);
+            assertThat(target.requests).hasSize(1);
+        }
+    }
+
     private CallDispatcher.Result dispatch(RawHttpTarget target) {
         HttpCallDispatcher dispatcher =
                 new HttpCallDispatcher(control.reactor(), traffic.reactor(), HttpEngineDialect.factory(), 10_000);
--- a/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
+++ b/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
@@ -34,7 +34,7 @@
     private static final long TIMEOUT_MILLIS = 5_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PooledHttpClient client = new PooledHttpClient(group.next());
+    private final PooledHttpClient client = new PooledHttpClient(group.next(), (peer, reason) -> {});
     private ScriptedTarget server;
 
     @BeforeEach
--- a/src/test/java/org/poplarwharf/internal/platform/LateOrderResponseTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/LateOrderResponseTest.java
@@ -36,7 +36,8 @@
     private static final int ROUND_COUNT = 5;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HttpEngineClient client = new HttpEngineClient(new PooledHttpClient(group.next()));
+    private final HttpEngineClient client =
+            new HttpEngineClient(new PooledHttpClient(group.next(), (peer, reason) -> {}));
     private final Map<Socket, ScriptedTarget.Request> owedCopies = new ConcurrentHashMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private ScriptedTarget engine;
--- a/src/test/java/org/poplarwharf/internal/platform/PlatformKeyedLogTest.java
+++ b/src/test/java/org/poplarwharf/internal/platform/PlatformKeyedLogTest.java
@@ -38,7 +38,7 @@
             exchange.close();
         });
         server.start();
-        log = new PlatformKeyedLog(new PooledHttpClient(group.next()), server.getAddress());
+        log = new PlatformKeyedLog(new PooledHttpClient(group.next(), (peer, reason) -> {}), server.getAddress());
         log.onRestored((previousEra, latestEra) -> restores.add(previousEra + " to " + latestEra));
     }
 
