Take no end of a connection for that of a body while the request is written

Callers got a part of a response as a whole one: a target answered a long upload at once with a 200 without a length, sent a part of its body, ended the connection and reset it while the upload was still being written. A reset without an end before it was handled already.

Cause: a connection that is closed under an upload ends first and is reset once more of the upload arrives. The end alone counted as that of the body. InputEndVerifier tells an end from a reset, but not an end with a reset behind.

Change: on a gateway ResponseDecoder holds back the end of a body that is delimited by its connection until the request is written; if the write fails, the response is broken. A server that ends its response and goes on reading is served as before. ActiveJ shows a node the end only, and can't be made to wait, so a node takes such a response for broken at once.

Result: before, the four cases with an end before the reset failed: two in MalformedResponseGatewayTest, one each in AbortableConnectionTest and PooledHttpClientTest. They pass, and so do those without it and with a server that reads on (413 at the gateway, 200 in PooledHttpClientTest).

--- a/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
+++ b/src/main/java/org/poplarwharf/internal/http/PooledHttpClient.java
@@ -131,7 +131,6 @@
             callback = onResult;
             callId = call.id();
             reusable = true;
-            decoder.expectResponse(call.method());
             timeout = loop.schedule(() -> fail("no answer in time"), call.timeoutMillis(), TimeUnit.MILLISECONDS);
             ByteBuf body = Unpooled.wrappedBuffer(call.body());
             DefaultFullHttpRequest request =
@@ -142,7 +141,7 @@
             if (call.method() != HttpMethod.GET) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             }
-            channel.writeAndFlush(request);
+            decoder.expectResponse(call.method(), channel.writeAndFlush(request));
         }
 
         @Override
--- a/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
@@ -1,13 +1,17 @@
 package org.poplarwharf.internal.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import org.poplarwharf.internal.response.BrokenResponseException;
 import org.poplarwharf.internal.response.ResponseVerifier;
 
@@ -16,8 +20,9 @@
  * bytes are left after a response; it would take them for the beginning of the next one.
  *
  * <p>Invariants: decodes only what {@link ResponseVerifier} has verified; interim responses are not decoded. Bytes that are no
- * response are reported as an exception, after which nothing is decoded; a later handler must close the channel then.
- * Confined to the event loop.
+ * response are reported as an exception, after which nothing is decoded; a later handler must close the channel then. A response
+ * that is delimited by the end of its connection ends only once its request is written, since a connection that is reset
+ * under the request may end like any other before. Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private final BrokenResponseObserver observer;
@@ -27,15 +32,23 @@
     private boolean surplus;
     private boolean hasUndecodedBytes;
     private boolean broken;
+    private ChannelFuture requestWritten;
+
+    /** Whether the connection has ended and the end is held back until the request is written. */
+    private boolean endsWithRequest;
 
     ResponseDecoder(HttpDecoderConfig config, BrokenResponseObserver observer) {
         super(config);
         this.observer = observer;
     }
 
-    /** Expects the response to a request; its method determines whether the response has a body. */
-    void expectResponse(HttpMethod requestMethod) {
+    /**
+     * Expects the response to a request, which is being written; its method determines whether the response has a body. Must be
+     * called before the event loop reads.
+     */
+    void expectResponse(HttpMethod requestMethod, ChannelFuture written) {
         method = requestMethod;
+        requestWritten = written;
         expectsResponse = true;
         verifier.expectResponse(HttpMethod.HEAD.equals(requestMethod));
     }
@@ -80,12 +93,43 @@
             verified.release();
         }
         if (broken) {
-            BrokenResponseException failure = result.failure().get();
-            observer.onBrokenResponse(context.channel().remoteAddress(), failure.getMessage());
-            context.fireExceptionCaught(failure);
+            reportBroken(context, result.failure().get());
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        boolean isEnd = event instanceof ChannelInputShutdownEvent;
+        if (!isEnd || !verifier.isDelimitedByConnectionEnd() || requestWritten.isDone()) {
+            super.userEventTriggered(context, event);
+            return;
+        }
+        endsWithRequest = true;
+        requestWritten.addListener(written -> {
+            if (written.isSuccess()) {
+                endsWithRequest = false;
+                super.userEventTriggered(context, event);
+            } else if (!(written.cause() instanceof ClosedChannelException)) {
+                reportBroken(context, new BrokenResponseException("connection reset while the request was written"));
+            }
+        });
+    }
+
+    /** Reports an end that was held back, which the decoder would take for that of the response. */
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        if (endsWithRequest) {
+            context.fireExceptionCaught(new IOException("connection closed while the request was written"));
+        }
+        super.channelInactive(context);
+    }
+
+    private void reportBroken(ChannelHandlerContext context, BrokenResponseException failure) {
+        broken = true;
+        observer.onBrokenResponse(context.channel().remoteAddress(), failure.getMessage());
+        context.fireExceptionCaught(failure);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean isTunnel = HttpMethod.CONNECT.equals(method)
--- a/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
+++ b/src/main/java/org/poplarwharf/internal/http/TargetConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -91,10 +92,12 @@
         requestCount++;
         written = false;
         reusable = true;
-        decoder.expectResponse(request.method());
         pool.observer().requestSent(targetId);
         listener.onSending();
-        channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+        HttpMethod method = request.method();
+        ChannelFuture writing = channel.writeAndFlush(request);
+        decoder.expectResponse(method, writing);
+        writing.addListener(done -> written = done.isSuccess());
     }
 
     boolean isReusable(long maxIdleMillis) {
--- a/src/main/java/org/poplarwharf/internal/response/ResponseVerifier.java
+++ b/src/main/java/org/poplarwharf/internal/response/ResponseVerifier.java
@@ -91,6 +91,11 @@
         return complete;
     }
 
+    /** Returns whether the body in progress ends with the connection, so that nothing but the connection tells its end. */
+    public boolean isDelimitedByConnectionEnd() {
+        return part == Part.BODY_TO_CONNECTION_END;
+    }
+
     /** Returns whether the head that was verified last delimits its body by a transfer coding with blanks or lines after it. */
     public boolean hasPaddedTransferCoding() {
         return fields.isTransferEncodingPadded();
--- a/src/main/java/org/poplarwharf/internal/response/VerifyingSocketInspector.java
+++ b/src/main/java/org/poplarwharf/internal/response/VerifyingSocketInspector.java
@@ -16,11 +16,19 @@
  * written before its response begins.
  *
  * <p>ActiveJ takes a transfer coding for none if blanks or further lines follow it, and would pass on chunks as the body. Such
- * a response, though lawful, is refused as broken. May serve several sockets of one client; confined to its reactor thread.
+ * a response, though lawful, is refused as broken. So is one that is delimited by the end of its connection, if that ends while
+ * the request is still written: a server may end it so and go on reading, but the client can't be made to wait for a reset. May
+ * serve several sockets of one client; confined to its reactor thread.
  */
 public class VerifyingSocketInspector extends TcpSocket.JmxInspector {
     private boolean expectsHeadResponse;
 
+    /** The request and the response that a socket carries. */
+    private static final class Exchange {
+        private final ResponseVerifier verifier = new ResponseVerifier();
+        private boolean hasUnwrittenBytes;
+    }
+
     /** Adds the inspector to a client. This version of the client uses the TLS inspector for plain sockets and vice versa. */
     public HttpClient.Builder addTo(HttpClient.Builder client) {
         return client.withSocketInspector(this).withSocketSslInspector(this);
@@ -37,13 +45,24 @@
     @Override
     public void onConnect(TcpSocket socket) {
         super.onConnect(socket);
-        socket.setUserData(new ResponseVerifier());
+        socket.setUserData(new Exchange());
     }
 
     @Override
     public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
         super.onWrite(socket, buf, bytes);
-        verifierOf(socket).expectResponse(expectsHeadResponse);
+        Exchange exchange = exchangeOf(socket);
+        exchange.verifier.expectResponse(expectsHeadResponse);
+        exchange.hasUnwrittenBytes = bytes < buf.readRemaining();
+    }
+
+    @Override
+    public void onReadEndOfStream(TcpSocket socket) {
+        super.onReadEndOfStream(socket);
+        Exchange exchange = exchangeOf(socket);
+        if (exchange.hasUnwrittenBytes && exchange.verifier.isDelimitedByConnectionEnd()) {
+            close(socket, new BrokenResponseException("connection ended while the request was written"));
+        }
     }
 
     @Override
@@ -52,7 +71,7 @@
         if (!buf.canRead()) {
             return;
         }
-        ResponseVerifier verifier = verifierOf(socket);
+        ResponseVerifier verifier = exchangeOf(socket).verifier;
         if (verifier.isComplete()) {
             onSurplusBytes();
             buf.tail(buf.head());
@@ -75,8 +94,8 @@
         buf.head(readStart + result.start());
     }
 
-    private static ResponseVerifier verifierOf(TcpSocket socket) {
-        return (ResponseVerifier) socket.getUserData();
+    private static Exchange exchangeOf(TcpSocket socket) {
+        return (Exchange) socket.getUserData();
     }
 
     private static void close(TcpSocket socket, BrokenResponseException failure) {
--- a/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
@@ -181,7 +181,7 @@
 
     /** The response begins before the request is written, as that of a server that answers an upload at once. */
     @ParameterizedTest
-    @CsvSource({"/once/x,false", "/safe/x,false"})
+    @CsvSource({"/once/x,true", "/once/x,false", "/safe/x,true", "/safe/x,false"})
     void part_of_an_unframed_response_to_an_upload_that_is_reset_does_not_look_complete(
             String path, boolean endsBeforeReset) throws Exception {
         ScriptedTarget target = cluster.addTarget("desk", "");
--- a/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
+++ b/src/test/java/org/poplarwharf/internal/http/PooledHttpClientTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -112,4 +113,31 @@
 
         assertThat(call(LONG_BODY_BYTES)).isInstanceOf(HttpCallResult.NoResponse.class);
     }
+
+    @Test
+    void response_without_length_whose_connection_ends_and_is_reset_while_the_request_is_written_is_not_complete()
+            throws Exception {
+        server.leavesBodyUnread = true;
+        server.script = (request, out) -> {
+            ScriptedTarget.write(out, HEAD + "par");
+            request.connection().shutdownOutput();
+            Thread.sleep(READ_MILLIS);
+            request.resetConnection();
+        };
+
+        assertThat(call(LONG_BODY_BYTES)).isInstanceOf(HttpCallResult.NoResponse.class);
+    }
+
+    @Test
+    void response_without_length_that_ends_before_its_server_has_read_the_request_is_complete() throws Exception {
+        server.leavesBodyUnread = true;
+        server.script = (request, out) -> {
+            ScriptedTarget.write(out, HEAD + "whole");
+            request.connection().shutdownOutput();
+            Thread.sleep(READ_MILLIS);
+            request.connection().getInputStream().transferTo(OutputStream.nullOutputStream());
+        };
+
+        assertThat(call(LONG_BODY_BYTES)).isInstanceOf(HttpCallResult.Response.class);
+    }
 }
--- a/src/test/java/org/poplarwharf/internal/target/AbortableConnectionTest.java
+++ b/src/test/java/org/poplarwharf/internal/target/AbortableConnectionTest.java
@@ -62,7 +62,7 @@
 
     /** The response begins before the request is written, as that of a server that answers an upload at once. */
     @ParameterizedTest
-    @ValueSource(booleans = {false})
+    @ValueSource(booleans = {true, false})
     void part_of_an_unframed_response_to_an_upload_that_is_reset_does_not_look_complete(boolean endsBeforeReset) {
         target.leavesBodyUnread = true;
         target.script = (request, out) -> {
