--- a/src/test/java/org/poplarwharf/internal/response/ResponseVerifierPropertyTest.java
+++ b/src/test/java/org/poplarwharf/internal/response/ResponseVerifierPropertyTest.java
@@ -8,13 +8,13 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.regex.Pattern;
-import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
-import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.statistics.Statistics;
+import org.poplarwharf.support.MutatedResponses;
 
 /**
  * Mutates sound responses and compares the verdict on them with that of a grammar written as regular expressions, which shares
@@ -34,80 +34,27 @@
     private static final Pattern TRAILERS = Pattern.compile("(?:" + FIELD + ")*\\r\\n");
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
-    private static final List<String> SOUND = List.of(
-            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
-            "HTTP/1.0 404\r\ncontent-length:0\r\n\r\n",
-            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\n{}",
-            "HTTP/1.1 200 OK\r\nX-Note: a\r\n b\r\n\tc\r\nContent-Length: 3\r\n\r\nabc",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\nc;a=b;c=\"d\"\r\nid: 1\ndata: 2\r\n"
-                    + "0\r\nX-Sum: 1\r\n\r\n",
-            "HTTP/1.1 204 No Content\r\nX-Request-Id: r1\r\n\r\n",
-            "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
-            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end");
-
-    /** Bytes that mean something in a head, of which mutations are made more often than of others. */
-    private static final String SIGNIFICANT = "\r\n\0\u0001\u007f \t:;=,\"\\019aAzZ\u00e9HTP/.-+";
-
     enum Verdict {
         BROKEN,
         UNFINISHED,
         COMPLETE
     }
 
-    /** A change of the bytes at a place, which is counted modulo the length of the response. */
-    record Mutation(Kind kind, int place, char replacement) {
-        enum Kind {
-            REPLACE,
-            INSERT,
-            DELETE,
-            REPEAT_LINE
-        }
-
-        String apply(String response) {
-            if (response.isEmpty()) {
-                return response;
-            }
-            int index = place % response.length();
-            String before = response.substring(0, index);
-            String after = response.substring(index);
-            return switch (kind) {
-                case REPLACE -> before + replacement + after.substring(1);
-                case INSERT -> before + replacement + after;
-                case DELETE -> before + after.substring(1);
-                case REPEAT_LINE -> before + lineFrom(after) + after;
-            };
-        }
-
-        private static String lineFrom(String text) {
-            int end = text.indexOf('\n');
-            return end < 0 ? text : text.substring(0, end + 1);
-        }
-    }
-
     @Provide
     Arbitrary<String> mutatedResponses() {
-        Arbitrary<Character> bytes = Arbitraries.oneOf(
-                Arbitraries.of(SIGNIFICANT.chars().mapToObj(c -> (char) c).toList()),
-                Arbitraries.chars().range('\0', '\u00ff'));
-        Arbitrary<Mutation> mutations = Combinators.combine(
-                        Arbitraries.of(Mutation.Kind.values()),
-                        Arbitraries.integers().between(0, 500),
-                        bytes)
-                .as(Mutation::new);
-        return Combinators.combine(
-                        Arbitraries.of(SOUND), mutations.list().ofMinSize(0).ofMaxSize(3))
-                .as((response, changes) -> {
-                    String mutated = response;
-                    for (Mutation change : changes) {
-                        mutated = change.apply(mutated);
-                    }
-                    return mutated;
-                });
+        return MutatedResponses.arbitrary();
     }
 
     @Property(tries = 20_000)
     void verdict_is_that_of_the_grammar(@ForAll("mutatedResponses") String response) {
-        assertThat(verify(response, response.length()).verdict()).isEqualTo(verdictOfGrammar(response));
+        Verdict verdict = verify(response, response.length()).verdict();
+
+        assertThat(verdict).isEqualTo(verdictOfGrammar(response));
+        Statistics.collect(verdict);
+        Statistics.coverage(coverage -> {
+            coverage.check(Verdict.BROKEN).percentage(share -> share > 20);
+            coverage.check(Verdict.COMPLETE).percentage(share -> share > 20);
+        });
     }
 
     @Property(tries = 5_000)
