Name and split what verifies responses

The step from one part of a response to the next is a method of its own, and what is held back is named for that. The reason why the beginning of a status line goes on before its code is known stands beside its field. A test for a refusal with a malformed trailer, which proves nothing either.

--- a/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
+++ b/src/main/java/org/poplarwharf/internal/http/ResponseDecoder.java
@@ -35,7 +35,7 @@
     private ChannelFuture requestWritten;
 
     /** Whether the connection has ended and the end is held back until the request is written. */
-    private boolean endsWithRequest;
+    private boolean isEndHeldBack;
 
     ResponseDecoder(HttpDecoderConfig config, BrokenResponseObserver observer) {
         super(config);
@@ -104,21 +104,26 @@
             super.userEventTriggered(context, event);
             return;
         }
-        endsWithRequest = true;
+        isEndHeldBack = true;
         requestWritten.addListener(written -> {
             if (written.isSuccess()) {
-                endsWithRequest = false;
+                isEndHeldBack = false;
                 super.userEventTriggered(context, event);
-            } else if (!(written.cause() instanceof ClosedChannelException)) {
+            } else if (!isClosedHere(written.cause())) {
                 reportBroken(context, new BrokenResponseException("connection reset while the request was written"));
             }
         });
     }
 
+    /** Returns whether a request was not written since this side has closed the connection. */
+    private static boolean isClosedHere(Throwable cause) {
+        return cause instanceof ClosedChannelException;
+    }
+
     /** Reports an end that was held back, which the decoder would take for that of the response. */
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        if (endsWithRequest) {
+        if (isEndHeldBack) {
             context.fireExceptionCaught(new IOException("connection closed while the request was written"));
         }
         super.channelInactive(context);
--- a/src/main/java/org/poplarwharf/internal/response/BodyFraming.java
+++ b/src/main/java/org/poplarwharf/internal/response/BodyFraming.java
@@ -17,9 +17,10 @@
     /**
      * Returns the framing that a head states.
      *
-     * @param isHead whether the request had the method {@code HEAD}, whose responses have no body
+     * @param isHeadRequest whether the request had the method {@code HEAD}, whose responses have no body
      */
-    static BodyFraming of(StatusLine status, FieldSection fields, boolean isHead) throws BrokenResponseException {
+    static BodyFraming of(StatusLine status, FieldSection fields, boolean isHeadRequest)
+            throws BrokenResponseException {
         boolean hasCoding = fields.transferEncoding().isPresent();
         if (hasCoding && fields.contentLength().isPresent()) {
             throw new BrokenResponseException("both a length and a transfer coding");
@@ -33,7 +34,7 @@
         long lengthBytes = fields.contentLength().isPresent()
                 ? parseLength(fields.contentLength().get())
                 : 0;
-        if (isHead || status.isInterim() || status.status() == 204 || status.status() == 304) {
+        if (isHeadRequest || status.isInterim() || status.status() == 204 || status.status() == 304) {
             return new None();
         }
         if (hasCoding) {
--- a/src/main/java/org/poplarwharf/internal/response/ResponseVerifier.java
+++ b/src/main/java/org/poplarwharf/internal/response/ResponseVerifier.java
@@ -45,14 +45,18 @@
     private Optional<StatusLine> status = Optional.empty();
     private FieldSection fields = new FieldSection();
     private FieldSection trailers = new FieldSection();
-    private boolean isHead;
+    private boolean isHeadRequest;
     private boolean complete;
     private int interimCount;
     private int interimVersion;
     private int sectionBytes;
     private long remainingBytes;
 
-    /** How many bytes of the status line of a response the decoder has; they may be those of an interim response. */
+    /**
+     * How many bytes of the status line the decoder has. A status line that ends before its status code is passed on, as bytes
+     * that were held back might not fit into the next read. If it turns out to be that of an interim response, as many bytes of
+     * the next status line are dropped in their place: up to the status code both are the same.
+     */
     private int passedStatusLineBytes;
 
     private enum Part {
@@ -81,8 +85,8 @@
     }
 
     /** Expects the response to a request; one to a request with the method {@code HEAD} has no body. */
-    public void expectResponse(boolean isHeadRequest) {
-        isHead = isHeadRequest;
+    public void expectResponse(boolean isHead) {
+        isHeadRequest = isHead;
         complete = false;
     }
 
@@ -103,38 +107,41 @@
 
     /** Verifies the next bytes of the connection, up to the end of a final response at most. */
     public Result verify(ByteBuffer bytes) {
-        int readStart = bytes.position();
         if (failure.isPresent()) {
             return new Result(0, 0, failure);
         }
         complete = false;
-        int passStart = readStart;
-        int soundEnd = readStart;
+        ByteBuffer read = bytes.slice();
+        int passStart = 0;
+        int soundEnd = 0;
         try {
-            while (bytes.hasRemaining() && !complete) {
-                int lineStart = bytes.position() - line.length();
-                boolean wasStatusLine = part == Part.STATUS_LINE;
-                boolean wasInterim = isInInterimResponse();
-                verifyPart(bytes);
-                if (wasInterim || isInInterimResponse()) {
-                    passStart = bytes.position();
-                } else if (wasStatusLine) {
-                    passStart = Math.clamp(lineStart + passedStatusLineBytes, readStart, bytes.limit());
-                }
-                if (hasPassedHead()) {
-                    soundEnd = bytes.position();
+            while (read.hasRemaining() && !complete) {
+                passStart = verifyNextPart(read, passStart);
+                if (isHeadVerified()) {
+                    soundEnd = read.position();
                 }
             }
         } catch (BrokenResponseException e) {
             failure = Optional.of(e);
-            return new Result(passStart - readStart, Math.max(passStart, soundEnd) - readStart, failure);
+            return new Result(passStart, Math.max(passStart, soundEnd), failure);
         }
-        int passEnd = Math.max(passStart, bytes.position());
         rememberPassedStatusLine();
-        return new Result(passStart - readStart, passEnd - readStart, Optional.empty());
+        return new Result(passStart, Math.max(passStart, read.position()), Optional.empty());
+    }
+
+    /** Verifies up to the end of a part of the response or of the read, and returns where what is passed on starts. */
+    private int verifyNextPart(ByteBuffer read, int passStart) throws BrokenResponseException {
+        int lineStart = read.position() - line.length();
+        boolean wasStatusLine = part == Part.STATUS_LINE;
+        boolean wasInterim = isInInterimResponse();
+        verifyPart(read);
+        if (wasInterim || isInInterimResponse()) {
+            return read.position();
+        }
+        return wasStatusLine ? Math.clamp(lineStart + passedStatusLineBytes, 0, read.limit()) : passStart;
     }
 
-    private boolean hasPassedHead() {
+    private boolean isHeadVerified() {
         return complete || (part != Part.STATUS_LINE && part != Part.FIELDS);
     }
 
@@ -247,7 +254,7 @@
             return;
         }
         StatusLine head = status.orElseThrow();
-        BodyFraming framing = BodyFraming.of(head, fields, isHead);
+        BodyFraming framing = BodyFraming.of(head, fields, isHeadRequest);
         if (head.isInterim()) {
             status = Optional.empty();
             enter(Part.STATUS_LINE);
--- a/src/main/java/org/poplarwharf/internal/response/VerifyingSocketInspector.java
+++ b/src/main/java/org/poplarwharf/internal/response/VerifyingSocketInspector.java
@@ -21,7 +21,7 @@
  * serve several sockets of one client; confined to its reactor thread.
  */
 public class VerifyingSocketInspector extends TcpSocket.JmxInspector {
-    private boolean expectsHeadResponse;
+    private boolean isHeadRequest;
 
     /** The request and the response that a socket carries. */
     private static final class Exchange {
@@ -35,8 +35,8 @@
     }
 
     /** Sets whether requests from now on have the method {@code HEAD}, whose responses have no body. */
-    protected final void setExpectsHeadResponse(boolean isHeadRequest) {
-        expectsHeadResponse = isHeadRequest;
+    protected final void setHeadRequest(boolean isHead) {
+        isHeadRequest = isHead;
     }
 
     /** Called when bytes have arrived that belong to no request. Such a socket should carry no further one. */
@@ -52,7 +52,7 @@
     public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
         super.onWrite(socket, buf, bytes);
         Exchange exchange = exchangeOf(socket);
-        exchange.verifier.expectResponse(expectsHeadResponse);
+        exchange.verifier.expectResponse(isHeadRequest);
         exchange.hasUnwrittenBytes = bytes < buf.readRemaining();
     }
 
@@ -89,6 +89,7 @@
         if (result.end() < buf.readRemaining()) {
             onSurplusBytes();
         }
+        // The decoder reads this buffer, and what is cut off here never reaches it.
         int readStart = buf.head();
         buf.tail(readStart + result.end());
         buf.head(readStart + result.start());
--- a/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
+++ b/src/main/java/org/poplarwharf/internal/target/AbortableConnection.java
@@ -150,7 +150,7 @@
     /** Tracks the socket that the client has opened. */
     private final class SocketTracker extends VerifyingSocketInspector {
         private void expectResponseTo(HttpRequest request) {
-            setExpectsHeadResponse(request.getMethod() == HttpMethod.HEAD);
+            setHeadRequest(request.getMethod() == HttpMethod.HEAD);
         }
 
         @Override
--- a/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
@@ -95,6 +95,21 @@
         assertFailsOnce(target);
     }
 
+    @Test
+    void refusal_with_a_malformed_trailer_does_not_prove_that_the_request_has_not_run() throws Exception {
+        ScriptedTarget target = addTarget((request, out) -> {
+            ScriptedTarget.write(
+                    out,
+                    head(
+                            "HTTP/1.1 503 Service Unavailable",
+                            request,
+                            "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 1\r\n\r\n"));
+            Thread.sleep(READ_MILLIS);
+        });
+
+        assertFailsOnce(target);
+    }
+
     @Test
     void request_that_may_be_repeated_is_answered_by_another_target() throws Exception {
         AtomicInteger malformedCount = new AtomicInteger();
