--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -26,36 +26,11 @@
     /** A terminated process is killed after its shutdown grace period. */
     private static final long TERMINATION_MILLIS = SoakGateway.SHUTDOWN_GRACE_SECONDS * 1_000 + 500;
 
-    /** Earlier seeds play the same faults as before kinds were added. */
-    private static final long FIRST_SEED_OF_ADDED_KINDS = 1_000;
-
-    private static final long FIRST_SEED_WITH_LIMITS = 100_000;
-
-    /** From this seed on, targets also respond without length or chunks, and some callers take no chunks. */
-    static final long FIRST_SEED_WITHOUT_FRAMING = 200_000;
-
-    /** From this seed on, the log has no faults, since the check of crashing requests does not count beside them. */
-    private static final long FIRST_SEED_WITHOUT_LOG_FAULTS = 400_000;
-
-    /**
-     * From this seed on, targets fall silent, the configuration changes in series, some callers pipeline requests, and the
-     * log has faults again.
-     */
-    static final long FIRST_SEED_WITH_SILENT_TARGETS = 500_000;
-
-    /** From this seed on, targets repeat refusals late, and fail runs with statuses that promise that nothing has run. */
-    static final long FIRST_SEED_WITH_FAULTY_RESPONSES = 800_000;
-
     private static final int MIN_SILENCE_MILLIS = 1_000;
     private static final int MAX_SILENCE_MILLIS = 2_500;
     private static final int MIN_CONFIG_INTERVAL_MILLIS = 50;
     private static final int MAX_CONFIG_INTERVAL_MILLIS = 400;
 
-    private static final List<Kind> LOSS_KINDS =
-            List.of(Kind.TARGET_SILENT, Kind.CONFIG_CHANGED_IN_SERIES, Kind.GATEWAY_TERMINATED);
-    private static final List<Kind> RUN_ONCE_KINDS =
-            List.of(Kind.TARGET_REPEATS_REFUSALS, Kind.TARGET_FAILS_RUNS, Kind.GATEWAY_PAUSED, Kind.GATEWAY_TERMINATED);
-
     private static final int MAX_LOST_MILLIS = 4_000;
 
     /** Long enough that a limit is also checked after the time in which gateways may learn of it. */
@@ -115,7 +90,8 @@
         TARGET_SILENT(FaultScope.TARGET),
         CONFIG_CHANGED_IN_SERIES(FaultScope.CONFIG),
         TARGET_REPEATS_REFUSALS(FaultScope.TARGET),
-        TARGET_FAILS_RUNS(FaultScope.TARGET);
+        TARGET_FAILS_RUNS(FaultScope.TARGET),
+        TARGET_SENDS_MALFORMED(FaultScope.TARGET);
 
         private final FaultScope scope;
 
@@ -129,36 +105,9 @@
     FaultInjector(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new Random(seed);
-        this.kindCount = kindCount(seed);
-        this.hasLogFaults = !isWithoutLogFaults(seed);
-        this.preferredKinds = preferredKinds(seed);
-    }
-
-    static boolean isWithoutLogFaults(long seed) {
-        return seed >= FIRST_SEED_WITHOUT_LOG_FAULTS && seed < FIRST_SEED_WITH_SILENT_TARGETS;
-    }
-
-    private static int kindCount(long seed) {
-        if (seed < FIRST_SEED_OF_ADDED_KINDS) {
-            return Kind.LOG_RESTORED.ordinal();
-        }
-        if (seed < FIRST_SEED_WITH_LIMITS) {
-            return Kind.TARGET_LIMITED.ordinal();
-        }
-        if (seed < FIRST_SEED_WITHOUT_FRAMING) {
-            return Kind.TARGET_OMITS_FRAMING.ordinal();
-        }
-        if (seed < FIRST_SEED_WITH_SILENT_TARGETS) {
-            return Kind.TARGET_SILENT.ordinal();
-        }
-        return seed < FIRST_SEED_WITH_FAULTY_RESPONSES ? Kind.TARGET_REPEATS_REFUSALS.ordinal() : Kind.values().length;
-    }
-
-    private static List<Kind> preferredKinds(long seed) {
-        if (seed < FIRST_SEED_WITH_SILENT_TARGETS) {
-            return List.of();
-        }
-        return seed < FIRST_SEED_WITH_FAULTY_RESPONSES ? LOSS_KINDS : RUN_ONCE_KINDS;
+        this.kindCount = FaultSeeds.kindCount(seed);
+        this.hasLogFaults = !FaultSeeds.isWithoutLogFaults(seed);
+        this.preferredKinds = FaultSeeds.preferredKinds(seed);
     }
 
     /** Returns a random kind; from some seed on, half of them are preferred ones. */
@@ -290,7 +239,8 @@
                     ORDERS_DELAYED,
                     TARGET_OMITS_FRAMING,
                     TARGET_REPEATS_REFUSALS,
-                    TARGET_FAILS_RUNS -> startTargetFault(kind, target);
+                    TARGET_FAILS_RUNS,
+                    TARGET_SENDS_MALFORMED -> startTargetFault(kind, target);
             case TARGET_LIMITED ->
                 Optional.of(target.nameLimit(
                         REQUESTS_PER_SECOND_LIMITS[random.nextInt(REQUESTS_PER_SECOND_LIMITS.length)]));
--- a/src/test/java/org/poplarwharf/soak/FaultyResponses.java
+++ b/src/test/java/org/poplarwharf/soak/FaultyResponses.java
@@ -12,7 +12,8 @@
 import org.poplarwharf.support.ScriptedTarget.Request;
 
 /**
- * The responses of a target that states wrongly, or at a wrong place, whether a request has run.
+ * The responses of a target that states wrongly, or at a wrong place, whether a request has run, or that sends bytes that are
+ * no response.
  *
  * <p>Invariant: the first refusal of a request is true; each further copy of it follows on the same connection.
  * Thread-safe.
@@ -33,6 +34,8 @@
 
     volatile boolean repeatsRefusals;
     volatile boolean failsRuns;
+    volatile boolean sendsMalformed;
+    private final AtomicInteger malformedCount = new AtomicInteger();
     private final AtomicInteger requestCount = new AtomicInteger();
     private final AtomicInteger refusalCount = new AtomicInteger();
     private final AtomicInteger failureCount = new AtomicInteger();
@@ -81,6 +84,28 @@
         return true;
     }
 
+    /** Responds to a request that has run, if it is its turn, with bytes that are no HTTP response. */
+    boolean malform(Request request, OutputStream out) throws IOException {
+        if (!sendsMalformed || malformedCount.getAndIncrement() % FAULT_INTERVAL != 0) {
+            return false;
+        }
+        String fields = "\r\nX-Request-Id: " + request.id() + "\r\nX-Response-Seal: s\r\n";
+        String body = SoakTarget.responseBody(request.id());
+        String length = "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        ScriptedTarget.write(
+                out,
+                switch (malformedCount.get() / FAULT_INTERVAL % 5) {
+                    case 0 -> "HTTP/1.1 000 OK" + fields + length;
+                    case 1 -> "HTTP/1.1 200 OK" + fields + "X Note: 1\r\n" + length;
+                    case 2 -> "HTTP/1.1 503 Unavailable" + fields + "X-Not-Executed: 1\r\nX Note: 1\r\n" + length;
+                    case 3 -> "HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK" + fields + length;
+                    default ->
+                        "HTTP/1.1 200 OK" + fields + "Transfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\nX Sum: 1\r\n\r\n";
+                });
+        return true;
+    }
+
     private static boolean mayRunOnce(Request request) {
         return Stream.of(CallKind.values())
                 .filter(kind -> !kind.retryable)
--- a/src/test/java/org/poplarwharf/soak/LossCheck.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -23,7 +23,8 @@
             Kind.TARGET_ABORTS_RESPONSES,
             Kind.TARGET_OMITS_FRAMING,
             Kind.TARGET_REPEATS_REFUSALS,
-            Kind.TARGET_FAILS_RUNS);
+            Kind.TARGET_FAILS_RUNS,
+            Kind.TARGET_SENDS_MALFORMED);
 
     /** Faults under which a target may have been sent requests that it has not recorded. */
     private static final Set<String> REACHABILITY_FAULTS = names(
--- a/src/test/java/org/poplarwharf/soak/SoakCallers.java
+++ b/src/test/java/org/poplarwharf/soak/SoakCallers.java
@@ -37,9 +37,9 @@
     void start() {
         for (int i = 0; i < CALLER_COUNT; i++) {
             Random random = new Random(seed * CALLER_COUNT + i);
-            boolean takesChunks = seed < FaultInjector.FIRST_SEED_WITHOUT_FRAMING || i >= CALLER_COUNT_WITHOUT_CHUNKS;
+            boolean takesChunks = seed < FaultSeeds.FIRST_SEED_WITHOUT_FRAMING || i >= CALLER_COUNT_WITHOUT_CHUNKS;
             boolean pipelines =
-                    seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS && i >= CALLER_COUNT - PIPELINING_CALLER_COUNT;
+                    seed >= FaultSeeds.FIRST_SEED_WITH_SILENT_TARGETS && i >= CALLER_COUNT - PIPELINING_CALLER_COUNT;
             threads.add(Thread.startVirtualThread(() -> send(random, takesChunks, pipelines)));
         }
     }
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -64,7 +64,12 @@
     @Test
     void requests_that_may_run_once_are_not_repeated_or_refused_after_a_run_by_wrong_responses_of_targets()
             throws Exception {
-        assertThat(runSoak(FaultInjector.FIRST_SEED_WITH_FAULTY_RESPONSES)).isEmpty();
+        assertThat(runSoak(FaultSeeds.FIRST_SEED_WITH_FAULTY_RESPONSES)).isEmpty();
+    }
+
+    @Test
+    void promises_hold_while_targets_send_bytes_that_are_no_response() throws Exception {
+        assertThat(runSoak(FaultSeeds.FIRST_SEED_WITH_MALFORMED_RESPONSES)).isEmpty();
     }
 
     /**
@@ -171,7 +176,7 @@
                 }
             }
             violations.addAll(new InvariantChecker(calls, fleet.activity, fleet.faultTimeline).violations());
-            if (seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS) {
+            if (seed >= FaultSeeds.FIRST_SEED_WITH_SILENT_TARGETS) {
                 violations.addAll(
                         new LossCheck(fleet.targets(), fleet.activity, fleet.faultTimeline).violations(calls));
             }
@@ -191,8 +196,8 @@
     }
 
     private SoakFleet newFleet(long seed) throws IOException {
-        boolean variesConfig = seed >= FaultInjector.FIRST_SEED_WITH_SILENT_TARGETS;
-        boolean hasAccounts = seed >= FIRST_SEED_WITH_ACCOUNTS && seed < FaultInjector.FIRST_SEED_WITH_FAULTY_RESPONSES;
+        boolean variesConfig = seed >= FaultSeeds.FIRST_SEED_WITH_SILENT_TARGETS;
+        boolean hasAccounts = seed >= FIRST_SEED_WITH_ACCOUNTS && seed < FaultSeeds.FIRST_SEED_WITH_FAULTY_RESPONSES;
         Optional<SoakAccounts> accounts = hasAccounts ? Optional.of(new SoakAccounts()) : Optional.empty();
         return new SoakFleet(Files.createDirectory(directory.resolve("seed-" + seed)), variesConfig, accounts);
     }
@@ -203,7 +208,7 @@
 
     /** Every third seed without faults of the log has requests that crash targets by a part of their prompts. */
     private static CrashingCaller.Cause crashCause(long seed) {
-        return FaultInjector.isWithoutLogFaults(seed) && seed % CRASHING_CALLER_SEED_INTERVAL == 1
+        return FaultSeeds.isWithoutLogFaults(seed) && seed % CRASHING_CALLER_SEED_INTERVAL == 1
                 ? CrashingCaller.Cause.PROMPT_PART
                 : CrashingCaller.Cause.WHOLE_REQUEST;
     }
--- a/src/test/java/org/poplarwharf/soak/SoakTarget.java
+++ b/src/test/java/org/poplarwharf/soak/SoakTarget.java
@@ -152,7 +152,7 @@
         if (request.closedByPeerWithin(PROCESSING_MILLIS) || !alive || abortsResponses) {
             throw new IOException("caller disconnected, or the target crashed or aborts responses");
         }
-        if (faultyResponses.fail(request, out)) {
+        if (faultyResponses.fail(request, out) || faultyResponses.malform(request, out)) {
             return;
         }
         if (omitsFraming) {
@@ -206,6 +206,7 @@
             case TARGET_SLOW -> engine.ifPresent(running -> running.slowdownFactor = on ? ENGINE_SLOWDOWN_FACTOR : 1);
             case TARGET_REPEATS_REFUSALS -> faultyResponses.repeatsRefusals = on;
             case TARGET_FAILS_RUNS -> faultyResponses.failsRuns = on;
+            case TARGET_SENDS_MALFORMED -> faultyResponses.sendsMalformed = on;
             case ORDERS_DELAYED -> engine.ifPresent(running -> running.delaysOrders = on);
             default -> throw new IllegalArgumentException("not a fault of a target's own: " + kind);
         }
