Test targets refuse connections as soon as they have crashed

Trace: the second crash was recorded by n2 only after the third, by n3, at the same start of one target. A node takes a refused connection for the proof of a crash, and the closed listener of the test's target still accepted for a moment, until its thread noticed.

ScriptedTarget.crash now waits for that thread before it resets connections, as the end of a process refuses and resets at once.

--- a/src/test/java/org/poplarwharf/support/ScriptedTarget.java
+++ b/src/test/java/org/poplarwharf/support/ScriptedTarget.java
@@ -56,6 +56,7 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final int port;
     private volatile ServerSocket socket;
+    private volatile Thread acceptor;
 
     /** Writes a response; a thrown exception closes the connection. */
     public interface Script {
@@ -103,7 +104,7 @@
         socket.setReuseAddress(true);
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
-        Thread.startVirtualThread(this::accept);
+        acceptor = Thread.startVirtualThread(this::accept);
     }
 
     public int port() {
@@ -113,9 +114,19 @@
     /** Ends as a crashed process does: resets all connections and refuses new ones. */
     public void crash() throws IOException {
         socket.close();
+        awaitEndOfListener();
         resetConnections();
     }
 
+    /** A closed socket goes on listening until the thread that accepts its connections has noticed. */
+    private void awaitEndOfListener() {
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Listens again at the same address. */
     public void restart() throws IOException {
         listen();
