--- a/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/MalformedResponseGatewayTest.java
@@ -95,6 +95,29 @@
         assertFailsOnce(target);
     }
 
+    /** Another target is free, to which the request would go if it counted as not run. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "503 Service Unavailable",
+                "429 Too Many Requests",
+                "408 Request Timeout",
+                "421 Misdirected Request"
+            })
+    void request_that_may_run_once_is_not_sent_again_after_a_refusal_in_a_malformed_head(String status)
+            throws Exception {
+        String fieldLines = "X-Not-Executed: 1\r\nX Note: 1\r\n";
+        ScriptedTarget first = addMalformedTarget("HTTP/1.1 " + status, fieldLines);
+        ScriptedTarget second = addMalformedTarget("HTTP/1.1 " + status, fieldLines);
+
+        HttpResponse<String> response = cluster.post(node.frontPort(), "/once/x");
+
+        assertThat(response.statusCode()).as(response.body() + cluster.logs()).isEqualTo(502);
+        assertThat(response.body()).contains("\"ran\":\"unknown\"");
+        assertThat(first.executedRequestIds.size() + second.executedRequestIds.size())
+                .isEqualTo(1);
+    }
+
     @Test
     void refusal_with_a_malformed_trailer_does_not_prove_that_the_request_has_not_run() throws Exception {
         ScriptedTarget target = addTarget((request, out) -> {
