Plan loads from the weight store within what it serves, half of them for the model asked for longest

Cause: the limit of concurrent loads from the store was compared with a count taken before the pass, of loads that targets had accepted. The store serves two at full speed, so none ended for half a minute, and a target that loads takes no other order. The rate limit had the same gap: orders without a result did not count.

Changes: - planned and ordered loads count against both limits; - a late load lowers the limit by one, once for the loads that began under it, instead of to one load for a minute each time; it is raised only if all loads that reached it ended in time. Loads at targets that miss reports do not count; - every other load from the store is for the model that callers have asked for in vain for longest. So with n models asked for before it, a model is loaded after at most 2n + 1 others, whatever else is asked for; - a report that states an order which this holder has not sent makes the target busy: its plan moves to another target. A plan whose load doesn't begin within 5 s is dropped too; - a late load is expected to take as long again, so that its callers are refused at once instead of being queued as if its targets were full; another target with a copy loads the model meanwhile; - load-not-possible states the cause and for how long callers have asked; store-limit-changed and load-plan-dropped are new.

Tests: 7 cases of StoreLoadDispatcherTest, and PlacementSimulationTest with a generator over demand, crashes and targets that come back empty.

--- a/src/main/java/org/poplarwharf/internal/dispatch/AdapterLoader.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/AdapterLoader.java
@@ -29,7 +29,7 @@
         ModelInstance instance = engine.models.get(model);
         if (instance == null
                 || instance.adapters.containsKey(adapter)
-                || engine.isLoading(nowMillis)
+                || engine.loads.isLoading(nowMillis)
                 || !orders.canOrder(engine, nowMillis)) {
             return;
         }
--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -70,7 +70,7 @@
                 new LoadRateLimiter(spec.storeLoadsPerSecond(), limits.windowMillis(), limits.rateFactor());
         this.orders = new EngineOrderController(loadRate, actions);
         this.adapterLoader = new AdapterLoader(orders);
-        this.modelLoads = new ModelLoadController(demand, loadRate, orders, actions);
+        this.modelLoads = new ModelLoadController(demand, unserved, loadRate, orders, actions);
     }
 
     /** Limits the loads from the weight store that start within a window to the store's rate times a factor. */
@@ -106,8 +106,7 @@
             placeQueuedSoon(nowMillis);
         }
         if (!engineByKey.containsKey(request.key())) {
-            modelLoads.reconcile(
-                    spec, engines.values(), unserved.modelsInOrder(nowMillis), queuedByFullModel, nowMillis);
+            modelLoads.reconcile(spec, engines.values(), queuedByFullModel, nowMillis);
         }
     }
 
@@ -157,6 +156,7 @@
 
     /** Handles the result of an order. Ignores it if the target has restarted since. */
     public void handleOrderResult(EngineOrder order, OrderResult result, long nowMillis) {
+        orders.recordStoreLoad(order, result, nowMillis);
         EngineState engine = engines.get(order.target().id());
         if (engine != null && order.target().isSameIncarnation(engine.target)) {
             orders.handleResult(engine, order, result, nowMillis);
@@ -172,8 +172,12 @@
         }
         engine.reportPending = false;
         if (report.isPresent()) {
+            engine.unansweredReportCount = 0;
+            boolean wasOccupied = engine.loads.isOccupiedByOtherOrder();
             engine.updateFromReport(report.get(), nowMillis);
+            modelLoads.recordFreedTarget(wasOccupied && !engine.loads.isOccupiedByOtherOrder());
         } else {
+            engine.unansweredReportCount++;
             engine.nextOrderMillis = nowMillis + WaitingPolicy.RETRY_AFTER_MILLIS;
         }
         placeQueued(nowMillis);
@@ -193,7 +197,9 @@
     public boolean hasPendingWork() {
         return !queued.isEmpty()
                 || engines.values().stream()
-                        .anyMatch(engine -> engine.nextModel.isPresent() || engine.isLoadingFromStore());
+                        .anyMatch(engine -> engine.loads.nextModel.isPresent()
+                                || engine.loads.isLoadingFromStore()
+                                || engine.loads.isOccupiedByOtherOrder());
     }
 
     /** Replaces the specification of the service's engines. */
@@ -232,7 +238,7 @@
         for (QueuedRequest queuedRequest : waitingPolicy.inOrder(queued.values(), nowMillis)) {
             place(queuedRequest, nowMillis);
         }
-        modelLoads.reconcile(spec, engines.values(), unserved.modelsInOrder(nowMillis), queuedByFullModel, nowMillis);
+        modelLoads.reconcile(spec, engines.values(), queuedByFullModel, nowMillis);
     }
 
     private void place(QueuedRequest queuedRequest, long nowMillis) {
@@ -259,7 +265,7 @@
         if (hasUsableReplica(request, model.get(), nowMillis)) {
             queuedByFullModel.merge(model.get(), 1, Integer::sum);
         } else {
-            unserved.recordWaiting(model.get());
+            unserved.recordWaiting(model.get(), nowMillis);
         }
     }
 
@@ -340,7 +346,7 @@
                     .ifPresent(refusal -> refuse(request, refusal.reason(), refusal.retryAfterMillis()));
         } else if (nowMillis - queuedRequest.queuedAtMillis() > allowedWaitMillis
                 && model.isPresent()
-                && !modelLoads.isHeldOrLoading(model.get().name(), engines.values(), nowMillis)) {
+                && !ReplicaController.isHeldOrLoading(model.get().name(), engines.values(), nowMillis)) {
             unserved.recordRefusal(model.get().name(), nowMillis);
             refuse(request, "no-room-to-load", WaitingPolicy.RETRY_AFTER_MILLIS);
         }
@@ -360,6 +366,7 @@
         engineByKey.put(request.key(), engine);
         engine.recordPrefill(selection.prefillMillis(), nowMillis);
         request.model().ifPresent(model -> {
+            unserved.recordServed(model);
             engine.promptCache.add(
                     request.traits().weightsName(), request.traits().promptParts());
             ModelInstance instance = engine.models.get(model);
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineOrderController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineOrderController.java
@@ -80,7 +80,6 @@
         ModelInstance instance = engine.models.get(order.model());
         switch (result) {
             case ACCEPTED, HOLDS -> {
-                countStoreLoad(engine, order, nowMillis);
                 engine.lastOrderMillis = nowMillis;
                 engine.consecutiveConflicts = 0;
                 engine.unloadInFlight = Optional.empty();
@@ -98,10 +97,9 @@
             case REFUSED -> {
                 revert(engine, order, instance);
                 recordRefused(engine, nowMillis);
-                engine.cancelNextLoad();
+                engine.loads.cancelNextLoad();
             }
             case UNKNOWN -> {
-                countStoreLoad(engine, order, nowMillis);
                 revert(engine, order, instance);
                 engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
                 requestReport(engine, nowMillis);
@@ -121,25 +119,24 @@
      */
     private void handleSupersededResult(EngineState engine, EngineOrder order, OrderResult result, long nowMillis) {
         engine.unloadInFlight = Optional.empty();
-        engine.cancelNextLoad();
+        engine.loads.cancelNextLoad();
         switch (result) {
-            case ACCEPTED, HOLDS -> countStoreLoad(engine, order, nowMillis);
+            case ACCEPTED, HOLDS -> {
+                // The report showed the effect.
+            }
             case CONFLICT -> engine.nextOrderMillis = nowMillis + RETRY_ORDER_MILLIS;
             case REFUSED -> recordRefused(engine, nowMillis);
-            case UNKNOWN -> {
-                countStoreLoad(engine, order, nowMillis);
-                requestReport(engine, nowMillis);
-            }
+            case UNKNOWN -> requestReport(engine, nowMillis);
         }
     }
 
     /** Counts a load from the weight store that has started, or may start later, against the rate limit. */
-    private void countStoreLoad(EngineState engine, EngineOrder order, long nowMillis) {
-        boolean loadsModel =
-                order.kind() == EngineOrder.Kind.LOAD && order.adapter().isEmpty();
-        if (loadsModel && engine.loadsFromStore(engine.spec.models().get(order.model()))) {
-            loadRate.recordStart(nowMillis);
-        }
+    void recordStoreLoad(EngineOrder order, OrderResult result, long nowMillis) {
+        boolean mayHaveStarted = switch (result) {
+            case ACCEPTED, HOLDS, UNKNOWN -> true;
+            case CONFLICT, REFUSED -> false;
+        };
+        loadRate.recordResult(order, mayHaveStarted, nowMillis);
     }
 
     /** Updates the engine state with the effect of an accepted order. */
@@ -159,7 +156,7 @@
             engine.nextOrderMillis = nowMillis + UNLOAD_DURATION_MILLIS;
             return;
         }
-        engine.nextModel = Optional.empty();
+        engine.loads.nextModel = Optional.empty();
         if (instance != null) {
             EngineModelSpec spec = engine.spec.models().get(order.model());
             instance.readyAtMillis = nowMillis + engine.loadMillis(spec);
@@ -222,6 +219,10 @@
         EngineOrder order = new EngineOrder(engine.target, kind, model, adapter, engine.ordersAccepted.orElseThrow());
         engine.orderInFlight = Optional.of(order);
         engine.lastOrderMillis = nowMillis;
+        boolean loadsModel = kind == EngineOrder.Kind.LOAD && adapter.isEmpty();
+        if (loadsModel && engine.loadsFromStore(engine.spec.models().get(model))) {
+            loadRate.recordOrder(order);
+        }
         actions.sendOrder(order);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -26,6 +26,9 @@
     /** A report requested within this time of an order may not show its effect yet; several times the age of reports. */
     private static final long MAX_REPORT_LAG_MILLIS = 1_200;
 
+    /** A target that misses this many reports in a row is believed to have crashed. */
+    private static final int MAX_UNANSWERED_REPORT_COUNT = 2;
+
     /** The weight of a new observation in the moving average of a target's slowness. */
     private static final double SLOWNESS_SMOOTHING_RATIO = 0.3;
 
@@ -38,9 +41,6 @@
      */
     private static final double SLOWNESS_DECAY_MILLIS = 4_000;
 
-    /** The time in which the running requests of a draining model end; responses take about two seconds. */
-    static final long DRAIN_MILLIS = 2_000;
-
     /**
      * A lastingly slow target that got no request for this long is tried with one that has time to spare; several trials
      * show within seconds that it has recovered.
@@ -59,6 +59,7 @@
     final Set<String> onDisk = new HashSet<>();
     final Map<String, Run> runs = new HashMap<>();
     final PromptCacheEstimate promptCache;
+    final EngineLoads loads = new EngineLoads(this);
     Optional<EngineOrder> orderInFlight = Optional.empty();
     OptionalLong ordersAccepted = OptionalLong.empty();
     boolean reportPending;
@@ -67,11 +68,8 @@
     /** The model whose unload order is in flight; restored if the order has no effect. */
     Optional<ModelInstance> unloadInFlight = Optional.empty();
 
-    /** The model to be loaded next, for which others may have to be evicted first. */
-    Optional<String> nextModel = Optional.empty();
-
-    /** Whether the next model is held at another target, where it is to be evicted once it is loaded here. */
-    boolean nextIsRelocation;
+    /** The reports in a row that the target didn't send. */
+    int unansweredReportCount;
 
     long nextOrderMillis;
     long lastOrderMillis = Long.MIN_VALUE / 2;
@@ -129,8 +127,10 @@
         if (report.orderInProgress()) {
             // The report lacks the model that is being loaded: an order based on it could exceed the target's memory.
             nextOrderMillis = nowMillis + BUSY_RETRY_MILLIS;
+            recordOrderInProgress(nowMillis);
             return;
         }
+        loads.recordNoOrder();
         if (report.ordersAccepted() > knownOrders
                 || restarted
                 || (report.ordersAccepted() < knownOrders && isCurrent)) {
@@ -145,6 +145,15 @@
         }
     }
 
+    /** Takes an order in progress for an unknown one unless it can be one that was sent from here. */
+    private void recordOrderInProgress(long nowMillis) {
+        boolean isOwnOrder = ordersAccepted.isPresent()
+                && (loads.isLoading(nowMillis) || reportRequestedMillis - lastOrderMillis <= MAX_REPORT_LAG_MILLIS);
+        if (!isOwnOrder) {
+            loads.recordOtherOrder(nowMillis);
+        }
+    }
+
     /** Applies a report with no new orders: loads that it lists are done; overdue loads that it lacks have failed. */
     private void confirmLoads(List<LoadedModel> heldModels, long nowMillis) {
         Set<String> names = new HashSet<>();
@@ -233,27 +242,7 @@
 
     /** Returns whether the target holds the model, is loading it, or is to load it next. */
     boolean holdsOrLoadsNext(String model) {
-        return models.containsKey(model) || loadsNext(model);
-    }
-
-    /** Returns whether the model is to be loaded next. */
-    boolean loadsNext(String model) {
-        return nextModel.isPresent() && nextModel.get().equals(model);
-    }
-
-    /** Returns whether a load from the weight store is in progress. */
-    boolean isLoadingFromStore() {
-        for (ModelInstance instance : models.values()) {
-            if (instance.unconfirmed) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Returns whether the next model would be loaded from the weight store. */
-    boolean nextLoadsFromStore() {
-        return nextModel.map(spec.models()::get).filter(this::loadsFromStore).isPresent();
+        return models.containsKey(model) || loads.loadsNext(model);
     }
 
     /** Returns whether the target holds the model or has a copy of its weights in main memory or on disk. */
@@ -261,47 +250,15 @@
         return models.containsKey(model) || inMemory.contains(model) || onDisk.contains(model);
     }
 
-    /** Returns whether a load is in progress, during which the target takes no other order. */
-    boolean isLoading(long nowMillis) {
-        for (ModelInstance instance : models.values()) {
-            if (!instance.isReady(nowMillis)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Returns whether a load should be done by now but hasn't been confirmed by a report. */
-    boolean hasUnconfirmedLoad(long nowMillis) {
-        for (ModelInstance instance : models.values()) {
-            if (instance.unconfirmed && instance.readyAtMillis <= nowMillis) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Returns the time at which the loads in progress and the next load are expected to be done. */
-    long loadsDoneMillis(long nowMillis) {
-        long doneMillis = nowMillis;
-        boolean mustDrain = false;
-        for (ModelInstance instance : models.values()) {
-            if (instance.readyAtMillis < ModelInstance.UNKNOWN_MILLIS) {
-                doneMillis = Math.max(doneMillis, instance.readyAtMillis);
-            }
-            mustDrain |= instance.draining && instance.runCount > 0;
-        }
-        if (nextModel.isEmpty()) {
-            return doneMillis;
-        }
-        EngineModelSpec next = spec.models().get(nextModel.get());
-        return doneMillis + (next == null ? 0 : loadMillis(next)) + (mustDrain ? DRAIN_MILLIS : 0);
+    /** Returns whether orders to the target are believed to go on: it is not leaving and not believed to have crashed. */
+    boolean isBelievedToCarryOutOrders(long nowMillis) {
+        return acceptsRequests(nowMillis) && unansweredReportCount < MAX_UNANSWERED_REPORT_COUNT;
     }
 
-    /** Cancels the next load and stops draining the models that were to be evicted for it. */
-    void cancelNextLoad() {
-        nextModel = Optional.empty();
-        models.values().forEach(instance -> instance.draining = false);
+    /** Returns whether the target holds the model and serves it. */
+    boolean isReady(String model, long nowMillis) {
+        ModelInstance instance = models.get(model);
+        return instance != null && instance.isReady(nowMillis);
     }
 
     /** Returns whether the target gets new requests: it isn't leaving, and no failures keep it from all nodes. */
@@ -320,7 +277,9 @@
 
     /** Returns whether the target can be told to load a model: it gets requests, and this node reaches it. */
     boolean acceptsLoads(long nowMillis) {
-        return acceptsRequests(nowMillis) && isReachableFrom(RequestNodes.OWN, nowMillis);
+        return acceptsRequests(nowMillis)
+                && isReachableFrom(RequestNodes.OWN, nowMillis)
+                && nowMillis >= loads.plansPausedUntilMillis;
     }
 
     /** Adds a run and counts its tokens. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -91,8 +91,9 @@
             return Optional.empty();
         }
         boolean fromStore = engine.loadsFromStore(model);
-        boolean startsNow = engine.nextModel.isEmpty() && !engine.isLoading(nowMillis);
-        long waitMillis = startsNow ? 0 : Math.max(MIN_WAIT_MILLIS, engine.loadsDoneMillis(nowMillis) - nowMillis);
+        boolean startsNow = engine.loads.nextModel.isEmpty() && !engine.loads.isLoading(nowMillis);
+        long waitMillis =
+                startsNow ? 0 : Math.max(MIN_WAIT_MILLIS, engine.loads.loadsDoneMillis(nowMillis) - nowMillis);
         double costMillis = engine.loadMillis(model) * (fromStore ? STORE_LOAD_COST_RATIO : 1)
                 + waitMillis
                 + engine.runs.size() * COST_PER_RUN_MILLIS
@@ -102,7 +103,7 @@
             costMillis += evictionCostMillis(victim, engine, replicas, nowMillis);
             mustDrain |= engine.models.get(victim).runCount > 0;
         }
-        costMillis += mustDrain ? EngineState.DRAIN_MILLIS : 0;
+        costMillis += mustDrain ? EngineLoads.DRAIN_MILLIS : 0;
         return Optional.of(new Plan(engine, victims.get(), startsNow, fromStore, costMillis));
     }
 
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelInstance.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelInstance.java
@@ -11,6 +11,9 @@
     /** Placeholder for a time that isn't known until the result of an order arrives. */
     static final long UNKNOWN_MILLIS = Long.MAX_VALUE / 2;
 
+    /** The expected remaining time of a load that has just become late: until the next report shows that it has ended. */
+    private static final long MIN_OVERDUE_MILLIS = 250;
+
     /** The time from which on requests may be sent; in the future while the model is being loaded. */
     long readyAtMillis;
 
@@ -39,6 +42,16 @@
         heldAdapters.forEach(name -> adapters.put(name, new AdapterInstance()));
     }
 
+    /** Returns when a load in progress is expected to end; one that is late is expected to take as long again. */
+    long expectedReadyMillis(long nowMillis) {
+        return readyAtMillis > nowMillis ? readyAtMillis : expectedEndMillis(readyAtMillis, nowMillis);
+    }
+
+    /** Returns the expected end of something that has been overdue since the given time. */
+    static long expectedEndMillis(long overdueSinceMillis, long nowMillis) {
+        return nowMillis + Math.max(MIN_OVERDUE_MILLIS, nowMillis - overdueSinceMillis);
+    }
+
     /** Returns whether requests may be sent to the model. */
     boolean isReady(long nowMillis) {
         return !unconfirmed && readyAtMillis <= nowMillis;
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementResult.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementResult.java
@@ -2,8 +2,12 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.poplarwharf.internal.simulation.PlacementScenario.Caller;
 import org.poplarwharf.internal.simulation.PlacementScenario.CallerClass;
 
@@ -16,6 +20,8 @@
  * @param callerCount the number of callers, by class
  * @param loadsByCopy the number of loads from main memory, from disk and from the store
  * @param loadStarts the loads in the order in which targets accepted them
+ * @param neverServedModels the models that callers asked for through the period, with no caller served
+ * @param maxConcurrentStoreLoads the most loads from the store at the same time
  * @param longestOutageMillis the longest time in which callers asked for a model and none of them was served, by model
  */
 public record PlacementResult(
@@ -25,8 +31,15 @@
         Map<String, Integer> callerCount,
         Map<LoadSource, Integer> loadsByCopy,
         List<LoadStart> loadStarts,
+        Set<String> neverServedModels,
+        long maxConcurrentStoreLoads,
         Map<String, Long> longestOutageMillis) {
 
+    /** A model is asked for through the period with this many callers or more over at least the minimum time. */
+    private static final int MIN_ASKED_COUNT = 4;
+
+    private static final long MIN_ASKED_MILLIS = 8_000;
+
     /** Where a target loads weights from. */
     public enum LoadSource {
         MEMORY,
@@ -38,7 +51,11 @@
     public record LoadStart(long atMillis, String model, String target, LoadSource source) {}
 
     /** Computes the result from the time of each served caller's first event. */
-    static PlacementResult of(List<Caller> callers, Map<Integer, Long> firstEventMillis, List<LoadStart> loadStarts) {
+    static PlacementResult of(
+            List<Caller> callers,
+            Map<Integer, Long> firstEventMillis,
+            List<LoadStart> loadStarts,
+            long maxConcurrentStoreLoads) {
         Map<String, Double> worth = new LinkedHashMap<>();
         Map<String, Double> worthAsked = new LinkedHashMap<>();
         Map<String, Integer> served = new LinkedHashMap<>();
@@ -66,9 +83,26 @@
                 count,
                 loads,
                 List.copyOf(loadStarts),
+                neverServedModels(callers, firstEventMillis),
+                maxConcurrentStoreLoads,
                 longestOutages(callers, firstEventMillis));
     }
 
+    private static Set<String> neverServedModels(List<Caller> callers, Map<Integer, Long> firstEventMillis) {
+        Map<String, List<Caller>> callersByModel =
+                callers.stream().collect(Collectors.groupingBy(Caller::model, TreeMap::new, Collectors.toList()));
+        Set<String> neverServed = new LinkedHashSet<>();
+        callersByModel.forEach((model, asking) -> {
+            long askedMillis = asking.get(asking.size() - 1).arrivalMillis()
+                    - asking.get(0).arrivalMillis();
+            boolean isServed = asking.stream().anyMatch(caller -> firstEventMillis.containsKey(caller.id()));
+            if (!isServed && asking.size() >= MIN_ASKED_COUNT && askedMillis >= MIN_ASKED_MILLIS) {
+                neverServed.add(model);
+            }
+        });
+        return neverServed;
+    }
+
     /** Measures each outage from the arrival of its first caller to that of the next one that is served. */
     private static Map<String, Long> longestOutages(List<Caller> callers, Map<Integer, Long> firstEventMillis) {
         Map<String, Long> outageStarts = new HashMap<>();
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementScenario.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementScenario.java
@@ -76,6 +76,10 @@
             new CallerClass("short", 18, true, 0, 1_000, 4_000, 4_000, 300, 2, 1),
             new CallerClass("rare", 5, false, 1, 3_000, 12_000, 25_000, 1_400, 17, 2.5));
 
+    private static final List<CallerClass> SCARCE_STORE_CLASSES = List.of(
+            new CallerClass("routine", 40, true, 1, 600, 5_000, 5_000, 1_400, 2.1, 0.62),
+            new CallerClass("rare", 25, false, 2, 5_000, 11_000, 22_000, 1_400, 9.9, 2.3));
+
     /** Returns a calm period: demand stays with the same models and no target fails. */
     public static PlacementScenario calm(long seed) {
         return withEvents(seed, List.of(), List.of());
@@ -86,6 +90,31 @@
         return withEvents(seed, List.of(14_000L, 24_000L), List.of(8_140L, 8_141L, 25_900L));
     }
 
+    /**
+     * Returns a period with many rarely requested models, a tenth of which no target has a copy of at first, and a store
+     * that serves one or two loads at a time. A sixth of the targets crash, most of them at the same moment, and come back
+     * empty; demand moves once.
+     */
+    public static PlacementScenario scarceStore(long seed) {
+        Random random = new Random(seed);
+        long crashMillis = 5_000 + random.nextInt(5_000);
+        return new PlacementScenario(
+                seed,
+                60_000,
+                24,
+                3,
+                2,
+                12,
+                5,
+                85,
+                19,
+                1 + random.nextInt(2),
+                10_000,
+                SCARCE_STORE_CLASSES,
+                List.of(15_000L + random.nextInt(10_000)),
+                List.of(crashMillis, crashMillis + 1, crashMillis + 2, crashMillis + 20_000));
+    }
+
     private static PlacementScenario withEvents(long seed, List<Long> shifts, List<Long> crashes) {
         return new PlacementScenario(seed, 50_000, 6, 3, 2, 12, 5, 25, 1.9, 4, 6_000, CLASSES, shifts, crashes);
     }
--- a/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
+++ b/src/main/java/org/poplarwharf/internal/simulation/PlacementSimulation.java
@@ -68,6 +68,7 @@
     private final Map<Integer, Long> firstEvents = new HashMap<>();
     private final List<LoadStart> loadStarts = new ArrayList<>();
     private final Dispatcher dispatcher;
+    private long maxConcurrentStoreLoads;
     private long eventCount;
     private long nowMillis;
 
@@ -116,7 +117,8 @@
         simulation.every(TICK_MILLIS, () -> simulation.dispatcher.tick(simulation.nowMillis));
         simulation.every(HEARTBEAT_MILLIS, simulation::sendHeartbeats);
         simulation.runEvents();
-        return PlacementResult.of(callers, simulation.firstEvents, simulation.loadStarts);
+        return PlacementResult.of(
+                callers, simulation.firstEvents, simulation.loadStarts, simulation.maxConcurrentStoreLoads);
     }
 
     /** Spreads the models over the targets: the requested busy ones on two, the others on one as far as there is room. */
@@ -292,6 +294,7 @@
                         + targets.values().stream()
                                 .filter(SimulatedTarget::isLoadingFromStore)
                                 .count();
+                maxConcurrentStoreLoads = Math.max(maxConcurrentStoreLoads, concurrent);
                 yield scenario.storeLoadMillis()
                         * Math.max(concurrent, scenario.storeFullSpeedLoads())
                         / scenario.storeFullSpeedLoads();
--- a/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/FakeFleet.java
@@ -47,6 +47,11 @@
     private final Map<String, Long> busyUntilMillis = new LinkedHashMap<>();
     final Map<String, String> softwareVersions = new LinkedHashMap<>();
 
+    private final Map<String, Set<String>> adaptersByInstance = new LinkedHashMap<>();
+
+    /** Targets that have crashed but are still listed. */
+    final Set<String> silentTargets = new LinkedHashSet<>();
+
     /** The stream that the next requests continue. */
     Optional<StreamContinuation> continuation = Optional.empty();
 
@@ -227,20 +232,37 @@
         for (long endMillis = nowMillis + millis; nowMillis < endMillis; advanceMillis(STEP_MILLIS)) {
             List<String> reporting = List.copyOf(reportsRequested);
             reportsRequested.clear();
-            reporting.forEach(
-                    id -> report(id, ordersAcceptedByTarget.getOrDefault(id, 0L), isLoading(id), modelsAt(id)));
+            reporting.forEach(this::respondToReportRequest);
             while (executedCount < orders.size()) {
                 executeOrder(orders.get(executedCount++));
             }
         }
     }
 
+    private void respondToReportRequest(String id) {
+        if (silentTargets.contains(id)) {
+            dispatcher.handleReport(targets.get(id), Optional.empty(), nowMillis);
+            return;
+        }
+        report(id, ordersAcceptedByTarget.getOrDefault(id, 0L), isLoading(id), loadedModelsAt(id));
+    }
+
+    /** Lets a target carry out an order of an earlier lease holder until then. */
+    void occupyUntilMillis(String id, long untilMillis) {
+        ordersAcceptedByTarget.merge(id, 1L, Long::sum);
+        busyUntilMillis.put(id, untilMillis);
+    }
+
     private boolean isLoading(String id) {
         return busyUntilMillis.getOrDefault(id, 0L) > nowMillis;
     }
 
     private void executeOrder(EngineOrder order) {
         String id = order.target().id();
+        if (silentTargets.contains(id)) {
+            dispatcher.handleOrderResult(order, OrderResult.UNKNOWN, nowMillis);
+            return;
+        }
         boolean isValid =
                 order.expectedOrdersAccepted() == ordersAcceptedByTarget.getOrDefault(id, 0L) && !isLoading(id);
         if (!isValid) {
@@ -248,16 +270,42 @@
             return;
         }
         ordersAcceptedByTarget.merge(id, 1L, Long::sum);
+        if (order.adapter().isPresent()) {
+            executeAdapterOrder(id, order);
+        } else {
+            executeModelOrder(id, order);
+        }
+        dispatcher.handleOrderResult(order, OrderResult.ACCEPTED, nowMillis);
+    }
+
+    private void executeModelOrder(String id, EngineOrder order) {
         Set<String> models = new LinkedHashSet<>(List.of(modelsAt(id)));
         if (order.kind() == EngineOrder.Kind.UNLOAD) {
             models.remove(order.model());
+            adaptersByInstance.remove(id + "/" + order.model());
         } else {
             models.add(order.model());
             boolean hasLocalCopy = targets.get(id).onDisk().contains(order.model());
             busyUntilMillis.put(id, nowMillis + (hasLocalCopy ? DISK_LOAD_MILLIS : STORE_LOAD_MILLIS));
         }
         modelsByTarget.put(id, models);
-        dispatcher.handleOrderResult(order, OrderResult.ACCEPTED, nowMillis);
+    }
+
+    /** An adapter is loaded or unloaded at once, and the target isn't busy meanwhile. */
+    private void executeAdapterOrder(String id, EngineOrder order) {
+        Set<String> adapters =
+                adaptersByInstance.computeIfAbsent(id + "/" + order.model(), key -> new LinkedHashSet<>());
+        if (order.kind() == EngineOrder.Kind.LOAD) {
+            adapters.add(order.adapter().orElseThrow());
+        } else {
+            adapters.remove(order.adapter().orElseThrow());
+        }
+    }
+
+    private List<LoadedModel> loadedModelsAt(String id) {
+        return Stream.of(modelsAt(id))
+                .map(name -> new LoadedModel(name, adaptersByInstance.getOrDefault(id + "/" + name, Set.of())))
+                .toList();
     }
 
     /** Returns the models that a target holds after the executed orders. */
--- /dev/null
+++ b/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
@@ -0,0 +1,134 @@
+package org.poplarwharf.internal.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Checks loads from a weight store that serves few at a time, for many models that callers ask for. */
+class StoreLoadDispatcherTest {
+    private static final int MISSING_COUNT = 12;
+    private static final int TARGET_COUNT = 12;
+    private static final long PATIENT_MILLIS = 600_000;
+
+    /** Time for the dispatcher to learn the targets' states and to send the orders of its first passes. */
+    private static final long FIRST_ORDERS_MILLIS = 300;
+
+    private static List<String> missingModels() {
+        return IntStream.range(0, MISSING_COUNT).mapToObj(i -> "missing-" + i).toList();
+    }
+
+    private static FakeFleet fleetWithMissingModels() {
+        List<String> models = new ArrayList<>(missingModels());
+        models.add("held");
+        FakeFleet fleet = new FakeFleet(models.toArray(String[]::new));
+        for (int i = 0; i < TARGET_COUNT; i++) {
+            fleet.addTarget("t" + i, List.of("held"), Set.of("held"));
+        }
+        fleet.sendAllHeartbeats();
+        return fleet;
+    }
+
+    /** Guards against as many slow loads as there are targets, which then serve nothing else. */
+    @Test
+    void models_that_are_missing_at_the_same_time_start_no_more_store_loads_than_the_store_serves() {
+        FakeFleet fleet = fleetWithMissingModels();
+        missingModels().forEach(model -> fleet.submit(model, PATIENT_MILLIS));
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+
+        assertThat(fleet.orderedModels(EngineOrder.Kind.LOAD)).hasSize(1);
+    }
+
+    /** Guards against orders beyond the store's rate that are sent before the first of them is answered. */
+    @Test
+    void orders_without_a_result_count_against_the_rate_of_the_store() {
+        LoadRateLimiter limiter = new LoadRateLimiter(1, 2_000, 1);
+        FakeFleet fleet = fleetWithMissingModels();
+        List<EngineOrder> orders = missingModels().stream()
+                .map(model ->
+                        new EngineOrder(fleet.targets.get("t0"), EngineOrder.Kind.LOAD, model, Optional.empty(), 0))
+                .toList();
+        limiter.recordOrder(orders.get(0));
+        assertThat(limiter.allows(0, 0)).isTrue();
+        limiter.recordOrder(orders.get(1));
+        assertThat(limiter.allows(0, 0)).isFalse();
+        limiter.recordResult(orders.get(0), false, 0);
+        assertThat(limiter.allows(0, 0)).isTrue();
+        limiter.recordResult(orders.get(1), true, 0);
+        limiter.recordOrder(orders.get(2));
+        assertThat(limiter.allows(0, 0)).isFalse();
+    }
+
+    /** Guards against a rarely requested model that goes behind models with more requests each time. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3, 6})
+    void a_model_is_loaded_after_twice_as_many_others_as_were_asked_for_before_it(int earlierCount) {
+        List<String> models = new ArrayList<>(List.of("held", "rare"));
+        IntStream.range(0, 400).forEach(i -> models.add("popular-" + i));
+        FakeFleet fleet = new FakeFleet(models.toArray(String[]::new));
+        for (int i = 0; i < TARGET_COUNT; i++) {
+            fleet.addTarget("t" + i, List.of("held"), Set.of("held"));
+        }
+        // Without orders, and so without a prefetch, until some models are asked for.
+        fleet.dispatcher.setOrdersAllowed(false);
+        fleet.sendAllHeartbeats();
+        int popularCount = 0;
+        while (popularCount <= earlierCount) {
+            submitOften(fleet, "popular-" + popularCount++);
+        }
+        fleet.dispatcher.setOrdersAllowed(true);
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+        fleet.submit("rare", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+        for (int i = 0; i < 20; i++) {
+            for (int j = 0; j < 10; j++) {
+                submitOften(fleet, "popular-" + popularCount++);
+            }
+            fleet.executeOrdersFor(FakeFleet.STORE_LOAD_MILLIS);
+            List.copyOf(fleet.granted.keySet()).forEach(key -> fleet.dispatcher.endRun(key, fleet.nowMillis));
+        }
+
+        assertThat(List.copyOf(fleet.orderedModels(EngineOrder.Kind.LOAD)).indexOf("rare"))
+                .isBetween(1, 2 * (earlierCount + 1));
+    }
+
+    private static void submitOften(FakeFleet fleet, String model) {
+        for (int i = 0; i < 5; i++) {
+            fleet.submit(model, PATIENT_MILLIS);
+        }
+    }
+
+    /** Guards against a store that takes no load while the entry of a crashed target is still listed. */
+    @Test
+    void a_target_that_crashed_during_a_load_does_not_occupy_the_store() {
+        FakeFleet fleet = fleetWithMissingModels();
+        fleet.submit("missing-0", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+        String crashed = fleet.lastOrder().target().id();
+        fleet.silentTargets.add(crashed);
+        fleet.submit("missing-1", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FakeFleet.STORE_LOAD_MILLIS + 2_000);
+
+        assertThat(fleet.orderedModels(EngineOrder.Kind.LOAD)).contains("missing-1");
+    }
+
+    /** Guards against a plan at a target that carries out an order of an earlier holder, while another target is free. */
+    @Test
+    void a_model_is_loaded_at_another_target_if_the_first_one_is_busy_with_an_unknown_order() {
+        FakeFleet fleet = new FakeFleet("held", "wanted");
+        fleet.addTarget("t1", List.of(), Set.of("wanted"));
+        fleet.addTarget("t2", List.of("held"), Set.of("wanted", "held"));
+        fleet.sendAllHeartbeats();
+        fleet.occupyUntilMillis("t1", fleet.nowMillis + 60_000);
+        String key = fleet.submit("wanted", 5_000);
+        fleet.executeOrdersFor(3_000);
+
+        assertThat(fleet.granted).containsEntry(key, "t2");
+    }
+}
--- a/src/test/java/org/poplarwharf/internal/simulation/PlacementSimulationTest.java
+++ b/src/test/java/org/poplarwharf/internal/simulation/PlacementSimulationTest.java
@@ -40,6 +40,16 @@
                 .isGreaterThan(result.callerCount().get("rare"));
     }
 
+    /** Guards against a store that is asked for so many loads at once that none ends and targets serve nothing else. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void store_loads_stay_within_what_the_store_serves_and_one_more_to_try_it(long seed) {
+        PlacementScenario scenario = PlacementScenario.scarceStore(seed);
+        PlacementResult result = PlacementSimulation.run(scenario);
+
+        assertThat(result.maxConcurrentStoreLoads()).isLessThanOrEqualTo(scenario.storeFullSpeedLoads() + 1);
+    }
+
     @Test
     void the_same_seed_gives_the_same_result() {
         assertThat(PlacementSimulation.run(PlacementScenario.disturbed(1)))
