Refuse a request for an adapter that can't be loaded in time, and load its model at another target

Cause: a target was chosen for the request as if the adapter could be loaded there at once; a target that loads a model takes no other order. The request was neither refused nor counted as unserved, since its model was held.

Now the time until the target takes orders counts; a target that can't load the adapter before the deadline is no candidate. Without any, the request is refused at once with adapter-not-loaded-in-time, and its model is loaded at another target as one that nobody serves. adapter-load-not-possible is logged, at most once a second for an adapter.

Two cases of StoreLoadDispatcherTest, red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -258,6 +258,16 @@
             assign(queuedRequest, selection.get(), nowMillis);
             return;
         }
+        long adapterWaitMillis = selector.adapterWaitMillis(request, engines.values(), spec, nowMillis);
+        if (nowMillis + adapterWaitMillis + MIN_SERVICE_MILLIS > request.deadlineMillis() && adapterWaitMillis > 0) {
+            unserved.recordAdapterRefusal(model.orElseThrow(), nowMillis);
+            modelLoads.logUnloadableAdapter(request, adapterWaitMillis, nowMillis);
+            refuse(
+                    request,
+                    "adapter-not-loaded-in-time",
+                    Math.max(WaitingPolicy.RETRY_AFTER_MILLIS, adapterWaitMillis));
+            return;
+        }
         refuseIfUnplaceable(queuedRequest, nowMillis);
         if (model.isEmpty() || !queued.containsKey(request.key())) {
             return;
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -44,10 +44,10 @@
     private static final double DRAINING_COST_MILLIS = 5_000;
 
     /** The cost of loading a missing adapter into a free slot. */
-    private static final double ADAPTER_LOAD_MILLIS = 20;
+    private static final long ADAPTER_LOAD_MILLIS = 20;
 
     /** The cost of loading a missing adapter after unloading another, if all slots are taken. */
-    private static final double ADAPTER_SWAP_MILLIS = 45;
+    private static final long ADAPTER_SWAP_MILLIS = 45;
 
     /**
      * The penalty for a target that has named a limit a short time ago: leaves its permits to requests that no other
@@ -131,6 +131,25 @@
         return adapterInstance != null && adapterInstance.readyAtMillis <= nowMillis;
     }
 
+    /**
+     * Returns the time until a target that serves the request's model can serve its adapter too; zero if there is no such
+     * target, or if the request names no adapter.
+     */
+    long adapterWaitMillis(DispatchRequest request, Collection<EngineState> engines, EngineSpec spec, long nowMillis) {
+        if (request.traits().adapter().isEmpty()) {
+            return 0;
+        }
+        long shortestMillis = Long.MAX_VALUE;
+        for (EngineState engine : engines) {
+            ModelInstance instance = engine.models.get(request.model().orElseThrow());
+            if (instance == null || !instance.isReady(nowMillis) || !engine.acceptsRequest(request, nowMillis)) {
+                continue;
+            }
+            shortestMillis = Math.min(shortestMillis, adapterWaitMillis(request, instance, engine, spec, nowMillis));
+        }
+        return shortestMillis == Long.MAX_VALUE ? 0 : shortestMillis;
+    }
+
     /** Returns the cost of running the request at the engine; empty if the engine can't run it now. */
     private Optional<Selection> evaluate(DispatchRequest request, EngineState engine, EngineSpec spec, long nowMillis) {
         Optional<ModelInstance> instance = request.model().map(engine.models::get);
@@ -160,15 +179,13 @@
                 + (limits.prefersOthers(engine.target.id(), nowMillis) ? LIMITED_COST_MILLIS : 0);
         boolean adapterReady = true;
         if (instance.isPresent()) {
-            Optional<ModelInstance.AdapterInstance> adapterInstance =
-                    request.traits().adapter().map(instance.get().adapters::get);
-            boolean wantsAdapter = request.traits().adapter().isPresent();
-            adapterReady = !wantsAdapter
-                    || adapterInstance
-                            .filter(known -> known.readyAtMillis <= nowMillis)
-                            .isPresent();
-            costMillis += instance.get().draining ? DRAINING_COST_MILLIS : 0;
-            costMillis += wantsAdapter && adapterInstance.isEmpty() ? adapterLoadMillis(engine, spec, nowMillis) : 0;
+            long adapterMillis = adapterWaitMillis(request, instance.get(), engine, spec, nowMillis);
+            if (adapterMillis > 0
+                    && nowMillis + adapterMillis + Dispatcher.MIN_SERVICE_MILLIS > request.deadlineMillis()) {
+                return Optional.empty();
+            }
+            adapterReady = holdsAdapter(request, instance.get(), nowMillis);
+            costMillis += adapterMillis + (instance.get().draining ? DRAINING_COST_MILLIS : 0);
         }
         return Optional.of(new Selection(
                 engine,
@@ -202,13 +219,18 @@
                 + longResponseRatio * engine.prefillShare(nowMillis) * PREFILL_BUSY_COST_MILLIS;
     }
 
-    /** Returns the time until a missing adapter is loaded; a target takes no order while it loads a model. */
-    private static double adapterLoadMillis(EngineState engine, EngineSpec spec, long nowMillis) {
+    /**
+     * Returns the time until the adapter of a request is loaded; zero if it is held or being loaded, or if there is none. A
+     * target takes no order while it loads a model.
+     */
+    private static long adapterWaitMillis(
+            DispatchRequest request, ModelInstance instance, EngineState engine, EngineSpec spec, long nowMillis) {
+        Optional<String> adapter = request.traits().adapter();
+        if (adapter.isEmpty() || instance.adapters.containsKey(adapter.get())) {
+            return 0;
+        }
         boolean hasFreeSlot = engine.adapterCount() < spec.adapterSlots();
-        long busyMillis = engine.models.values().stream()
-                .mapToLong(model -> Math.max(0, model.readyAtMillis - nowMillis))
-                .max()
-                .orElse(0);
+        long busyMillis = engine.loads.loadsDoneMillis(nowMillis) - nowMillis;
         return busyMillis + (hasFreeSlot ? ADAPTER_LOAD_MILLIS : ADAPTER_SWAP_MILLIS);
     }
 }
--- a/src/main/java/org/poplarwharf/internal/dispatch/FailedLoadLog.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/FailedLoadLog.java
@@ -9,9 +9,9 @@
 
 /**
  * Logs why a model that callers ask for is not being loaded: the store's limit, no free target, or nothing that may be
- * evicted.
+ * evicted; and which adapters can't be loaded.
  *
- * <p>Invariant: at most one entry per model and second. Confined to one thread.
+ * <p>Invariant: at most one entry per model or adapter and second. Confined to one thread.
  */
 final class FailedLoadLog {
     /** The minimum interval between log entries for a model that can't be loaded. */
@@ -69,6 +69,14 @@
                 cause == Cause.NOTHING_EVICTABLE ? describeHeldModels(engines, nowMillis) : "");
     }
 
+    /** Logs that no target that serves the model can load the adapter in time, unless that was logged very recently. */
+    void logAdapter(String model, String adapter, long waitMillis, long nowMillis) {
+        if (isDue(model + "/" + adapter, nowMillis)) {
+            actions.logDecision(
+                    "adapter-load-not-possible", "model", model, "adapter", adapter, "waitMillis", waitMillis);
+        }
+    }
+
     private boolean isDue(String name, long nowMillis) {
         Long lastLoggedMillis = lastLoggedMillisByName.get(name);
         boolean due = lastLoggedMillis == null || nowMillis - lastLoggedMillis > LOG_INTERVAL_MILLIS;
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -232,16 +232,24 @@
         lastPassMillis = isFreed ? Long.MIN_VALUE / 2 : lastPassMillis;
     }
 
+    /** Logs that no target can load the adapter of a request in time. */
+    void logUnloadableAdapter(DispatchRequest request, long waitMillis, long nowMillis) {
+        failedLoads.logAdapter(
+                request.model().orElse(""), request.traits().adapter().orElse(""), waitMillis, nowMillis);
+    }
+
     /**
      * Returns whether callers of the model need no further load: a target holds it or is about to. One whose load is
-     * late doesn't count.
+     * late doesn't count; nor, where adapters were refused, one that can't load them now.
      */
     private boolean isCovered(String model, Collection<EngineState> engines, long nowMillis) {
+        boolean lacksAdapters = unserved.lacksAdapters(model, nowMillis);
         for (EngineState engine : engines) {
             if (!engine.holdsOrLoadsNext(model) || !engine.acceptsRequests(nowMillis)) {
                 continue;
             }
-            if (!engine.loads.isLoadLate(model, nowMillis)) {
+            boolean isBlocked = lacksAdapters && engine.isReady(model, nowMillis) && engine.loads.isLoading(nowMillis);
+            if (!isBlocked && !engine.loads.isLoadLate(model, nowMillis)) {
                 return true;
             }
         }
--- a/src/main/java/org/poplarwharf/internal/dispatch/UnservedDemand.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/UnservedDemand.java
@@ -34,6 +34,7 @@
     private final DemandEstimator demand;
     private final Map<String, Integer> waitingCounts = new LinkedHashMap<>();
     private final Map<String, Long> lastRefusedMillis = new HashMap<>();
+    private final Map<String, Long> lastAdapterRefusedMillis = new HashMap<>();
     private final Map<String, AskedInVain> askedInVain = new HashMap<>();
 
     /** The first and the latest time at which a request for a model was not served, since one was. */
@@ -60,6 +61,18 @@
         recordAskedInVain(model, nowMillis);
     }
 
+    /** Records that a request was refused since no target that serves its model can load its adapter in time. */
+    void recordAdapterRefusal(String model, long nowMillis) {
+        lastAdapterRefusedMillis.put(model, nowMillis);
+        recordRefusal(model, nowMillis);
+    }
+
+    /** Returns whether the model is served, but adapters of it were lately refused. */
+    boolean lacksAdapters(String model, long nowMillis) {
+        Long refusedMillis = lastAdapterRefusedMillis.get(model);
+        return refusedMillis != null && nowMillis - refusedMillis <= REFUSAL_VALID_MILLIS;
+    }
+
     /** Records that a request for the model was placed at a target. */
     void recordServed(String model) {
         askedInVain.remove(model);
--- a/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
@@ -131,4 +131,33 @@
 
         assertThat(fleet.granted).containsEntry(key, "t2");
     }
+
+    /** Guards against requests that wait until their deadline for an adapter whose target takes no orders. */
+    @Test
+    void a_request_for_an_adapter_that_cannot_be_loaded_in_time_is_refused_at_once() {
+        FakeFleet fleet = new FakeFleet("m1", "m2");
+        fleet.addTarget("t1", List.of("m1"), Set.of("m1"));
+        fleet.sendAllHeartbeats();
+        fleet.submit("m2", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+        String key = fleet.submit("m1", Optional.of("a1"), 2_000);
+
+        assertThat(fleet.refused).containsEntry(key, "adapter-not-loaded-in-time");
+    }
+
+    /** Guards against adapters that are never loaded while the only target with their model loads another one. */
+    @Test
+    void a_model_whose_target_can_load_no_adapter_is_loaded_at_another_target_too() {
+        FakeFleet fleet = new FakeFleet("m1", "m2", "m3");
+        fleet.addTarget("t1", List.of("m1"), Set.of("m1"));
+        fleet.addTarget("t2", List.of("m3"), Set.of("m3", "m1"));
+        fleet.sendAllHeartbeats();
+        fleet.occupyUntilMillis("t1", fleet.nowMillis + 60_000);
+        fleet.submit("m1", Optional.of("a1"), 2_000);
+        fleet.executeOrdersFor(3_000);
+        String key = fleet.submit("m1", Optional.of("a1"), 2_000);
+        fleet.executeOrdersFor(2_000);
+
+        assertThat(fleet.granted).containsEntry(key, "t2");
+    }
 }
