Give a waiting adapter the slot of one that is in constant use

An adapter was loaded only into a free slot or in place of an adapter that was idle for 150 ms. While requests for the adapters in all slots kept coming, requests for another one waited until their deadline: what is served goes before what is not, without end.

A request that has waited for 250 ms reserves a slot: the adapter with the fewest running requests gets no new ones and is unloaded once these have ended.

DispatcherAdapterTest, red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -366,7 +366,7 @@
         DispatchRequest request = queuedRequest.request();
         EngineState engine = selection.engine();
         if (!selection.adapterReady()) {
-            adapterLoader.loadAdapter(engine, request, nowMillis);
+            adapterLoader.loadAdapter(engine, queuedRequest, nowMillis);
             return;
         }
         targetLimits.tryAcquire(engine.target.id(), nowMillis);
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineSelector.java
@@ -128,7 +128,7 @@
             return true;
         }
         ModelInstance.AdapterInstance adapterInstance = instance.adapters.get(adapter.get());
-        return adapterInstance != null && adapterInstance.readyAtMillis <= nowMillis;
+        return adapterInstance != null && !adapterInstance.draining && adapterInstance.readyAtMillis <= nowMillis;
     }
 
     /**
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineState.java
@@ -63,6 +63,11 @@
     Optional<EngineOrder> orderInFlight = Optional.empty();
     OptionalLong ordersAccepted = OptionalLong.empty();
     boolean reportPending;
+
+    /** The adapter, as model/adapter, that gets the next free slot until the reservation ends. */
+    Optional<String> reservedAdapter = Optional.empty();
+
+    long reservationEndMillis;
     int consecutiveConflicts;
 
     /** The model whose unload order is in flight; restored if the order has no effect. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelInstance.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelInstance.java
@@ -35,6 +35,9 @@
         long readyAtMillis;
         int runCount;
         long lastUsedMillis;
+
+        /** Whether the adapter gets no new requests, so that another one gets its slot. */
+        boolean draining;
     }
 
     ModelInstance(long readyAtMillis, Set<String> heldAdapters) {
--- a/src/test/java/org/poplarwharf/internal/dispatch/DispatcherAdapterTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/DispatcherAdapterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -19,6 +20,8 @@
     private final FakeFleet fleet = new FakeFleet("m1");
     private String request;
 
+    private static final long RUN_MILLIS = 400;
+
     @BeforeEach
     void orderLoad() {
         fleet.addTarget("t1", List.of("m1"), Set.of("m1"));
@@ -68,4 +71,27 @@
         assertThat(fleet.granted).isEmpty();
         assertThat(fleet.lastOrder().expectedOrdersAccepted()).isEqualTo(5);
     }
+
+    /** Guards against an adapter that waits forever since others, in all slots, are in constant use. */
+    @Test
+    void adapter_gets_a_slot_although_the_adapters_in_all_slots_are_always_in_use() {
+        FakeFleet busyFleet = new FakeFleet("m1");
+        busyFleet.addTarget("t1", List.of("m1"), Set.of("m1"));
+        busyFleet.sendAllHeartbeats();
+        List<String> running = new ArrayList<>();
+        String waiting = null;
+        for (int i = 0; i < 20; i++) {
+            List<String> next = List.of(
+                    busyFleet.submit("m1", Optional.of("a1"), LONG_DEADLINE_MILLIS),
+                    busyFleet.submit("m1", Optional.of("a2"), LONG_DEADLINE_MILLIS));
+            if (i == 2) {
+                waiting = busyFleet.submit("m1", Optional.of("a3"), LONG_DEADLINE_MILLIS);
+            }
+            busyFleet.executeOrdersFor(RUN_MILLIS);
+            running.forEach(key -> busyFleet.dispatcher.endRun(key, busyFleet.nowMillis));
+            running = new ArrayList<>(next);
+        }
+
+        assertThat(busyFleet.granted).containsEntry(waiting, "t1");
+    }
 }
