node: Count loads from the store when they start, over all cells of the node

The limit of concurrent loads from the weight store was compared with the loads that the log showed for one cell. Loads started in the same pass, before their records were read back, did not count, nor did those of the other cells that the node holds. The token bucket bounded the excess to one more burst for each pass that found it full.

The limiter now keeps the loads of each cell from their start.

--- a/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
+++ b/src/main/java/org/poplarwharf/internal/cell/CellRuntime.java
@@ -24,7 +24,6 @@
 import org.poplarwharf.internal.state.CellRecord.Author;
 import org.poplarwharf.internal.state.CellStateView;
 import org.poplarwharf.internal.state.CellStateView.Slot;
-import org.poplarwharf.internal.state.CellStateView.SlotPhase;
 import org.poplarwharf.plugins.ArtifactId;
 import org.poplarwharf.plugins.EngineDialect;
 import org.poplarwharf.plugins.EngineDialect.OrderKind;
@@ -55,6 +54,7 @@
     private final CellReplicas replicas;
     private final Map<SlotKey, Long> cooldownUntilMillis = new HashMap<>();
     private final Map<SlotKey, Long> nextRecoveryMillis = new HashMap<>();
+    private final CellStoreLoads storeLoads;
     private boolean draining;
 
     /** Services that all cells of a node share. */
@@ -85,6 +85,7 @@
                 shared.engineDialect(),
                 settings.vmId(),
                 settings.leaseMillis());
+        this.storeLoads = new CellStoreLoads(name, shared.storeLimiter(), state, orderExecutor, this::hasNearCopy);
         this.enginePoller = new EnginePoller(
                 shared.engineDialect(),
                 orderExecutor.logicalClock(),
@@ -210,8 +211,10 @@
         }
         orderExecutor.tick(enginePoller.statuses());
         if (!leaseManager.isHeld() || draining) {
+            storeLoads.clear();
             return;
         }
+        storeLoads.update();
         retireGoneVms();
         recover();
         if (!growthGuard.adoptConfig()) {
@@ -229,6 +232,7 @@
     }
 
     void stop() {
+        storeLoads.clear();
         control.stop();
     }
 
@@ -260,20 +264,13 @@
             return;
         }
         boolean nearCopy = hasNearCopy(key);
-        if (!nearCopy && !shared.storeLimiter().tryStart(storeLoadCount(), nowMillis())) {
+        if (!nearCopy && !storeLoads.tryStart(key, nowMillis())) {
             return;
         }
         loadTimes.recordStart(key, nearCopy, nowMillis());
         orderExecutor.load(load.quota(), load.target(), vm.get().vmId());
     }
 
-    private int storeLoadCount() {
-        return (int) state.slots().stream()
-                .filter(slot -> slot.phase() == SlotPhase.INTENDED)
-                .filter(slot -> !hasNearCopy(SlotKey.of(slot)))
-                .count();
-    }
-
     /** Returns whether the target reports a local copy of the weights, which loads without the weight store. */
     boolean hasNearCopy(SlotKey key) {
         return targetStatus(key.target())
--- a/src/main/java/org/poplarwharf/internal/cell/StoreLoadLimiter.java
+++ b/src/main/java/org/poplarwharf/internal/cell/StoreLoadLimiter.java
@@ -1,9 +1,17 @@
 package org.poplarwharf.internal.cell;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.poplarwharf.internal.cell.PlanInput.SlotKey;
+
 /**
- * Limits loads from the weight store by a token bucket and by a maximum number of concurrent loads.
+ * Limits loads from the weight store, of all cells that this node holds, by a token bucket and by a maximum number of
+ * concurrent loads.
  *
- * <p>Invariant: at most {@code maxConcurrentLoads} loads run at a time. Starts keep to the configured rate after a
+ * <p>Invariant: at most {@code maxConcurrentLoads} loads run at a time, counted from their start and not only once the log
+ * shows them. Starts keep to the configured rate after a
  * burst of as many loads. Confined to the control thread.
  */
 final class StoreLoadLimiter {
@@ -11,6 +19,7 @@
 
     private final double startsPerSecond;
     private final int maxConcurrentLoads;
+    private final Map<String, Set<SlotKey>> loadsByCell = new HashMap<>();
     private double tokens;
     private long refilledMillis;
 
@@ -21,13 +30,20 @@
         this.refilledMillis = nowMillis;
     }
 
-    /** Takes a token if one is available; {@code loading} is the number of loads that run now. */
-    boolean tryStart(int loading, long nowMillis) {
+    /** Replaces the loads of a cell that run now. */
+    void setLoads(String cell, Set<SlotKey> loads) {
+        loadsByCell.put(cell, new HashSet<>(loads));
+    }
+
+    /** Starts a load of a cell if the store serves one more and a token is available. */
+    boolean tryStart(String cell, SlotKey load, long nowMillis) {
         refill(nowMillis);
+        int loading = loadsByCell.values().stream().mapToInt(Set::size).sum();
         if (loading >= maxConcurrentLoads || tokens < 1) {
             return false;
         }
         tokens--;
+        loadsByCell.computeIfAbsent(cell, name -> new HashSet<>()).add(load);
         return true;
     }
 
