Load a model that was asked for in vain for 10 s from a copy before models with more requests

A model with a copy at a target could go behind models with more requests each time that the target was free: the order is by the requests that a load would serve, and new ones kept coming.

Now models that callers have asked for in vain for 10 s come first for loads from copies, the earliest first. So such a model is loaded within 10 s, the 6 s for which models asked for are not evicted, and one load for each of those asked for before it.

StoreLoadDispatcherTest, one case more; red without the change.

--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -26,6 +26,9 @@
     /** The interval of reports from a target that carries out an order of an earlier lease holder. */
     private static final long OTHER_ORDER_REPORT_INTERVAL_MILLIS = 500;
 
+    /** A model that callers have asked for in vain for this long is loaded from a local copy before all others. */
+    private static final long LONG_ASKED_MILLIS = 10_000;
+
     /** The minimum interval between attempts to load a model, even if other events occur in between. */
     private static final long ATTEMPT_INTERVAL_MILLIS = 15;
 
@@ -39,6 +42,7 @@
     private final ReplicaController replicas;
     private final EngineOrderController orders;
     private final Map<String, Attempt> lastAttempts = new HashMap<>();
+    private boolean longAskedWaits;
     private long lastPassMillis = Long.MIN_VALUE / 2;
     private long lastPrefetchMillis = Long.MIN_VALUE / 2;
     private final FailedLoadLog failedLoads;
@@ -135,6 +139,30 @@
         starter.endTurnOfLongestAsked();
     }
 
+    /**
+     * Plans loads, from local copies, of the models that callers have asked for in vain for long; the one asked for
+     * earliest is first, whatever the others would serve.
+     *
+     * @return whether one of them waits for a target
+     */
+    private boolean planLongAskedModels(
+            EngineSpec spec, Collection<EngineState> engines, Set<String> unservedModels, long nowMillis) {
+        boolean waitsForTarget = false;
+        for (String name : unserved.modelsByWait(nowMillis)) {
+            if (unserved.askedInVainMillis(name, nowMillis) < LONG_ASKED_MILLIS) {
+                break;
+            }
+            EngineModelSpec model = spec.models().get(name);
+            if (model == null || !unservedModels.contains(name) || isCovered(name, engines, nowMillis)) {
+                continue;
+            }
+            Optional<LoadPlanner.Plan> plan = planner.plan(model, engines, unservedModels, false, nowMillis);
+            waitsForTarget |= starter.startPlanned(model, plan, REASON_LONGEST_ASKED, nowMillis)
+                    == LoadStarter.Outcome.WAITS_FOR_TARGET;
+        }
+        return waitsForTarget;
+    }
+
     /**
      * Plans loads of the models that no target holds or is to load, in order. Between two full passes only models that
      * were not tried lately are tried, and only while none before them waits, so that no model takes a target from one
@@ -148,9 +176,10 @@
         if (isFullPass) {
             lastPassMillis = nowMillis;
             planLongestAskedModel(spec, engines, unservedModels, nowMillis);
+            longAskedWaits = planLongAskedModels(spec, engines, unservedModels, nowMillis);
         }
         boolean waitsForTarget = false;
-        boolean isBehindAnother = false;
+        boolean isBehindAnother = longAskedWaits;
         for (String model : unservedModels) {
             if (!spec.models().containsKey(model) || isCovered(model, engines, nowMillis)) {
                 continue;
--- a/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
@@ -20,6 +20,9 @@
     /** Time for the dispatcher to learn the targets' states and to send the orders of its first passes. */
     private static final long FIRST_ORDERS_MILLIS = 300;
 
+    /** The time until a model goes first, that for which others stay protected, and the loads of those before it. */
+    private static final long MAX_LOCAL_WAIT_MILLIS = 10_000 + 6_000 + 5 * (FakeFleet.DISK_LOAD_MILLIS + 200);
+
     private static List<String> missingModels() {
         return IntStream.range(0, MISSING_COUNT).mapToObj(i -> "missing-" + i).toList();
     }
@@ -98,6 +101,31 @@
                 .isBetween(1, 2 * (earlierCount + 1));
     }
 
+    /** Guards against a model that never gets the only target with its copy, as others with copies there rank higher. */
+    @Test
+    void a_model_with_a_copy_is_loaded_in_time_although_others_are_always_requested_more() {
+        List<String> models = new ArrayList<>(List.of("rare"));
+        IntStream.range(0, 200).forEach(i -> models.add("popular-" + i));
+        FakeFleet fleet = new FakeFleet(models.toArray(String[]::new));
+        fleet.addTarget("t1", List.of("popular-0", "popular-1"), Set.copyOf(models));
+        fleet.sendAllHeartbeats();
+        int popularCount = 2;
+        long askedMillis = fleet.nowMillis;
+        for (int i = 0; i < 4; i++) {
+            submitOften(fleet, "popular-" + popularCount++);
+        }
+        fleet.submit("rare", PATIENT_MILLIS);
+        while (fleet.nowMillis < askedMillis + 2 * MAX_LOCAL_WAIT_MILLIS
+                && !fleet.orderedModels(EngineOrder.Kind.LOAD).contains("rare")) {
+            submitOften(fleet, "popular-" + popularCount++);
+            fleet.executeOrdersFor(FakeFleet.DISK_LOAD_MILLIS);
+            List.copyOf(fleet.granted.keySet()).forEach(key -> fleet.dispatcher.endRun(key, fleet.nowMillis));
+        }
+
+        assertThat(fleet.orderedModels(EngineOrder.Kind.LOAD)).contains("rare");
+        assertThat(fleet.nowMillis - askedMillis).isLessThanOrEqualTo(MAX_LOCAL_WAIT_MILLIS);
+    }
+
     private static void submitOften(FakeFleet fleet, String model) {
         for (int i = 0; i < 5; i++) {
             fleet.submit(model, PATIENT_MILLIS);
