A new holder counts the loads that its predecessor ordered against the store's limit

Cause: a holder learned of an order in progress only from the report of a target at which it wanted to load something itself.

Now a new holder requests a report from each target once, and a target whose first report is still to come counts as loading from the store. One that doesn't respond counts until its call has failed. That is one probe for each target and holder.

StoreLoadDispatcherTest, one case more: red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -170,12 +170,12 @@
         if (engine == null || !target.isSameIncarnation(engine.target)) {
             return;
         }
+        boolean occupiedStore = engine.loads.occupiesStore();
         engine.reportPending = false;
         if (report.isPresent()) {
             engine.unansweredReportCount = 0;
-            boolean wasOccupied = engine.loads.isOccupiedByOtherOrder();
             engine.updateFromReport(report.get(), nowMillis);
-            modelLoads.recordFreedTarget(wasOccupied && !engine.loads.isOccupiedByOtherOrder());
+            modelLoads.recordFreedTarget(occupiedStore && !engine.loads.occupiesStore());
         } else {
             engine.unansweredReportCount++;
             engine.nextOrderMillis = nowMillis + WaitingPolicy.RETRY_AFTER_MILLIS;
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineLoads.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineLoads.java
@@ -84,9 +84,13 @@
         return Optional.empty();
     }
 
-    /** Returns whether a load from the store is planned, ordered or in progress, or an order that may be one. */
+    /**
+     * Returns whether a load from the store is planned, ordered or in progress, or an order that may be one. A target whose
+     * first report is still to come may carry out one of an earlier lease holder.
+     */
     boolean occupiesStore() {
-        return isLoadingFromStore() || nextLoadsFromStore() || isOccupiedByOtherOrder();
+        boolean isUnknown = engine.ordersAccepted.isEmpty() && engine.reportPending;
+        return isLoadingFromStore() || nextLoadsFromStore() || isOccupiedByOtherOrder() || isUnknown;
     }
 
     /** Returns whether the target carries out an order that isn't known here. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -242,9 +242,15 @@
         return false;
     }
 
-    /** Requests reports from targets whose loads should be done but aren't confirmed. */
+    /**
+     * Requests reports from targets whose loads should be done but aren't confirmed, and from those whose state isn't known:
+     * they may carry out orders of an earlier lease holder.
+     */
     private void requestConfirmations(Collection<EngineState> engines, long nowMillis) {
         for (EngineState engine : engines) {
+            if (engine.ordersAccepted.isEmpty() && engine.reportRequestedMillis == 0 && orders.isAllowed()) {
+                orders.requestReport(engine, nowMillis);
+            }
             long sinceReportMillis = nowMillis - engine.reportRequestedMillis;
             boolean isDue = (engine.loads.hasUnconfirmedLoad(nowMillis)
                             && sinceReportMillis >= EngineOrderController.REPORT_INTERVAL_MILLIS)
@@ -256,9 +262,12 @@
         }
     }
 
-    /** Lets the next pass try all missing models at once if a target has become free. */
+    /** Lets the next pass try all loads at once if a target has become free. */
     void recordFreedTarget(boolean isFreed) {
-        lastPassMillis = isFreed ? Long.MIN_VALUE / 2 : lastPassMillis;
+        if (isFreed) {
+            lastPassMillis = Long.MIN_VALUE / 2;
+            lastPrefetchMillis = Long.MIN_VALUE / 2;
+        }
     }
 
     /** Logs that no target can load the adapter of a request in time. */
--- a/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
@@ -160,6 +160,19 @@
         assertThat(fleet.granted).containsEntry(key, "t2");
     }
 
+    /** Guards against a new holder that adds loads to those its predecessor ordered, which then all take longer. */
+    @Test
+    void a_new_holder_starts_no_store_load_while_a_target_carries_out_an_order_of_its_predecessor() {
+        FakeFleet fleet = fleetWithMissingModels();
+        fleet.occupyUntilMillis("t5", fleet.nowMillis + FakeFleet.STORE_LOAD_MILLIS);
+        fleet.submit("missing-0", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FakeFleet.STORE_LOAD_MILLIS - FIRST_ORDERS_MILLIS);
+        assertThat(fleet.orderedModels(EngineOrder.Kind.LOAD)).isEmpty();
+        fleet.executeOrdersFor(2_000);
+
+        assertThat(fleet.orderedModels(EngineOrder.Kind.LOAD)).contains("missing-0");
+    }
+
     /** Guards against requests that wait until their deadline for an adapter whose target takes no orders. */
     @Test
     void a_request_for_an_adapter_that_cannot_be_loaded_in_time_is_refused_at_once() {
