Load from the store at targets whose models need no adapters meanwhile

Cause: a plan's cost had the load, the evictions and the running requests, but not what the load blocks. A target loads no adapter while it loads a model.

The cost of a plan now has the expected wait of callers whose adapters the target can't load meanwhile.

StoreLoadDispatcherTest, one case more: red before.

--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -38,6 +38,11 @@
      */
     private static final double STORE_LOAD_COST_RATIO = 1.5;
 
+    /** The share of the requests for a model with adapters that need one which its target doesn't hold. */
+    private static final double MISSING_ADAPTER_RATIO = 0.2;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final DemandEstimator demand;
 
     LoadPlanner(DemandEstimator demand) {
@@ -98,6 +103,7 @@
                 + waitMillis
                 + engine.runs.size() * COST_PER_RUN_MILLIS
                 + victims.get().size() * COST_PER_UNLOAD_MILLIS;
+        costMillis += blockedAdapterCostMillis(engine, engine.loadMillis(model), replicas, nowMillis);
         boolean mustDrain = false;
         for (String victim : victims.get()) {
             costMillis += evictionCostMillis(victim, engine, replicas, nowMillis);
@@ -159,6 +165,25 @@
                 .min(Comparator.comparingDouble(name -> demand.requestsPerSecond(name, nowMillis)));
     }
 
+    /**
+     * Returns the total time in milliseconds that callers of models which stay at the target would wait for adapters: it
+     * loads none during the load.
+     */
+    private double blockedAdapterCostMillis(
+            EngineState engine, long loadMillis, ReplicaCounts replicas, long nowMillis) {
+        double costMillis = 0;
+        for (String held : engine.models.keySet()) {
+            EngineModelSpec spec = engine.spec.models().get(held);
+            if (spec == null || spec.adapters() == 0) {
+                continue;
+            }
+            double costRatio = replicas.isServedElsewhere(engine, held) ? REPLICATED_COST_RATIO : 1;
+            double requests = demand.requestsPerSecond(held, nowMillis) * loadMillis / MILLIS_PER_SECOND;
+            costMillis += requests * MISSING_ADAPTER_RATIO * costRatio * loadMillis / 2;
+        }
+        return costMillis;
+    }
+
     /** Returns the total time in milliseconds that callers would wait for the model to be loaded again. */
     private double evictionCostMillis(String model, EngineState engine, ReplicaCounts replicas, long nowMillis) {
         EngineModelSpec spec = engine.spec.models().get(model);
--- a/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
+++ b/src/test/java/org/poplarwharf/internal/dispatch/StoreLoadDispatcherTest.java
@@ -186,6 +186,20 @@
         assertThat(fleet.refused).containsEntry(key, "adapter-not-loaded-in-time");
     }
 
+    /** Guards against a slow load at the only target that loads adapters of a model in demand, while another is free. */
+    @Test
+    void a_store_load_goes_to_a_target_whose_models_need_no_adapters() {
+        FakeFleet fleet = new FakeFleet("busy", "idle", "missing");
+        fleet.addTarget("t1", List.of("busy"), Set.of("busy"));
+        fleet.addTarget("t2", List.of("idle"), Set.of("idle"));
+        fleet.sendAllHeartbeats();
+        fleet.submitUntilBusy("busy", PATIENT_MILLIS);
+        fleet.submit("missing", PATIENT_MILLIS);
+        fleet.executeOrdersFor(FIRST_ORDERS_MILLIS);
+
+        assertThat(fleet.lastOrder().target().id()).isEqualTo("t2");
+    }
+
     /** Guards against adapters that are never loaded while the only target with their model loads another one. */
     @Test
     void a_model_whose_target_can_load_no_adapter_is_loaded_at_another_target_too() {
