Request first reports only when a load from the store is due

Now the reports are requested when the first load from the store is due; until they are there, none begins.

--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -58,7 +58,7 @@
             DispatchActions actions) {
         this.unserved = unserved;
         this.planner = new LoadPlanner(demand);
-        this.starter = new LoadStarter(loadRate, actions);
+        this.starter = new LoadStarter(loadRate, orders, actions);
         this.advancer = new LoadAdvancer(planner, loadRate, orders, actions);
         this.replicas = new ReplicaController(demand, planner, starter);
         this.orders = orders;
@@ -242,15 +242,9 @@
         return false;
     }
 
-    /**
-     * Requests reports from targets whose loads should be done but aren't confirmed, and from those whose state isn't known:
-     * they may carry out orders of an earlier lease holder.
-     */
+    /** Requests reports from targets whose loads should be done but aren't confirmed. */
     private void requestConfirmations(Collection<EngineState> engines, long nowMillis) {
         for (EngineState engine : engines) {
-            if (engine.ordersAccepted.isEmpty() && engine.reportRequestedMillis == 0 && orders.isAllowed()) {
-                orders.requestReport(engine, nowMillis);
-            }
             long sinceReportMillis = nowMillis - engine.reportRequestedMillis;
             boolean isDue = (engine.loads.hasUnconfirmedLoad(nowMillis)
                             && sinceReportMillis >= EngineOrderController.REPORT_INTERVAL_MILLIS)
