Leave a holder's loop time beside passes over many missing models

Suspected cause, by reading: a full pass every 15 ms looks at each missing model with each target, 65 with 94 there, and added one for each of the first reports that arrive. The store's limit keeps models missing for longer than before, so that passes stay long.

--- a/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/Dispatcher.java
@@ -175,7 +175,7 @@
         if (report.isPresent()) {
             engine.unansweredReportCount = 0;
             engine.updateFromReport(report.get(), nowMillis);
-            modelLoads.recordFreedTarget(occupiedStore && !engine.loads.occupiesStore());
+            modelLoads.recordFreedTarget(occupiedStore && !engine.loads.occupiesStore(), engines.values());
         } else {
             engine.unansweredReportCount++;
             engine.nextOrderMillis = nowMillis + WaitingPolicy.RETRY_AFTER_MILLIS;
--- a/src/main/java/org/poplarwharf/internal/dispatch/EngineLoads.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/EngineLoads.java
@@ -89,8 +89,12 @@
      * first report is still to come may carry out one of an earlier lease holder.
      */
     boolean occupiesStore() {
-        boolean isUnknown = engine.ordersAccepted.isEmpty() && engine.reportPending;
-        return isLoadingFromStore() || nextLoadsFromStore() || isOccupiedByOtherOrder() || isUnknown;
+        return isLoadingFromStore() || nextLoadsFromStore() || isOccupiedByOtherOrder() || isUnknown();
+    }
+
+    /** Returns whether the target's first report is still to come. */
+    boolean isUnknown() {
+        return engine.ordersAccepted.isEmpty() && engine.reportPending;
     }
 
     /** Returns whether the target carries out an order that isn't known here. */
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -30,7 +30,13 @@
     private static final long LONG_ASKED_MILLIS = 10_000;
 
     /** The minimum interval between attempts to load a model, even if other events occur in between. */
-    private static final long ATTEMPT_INTERVAL_MILLIS = 15;
+    private static final long MIN_ATTEMPT_INTERVAL_MILLIS = 15;
+
+    /**
+     * A pass over all missing models looks at each of them with each target. The interval grows by a millisecond for this
+     * many pairs, so that passes leave most of the time of a small node to the requests and responses of the others.
+     */
+    private static final int PAIRS_PER_INTERVAL_MILLI = 40;
 
     /** The interval of replication and prefetching, which scan every model and target. */
     private static final long PREFETCH_INTERVAL_MILLIS = 200;
@@ -172,7 +178,9 @@
      */
     private boolean planMissingModels(
             EngineSpec spec, Collection<EngineState> engines, Set<String> unservedModels, long nowMillis) {
-        boolean isFullPass = nowMillis - lastPassMillis >= ATTEMPT_INTERVAL_MILLIS;
+        long attemptIntervalMillis =
+                MIN_ATTEMPT_INTERVAL_MILLIS + (long) unservedModels.size() * engines.size() / PAIRS_PER_INTERVAL_MILLI;
+        boolean isFullPass = nowMillis - lastPassMillis >= attemptIntervalMillis;
         if (isFullPass) {
             lastPassMillis = nowMillis;
             planLongestAskedModel(spec, engines, unservedModels, nowMillis);
@@ -185,7 +193,7 @@
                 continue;
             }
             Attempt last = lastAttempts.get(model);
-            boolean isRecent = last != null && nowMillis - last.atMillis() < ATTEMPT_INTERVAL_MILLIS;
+            boolean isRecent = last != null && nowMillis - last.atMillis() < attemptIntervalMillis;
             LoadStarter.Outcome outcome = isRecent ? last.outcome() : LoadStarter.Outcome.WAITS_FOR_TARGET;
             if (isFullPass || (!isRecent && !isBehindAnother)) {
                 outcome = planMissingModel(spec.models().get(model), engines, unservedModels, nowMillis);
@@ -256,9 +264,9 @@
         }
     }
 
-    /** Lets the next pass try all loads at once if a target has become free. */
-    void recordFreedTarget(boolean isFreed) {
-        if (isFreed) {
+    /** Lets the next pass try all loads at once if a target has become free and the state of all others is known. */
+    void recordFreedTarget(boolean isFreed, Collection<EngineState> engines) {
+        if (isFreed && engines.stream().noneMatch(engine -> engine.loads.isUnknown())) {
             lastPassMillis = Long.MIN_VALUE / 2;
             lastPrefetchMillis = Long.MIN_VALUE / 2;
         }
