Look at each target once in a pass for the models that need no load

The pass asked for each missing model whether some target holds it, and counted all replicas anew for each plan.

--- a/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/LoadPlanner.java
@@ -70,13 +70,14 @@
             Set<String> protectedModels,
             boolean storeAllowsLoad,
             long nowMillis) {
-        ReplicaCounts replicas = ReplicaCounts.count(engines, nowMillis);
+        ReplicaCounts replicas = null;
         Plan best = null;
         for (EngineState engine : engines) {
             boolean usable = engine.acceptsLoads(nowMillis) && !engine.models.containsKey(model.name());
             if (!usable || (!storeAllowsLoad && engine.loadsFromStore(model))) {
                 continue;
             }
+            replicas = replicas == null ? ReplicaCounts.count(engines, nowMillis) : replicas;
             Optional<Plan> plan = plan(model, engine, replicas, protectedModels, nowMillis);
             if (plan.isPresent() && (best == null || plan.get().costMillis() < best.costMillis())) {
                 best = plan.get();
--- a/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
+++ b/src/main/java/org/poplarwharf/internal/dispatch/ModelLoadController.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -186,10 +187,14 @@
             planLongestAskedModel(spec, engines, unservedModels, nowMillis);
             longAskedWaits = planLongAskedModels(spec, engines, unservedModels, nowMillis);
         }
+        Set<String> coveredModels = coveredModels(engines, nowMillis);
         boolean waitsForTarget = false;
         boolean isBehindAnother = longAskedWaits;
         for (String model : unservedModels) {
-            if (!spec.models().containsKey(model) || isCovered(model, engines, nowMillis)) {
+            boolean isCovered = unserved.lacksAdapters(model, nowMillis)
+                    ? isCovered(model, engines, nowMillis)
+                    : coveredModels.contains(model);
+            if (isCovered || !spec.models().containsKey(model)) {
                 continue;
             }
             Attempt last = lastAttempts.get(model);
@@ -278,6 +283,23 @@
                 request.model().orElse(""), request.traits().adapter().orElse(""), waitMillis, nowMillis);
     }
 
+    /** Returns the models that targets hold or are about to, without those whose load is late. */
+    private static Set<String> coveredModels(Collection<EngineState> engines, long nowMillis) {
+        Set<String> covered = new HashSet<>();
+        for (EngineState engine : engines) {
+            if (!engine.acceptsRequests(nowMillis)) {
+                continue;
+            }
+            engine.loads.nextModel.ifPresent(covered::add);
+            for (String model : engine.models.keySet()) {
+                if (!engine.loads.isLoadLate(model, nowMillis)) {
+                    covered.add(model);
+                }
+            }
+        }
+        return covered;
+    }
+
     /**
      * Returns whether callers of the model need no further load: a target holds it or is about to. One whose load is
      * late doesn't count; nor, where adapters were refused, one that can't load them now.
