Log the requests in flight when a drain begins, and what is left of its grace period

The log could not tell how long a draining node still had for a request when it read, sent or ended it, and lines could be lost at the end of the process: it waited for them for 200 ms at most, and began to count the grace period late.

Each line of a request in a drain now has graceLeftMillis. request-in-flight and request-waits name each request that has no final response when the drain begins, with its target and since when that has it. NodeStop counts the grace period from the signal and uses what is left of it for the last lines.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.poplarwharf.internal.dispatch.RunOutcome;
 import org.poplarwharf.internal.fleet.Target;
 
 /**
@@ -93,6 +94,18 @@
                 .filter(target -> request.gateway().mayContinueAt(target) && continuity.allows(target));
     }
 
+    /** Reports what an attempt has come to, if it is new. */
+    void report(Attempt attempt, Optional<RunOutcome> outcome) {
+        outcome.ifPresent(reported -> request.selector().reportOutcome(attempt.key(), reported));
+    }
+
+    /** Ends the search for a target or, if there is one, the attempt at it. */
+    void release(Optional<Attempt> current, String searchKey) {
+        current.ifPresent(this::abandon);
+        request.selector().cancel(searchKey);
+        request.selector().reportOutcome(searchKey, new RunOutcome.Abandoned());
+    }
+
     /** Ends an attempt before its response has ended. */
     void abandon(Attempt attempt) {
         if (attempt.wasSent()) {
--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -134,7 +134,7 @@
 
     @Override
     public void onInvalid(int status, String reason) {
-        gateway.log().log("request-refused", "requestId", "", "reason", reason, "status", status);
+        gateway.logRequestEvent("request-refused", "requestId", "", "reason", reason, "status", status);
         idleTimer.cancel();
         takesNoMore = true;
         refusalStatus = OptionalInt.of(status);
@@ -202,6 +202,14 @@
         }
     }
 
+    /** Logs the requests that have been read and have no final response when the node begins to drain. */
+    void recordInFlight() {
+        if (exchange != null) {
+            exchange.recordInFlight();
+        }
+        pipelined.recordWaiting();
+    }
+
     /** Responds to the request under way without a result, since the node is about to end. */
     void endExchange() {
         if (exchange != null) {
@@ -226,16 +234,7 @@
 
     /** Refuses the current request before its exchange begins. */
     private void refuse(String requestId, FailureCode code, String reason, long retryAfterMillis) {
-        gateway.log().log(
-                "request-refused",
-                "requestId",
-                requestId,
-                "code",
-                code.text(),
-                "reason",
-                reason,
-                "planVersion",
-                gateway.planVersion());
+        RequestIntake.logRefused(gateway, requestId, code, reason);
         current.release();
         sendProblem(requestId, code, reason, retryAfterMillis);
     }
@@ -387,7 +386,7 @@
         String requestId = current == null
                 ? ""
                 : gateway.headerCodec().readRequest(current.headers()).requestId();
-        gateway.log().log("caller-connection-failed", "requestId", requestId, "reason", String.valueOf(cause));
+        gateway.logRequestEvent("caller-connection-failed", "requestId", requestId, "reason", String.valueOf(cause));
         channel.close();
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -68,6 +68,18 @@
         log("request-sent", "target", target.id(), "by", by, "millisLeft", millisLeft);
     }
 
+    /** Records a request that is in flight when the node begins to drain, and since when its target has it if it was sent. */
+    void recordInFlight(Optional<Attempt> attempt, int events) {
+        log(
+                "request-in-flight",
+                "target",
+                attempt.map(sent -> sent.target().id()).orElse(""),
+                "sentMillisAgo",
+                attempt.map(sent -> context.nowMillis() - sent.sentMillis()).orElse(-1L),
+                "events",
+                events);
+    }
+
     /** Records that the target has sent a part of the response, which ends its silence. */
     void recordBytes() {
         lastBytesMillis = context.nowMillis();
@@ -154,6 +166,6 @@
                 context.planVersion());
         Collections.addAll(all, "millis", context.nowMillis() - request.arrivedMillis());
         Collections.addAll(all, fields);
-        context.log().log(event, all.toArray());
+        context.logRequestEvent(event, all.toArray());
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayContext.java
@@ -3,6 +3,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.internal.PlatformDependent;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.poplarwharf.internal.crash.CrashDetector;
@@ -41,6 +44,7 @@
     private TargetSelector engineSelector;
     private final ConnectionProtection protection;
     private final KeysInForce keysInForce = new KeysInForce();
+    private final GracePeriod gracePeriod = new GracePeriod();
     private final CallerIdentification callers;
     private QuotaGate quotaGate;
     private TargetLimits targetLimits;
@@ -120,6 +124,18 @@
         targetLimits = limits;
     }
 
+    /** The time that is left for requests once the node drains. */
+    GracePeriod gracePeriod() {
+        return gracePeriod;
+    }
+
+    /** Logs an event of a request, with the time that a draining node has left for requests. */
+    void logRequestEvent(String event, Object... fields) {
+        List<Object> all = new ArrayList<>(List.of(fields));
+        gracePeriod.leftMillis(nowMillis()).ifPresent(left -> Collections.addAll(all, "graceLeftMillis", left));
+        log.log(event, all.toArray());
+    }
+
     TargetStatements statements() {
         return statements;
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GatewayServer.java
@@ -119,11 +119,15 @@
         context.reload(latest);
     }
 
-    /** Drains the node. Runs the action when no request is in flight or the grace period is nearly over. */
-    public void drain(Runnable onDrained) {
-        GracefulDrain drain = new GracefulDrain(
-                server, context::schedule, context.log(), context.settings().shutdownGraceMillis());
-        drain.start(context::nowMillis, onDrained);
+    /**
+     * Drains the node. Runs the action when no request is in flight or the grace period is nearly over.
+     *
+     * @param signalledMillis when the node was told to stop, on its clock
+     */
+    public void drain(long signalledMillis, Runnable onDrained) {
+        long graceLeftMillis = context.settings().shutdownGraceMillis() - (context.nowMillis() - signalledMillis);
+        new GracefulDrain(server, context::schedule, context.log(), graceLeftMillis)
+                .start(context::nowMillis, onDrained);
     }
 
     private boolean isReady() {
--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -47,6 +47,7 @@
     void start(MonotonicClock clock, Runnable onDrained) {
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
+        server.beginGracePeriod(startMillis + graceMillis - END_MARGIN_MILLIS);
         server.startDraining();
         // An event loop that is behind has connections to accept and then their requests to read. It does one of the
         // two between two timers.
--- a/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/PipelinedRequests.java
@@ -76,7 +76,15 @@
 
     /** Logs a request that gets no response. */
     void logDropped(HttpRequest request, String reason) {
-        String requestId = gateway.headerCodec().readRequest(request.headers()).requestId();
-        gateway.log().log("request-dropped", "requestId", requestId, "reason", reason);
+        gateway.logRequestEvent("request-dropped", "requestId", idOf(request), "reason", reason);
+    }
+
+    /** Logs the requests that wait when the node begins to drain. */
+    void recordWaiting() {
+        requests.forEach(request -> gateway.logRequestEvent("request-waits", "requestId", idOf(request)));
+    }
+
+    private String idOf(HttpRequest request) {
+        return gateway.headerCodec().readRequest(request.headers()).requestId();
     }
 }
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -150,16 +150,12 @@
 
     private void onEventsForwarded(Attempt attempt) {
         replacement.cancel();
-        reportProgress(attempt, progress.recordEvents(attempt, gateway.nowMillis()));
+        sender.report(attempt, progress.recordEvents(attempt, gateway.nowMillis()));
         progressTimer.restart(
                 gateway.policy().eventGapTimeoutMillis(attempt.target(), route, limits.possibleRunCount()));
         onBytesForwarded(attempt);
     }
 
-    private void reportProgress(Attempt attempt, Optional<RunOutcome> outcome) {
-        outcome.ifPresent(reported -> selector.reportOutcome(attempt.key(), reported));
-    }
-
     /** Stops reading from the target while the caller takes no more bytes; that is no silence of the target. */
     private void onBytesForwarded(Attempt attempt) {
         replacement.cancelIfNotAllowed();
@@ -207,7 +203,7 @@
             rerun(attempt, "failed by target");
             return;
         }
-        reportProgress(attempt, progress.recordEnd(attempt, gateway.nowMillis()));
+        sender.report(attempt, progress.recordEnd(attempt, gateway.nowMillis()));
         selector.reportEnd(attempt.key(), relay.isMarkedSuccess());
         gateway.crashDetector().recordResponse(context.suspects(), relay.isMarkedSuccess());
         close("request-answered", relay.finish());
@@ -331,11 +327,13 @@
         if (relay.started()) {
             sink.abortResponse();
             close("request-cut", "reason", reason);
-        } else if (limits.mayHaveRun()) {
-            fail(codeIfRun, reason, 0);
-        } else {
-            fail(codeIfNotRun, reason, retryAfterMillis);
+            return;
         }
+        boolean mayHaveRun = limits.mayHaveRun();
+        FailureCode code = mayHaveRun ? codeIfRun : codeIfNotRun;
+        long retryMillis = mayHaveRun ? 0 : retryAfterMillis;
+        sink.sendProblem(context.traits().requestId(), code, reason, retryMillis);
+        close("request-failed", "code", code.text(), "reason", reason, "retryAfterMillis", retryMillis);
     }
 
     /** Refuses a request that has crashed targets, or a part of whose prompt has, and returns whether it did. */
@@ -363,6 +361,11 @@
         }
     }
 
+    /** Logs how far the request is when the node begins to drain. */
+    void recordInFlight() {
+        recorder.recordInFlight(current, relay.eventCount());
+    }
+
     void handleCallerGone() {
         if (!done) {
             releaseTarget();
@@ -371,10 +374,8 @@
     }
 
     private void releaseTarget() {
-        current.ifPresent(sender::abandon);
+        sender.release(current, selectionKey);
         endAttempt();
-        selector.cancel(selectionKey);
-        selector.reportOutcome(selectionKey, new RunOutcome.Abandoned());
     }
 
     private void endAttempt() {
@@ -382,11 +383,6 @@
         progressTimer.stop();
     }
 
-    private void fail(FailureCode code, String reason, long retryAfterMillis) {
-        sink.sendProblem(context.traits().requestId(), code, reason, retryAfterMillis);
-        close("request-failed", "code", code.text(), "reason", reason, "retryAfterMillis", retryAfterMillis);
-    }
-
     private void close(String event, Object... fields) {
         done = true;
         deadlineTimer.cancel(false);
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -85,6 +85,16 @@
         return draining;
     }
 
+    /**
+     * Begins the grace period of a drain.
+     *
+     * @param requestsEndMillis when the requests that are still in flight will be ended, on the clock of the gateway
+     */
+    void beginGracePeriod(long requestsEndMillis) {
+        context.gracePeriod().begin(requestsEndMillis);
+        connections.forEach(CallerConnection::recordInFlight);
+    }
+
     /** Makes each response from now on, behind which no request waits, ask its caller to close the connection. */
     void startDraining() {
         draining = true;
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestIntake.java
@@ -28,6 +28,20 @@
     /** The request is refused without being run. */
     record Refused(FailureCode code, String reason, long retryAfterMillis) implements Decision {}
 
+    /** Logs a request that is refused before its exchange begins. */
+    static void logRefused(GatewayContext gateway, String requestId, FailureCode code, String reason) {
+        gateway.logRequestEvent(
+                "request-refused",
+                "requestId",
+                requestId,
+                "code",
+                code.text(),
+                "reason",
+                reason,
+                "planVersion",
+                gateway.planVersion());
+    }
+
     /**
      * Decides on a request.
      *
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -9,8 +9,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.poplarwharf.internal.admin.PrometheusText;
 import org.poplarwharf.internal.crash.Suspect;
 import org.poplarwharf.internal.crash.TargetCrash;
@@ -68,7 +66,7 @@
     private final TopicFollower.Timer timer;
     private final MetricRegistry registry = new MetricRegistry();
     private final KeyedLog platformLog;
-    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final NodeStop stop;
     private final GatewayServer front;
     private final HolderRole holderRole;
     private final EngineTargetSelector engineTargets;
@@ -85,6 +83,7 @@
         this.settings = settings;
         this.adapter = adapter;
         this.log = new DecisionLog(settings.nodeId(), settings.zone(), out);
+        this.stop = new NodeStop(settings.shutdownGraceMillis(), clock, log);
         this.timer = new LoopTimer(loop, log);
         GatewayMetrics metrics = new GatewayMetrics(registry);
         PooledHttpClient httpCaller = new PooledHttpClient(loop, new BrokenResponseRecorder(log, metrics));
@@ -263,27 +262,15 @@
 
     /** Resigns the lease, finishes requests in flight and stops; waits at most for the grace period. */
     public void drainAndStop() {
-        loop.execute(() -> {
+        stop.run((signalledMillis, onDrained) -> loop.execute(() -> {
             lease.resign();
-            front.drain(() -> stopped.countDown());
-        });
-        try {
-            stopped.await(settings.shutdownGraceMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        log.log("node-stopped");
-        log.flush();
-        stopped.countDown();
+            front.drain(signalledMillis, onDrained);
+        }));
     }
 
     /** Waits until the node has stopped. */
     public void awaitStop() {
-        try {
-            stopped.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        stop.await();
     }
 
     private void awaitBinding(InetSocketAddress address, ChannelFuture binding) {
--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/holder/NodeStop.java
@@ -0,0 +1,65 @@
+package org.poplarwharf.internal.holder;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.poplarwharf.internal.kernel.DecisionLog;
+import org.poplarwharf.internal.kernel.MonotonicClock;
+
+/**
+ * The end of a node: its drain, and then the last lines of its log.
+ *
+ * <p>Invariant: both end within the grace period, which counts from the call of {@link #run}. Thread-safe.
+ */
+final class NodeStop {
+    /** Time for the last lines of the log, although the process may be killed meanwhile. */
+    private static final long MIN_LOG_FLUSH_MILLIS = 200;
+
+    /** Time before the process would be killed, at which it ends although lines of its log are not written. */
+    private static final long LOG_FLUSH_MARGIN_MILLIS = 100;
+
+    private final long graceMillis;
+    private final MonotonicClock clock;
+    private final DecisionLog log;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    NodeStop(long graceMillis, MonotonicClock clock, DecisionLog log) {
+        this.graceMillis = graceMillis;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Drains a node. */
+    interface Drain {
+        /**
+         * Starts to drain.
+         *
+         * @param signalledMillis when the node was told to stop
+         * @param onDrained runs once nothing is left to be done
+         */
+        void start(long signalledMillis, Runnable onDrained);
+    }
+
+    /** Drains the node and waits for that, and for its log. */
+    void run(Drain drain) {
+        long signalledMillis = clock.nowMillis();
+        drain.start(signalledMillis, stopped::countDown);
+        try {
+            stopped.await(graceMillis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.log("node-stopped");
+        long graceLeftMillis = graceMillis - (clock.nowMillis() - signalledMillis);
+        log.flush(Math.max(MIN_LOG_FLUSH_MILLIS, graceLeftMillis - LOG_FLUSH_MARGIN_MILLIS));
+        stopped.countDown();
+    }
+
+    /** Waits until the node has stopped. */
+    void await() {
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/kernel/DecisionLog.java
+++ b/src/main/java/org/poplarwharf/internal/kernel/DecisionLog.java
@@ -8,8 +8,10 @@
 import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Logs the decisions of a process: one JSON line per decision, with the inputs that led to it.
@@ -21,7 +23,9 @@
     /** Holds about two seconds of lines of a busy node. */
     private static final int MAX_QUEUED_LINES = 4_096;
 
-    private static final long FLUSH_TIMEOUT_NANOS = 200_000_000L;
+    private static final long FLUSH_TIMEOUT_MILLIS = 200;
+
+    private static final long FLUSH_POLL_NANOS = 1_000_000L;
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -62,9 +66,14 @@
 
     /** Waits until all lines are written, for at most 200 ms. */
     public void flush() {
-        long deadlineNanos = System.nanoTime() + FLUSH_TIMEOUT_NANOS;
+        flush(FLUSH_TIMEOUT_MILLIS);
+    }
+
+    /** Waits until all lines are written, for at most the given time. */
+    public void flush(long timeoutMillis) {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         while (unwrittenLineCount.get() > 0 && System.nanoTime() < deadlineNanos) {
-            Thread.onSpinWait();
+            LockSupport.parkNanos(FLUSH_POLL_NANOS);
         }
     }
 
