Count runs that were given up when a drain compares run times with its grace period

Only complete responses counted as run times, so that the longest runs, which were cut or left, were never seen.

A run that is given up now counts with the time that it had taken.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptSender.java
@@ -99,6 +99,15 @@
         outcome.ifPresent(reported -> request.selector().reportOutcome(attempt.key(), reported));
     }
 
+    /** Reports that an attempt has ended normally, and whether its response was certainly a success. */
+    void reportEnd(Attempt attempt, boolean successful) {
+        request.selector().reportEnd(attempt.key(), successful);
+        request.gateway().crashDetector().recordResponse(request.suspects(), successful);
+        if (successful) {
+            recorder.recordRunTime(attempt.sentMillis());
+        }
+    }
+
     /** Ends the search for a target or, if there is one, the attempt at it. */
     void release(Optional<Attempt> current, String searchKey) {
         current.ifPresent(this::abandon);
@@ -112,6 +121,7 @@
             request.gateway()
                     .crashDetector()
                     .recordAbandonedRun(attempt.target(), request.suspects(), attempt.sentMillis());
+            recorder.recordRunTime(attempt.sentMillis());
         }
         attempt.cancel();
     }
--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -150,11 +150,8 @@
                 usage.nodeCount());
     }
 
-    /** Records how long a target took for a complete response to what was sent at the given time, if that is a success. */
-    void recordRunTime(long sentMillis, boolean isSuccess) {
-        if (!isSuccess) {
-            return;
-        }
+    /** Records how long a target took for a successful response to what was sent then, or has taken until it was given up. */
+    void recordRunTime(long sentMillis) {
         long nowMillis = context.nowMillis();
         long untilFirstBytesMillis = Math.max(0, firstBytesMillis.orElse(nowMillis) - sentMillis);
         context.runTimes()
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -205,9 +205,7 @@
             return;
         }
         sender.report(attempt, progress.recordEnd(attempt, gateway.nowMillis()));
-        selector.reportEnd(attempt.key(), relay.isMarkedSuccess());
-        gateway.crashDetector().recordResponse(context.suspects(), relay.isMarkedSuccess());
-        recorder.recordRunTime(attempt.sentMillis(), relay.isMarkedSuccess());
+        sender.reportEnd(attempt, relay.isMarkedSuccess());
         close("request-answered", relay.finish());
     }
 
--- a/src/main/java/org/poplarwharf/internal/gateway/RunTimes.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RunTimes.java
@@ -7,9 +7,9 @@
 
 /**
  * How long requests of each route have lately run at their targets, at most: until the first bytes of the response, and
- * from then on for each token that the request may bring.
+ * from then on for each token that the request may bring. Those that were given up count, since they would have run longer.
  *
- * <p>Invariant: keeps nothing of a route without a complete response for {@link #WINDOW_MILLIS} or longer. Confined to the
+ * <p>Invariant: keeps nothing of a route without a run for twice {@link #WINDOW_MILLIS} or longer. Confined to the
  * event loop.
  */
 final class RunTimes {
@@ -34,7 +34,7 @@
         }
     }
 
-    /** Records a run with a complete response, in milliseconds after it was sent to its target. */
+    /** Records a run, with its times in milliseconds after it was sent to its target. */
     void record(String route, RequestTraits traits, long untilFirstBytesMillis, long untilEndMillis, long nowMillis) {
         rotate(nowMillis);
         double perTokenMillis = (double) (untilEndMillis - untilFirstBytesMillis) / tokenCount(traits);
