--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -65,6 +65,7 @@
     private final int kindCount;
     private final boolean hasLogFaults;
     private final List<Kind> preferredKinds;
+    private final boolean reloadsDuringDrain;
     private final List<byte[]> invalidEntryNames;
     private final Set<String> faultyComponents = new HashSet<>();
     private final List<ActiveFault> activeFaults = new ArrayList<>();
@@ -131,6 +132,7 @@
         this.kindCount = FaultSeeds.kindCount(seed);
         this.hasLogFaults = !FaultSeeds.isWithoutLogFaults(seed);
         this.preferredKinds = FaultSeeds.preferredKinds(seed);
+        this.reloadsDuringDrain = FaultSeeds.hasLongStreams(seed);
         boolean hasOddNames = FaultSeeds.hasOddNames(seed);
         this.invalidEntryNames = hasOddNames ? ODD_NAMES : List.of("x-1".getBytes(StandardCharsets.UTF_8));
         if (hasOddNames) {
@@ -301,6 +303,9 @@
 
     private Optional<Runnable> terminateGateway(SoakGateway gateway) {
         gateway.process().terminate();
+        if (reloadsDuringDrain) {
+            gateway.changeSettings(SoakGateway.DRAIN_MILLIS);
+        }
         return Optional.of(() -> {
             if (gateway.process().isAlive()) {
                 fleet.activity.recordViolation(
--- a/src/test/java/org/poplarwharf/soak/FaultSeeds.java
+++ b/src/test/java/org/poplarwharf/soak/FaultSeeds.java
@@ -31,6 +31,19 @@
     /** From this seed on, entries of another writer have odd names, and the list of targets has pages of two. */
     private static final long FIRST_SEED_WITH_ODD_NAMES = 930_000;
 
+    /**
+     * From this seed on, some streams take most of the shutdown grace period, callers send their next requests at once, and
+     * gateways are told to reload their settings while they drain.
+     */
+    static final long FIRST_SEED_WITH_LONG_STREAMS = 960_000;
+
+    private static final List<Kind> DRAIN_KINDS = List.of(
+            Kind.GATEWAY_TERMINATED,
+            Kind.GATEWAY_TERMINATED,
+            Kind.SETTINGS_CHANGED,
+            Kind.CONFIG_CHANGED_IN_SERIES,
+            Kind.TARGET_SILENT);
+
     private static final List<Kind> LOSS_KINDS =
             List.of(Kind.TARGET_SILENT, Kind.CONFIG_CHANGED_IN_SERIES, Kind.GATEWAY_TERMINATED);
     private static final List<Kind> RUN_ONCE_KINDS =
@@ -41,6 +54,10 @@
 
     private FaultSeeds() {}
 
+    static boolean hasLongStreams(long seed) {
+        return seed >= FIRST_SEED_WITH_LONG_STREAMS;
+    }
+
     static boolean hasOddNames(long seed) {
         return seed >= FIRST_SEED_WITH_ODD_NAMES;
     }
@@ -76,6 +93,9 @@
         if (seed < FIRST_SEED_WITH_SILENT_TARGETS) {
             return List.of();
         }
+        if (hasLongStreams(seed)) {
+            return DRAIN_KINDS;
+        }
         if (seed < FIRST_SEED_WITH_FAULTY_RESPONSES) {
             return LOSS_KINDS;
         }
--- a/src/test/java/org/poplarwharf/soak/InvariantChecker.java
+++ b/src/test/java/org/poplarwharf/soak/InvariantChecker.java
@@ -95,7 +95,7 @@
 
     /** Returns whether a stream began so late that its caller's timeout is reached before its last event. */
     private static boolean beganTooLate(RecordedCall call, List<TargetActivity.Run> callRuns) {
-        long latestStartMillis = call.sentMillis() + call.kind().timeoutMillis - SoakEngine.STREAM_MILLIS;
+        long latestStartMillis = call.sentMillis() + call.kind().timeoutMillis - SoakEngine.streamMillis(call.id());
         return call.kind().streaming && callRuns.stream().allMatch(run -> run.startMillis() > latestStartMillis);
     }
 
--- a/src/test/java/org/poplarwharf/soak/LossCheck.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -12,7 +12,8 @@
  * Checks that no request is lost: one that its caller has sent whole gets a response or a refusal, and is not given up
  * before its caller's deadline while its targets are sound.
  *
- * <p>Only a fault of the request's gateway, or one of a target that it has or may have reached, excuses its loss. Immutable.
+ * <p>Only a fault of the request's gateway, or one of a target that it has or may have reached, excuses its loss. The end of
+ * a gateway that drains excuses the loss of a request that it began before, or whose target slowed down. Immutable.
  */
 final class LossCheck {
     private static final Set<String> GATEWAY_FAULTS =
@@ -40,6 +41,13 @@
 
     private static final long GRACE_MILLIS = SoakGateway.SHUTDOWN_GRACE_SECONDS * 1_000;
 
+    /** Faults under which a target takes longer than it did before. */
+    private static final Set<String> SLOW_FAULTS =
+            names(Kind.TARGET_SILENT, Kind.TARGET_SLOW, Kind.TARGET_LINK_SLOW, Kind.ORDERS_DELAYED);
+
+    /** A gateway learns of its signal within this time. */
+    private static final long SIGNAL_MILLIS = 300;
+
     /** A gateway exits this long before the end of its shutdown grace period, with requests in flight. */
     private static final long EXIT_MARGIN_MILLIS = 500;
 
@@ -91,20 +99,30 @@
                 && call.turnMillis().getAsLong() == call.sentMillis()
                 && call.durationMillis() < MAX_CLOSE_MILLIS
                 && !arrivals.containsKey(call.id());
-        long sinceMillis = call.sentMillis() - GRACE_MILLIS;
+        long sinceMillis = mayBeUnread || isSlowedByTarget(call)
+                ? call.sentMillis() - GRACE_MILLIS
+                : call.turnMillis().getAsLong() - SIGNAL_MILLIS;
         long untilMillis = call.endMillis() - (mayBeUnread ? 0 : GRACE_MILLIS - EXIT_MARGIN_MILLIS);
         return faults.hasStart(Kind.GATEWAY_TERMINATED, call.gatewayName(), sinceMillis, untilMillis);
     }
 
+    /** Returns whether a target with the request may have taken longer than its gateway could expect. */
+    private boolean isSlowedByTarget(RecordedCall call) {
+        return targets.stream().anyMatch(target -> hasArrived(call, target) && hasFault(SLOW_FAULTS, target, call));
+    }
+
+    private boolean hasArrived(RecordedCall call, SoakTarget target) {
+        return arrivals.getOrDefault(call.id(), List.of()).stream()
+                .anyMatch(arrival -> arrival.target().equals(target.name));
+    }
+
     private boolean isExcusedByTarget(RecordedCall call) {
         return targets.stream()
                 .filter(target -> target.engine.isPresent() == call.kind().streaming)
                 .anyMatch(target -> {
-                    boolean hasArrived = arrivals.getOrDefault(call.id(), List.of()).stream()
-                            .anyMatch(arrival -> arrival.target().equals(target.name));
                     return hasFault(REACHABILITY_FAULTS, target, call)
                             || hasFault(Set.of(SoakFleet.CRASHED_BY_REQUEST), target, call)
-                            || (hasArrived && hasFault(RESPONSE_FAULTS, target, call));
+                            || (hasArrived(call, target) && hasFault(RESPONSE_FAULTS, target, call));
                 });
     }
 
--- a/src/test/java/org/poplarwharf/soak/LossCheckTest.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheckTest.java
@@ -90,6 +90,16 @@
                 .isFalse();
     }
 
+    @Test
+    void a_request_that_a_draining_gateway_began_is_lost_if_it_is_cut_at_the_end_of_the_grace() {
+        faults.recordStart(Kind.GATEWAY_TERMINATED.name(), "g0", true, SENT_MILLIS);
+        RecordedCall cut = call(BROKEN_STREAM, SENT_MILLIS + 1_000, SENT_MILLIS + 3_700);
+
+        assertThat(isLost(cut)).isTrue();
+        faults.recordStart(Kind.TARGET_SLOW.name(), "t3", false, SENT_MILLIS + 1_000);
+        assertThat(isLost(cut)).isFalse();
+    }
+
     @Test
     void a_request_behind_a_whole_response_is_lost_if_its_gateway_closes_while_it_drains() {
         faults.recordStart(Kind.GATEWAY_TERMINATED.name(), "g0", true, SENT_MILLIS);
--- a/src/test/java/org/poplarwharf/soak/SoakCallers.java
+++ b/src/test/java/org/poplarwharf/soak/SoakCallers.java
@@ -20,6 +20,13 @@
     private static final int CALLER_COUNT_WITHOUT_CHUNKS = 3;
     private static final int PIPELINING_CALLER_COUNT = 4;
     private static final int MAX_PAUSE_MILLIS = 120;
+
+    /** Of callers that send their next request at once. */
+    private static final int MAX_SHORT_PAUSE_MILLIS = 1;
+
+    /** One in this many requests for a stream is for a long one, where there are long ones. */
+    private static final int STREAMS_PER_LONG_STREAM = 2;
+
     private static final long RECONNECT_DELAY_MILLIS = 50;
 
     private final SoakFleet fleet;
@@ -40,7 +47,9 @@
             boolean takesChunks = seed < FaultSeeds.FIRST_SEED_WITHOUT_FRAMING || i >= CALLER_COUNT_WITHOUT_CHUNKS;
             boolean pipelines =
                     seed >= FaultSeeds.FIRST_SEED_WITH_SILENT_TARGETS && i >= CALLER_COUNT - PIPELINING_CALLER_COUNT;
-            threads.add(Thread.startVirtualThread(() -> send(random, takesChunks, pipelines)));
+            int maxPauseMillis =
+                    FaultSeeds.hasLongStreams(seed) && i % 2 == 0 ? MAX_SHORT_PAUSE_MILLIS : MAX_PAUSE_MILLIS;
+            threads.add(Thread.startVirtualThread(() -> send(random, takesChunks, pipelines, maxPauseMillis)));
         }
     }
 
@@ -56,7 +65,7 @@
         return List.copyOf(calls);
     }
 
-    private void send(Random random, boolean takesChunks, boolean pipelines) {
+    private void send(Random random, boolean takesChunks, boolean pipelines, int maxPauseMillis) {
         SoakHttpConnection connection = null;
         try {
             while (!stopping) {
@@ -68,7 +77,7 @@
                 int count = pipelines ? 1 + random.nextInt(2) : 1;
                 calls.addAll(connection.sendPipelined(
                         Stream.generate(() -> request(random)).limit(count).toList()));
-                Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+                Thread.sleep(random.nextInt(maxPauseMillis));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -79,7 +88,9 @@
 
     private SoakHttpConnection.Outgoing request(Random random) {
         CallKind kind = CallKind.values()[random.nextInt(CallKind.values().length)];
-        String id = "r" + Long.toHexString(seed) + "-" + requestNumber.incrementAndGet();
+        boolean isLong = FaultSeeds.hasLongStreams(seed) && random.nextInt(STREAMS_PER_LONG_STREAM) == 0;
+        String id = "r" + Long.toHexString(seed) + "-" + requestNumber.incrementAndGet()
+                + (isLong ? SoakEngine.LONG_STREAM_SUFFIX : "");
         String model = kind.streaming ? fleet.randomModel(random) : "";
         return new SoakHttpConnection.Outgoing(id, kind, kind.path + id, model);
     }
--- a/src/test/java/org/poplarwharf/soak/SoakEngine.java
+++ b/src/test/java/org/poplarwharf/soak/SoakEngine.java
@@ -34,9 +34,10 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int FIRST_EVENT_DELAY_MILLIS = 40;
     private static final int EVENT_INTERVAL_MILLIS = 20;
+    private static final int LONG_EVENT_INTERVAL_MILLIS = 550;
 
-    /** The duration of a stream at an engine that is not slowed. */
-    static final long STREAM_MILLIS = FIRST_EVENT_DELAY_MILLIS + EVENT_COUNT * EVENT_INTERVAL_MILLIS;
+    /** The end of the id of a request whose stream takes most of the shutdown grace period. */
+    static final String LONG_STREAM_SUFFIX = "-long";
 
     /** Delay of an order while {@link #delaysOrders} is set; the order then gets no response. */
     private static final long ORDER_DELAY_MILLIS = 2_000;
@@ -327,11 +328,21 @@
                 throw new IOException("engine aborts the response");
             }
             ScriptedTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-            simulateWork(request, incarnation, EVENT_INTERVAL_MILLIS + (silentAfter == number ? silence : 0));
+            simulateWork(
+                    request, incarnation, eventIntervalMillis(request.id()) + (silentAfter == number ? silence : 0));
         }
         ScriptedTarget.write(out, "0\r\n\r\n");
     }
 
+    private static int eventIntervalMillis(String requestId) {
+        return requestId.endsWith(LONG_STREAM_SUFFIX) ? LONG_EVENT_INTERVAL_MILLIS : EVENT_INTERVAL_MILLIS;
+    }
+
+    /** Returns the duration of a stream at an engine that is not slowed. */
+    static long streamMillis(String requestId) {
+        return FIRST_EVENT_DELAY_MILLIS + EVENT_COUNT * eventIntervalMillis(requestId);
+    }
+
     static String eventText(String id, long number) {
         return "id: " + number + "\ndata: " + id + "-" + number + "\n\n";
     }
--- a/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
+++ b/src/test/java/org/poplarwharf/soak/SoakProcessTest.java
@@ -72,6 +72,11 @@
         assertThat(runSoak(FaultSeeds.FIRST_SEED_WITH_MALFORMED_RESPONSES)).isEmpty();
     }
 
+    @Test
+    void streams_that_gateways_begin_while_they_drain_are_not_cut() throws Exception {
+        assertThat(runSoak(FaultSeeds.FIRST_SEED_WITH_LONG_STREAMS)).isEmpty();
+    }
+
     /**
      * Reruns seeds that failed before.
      *
