Begin a stream in a drain only if its deadline is before the end of the node

The latest runs of a route say too little about a single stream, whose length its caller doesn't know either. A stream begins only if it must end in time, by its deadline; its refusal costs another connection, its cut the whole response. Other responses, which are short, go on by the longest of their route.

--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -4,7 +4,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.poplarwharf.internal.crash.RequestIdentity;
 import org.poplarwharf.internal.fleet.RequestTraits;
 import org.poplarwharf.internal.fleet.Target;
@@ -16,7 +15,6 @@
     private final GatewayContext context;
     private long lastBytesMillis;
     private Optional<String> firstBreak = Optional.empty();
-    private OptionalLong firstBytesMillis = OptionalLong.empty();
 
     ExchangeRecorder(RequestContext request) {
         this.request = request;
@@ -66,8 +64,7 @@
     }
 
     void recordSent(Target target, String by, long millisLeft) {
-        lastBytesMillis = context.nowMillis();
-        firstBytesMillis = OptionalLong.empty();
+        recordBytes();
         log("request-sent", "target", target.id(), "by", by, "millisLeft", millisLeft);
     }
 
@@ -86,7 +83,6 @@
     /** Records that the target has sent a part of the response, which ends its silence. */
     void recordBytes() {
         lastBytesMillis = context.nowMillis();
-        firstBytesMillis = firstBytesMillis.isPresent() ? firstBytesMillis : OptionalLong.of(lastBytesMillis);
     }
 
     void recordUnrelatedResponse(Target target) {
@@ -153,14 +149,7 @@
     /** Records how long a target took for a successful response to what was sent then, or has taken until it was given up. */
     void recordRunTime(long sentMillis) {
         long nowMillis = context.nowMillis();
-        long untilFirstBytesMillis = Math.max(0, firstBytesMillis.orElse(nowMillis) - sentMillis);
-        context.runTimes()
-                .record(
-                        request.route().name(),
-                        request.traits(),
-                        untilFirstBytesMillis,
-                        nowMillis - sentMillis,
-                        nowMillis);
+        context.runTimes().record(request.route().name(), nowMillis - sentMillis, nowMillis);
     }
 
     /** Records the end of the exchange, with the reason for which its first attempt broke, if one did. */
--- a/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/RequestContext.java
@@ -88,15 +88,15 @@
     }
 
     /**
-     * Returns whether a run that begins now is expected to end before a draining node does, by the latest runs of its route,
-     * or at its deadline. Without such runs, a stream may take until its deadline, and another response its objective.
+     * Returns whether a run that begins now ends before a draining node does. A stream may take until its deadline; another
+     * response is expected to take as long as the longest of its route did lately, or its objective.
      */
     boolean canRunWithinGracePeriod() {
         long nowMillis = gateway.nowMillis();
         long longestMillis = Math.max(0, millisLeft());
-        long expectedMillis = gateway.runTimes()
-                .expectedMillis(route.name(), traits, nowMillis)
-                .orElse(route.kind().isStream() ? longestMillis : route.objectiveMillis());
+        long expectedMillis = route.kind().isStream()
+                ? longestMillis
+                : gateway.runTimes().longestMillis(route.name(), nowMillis).orElse(route.objectiveMillis());
         return gateway.gracePeriod().allows(Math.min(expectedMillis, longestMillis), nowMillis);
     }
 
