--- a/src/test/java/org/poplarwharf/internal/entry/DrainEntryTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/DrainEntryTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.internal.target.RawHttpTarget;
@@ -143,6 +144,29 @@
         }
     }
 
+    @Test
+    @Tag("known-red")
+    void stream_that_may_outlast_a_drain_is_not_begun_in_it() throws Exception {
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            out.write(chunkedResponseHead());
+            out.write(chunk(tokenEvent(0)));
+            out.flush();
+            Thread.sleep(DRAIN_STEPS_MILLIS);
+            out.write(chunk("data: [DONE]\n\n"));
+            out.write(chunk(""));
+            return true;
+        })) {
+            entry.admission.targetAddresses.add(target.address());
+            Socket caller = connect();
+            // A drain of the fixture may take 200 ms.
+            entry.drain();
+            send(caller, completion("{\"model\":\"llama\",\"stream\":true}", 10_000));
+
+            assertThat(readUntil(caller, "\r\n\r\n")).startsWith("HTTP/1.1 503 ");
+            assertThat(entry.admission.permitRequests).isEmpty();
+        }
+    }
+
     private Socket connect() throws IOException {
         String address = entry.listenAddress();
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
