Refuse a request in a drain whose attempt is still connecting

A request that had a target, but no connection to it yet, when the drain began was sent once the connection was there, although the node could not run it to its end. Found by review, by reading: the check asked whether there is an attempt, not whether it was sent. Until then the request can be refused as not run. No test shows it: the window is that of a connect.

--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyExchange.java
@@ -331,9 +331,9 @@
         close("request-failed", "code", code.text(), "reason", reason, "retryAfterMillis", retryMillis);
     }
 
-    /** Refuses a request that waits for a target if this node, which drains, would end before it. */
+    /** Refuses a request that no target has yet if this node, which drains, would end before it. */
     void refuseIfTooLate() {
-        if (!done && current.isEmpty()) {
+        if (!done && current.filter(Attempt::wasSent).isEmpty()) {
             refuseIfNotAllowed();
         }
     }
