Take no retry from the budget for a request that is refused in a drain

After a target had declined, a retry was reserved and logged as granted, and only then was the request refused, since the draining node would end before it. Found by review, by reading. The budget is now asked only for a request that may be sent, as with requests that crash targets.

--- a/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/AttemptLimits.java
@@ -134,7 +134,7 @@
     }
 
     private boolean mayBeSent() {
-        return hasTimeLeft() && crashRefusal().isEmpty();
+        return hasTimeLeft() && refusal().isEmpty();
     }
 
     /** Takes a retry from the budget, or returns false if there is none, no time left or the request is refused. */
