Log no send for a request in flight that is still connecting

request-in-flight named a target and sentMillisAgo for an attempt that had not been sent, so that a request that waits could not be told from one that runs. Found by review.

--- a/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ExchangeRecorder.java
@@ -69,7 +69,8 @@
     }
 
     /** Records a request that is in flight when the node begins to drain, and since when its target has it if it was sent. */
-    void recordInFlight(Optional<Attempt> attempt, int events) {
+    void recordInFlight(Optional<Attempt> current, int events) {
+        Optional<Attempt> attempt = current.filter(Attempt::wasSent);
         log(
                 "request-in-flight",
                 "target",
