Leave connections open in a drain until the node stops accepting

A connection that is idle in a drain now closes when the node stops accepting, as idle connections from before the drain do, and 200 ms after its last use from then on. A request until then is answered or refused with the announcement of the close.

--- a/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/CallerConnection.java
@@ -32,9 +32,6 @@
  * its event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseSink, RequestReader.Listener {
-    /** Long enough for a caller to send its next request after a response that it has just got. */
-    private static final long NEXT_REQUEST_MILLIS = 200;
-
     private final GatewayContext gateway;
     private final ProxyServer server;
     private final boolean fromPeer;
@@ -88,7 +85,7 @@
         if (!isBusy() && !takesNoMore) {
             readTurn.await(this::isBusy, () -> {
                 if (!isBusy()) {
-                    idleTimer.limit(NEXT_REQUEST_MILLIS);
+                    idleTimer.limit(server.maxIdleMillis());
                 }
             });
         }
--- a/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/GracefulDrain.java
@@ -48,13 +48,14 @@
     void start(MonotonicClock clock, Runnable onDrained) {
         long startMillis = clock.nowMillis();
         log.log("node-draining", "underWay", server.inFlightCount());
-        server.beginGracePeriod(startMillis + graceMillis - END_MARGIN_MILLIS);
+        long acceptingMillis = Math.round(graceMillis * ACCEPTING_GRACE_RATIO);
+        server.beginGracePeriod(startMillis + acceptingMillis, startMillis + graceMillis - END_MARGIN_MILLIS);
         server.startDraining();
         refuseLateRequests();
         // An event loop that is behind has connections to accept and then their requests to read. It does one of the
         // two between two timers.
         timer.schedule(
-                Math.round(graceMillis * ACCEPTING_GRACE_RATIO),
+                acceptingMillis,
                 () -> timer.schedule(READ_MILLIS, () -> {
                     server.stopAccepting();
                     timer.schedule(READ_MILLIS, () -> {
--- a/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
+++ b/src/main/java/org/poplarwharf/internal/gateway/ProxyServer.java
@@ -34,10 +34,14 @@
 
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+    /** Long enough for a caller to send its next request after a response that it has just got. */
+    private static final long NEXT_REQUEST_MILLIS = 200;
+
     private final GatewayContext context;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final List<Channel> listeners = new ArrayList<>();
     private boolean draining;
+    private long acceptsUntilMillis;
     private boolean ending;
 
     ProxyServer(GatewayContext context) {
@@ -89,9 +93,11 @@
     /**
      * Begins the grace period of a drain.
      *
-     * @param requestsEndMillis when the requests that are still in flight will be ended, on the clock of the gateway
+     * @param acceptingEndMillis when the node will stop accepting connections, on the clock of the gateway
+     * @param requestsEndMillis when the requests that are still in flight will be ended, on the same clock
      */
-    void beginGracePeriod(long requestsEndMillis) {
+    void beginGracePeriod(long acceptingEndMillis, long requestsEndMillis) {
+        acceptsUntilMillis = acceptingEndMillis;
         context.gracePeriod().begin(requestsEndMillis);
         connections.forEach(CallerConnection::recordInFlight);
     }
@@ -113,6 +119,7 @@
 
     /** Closes the connections without a request, those that were just used a moment later. */
     void closeIdle() {
+        acceptsUntilMillis = 0;
         List.copyOf(connections).forEach(CallerConnection::closeSoonIfIdle);
     }
 
@@ -136,6 +143,14 @@
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /**
+     * Returns for how many milliseconds a connection may be idle in a drain: long enough for a next request and, as callers
+     * could as well open a new connection, until the node stops accepting these.
+     */
+    long maxIdleMillis() {
+        return Math.max(NEXT_REQUEST_MILLIS, acceptsUntilMillis - context.nowMillis());
+    }
+
     /** Returns whether a connection of a caller is open. */
     boolean hasConnections() {
         return !connections.isEmpty();
