--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -303,7 +303,8 @@
 
     private Optional<Runnable> terminateGateway(SoakGateway gateway) {
         gateway.process().terminate();
-        if (reloadsDuringDrain) {
+        // A process that is terminated while it starts ends at once.
+        if (reloadsDuringDrain && gateway.process().isAlive()) {
             gateway.changeSettings(SoakGateway.DRAIN_MILLIS);
         }
         return Optional.of(() -> {
