--- a/src/test/java/org/poplarwharf/process/PoplarProcess.java
+++ b/src/test/java/org/poplarwharf/process/PoplarProcess.java
@@ -124,6 +124,11 @@
         signal("HUP");
     }
 
+    /** Sends SIGHUP, unless the process has ended. */
+    public void signalReloadIfRunning() {
+        trySignal("HUP");
+    }
+
     /** Waits for the process to exit and returns its exit code. */
     public int awaitExit() {
         eventually(name + " has ended", () -> !process.isAlive());
@@ -150,11 +155,16 @@
     }
 
     private void signal(String signal) {
+        if (!trySignal(signal)) {
+            throw new AssertionError("failed to send " + signal + " to " + name);
+        }
+    }
+
+    /** Sends a signal and returns whether there is still a process to receive it. */
+    private boolean trySignal(String signal) {
         try {
             Process kill = new ProcessBuilder("/bin/kill", "-" + signal, Long.toString(pid())).start();
-            if (kill.waitFor() != 0) {
-                throw new AssertionError("failed to send " + signal + " to " + name);
-            }
+            return kill.waitFor() == 0;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
--- a/src/test/java/org/poplarwharf/soak/FaultInjector.java
+++ b/src/test/java/org/poplarwharf/soak/FaultInjector.java
@@ -303,9 +303,8 @@
 
     private Optional<Runnable> terminateGateway(SoakGateway gateway) {
         gateway.process().terminate();
-        // A process that is terminated while it starts ends at once.
-        if (reloadsDuringDrain && gateway.process().isAlive()) {
-            gateway.changeSettings(SoakGateway.DRAIN_MILLIS);
+        if (reloadsDuringDrain) {
+            gateway.reloadWhileEnding();
         }
         return Optional.of(() -> {
             if (gateway.process().isAlive()) {
--- a/src/test/java/org/poplarwharf/soak/SoakGateway.java
+++ b/src/test/java/org/poplarwharf/soak/SoakGateway.java
@@ -78,6 +78,11 @@
         process().signalReload();
     }
 
+    /** Signals a process that is about to end to reload its settings. One that is terminated while it starts ends at once. */
+    void reloadWhileEnding() {
+        process().signalReloadIfRunning();
+    }
+
     private static String loopbackHost(long pid) {
         return "127." + (1 + (pid >> 16) % 250) + "." + (pid >> 8) % 256 + "." + pid % 256;
     }
