node: begin no stream or call in a drain that may outlast it, and answer all at its end

What was in flight at that end, running or waiting, got no response: the process ended under it.

Change: DrainState knows when the drain ends. A stream or a call that may run once is refused as not run (shutting-down) if its deadline is after that end: when it is read, while it waits for a target, before another attempt. Other requests are begun as before. When the entry role stops, each request in flight gets a failure (not run if nothing was sent, else outcome-unknown), a stream its error event, and the connections 1 s to take them. RequestsInFlight holds them for each traffic thread; BufferedResponse leaves RetryingExchange for its size.

--- /dev/null
+++ b/src/main/java/org/poplarwharf/internal/entry/CallExchange.java
@@ -0,0 +1,42 @@
+package org.poplarwharf.internal.entry;
+
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import org.poplarwharf.internal.failure.CallerReporter;
+
+/**
+ * Runs one at-most-once call, which is refused if the node may end before the call does.
+ *
+ * <p>Invariant: the caller gets one response, when the node stops at the latest. Confined to one traffic thread.
+ */
+final class CallExchange implements RequestsInFlight.InFlight {
+    private final TrafficThreadContext thread;
+    private final CallerRequest request;
+    private final SettablePromise<HttpResponse> responsePromise = new SettablePromise<>();
+
+    CallExchange(TrafficThreadContext thread, CallerRequest request) {
+        this.thread = thread;
+        this.request = request;
+    }
+
+    /** Runs the call. The promise fails with the failure that is reported to the caller. */
+    Promise<HttpResponse> run(CallRouter calls) {
+        if (!thread.canRunUntil(request.deadlineMillis())) {
+            return Promise.ofException(CallerReporter.shuttingDown());
+        }
+        thread.requestsInFlight().add(this);
+        calls.call(thread, request).whenComplete(responsePromise::trySet);
+        return responsePromise.whenComplete(() -> thread.requestsInFlight().remove(this));
+    }
+
+    /** Does nothing: the call may have begun at the holder. */
+    @Override
+    public void onDrain() {}
+
+    @Override
+    public void onStop() {
+        responsePromise.trySetException(
+                CallerReporter.outcomeUnknown(request.callKey(), "The node that received the call was stopped."));
+    }
+}
--- a/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CallerServlet.java
@@ -67,8 +67,9 @@
     }
 
     private Promise<HttpResponse> execute(CallerRequest request) {
-        Promise<HttpResponse> response =
-                request.atMostOnce() ? calls.call(thread, request) : new RetryingExchange(thread, request).run();
+        Promise<HttpResponse> response = request.atMostOnce()
+                ? new CallExchange(thread, request).run(calls)
+                : new RetryingExchange(thread, request).run();
         return request.streamed() ? response : response.whenResult(sent -> thread.recordCompletion(request));
     }
 }
--- a/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CompletionStream.java
@@ -41,10 +41,10 @@
                         request.tenant(), request.requestClass().name(), lastTokenMillis - request.arrivedMillis()));
     }
 
-    /** Ends the stream with a failure. Called at the deadline. */
-    void expire(PoplarWharfException deadlineFailure) {
+    /** Ends the stream with a failure. Called at the deadline, or when the node stops. */
+    void expire(PoplarWharfException reason) {
         if (!completed) {
-            failure = Optional.of(deadlineFailure);
+            failure = Optional.of(reason);
         }
     }
 
--- a/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
+++ b/src/main/java/org/poplarwharf/internal/entry/EntryRole.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.poplarwharf.PoplarWharfException;
 import org.poplarwharf.internal.config.ConfigView;
 import org.poplarwharf.internal.failure.CallerReporter;
@@ -26,11 +27,14 @@
  * Serves the HTTP requests of callers. One acceptor on the first traffic thread distributes connections to HTTP servers,
  * one on each traffic thread.
  *
- * <p>Invariant: once {@link #drain} has completed, no connection is accepted, every accepted request has got its
- * complete response, and all connections are closed. The role is confined to the control thread, each server to its
- * traffic thread.
+ * <p>Invariants: once {@link #drain} has completed, no connection is accepted, every accepted request has got its
+ * complete response, and all connections are closed. {@link #stop} ends each request that is still in flight with a
+ * failure. The role is confined to the control thread, each server to its traffic thread.
  */
 public final class EntryRole implements Role {
+    /** Time for the last responses to be sent when the role stops. */
+    private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(1_000);
+
     private final NodeContext context;
     private final List<HttpServer> servers = new ArrayList<>();
     private final List<CallerConnections> connections = new ArrayList<>();
@@ -76,7 +80,8 @@
 
     @Override
     public Promise<Void> drain() {
-        drainState.begin();
+        drainState.begin(context.clock().nowMillis() + context.settings().drainMillis());
+        threads.forEach(thread -> thread.loop().execute(thread.requestsInFlight()::drain));
         return Promises.delay(Duration.ofMillis(context.settings().drainNoticeMillis()))
                 .then(this::stopAccepting)
                 .then(this::closeConnections);
@@ -84,8 +89,20 @@
 
     @Override
     public Promise<Void> stop() {
-        threads.forEach(thread -> thread.loop().execute(thread.connections()::close));
-        return stopAccepting();
+        drainState.stop();
+        return stopAccepting()
+                .then(() -> onTrafficThreads(thread -> thread.requestsInFlight().stop()))
+                .then(() -> Promises.timeout(LAST_RESPONSES_TIMEOUT, closeConnections()))
+                .then((closed, timedOut) ->
+                        onTrafficThreads(thread -> thread.connections().close()));
+    }
+
+    private Promise<Void> onTrafficThreads(Consumer<TrafficThreadContext> action) {
+        return Promises.all(threads.stream()
+                .map(thread -> CrossLoopCalls.call(context.controlLoop(), thread.loop(), () -> {
+                    action.accept(thread);
+                    return Promise.complete();
+                })));
     }
 
     /** Accepts the connections that have arrived, and no other one. */
--- a/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
@@ -1,12 +1,10 @@
 package org.poplarwharf.internal.entry;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.schedule.ScheduledRunnable;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -26,15 +24,14 @@
  * <p>Invariants: the caller gets one final response, at its deadline at the latest. A failure says "not run" only if no
  * attempt may have reached a target. Nothing is retried after bytes were sent to the caller, except that a stream may be
  * resumed. Silence of a target starts a search for another one, and its attempt ends only when another target's permit
- * was obtained. Confined to one traffic thread.
+ * was obtained. A stream that may last longer than the node is not begun. Confined to one traffic thread.
  */
-final class RetryingExchange implements Attempt.SilenceListener {
+final class RetryingExchange implements Attempt.SilenceListener, RequestsInFlight.InFlight {
     private static final int STATUS_OK = 200;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_SERVER_ERROR = 500;
     private static final String NOT_LOADED_CODE = "not-loaded";
-    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final TrafficThreadContext thread;
     private final CallerRequest request;
@@ -58,12 +55,42 @@
     /** Runs the request. The promise fails with the failure that is reported to the caller. */
     Promise<HttpResponse> run() {
         thread.retryBudget().onRequest();
+        thread.requestsInFlight().add(this);
         long remainingMillis = Math.max(1, request.deadlineMillis() - thread.nowMillis());
         deadline = thread.loop().delayBackground(remainingMillis, this::onDeadline);
         startAttempt();
         return responsePromise;
     }
 
+    /** Returns whether the node can begin the request. One that may have run is continued in any case. */
+    private boolean canBegin() {
+        if (mayHaveRun) {
+            return true;
+        }
+        return request.streamed() ? thread.canRunUntil(request.deadlineMillis()) : !thread.isStopping();
+    }
+
+    @Override
+    public void onDrain() {
+        if (!canBegin()) {
+            fail(CallerReporter.shuttingDown());
+        }
+    }
+
+    @Override
+    public void onStop() {
+        giveUp(stopFailure());
+    }
+
+    private PoplarWharfException stopFailure() {
+        if (!mayHaveRun) {
+            return CallerReporter.shuttingDown();
+        }
+        return stream.isPresent()
+                ? CallerReporter.streamInterruptedByStop()
+                : CallerReporter.nodeStopped(request.artifact());
+    }
+
     CallerRequest request() {
         return request;
     }
@@ -79,6 +106,7 @@
         }
         ended = true;
         deadline.cancel();
+        thread.requestsInFlight().remove(this);
         thread.cancelPermitRequest(permitRequestId);
         attempt.ifPresent(current -> current.abort(outcome));
         replacement.ifPresent(permit -> thread.releasePermit(permit, Outcome.NOT_SENT, 0, -1));
@@ -170,6 +198,10 @@
     }
 
     private void startAttempt() {
+        if (!canBegin()) {
+            fail(CallerReporter.shuttingDown());
+            return;
+        }
         requestPermit(excludedTargets).whenComplete((permit, e) -> {
             if (e != null) {
                 fail(CallerResponses.toFailure(e));
@@ -277,15 +309,14 @@
             complete(current, buffered);
             return;
         }
-        if (buffered.status() == STATUS_NOT_FOUND && NOT_LOADED_CODE.equals(jsonField(buffered.body(), "code"))) {
+        if (buffered.status() == STATUS_NOT_FOUND && NOT_LOADED_CODE.equals(buffered.jsonField("code"))) {
             current.abort(Outcome.NOT_LOADED);
             mayHaveRun = mayHaveRunBefore || current.wasSentAgain();
             retry(current, CallerReporter.targetRefused(current.target()));
             return;
         }
-        boolean misrouted =
-                RequestIdGenerator.belongsToAnotherRequest(jsonField(buffered.body(), "id"), current.attemptId());
-        boolean invalidBody = buffered.status() == STATUS_OK && !isJsonObject(buffered.body());
+        boolean misrouted = RequestIdGenerator.belongsToAnotherRequest(buffered.jsonField("id"), current.attemptId());
+        boolean invalidBody = buffered.status() == STATUS_OK && !buffered.isJsonObject();
         if (misrouted
                 || invalidBody
                 || buffered.status() >= STATUS_SERVER_ERROR
@@ -331,7 +362,7 @@
         if (ended) {
             return;
         }
-        if (!thread.retryBudget().tryAcquire()) {
+        if (canBegin() && !thread.retryBudget().tryAcquire()) {
             fail(failure);
             return;
         }
@@ -339,10 +370,14 @@
     }
 
     private void onDeadline() {
+        giveUp(deadlineFailure());
+    }
+
+    /** Ends the exchange in the middle of its run, with a failure. */
+    private void giveUp(PoplarWharfException failure) {
         if (ended) {
             return;
         }
-        PoplarWharfException failure = deadlineFailure();
         stream.ifPresent(active -> active.expire(failure));
         end(Outcome.CALLER_LEFT);
         responsePromise.trySetException(failure);
@@ -361,22 +396,4 @@
         responsePromise.trySetException(
                 mustHideNotRun ? CallerReporter.targetFailed(String.join(", ", excludedTargets), failure) : failure);
     }
-
-    private static boolean isJsonObject(byte[] body) {
-        try {
-            return MAPPER.readTree(body).isObject();
-        } catch (IOException | RuntimeException e) {
-            return false;
-        }
-    }
-
-    private static String jsonField(byte[] body, String name) {
-        try {
-            return MAPPER.readTree(body).path(name).asText();
-        } catch (IOException | RuntimeException e) {
-            return "";
-        }
-    }
-
-    private record BufferedResponse(int status, String contentType, byte[] body) {}
 }
--- a/src/main/java/org/poplarwharf/internal/entry/TrafficThreadContext.java
+++ b/src/main/java/org/poplarwharf/internal/entry/TrafficThreadContext.java
@@ -31,6 +31,7 @@
     private final EngineDialect dialect;
     private final DrainState drainState;
     private final AbortableConnectionPool connections;
+    private final RequestsInFlight requestsInFlight = new RequestsInFlight();
     private final RetryTokenBucket retryBudget = new RetryTokenBucket();
     private final RequestIdGenerator requestIds;
     private final MonotonicClock clock;
@@ -92,6 +93,19 @@
         return drainState.isDraining();
     }
 
+    boolean isStopping() {
+        return drainState.isStopping();
+    }
+
+    /** Returns whether the node can still begin a response that may take until this deadline. */
+    boolean canRunUntil(long deadlineMillis) {
+        return drainState.allowsUntil(deadlineMillis);
+    }
+
+    RequestsInFlight requestsInFlight() {
+        return requestsInFlight;
+    }
+
     long nowMillis() {
         return clock.nowMillis();
     }
--- a/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
+++ b/src/main/java/org/poplarwharf/internal/failure/CallerReporter.java
@@ -132,6 +132,26 @@
                 null);
     }
 
+    /** The end of a stream that a node which stops can't go on with. */
+    public static PoplarWharfException streamInterruptedByStop() {
+        return Reporter.failure(
+                FailureCode.STREAM_INTERRUPTED,
+                "The response was interrupted.",
+                "This node was stopped before the response was complete.",
+                "Send the request again; the response received so far is incomplete.",
+                null);
+    }
+
+    /** The end of a request that a target may have run when the node stopped. */
+    public static PoplarWharfException nodeStopped(ArtifactId artifact) {
+        return Reporter.failure(
+                FailureCode.OUTCOME_UNKNOWN,
+                "The outcome of the request to " + artifact + " is unknown.",
+                "This node was stopped before the response was complete.",
+                "Send the request again if it may run twice.",
+                null);
+    }
+
     public static PoplarWharfException outcomeUnknown(String callKey, String reason) {
         return Reporter.failure(
                 FailureCode.OUTCOME_UNKNOWN,
--- a/src/test/java/org/poplarwharf/internal/entry/DrainEntryTest.java
+++ b/src/test/java/org/poplarwharf/internal/entry/DrainEntryTest.java
@@ -6,6 +6,7 @@
 import static org.poplarwharf.internal.target.RawHttpTarget.tokenEvent;
 import static org.poplarwharf.support.Eventually.eventually;
 
+import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -15,11 +16,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.poplarwharf.internal.target.RawHttpTarget;
@@ -145,7 +146,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void stream_that_may_outlast_a_drain_is_not_begun_in_it() throws Exception {
         try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
             out.write(chunkedResponseHead());
@@ -159,7 +159,7 @@
             entry.admission.targetAddresses.add(target.address());
             Socket caller = connect();
             // A drain of the fixture may take 200 ms.
-            entry.drain();
+            beginDrain();
             send(caller, completion("{\"model\":\"llama\",\"stream\":true}", 10_000));
 
             assertThat(readUntil(caller, "\r\n\r\n")).startsWith("HTTP/1.1 503 ");
@@ -167,6 +167,96 @@
         }
     }
 
+    @Test
+    void stream_that_waits_for_a_model_is_refused_when_a_drain_begins_that_it_may_outlast() throws Exception {
+        Socket caller = connect();
+        send(caller, completion("{\"model\":\"llama\",\"stream\":true}", 10_000));
+        eventually("request waits", () -> entry.admission.permitRequests.size() == 1);
+
+        entry.drain();
+
+        assertThat(readResponse(caller)).startsWith("HTTP/1.1 503 ");
+        eventually("permit request withdrawn", () -> entry.admission.cancelledRequestIds.size() == 1);
+    }
+
+    @Test
+    void call_that_may_outlast_a_drain_is_not_begun_in_it() throws Exception {
+        Socket caller = connect();
+        beginDrain();
+
+        send(caller, call(10_000));
+
+        assertThat(readAll(caller)).startsWith("HTTP/1.1 503 ").contains("\"code\":\"shutting-down\"");
+    }
+
+    @Test
+    void request_that_waits_when_the_node_stops_is_refused_as_not_run() throws Exception {
+        Socket caller = connect();
+        send(caller, completion("{\"model\":\"llama\"}", 10_000));
+        eventually("request waits", () -> entry.admission.permitRequests.size() == 1);
+
+        entry.runOnControlThread(entry.role::stop);
+
+        assertThat(readAll(caller)).startsWith("HTTP/1.1 503 ").contains("\"code\":\"shutting-down\"");
+    }
+
+    @Test
+    void call_without_an_outcome_when_the_node_stops_is_not_left_without_a_response() throws Exception {
+        entry.cells.callCell = Optional.of("c");
+        Socket caller = connect();
+        send(caller, call(10_000));
+        eventually("call started", () -> entry.cells.lookupCount.get() > 0);
+
+        entry.runOnControlThread(entry.role::stop);
+
+        assertThat(readAll(caller)).startsWith("HTTP/1.1 502 ").contains("\"code\":\"outcome-unknown\"");
+    }
+
+    @Test
+    void request_that_runs_when_the_node_stops_is_not_left_without_a_response() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            received.countDown();
+            Thread.sleep(READ_TIMEOUT_MILLIS);
+            return false;
+        })) {
+            entry.admission.targetAddresses.add(target.address());
+            Socket caller = connect();
+            send(caller, completion("{\"model\":\"llama\"}", 10_000));
+            received.await();
+
+            entry.runOnControlThread(entry.role::stop);
+
+            assertThat(readAll(caller)).startsWith("HTTP/1.1 502 ").contains("\"ran\":\"unknown\"");
+        }
+    }
+
+    @Test
+    void stream_that_runs_when_the_node_stops_ends_with_an_error_event() throws Exception {
+        try (RawHttpTarget target = new RawHttpTarget((n, head, out) -> {
+            out.write(chunkedResponseHead());
+            out.write(chunk(tokenEvent(0)));
+            out.flush();
+            Thread.sleep(READ_TIMEOUT_MILLIS);
+            return false;
+        })) {
+            entry.admission.targetAddresses.add(target.address());
+            Socket caller = connect();
+            send(caller, completion("{\"model\":\"llama\",\"stream\":true}", 10_000));
+            readUntil(caller, "\r\n\r\n");
+
+            entry.runOnControlThread(entry.role::stop);
+
+            assertThat(readAll(caller)).contains("event: error").contains("\"code\":\"stream-interrupted\"");
+        }
+    }
+
+    /** Returns once the entry role drains. */
+    private void beginDrain() {
+        entry.drain();
+        entry.runOnControlThread(Promise::complete);
+    }
+
     private Socket connect() throws IOException {
         String address = entry.listenAddress();
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
@@ -195,6 +285,15 @@
                 + deadlineMillis + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    private static String call(long deadlineMillis) {
+        return "POST /services/ledger/confirm HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nX-Deadline-Millis: "
+                + deadlineMillis + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private static String readAll(Socket caller) throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
     private static void send(Socket caller, String request) throws IOException {
         caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
     }
--- a/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
+++ b/src/test/java/org/poplarwharf/internal/entry/EntryFixture.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
@@ -56,6 +57,7 @@
 
     final FakeAdmission admission = new FakeAdmission();
     final FakeConfig config = new FakeConfig();
+    final FakeCells cells = new FakeCells();
     final EntryRole role;
     private final Eventloop control = startLoop("control");
     private final List<Eventloop> traffic;
@@ -80,7 +82,6 @@
                 .toList();
         registerService(AdmissionClient.class, admission);
         registerService(ConfigView.class, config);
-        NoCells cells = new NoCells();
         NoPeers peers = new NoPeers();
         registerService(CellView.class, cells);
         registerService(PeerNetwork.class, peers);
@@ -319,7 +320,13 @@
         }
     }
 
-    private static final class NoCells implements CellView {
+    /** Cells without a holder. */
+    static final class FakeCells implements CellView {
+        /** The cell of each call. */
+        volatile Optional<String> callCell = Optional.empty();
+
+        final AtomicInteger lookupCount = new AtomicInteger();
+
         @Override
         public List<String> cellsFor(ArtifactId artifact, String zone) {
             return List.of();
@@ -327,7 +334,8 @@
 
         @Override
         public Optional<String> cellForCall(String callKey) {
-            return Optional.empty();
+            lookupCount.incrementAndGet();
+            return callCell;
         }
 
         @Override
