--- a/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
+import org.poplarwharf.internal.gateway.GatewaySettings;
 import org.poplarwharf.internal.platform.GatewaySettingsReader;
 import org.poplarwharf.internal.platform.PlatformGateway;
 
@@ -29,16 +30,29 @@
     @Override
     public int run(List<String> arguments, PrintStream out, PrintStream err) {
         return OPTIONS.run(arguments, out, err, values -> {
-            ReloadSignal reloadSignal = ReloadSignal.register();
-            Path file = Path.of(values.text(BOOT.flag()));
-            PlatformGateway gateway = PlatformGateway.start(file, GatewaySettingsReader.read(file), out);
-            reloadSignal.setAction(gateway::reload);
-            ShutdownHook.install(() -> {
-                gateway.drainAndStop();
-                return EXIT_OK;
-            });
-            gateway.awaitStop();
+            ShutdownHook shutdown = ShutdownHook.register();
+            try {
+                return runGateway(Path.of(values.text(BOOT.flag())), shutdown, out);
+            } finally {
+                shutdown.withdraw();
+            }
+        });
+    }
+
+    private static int runGateway(Path file, ShutdownHook shutdown, PrintStream out) {
+        ReloadSignal reloadSignal = ReloadSignal.register();
+        GatewaySettings settings = GatewaySettingsReader.read(file);
+        if (shutdown.isRequested()) {
+            shutdown.setAction(() -> EXIT_OK);
+            return EXIT_OK;
+        }
+        PlatformGateway gateway = PlatformGateway.start(file, settings, out);
+        shutdown.setAction(() -> {
+            gateway.drainAndStop();
             return EXIT_OK;
         });
+        reloadSignal.setAction(gateway::reload);
+        gateway.awaitStop();
+        return EXIT_OK;
     }
 }
--- a/src/main/java/org/poplarwharf/internal/cli/NodeCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/NodeCommand.java
@@ -30,7 +30,14 @@
 
     @Override
     public int run(List<String> arguments, PrintStream out, PrintStream err) {
-        return OPTIONS.run(arguments, out, err, values -> runNode(values, out));
+        return OPTIONS.run(arguments, out, err, values -> {
+            ShutdownHook shutdown = ShutdownHook.register();
+            try {
+                return runNode(values, shutdown, out);
+            } finally {
+                shutdown.withdraw();
+            }
+        });
     }
 
     private static List<OptionSpec> specs() {
@@ -39,7 +46,7 @@
         return specs;
     }
 
-    private static int runNode(OptionValues values, PrintStream out) {
+    private static int runNode(OptionValues values, ShutdownHook shutdown, PrintStream out) {
         String level = values.text(LOG_LEVEL.flag());
         values.require(
                 NodeLog.LEVELS.contains(level),
@@ -48,7 +55,7 @@
         NodeSettings settings = NodeSettingsReader.read(values);
         NodeLog.setLevel(level);
         Node node = Node.start(settings);
-        ShutdownHook.install(() -> drainAndStop(node));
+        shutdown.setAction(() -> drainAndStop(node));
         NodeSettings bound = node.settings();
         out.println(toJsonLine(
                 new Listening("listening", bound.listenAddress(), bound.peerAddress(), bound.adminAddress())));
--- a/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/QuickstartCommand.java
@@ -52,7 +52,7 @@
             printTable(steps, out);
             int exitCode = steps.stream().allMatch(Step::passed) ? EXIT_OK : EXIT_FAILED;
             if (values.isSet(KEEP_RUNNING)) {
-                ShutdownHook.install(() -> close(fleet, exitCode));
+                ShutdownHook.register().setAction(() -> close(fleet, exitCode));
                 printExampleCommands(fleet, example.config(), out);
                 awaitInterrupt();
             }
