Count a grace period that a reload has changed for the end of the process too

Cause: a reload by SIGHUP changed the grace period of the drain, but NodeStop kept that of the start. After a raise, the process ended in the middle of its drain, with requests in flight.

Change: NodeStop asks for the grace period when it is told to stop.

--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -78,12 +78,14 @@
     private final StreamOriginRecords originRecords;
     private final ClientAccounts accounts;
     private final PeerExchange peers;
+    private volatile long graceMillis;
 
     public GatewayNode(GatewaySettings settings, PlatformAdapter adapter, PrintStream out) {
         this.settings = settings;
+        this.graceMillis = settings.shutdownGraceMillis();
         this.adapter = adapter;
         this.log = new DecisionLog(settings.nodeId(), settings.zone(), out);
-        this.stop = new NodeStop(settings.shutdownGraceMillis(), clock, log);
+        this.stop = new NodeStop(() -> graceMillis, clock, log);
         this.timer = new LoopTimer(loop, log);
         GatewayMetrics metrics = new GatewayMetrics(registry);
         PooledHttpClient httpCaller = new PooledHttpClient(loop, new BrokenResponseRecorder(log, metrics));
@@ -252,6 +254,7 @@
 
     /** Applies changed settings, as far as they can be changed in a running node. */
     public void reload(GatewaySettings latest) {
+        graceMillis = latest.shutdownGraceMillis();
         loop.execute(() -> front.reload(latest));
     }
 
--- a/src/main/java/org/poplarwharf/internal/holder/NodeStop.java
+++ b/src/main/java/org/poplarwharf/internal/holder/NodeStop.java
@@ -2,13 +2,14 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.poplarwharf.internal.kernel.DecisionLog;
 import org.poplarwharf.internal.kernel.MonotonicClock;
 
 /**
  * The end of a node: its drain, and then the last lines of its log.
  *
- * <p>Invariant: both end within the grace period, which counts from the call of {@link #run}. Thread-safe.
+ * <p>Invariant: both end within the grace period that is set when {@link #run} is called, and counts from then. Thread-safe.
  */
 final class NodeStop {
     /** Time for the last lines of the log, although the process may be killed meanwhile. */
@@ -17,12 +18,12 @@
     /** Time before the process would be killed, at which it ends although lines of its log are not written. */
     private static final long LOG_FLUSH_MARGIN_MILLIS = 100;
 
-    private final long graceMillis;
+    private final LongSupplier graceMillis;
     private final MonotonicClock clock;
     private final DecisionLog log;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    NodeStop(long graceMillis, MonotonicClock clock, DecisionLog log) {
+    NodeStop(LongSupplier graceMillis, MonotonicClock clock, DecisionLog log) {
         this.graceMillis = graceMillis;
         this.clock = clock;
         this.log = log;
@@ -42,14 +43,15 @@
     /** Drains the node and waits for that, and for its log. */
     void run(Drain drain) {
         long signalledMillis = clock.nowMillis();
+        long graceMillisNow = graceMillis.getAsLong();
         drain.start(signalledMillis, stopped::countDown);
         try {
-            stopped.await(graceMillis, TimeUnit.MILLISECONDS);
+            stopped.await(graceMillisNow, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         log.log("node-stopped");
-        long graceLeftMillis = graceMillis - (clock.nowMillis() - signalledMillis);
+        long graceLeftMillis = graceMillisNow - (clock.nowMillis() - signalledMillis);
         log.flush(Math.max(MIN_LOG_FLUSH_MILLIS, graceLeftMillis - LOG_FLUSH_MARGIN_MILLIS));
         stopped.countDown();
     }
