Soak: a late copy of a refusal excuses the request that got it, not what follows within 3 s

So the check now excuses a request that was given up if a copy was sent to that very request, whenever; a cut stream or a missing response it does not excuse. LossCheckTest has both sides.

--- a/src/test/java/org/poplarwharf/soak/FaultyResponses.java
+++ b/src/test/java/org/poplarwharf/soak/FaultyResponses.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.poplarwharf.support.ScriptedTarget;
 import org.poplarwharf.support.ScriptedTarget.Request;
@@ -40,6 +41,12 @@
     private final AtomicInteger refusalCount = new AtomicInteger();
     private final AtomicInteger failureCount = new AtomicInteger();
     private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
+    private final Consumer<Request> lateCopyListener;
+
+    /** Creates a target's responses; the listener gets each request that was sent the copy of an earlier refusal. */
+    FaultyResponses(Consumer<Request> lateCopyListener) {
+        this.lateCopyListener = lateCopyListener;
+    }
 
     /**
      * Writes the copy of a refusal that is due before the next response on the connection, and refuses the request if it
@@ -48,6 +55,7 @@
     boolean refuse(Request request, OutputStream out) throws IOException, InterruptedException {
         String copy = lateCopies.remove(request.connection());
         if (copy != null) {
+            lateCopyListener.accept(request);
             ScriptedTarget.write(out, copy);
         }
         if (!repeatsRefusals || requestCount.getAndIncrement() % FAULT_INTERVAL != 0) {
--- a/src/test/java/org/poplarwharf/soak/LossCheck.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -59,11 +59,13 @@
 
     private final List<SoakTarget> targets;
     private final Map<String, List<TargetActivity.Arrival>> arrivals;
+    private final Set<String> idsWithLateCopies;
     private final FaultTimeline faults;
 
     LossCheck(List<SoakTarget> targets, TargetActivity activity, FaultTimeline faults) {
         this.targets = targets;
         this.arrivals = activity.arrivalsByRequestId();
+        this.idsWithLateCopies = activity.requestIdsWithLateCopies();
         this.faults = faults;
     }
 
@@ -117,6 +119,10 @@
     }
 
     private boolean isExcusedByTarget(RecordedCall call) {
+        // A copy may follow on a kept connection at any time after its target's fault.
+        if (GIVEN_UP.contains(call.status()) && idsWithLateCopies.contains(call.id())) {
+            return true;
+        }
         return targets.stream()
                 .filter(target -> target.engine.isPresent() == call.kind().streaming)
                 .anyMatch(target -> {
--- a/src/test/java/org/poplarwharf/soak/LossCheckTest.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheckTest.java
@@ -18,6 +18,7 @@
     private static final long END_MILLIS = 11_000;
     private static final int BROKEN_STREAM = 200;
     private static final int NO_RESPONSE = 0;
+    private static final int GIVEN_UP = 502;
 
     private final TargetActivity activity = new TargetActivity();
     private final FaultTimeline faults = new FaultTimeline();
@@ -64,6 +65,16 @@
         assertThat(isLost(call(BROKEN_STREAM, SENT_MILLIS, END_MILLIS))).isFalse();
     }
 
+    @Test
+    void the_copy_of_a_refusal_excuses_the_request_that_it_was_sent_to_and_no_other_one() {
+        activity.add(new TargetActivity.LateCopy("r2", "t3", SENT_MILLIS));
+        RecordedCall failed = call(GIVEN_UP, SENT_MILLIS, END_MILLIS);
+
+        assertThat(isLost(failed)).isTrue();
+        activity.add(new TargetActivity.LateCopy("r1", "t3", SENT_MILLIS));
+        assertThat(isLost(failed)).isFalse();
+    }
+
     @Test
     void a_fault_of_a_target_of_another_service_or_one_that_got_no_request_excuses_nothing() {
         faults.recordStart(Kind.TARGET_CRASHES.name(), "t0", false, SENT_MILLIS);
--- a/src/test/java/org/poplarwharf/soak/TargetActivity.java
+++ b/src/test/java/org/poplarwharf/soak/TargetActivity.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 
@@ -11,6 +12,7 @@
     private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
     private final Queue<Order> orders = new ConcurrentLinkedQueue<>();
     private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final Queue<LateCopy> lateCopies = new ConcurrentLinkedQueue<>();
     private final Queue<LimitPeriod> limitPeriods = new ConcurrentLinkedQueue<>();
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
 
@@ -38,6 +40,9 @@
     /** A request that reached a target, whether it was run or rejected. */
     record Arrival(String requestId, String target, long arrivedMillis) {}
 
+    /** A copy of an earlier request's refusal that a target sent in place of the response to a request. */
+    record LateCopy(String requestId, String target, long sentMillis) {}
+
     /** A time in which all responses of a target name a limit. */
     record LimitPeriod(String target, double requestsPerSecond, long startMillis, long endMillis) {}
 
@@ -45,6 +50,10 @@
         arrivals.add(arrival);
     }
 
+    void add(LateCopy copy) {
+        lateCopies.add(copy);
+    }
+
     void add(LimitPeriod period) {
         limitPeriods.add(period);
     }
@@ -84,6 +93,11 @@
                 .toList();
     }
 
+    /** Returns the requests that were sent the copy of a refusal. */
+    Set<String> requestIdsWithLateCopies() {
+        return lateCopies.stream().map(LateCopy::requestId).collect(Collectors.toSet());
+    }
+
     List<LimitPeriod> limitPeriods() {
         return List.copyOf(limitPeriods);
     }
