Restart nodes under load with a drain that is longer than the callers' deadlines

Cause: the process tests' nodes drain for 10 s, and their callers' deadlines are 10 s after the request. Since a draining node refuses what may outlast it, so that RollingRestartProcessTest, which asserts that each request succeeds, had 10 of 563 refused as not run (shutting-down) in its only run with 10 s.

No check has changed.

--- a/src/test/java/org/poplarwharf/process/ClusterSettings.java
+++ b/src/test/java/org/poplarwharf/process/ClusterSettings.java
@@ -28,7 +28,7 @@
             "--engine-report", "200ms",
             "--keep-alive", "60s",
             "--progress-timeout", "5s",
-            "--drain", "10s");
+            "--drain", "13s");
 
     /** Returns settings with the default options. */
     public static ClusterSettings of(int nodes, int engines) {
