Test of two nodes without targets: wait until the second has no connection left

Cause: the test cuts the second node's links by RST and sends at once. The log shows that the second node had sent it 2 ms after the cut on a kept connection to i-1, whose reset arrived 1 ms later, so that it may have run, and 503 (not run) would have been false.

Change: the twelve requests follow once the second node answers nothing over its links. All of them must be refused as before, the first one too.

--- a/src/test/java/org/poplarwharf/internal/holder/ForwardedRefusalGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/ForwardedRefusalGatewayTest.java
@@ -206,6 +206,10 @@
             ScriptedTarget.writeResponse(out, request, "200 OK", "whole");
         });
         soundLinks.set(CuttableLinks.Cut.RESET);
+        Eventually.eventually(
+                "the second node has no connection to a target left",
+                () -> cluster.status(sound.frontPort(), "/safe/x") != 200
+                        && sound.log().contains("targets-unreachable"));
         List<Integer> statuses = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
             statuses.add(post("r" + i, "/once/x").statusCode());
