--- a/src/test/java/org/poplarwharf/internal/holder/ForwardedRefusalGatewayTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/ForwardedRefusalGatewayTest.java
@@ -9,12 +9,14 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -176,15 +178,21 @@
         CompletableFuture<Integer> status = postLater("r1", "/resume/x");
         assertThat(running.await(5, TimeUnit.SECONDS)).isTrue();
 
-        cluster.kill(Stream.of(sound, third)
-                .filter(node -> node.log().contains("\"r1\""))
-                .findFirst()
-                .orElseThrow());
+        cluster.kill(nodeThatLogs("r1", sound, third));
 
         assertKept(status.get(10, TimeUnit.SECONDS));
         assertThat(runs).as(cluster.logs()).containsExactly("r1");
     }
 
+    /** Returns the node that has a line about a request. Lines are written later than what they tell. */
+    private GatewayCluster.Node nodeThatLogs(String requestId, GatewayCluster.Node... nodes) {
+        Supplier<Optional<GatewayCluster.Node>> found = () -> Stream.of(nodes)
+                .filter(node -> node.log().contains("\"" + requestId + "\""))
+                .findFirst();
+        Eventually.eventually(requestId + " is logged", () -> found.get().isPresent());
+        return found.get().orElseThrow();
+    }
+
     @Test
     void request_that_a_frozen_node_sends_on_waking_was_not_refused() throws Exception {
         cutOffFrom((request, out) -> {
