node: don't refuse a call in a drain whose key may have run; begin nothing after the drain's end

A call that may run once was refused as not run in a drain without asking whether its key has a claim: a repeat of a call that had run was told "not run", where it had got the recorded outcome before. Calls are begun as before now, and get outcome-unknown if the node stops first. Requests that may be repeated were begun between the end of a drain and the stop, up to a second for each role that drains after entry; they are refused now. A drain that begins after the stop no longer undoes it.

--- a/src/main/java/org/poplarwharf/internal/entry/CallExchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/CallExchange.java
@@ -6,9 +6,10 @@
 import org.poplarwharf.internal.failure.CallerReporter;
 
 /**
- * Runs one at-most-once call, which is refused if the node may end before the call does.
+ * Runs one at-most-once call.
  *
- * <p>Invariant: the caller gets one response, when the node stops at the latest. Confined to one traffic thread.
+ * <p>Invariant: the caller gets one response, when the node stops at the latest. A call is also begun in a drain, since a call
+ * with its key may have run, and its refusal would say "not run". Confined to one traffic thread.
  */
 final class CallExchange implements RequestsInFlight.InFlight {
     private final TrafficThreadContext thread;
@@ -22,9 +23,6 @@
 
     /** Runs the call. The promise fails with the failure that is reported to the caller. */
     Promise<HttpResponse> run(CallRouter calls) {
-        if (!thread.canRunUntil(request.deadlineMillis())) {
-            return Promise.ofException(CallerReporter.shuttingDown());
-        }
         thread.requestsInFlight().add(this);
         calls.call(thread, request).whenComplete(responsePromise::trySet);
         return responsePromise.whenComplete(() -> thread.requestsInFlight().remove(this));
--- a/src/main/java/org/poplarwharf/internal/entry/DrainState.java
+++ b/src/main/java/org/poplarwharf/internal/entry/DrainState.java
@@ -10,7 +10,7 @@
         /** Requests are begun whatever they need. */
         record Serving() implements Phase {}
 
-        /** Streams are begun if they end before the node does, in time of the monotonic clock. */
+        /** Requests are begun if they end before the drain does, in time of the monotonic clock. */
         record Draining(long endMillis) implements Phase {}
 
         /** Nothing is begun. */
@@ -20,10 +20,12 @@
     /**
      * Starts draining: from now on each response asks the caller to close its connection.
      *
-     * @param endMillis when requests in flight are given up, on the monotonic clock
+     * @param endMillis when the node stops waiting for requests in flight, on the monotonic clock
      */
     void begin(long endMillis) {
-        phase = new Phase.Draining(endMillis);
+        if (phase instanceof Phase.Serving) {
+            phase = new Phase.Draining(endMillis);
+        }
     }
 
     /** Stops: requests in flight are given up. */
@@ -35,7 +37,7 @@
         return !(phase instanceof Phase.Serving);
     }
 
-    /** Returns whether a response that may take until this time, on the monotonic clock, can be complete by then. */
+    /** Returns whether a response that may take until this time, on the monotonic clock, may be begun. */
     boolean allowsUntil(long deadlineMillis) {
         return switch (phase) {
             case Phase.Serving serving -> true;
@@ -43,8 +45,4 @@
             case Phase.Stopping stopping -> false;
         };
     }
-
-    boolean isStopping() {
-        return phase instanceof Phase.Stopping;
-    }
 }
--- a/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
+++ b/src/main/java/org/poplarwharf/internal/entry/RetryingExchange.java
@@ -67,7 +67,7 @@
         if (mayHaveRun) {
             return true;
         }
-        return request.streamed() ? thread.canRunUntil(request.deadlineMillis()) : !thread.isStopping();
+        return thread.canRunUntil(request.streamed() ? request.deadlineMillis() : thread.nowMillis());
     }
 
     @Override
--- a/src/main/java/org/poplarwharf/internal/entry/TrafficThreadContext.java
+++ b/src/main/java/org/poplarwharf/internal/entry/TrafficThreadContext.java
@@ -93,10 +93,6 @@
         return drainState.isDraining();
     }
 
-    boolean isStopping() {
-        return drainState.isStopping();
-    }
-
     /** Returns whether the node can still begin a response that may take until this deadline. */
     boolean canRunUntil(long deadlineMillis) {
         return drainState.allowsUntil(deadlineMillis);
