Count the grace period of a gateway that is told to stop while it starts from the signal

The hook waited for the start and then drained for a whole grace period, so that the process would have been killed with requests in flight that it had begun.

Change: ShutdownHook keeps the time of the signal, and NodeStop counts from there.

--- a/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
+++ b/src/main/java/org/poplarwharf/internal/cli/GatewayCommand.java
@@ -48,7 +48,7 @@
         }
         PlatformGateway gateway = PlatformGateway.start(file, settings, out);
         shutdown.setAction(() -> {
-            gateway.drainAndStop();
+            gateway.drainAndStop(shutdown.millisSinceSignal());
             return EXIT_OK;
         });
         reloadSignal.setAction(gateway::reload);
--- a/src/main/java/org/poplarwharf/internal/cli/ShutdownHook.java
+++ b/src/main/java/org/poplarwharf/internal/cli/ShutdownHook.java
@@ -1,6 +1,7 @@
 package org.poplarwharf.internal.cli;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -16,7 +17,7 @@
     private static final long MAX_START_MILLIS = 5_000;
 
     private final CompletableFuture<Optional<IntSupplier>> action = new CompletableFuture<>();
-    private volatile boolean requested;
+    private volatile OptionalLong signalledNanos = OptionalLong.empty();
 
     private ShutdownHook() {}
 
@@ -29,7 +30,13 @@
 
     /** Returns whether the process was told to stop. */
     boolean isRequested() {
-        return requested;
+        return signalledNanos.isPresent();
+    }
+
+    /** Returns how many milliseconds ago the process was told to stop; zero if it was not. */
+    long millisSinceSignal() {
+        OptionalLong nanos = signalledNanos;
+        return nanos.isEmpty() ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos.getAsLong());
     }
 
     /** Sets what a signal does; its result is the exit code. */
@@ -43,7 +50,7 @@
     }
 
     private void run() {
-        requested = true;
+        signalledNanos = OptionalLong.of(System.nanoTime());
         action.completeOnTimeout(Optional.empty(), MAX_START_MILLIS, TimeUnit.MILLISECONDS)
                 .join()
                 .ifPresent(shutDown -> Runtime.getRuntime().halt(shutDown.getAsInt()));
--- a/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
+++ b/src/main/java/org/poplarwharf/internal/holder/GatewayNode.java
@@ -263,12 +263,18 @@
         log.log("settings-unusable", "reason", reason);
     }
 
-    /** Resigns the lease, finishes requests in flight and stops; waits at most for the grace period. */
-    public void drainAndStop() {
-        stop.run((signalledMillis, onDrained) -> loop.execute(() -> {
-            lease.resign();
-            front.drain(signalledMillis, onDrained);
-        }));
+    /**
+     * Resigns the lease, finishes requests in flight and stops; waits at most for what is left of the grace period.
+     *
+     * @param millisSinceSignal how long ago the process was told to stop
+     */
+    public void drainAndStop(long millisSinceSignal) {
+        stop.run(
+                millisSinceSignal,
+                (signalledMillis, onDrained) -> loop.execute(() -> {
+                    lease.resign();
+                    front.drain(signalledMillis, onDrained);
+                }));
     }
 
     /** Waits until the node has stopped. */
--- a/src/main/java/org/poplarwharf/internal/holder/NodeStop.java
+++ b/src/main/java/org/poplarwharf/internal/holder/NodeStop.java
@@ -9,7 +9,7 @@
 /**
  * The end of a node: its drain, and then the last lines of its log.
  *
- * <p>Invariant: both end within the grace period that is set when {@link #run} is called, and counts from then. Thread-safe.
+ * <p>Invariant: both end within the grace period that is set when {@link #run} is called, and counts from the signal. Thread-safe.
  */
 final class NodeStop {
     /** Time for the last lines of the log, although the process may be killed meanwhile. */
@@ -40,13 +40,17 @@
         void start(long signalledMillis, Runnable onDrained);
     }
 
-    /** Drains the node and waits for that, and for its log. */
-    void run(Drain drain) {
-        long signalledMillis = clock.nowMillis();
+    /**
+     * Drains the node and waits for that, and for its log.
+     *
+     * @param millisSinceSignal how long ago the process was told to stop
+     */
+    void run(long millisSinceSignal, Drain drain) {
+        long signalledMillis = clock.nowMillis() - millisSinceSignal;
         long graceMillisNow = graceMillis.getAsLong();
         drain.start(signalledMillis, stopped::countDown);
         try {
-            stopped.await(graceMillisNow, TimeUnit.MILLISECONDS);
+            stopped.await(graceMillisNow - millisSinceSignal, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
+++ b/src/main/java/org/poplarwharf/internal/platform/PlatformGateway.java
@@ -91,9 +91,18 @@
         }
     }
 
-    /** Finishes requests in flight and stops the node. Blocks. */
+    /** Finishes requests in flight and stops the node, which is told to stop now. Blocks. */
     public void drainAndStop() {
-        node.drainAndStop();
+        drainAndStop(0);
+    }
+
+    /**
+     * Finishes requests in flight and stops the node. Blocks.
+     *
+     * @param millisSinceSignal how long ago the process was told to stop
+     */
+    public void drainAndStop(long millisSinceSignal) {
+        node.drainAndStop(millisSinceSignal);
     }
 
     /** Blocks until the node has stopped. */
--- a/src/test/java/org/poplarwharf/internal/holder/NodeStopTest.java
+++ b/src/test/java/org/poplarwharf/internal/holder/NodeStopTest.java
@@ -23,12 +23,25 @@
         NodeStop stop = new NodeStop(graceMillis::get, MonotonicClock.system(), log);
         graceMillis.set(DRAIN_MILLIS * 10);
 
-        stop.run((signalledMillis, onDrained) -> CompletableFuture.delayedExecutor(DRAIN_MILLIS, TimeUnit.MILLISECONDS)
-                .execute(() -> {
-                    drained.set(true);
-                    onDrained.run();
-                }));
+        stop.run(
+                0,
+                (signalledMillis, onDrained) -> CompletableFuture.delayedExecutor(DRAIN_MILLIS, TimeUnit.MILLISECONDS)
+                        .execute(() -> {
+                            drained.set(true);
+                            onDrained.run();
+                        }));
 
         assertThat(drained).isTrue();
     }
+
+    @Test
+    void process_that_was_told_to_stop_before_it_had_started_ends_within_the_rest_of_its_grace_period() {
+        DecisionLog log = new DecisionLog("n", "z", new PrintStream(new ByteArrayOutputStream()));
+        NodeStop stop = new NodeStop(() -> DRAIN_MILLIS, MonotonicClock.system(), log);
+        long startMillis = MonotonicClock.system().nowMillis();
+
+        stop.run(DRAIN_MILLIS, (signalledMillis, onDrained) -> {});
+
+        assertThat(MonotonicClock.system().nowMillis() - startMillis).isLessThan(DRAIN_MILLIS);
+    }
 }
