Soak: only a refusal without an id excuses a request that was given up, if it got nothing else

The trace shows refusals without an id; copies with the id of the request that they refuse, and requests that failed at another target, are not excused any more.

--- a/src/test/java/org/poplarwharf/soak/FaultyResponses.java
+++ b/src/test/java/org/poplarwharf/soak/FaultyResponses.java
@@ -43,7 +43,7 @@
     private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
     private final Consumer<Request> lateCopyListener;
 
-    /** Creates a target's responses; the listener gets each request that was sent the copy of an earlier refusal. */
+    /** Creates a target's responses; the listener gets each request that was sent a refusal of an earlier one that names no request. */
     FaultyResponses(Consumer<Request> lateCopyListener) {
         this.lateCopyListener = lateCopyListener;
     }
@@ -55,7 +55,9 @@
     boolean refuse(Request request, OutputStream out) throws IOException, InterruptedException {
         String copy = lateCopies.remove(request.connection());
         if (copy != null) {
-            lateCopyListener.accept(request);
+            if (copy.equals(ANONYMOUS_REFUSAL)) {
+                lateCopyListener.accept(request);
+            }
             ScriptedTarget.write(out, copy);
         }
         if (!repeatsRefusals || requestCount.getAndIncrement() % FAULT_INTERVAL != 0) {
--- a/src/test/java/org/poplarwharf/soak/LossCheck.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheck.java
@@ -59,13 +59,13 @@
 
     private final List<SoakTarget> targets;
     private final Map<String, List<TargetActivity.Arrival>> arrivals;
-    private final Set<String> idsWithLateCopies;
+    private final TargetActivity activity;
     private final FaultTimeline faults;
 
     LossCheck(List<SoakTarget> targets, TargetActivity activity, FaultTimeline faults) {
         this.targets = targets;
         this.arrivals = activity.arrivalsByRequestId();
-        this.idsWithLateCopies = activity.requestIdsWithLateCopies();
+        this.activity = activity;
         this.faults = faults;
     }
 
@@ -119,17 +119,27 @@
     }
 
     private boolean isExcusedByTarget(RecordedCall call) {
-        // A copy may follow on a kept connection at any time after its target's fault.
-        if (GIVEN_UP.contains(call.status()) && idsWithLateCopies.contains(call.id())) {
-            return true;
-        }
-        return targets.stream()
-                .filter(target -> target.engine.isPresent() == call.kind().streaming)
-                .anyMatch(target -> {
-                    return hasFault(REACHABILITY_FAULTS, target, call)
-                            || hasFault(Set.of(SoakFleet.CRASHED_BY_REQUEST), target, call)
-                            || (hasArrived(call, target) && hasFault(RESPONSE_FAULTS, target, call));
-                });
+        return isGivenUpAfterLateCopy(call)
+                || targets.stream()
+                        .filter(target -> target.engine.isPresent() == call.kind().streaming)
+                        .anyMatch(target -> {
+                            return hasFault(REACHABILITY_FAULTS, target, call)
+                                    || hasFault(Set.of(SoakFleet.CRASHED_BY_REQUEST), target, call)
+                                    || (hasArrived(call, target) && hasFault(RESPONSE_FAULTS, target, call));
+                        });
+    }
+
+    /**
+     * Returns whether a request was given up that got only refusals of earlier ones. Such a refusal may follow on a kept
+     * connection at any time after its target's fault.
+     */
+    private boolean isGivenUpAfterLateCopy(RecordedCall call) {
+        Set<String> reached = arrivals.getOrDefault(call.id(), List.of()).stream()
+                .map(TargetActivity.Arrival::target)
+                .collect(Collectors.toSet());
+        return GIVEN_UP.contains(call.status())
+                && !reached.isEmpty()
+                && activity.targetsWithLateCopies(call.id()).containsAll(reached);
     }
 
     private boolean hasFault(Set<String> kinds, SoakTarget target, RecordedCall call) {
--- a/src/test/java/org/poplarwharf/soak/LossCheckTest.java
+++ b/src/test/java/org/poplarwharf/soak/LossCheckTest.java
@@ -75,6 +75,16 @@
         assertThat(isLost(failed)).isFalse();
     }
 
+    @Test
+    void the_copy_of_a_refusal_excuses_no_broken_stream_no_missing_response_and_no_failure_at_another_target() {
+        activity.add(new TargetActivity.LateCopy("r1", "t3", SENT_MILLIS));
+
+        assertThat(isLost(call(BROKEN_STREAM, SENT_MILLIS, END_MILLIS))).isTrue();
+        assertThat(isLost(call(NO_RESPONSE, SENT_MILLIS, END_MILLIS))).isTrue();
+        activity.add(new TargetActivity.Arrival("r1", "t4", SENT_MILLIS));
+        assertThat(isLost(call(GIVEN_UP, SENT_MILLIS, END_MILLIS))).isTrue();
+    }
+
     @Test
     void a_fault_of_a_target_of_another_service_or_one_that_got_no_request_excuses_nothing() {
         faults.recordStart(Kind.TARGET_CRASHES.name(), "t0", false, SENT_MILLIS);
--- a/src/test/java/org/poplarwharf/soak/TargetActivity.java
+++ b/src/test/java/org/poplarwharf/soak/TargetActivity.java
@@ -40,7 +40,7 @@
     /** A request that reached a target, whether it was run or rejected. */
     record Arrival(String requestId, String target, long arrivedMillis) {}
 
-    /** A copy of an earlier request's refusal that a target sent in place of the response to a request. */
+    /** A refusal of an earlier request, without its id, that a target sent in place of the response to a request. */
     record LateCopy(String requestId, String target, long sentMillis) {}
 
     /** A time in which all responses of a target name a limit. */
@@ -93,9 +93,12 @@
                 .toList();
     }
 
-    /** Returns the requests that were sent the copy of a refusal. */
-    Set<String> requestIdsWithLateCopies() {
-        return lateCopies.stream().map(LateCopy::requestId).collect(Collectors.toSet());
+    /** Returns the targets that sent a request the refusal of an earlier one. */
+    Set<String> targetsWithLateCopies(String requestId) {
+        return lateCopies.stream()
+                .filter(copy -> copy.requestId().equals(requestId))
+                .map(LateCopy::target)
+                .collect(Collectors.toSet());
     }
 
     List<LimitPeriod> limitPeriods() {
