--- a/src/main/java/org/poplarwharf/Node.java
+++ b/src/main/java/org/poplarwharf/Node.java
@@ -48,7 +48,7 @@
         kernel.drain();
     }
 
-    /** Stops the node and releases its resources. Aborts requests in flight unless {@link #drain} was called first. */
+    /** Stops the node and releases its resources. Requests in flight, of which {@link #drain} leaves fewer, get a failure. */
     public void stop() {
         kernel.stop();
     }
--- a/src/test/java/org/poplarwharf/soak/FaultyResponses.java
+++ b/src/test/java/org/poplarwharf/soak/FaultyResponses.java
@@ -43,7 +43,7 @@
     private final Map<Socket, String> lateCopies = new ConcurrentHashMap<>();
     private final Consumer<Request> lateCopyListener;
 
-    /** Creates a target's responses; the listener gets each request that was sent a refusal of an earlier one that names no request. */
+    /** Creates a target's responses; the listener gets each request that is sent a refusal of an earlier one, without its id. */
     FaultyResponses(Consumer<Request> lateCopyListener) {
         this.lateCopyListener = lateCopyListener;
     }
